Add the workspace, base, wire and net libraries, checks and design

Cause: every later part needs the layout, the message types, the framed transport and the checks in place.

Change: CMake workspace with enforced module layers, clang-format and clang-tidy settings, the test command, error, event, settings and hybrid clock types, Thrift messages with committed code, framed TCP connections and an HTTP server that drains without cutting requests.

Ruled out: C++20 coroutines, because clang-tidy 14 cannot parse them with libstdc++ 12; prefix-free enums from Thrift, because enumerators of different enums collide in one namespace.

--- /dev/null
+++ b/cmake/Layout.cmake
@@ -0,0 +1,30 @@
+# The libraries from the bottom up, then the binaries.
+if(WIGEONFOLD_PCH)
+  file(CONFIGURE OUTPUT ${CMAKE_BINARY_DIR}/pch.cpp CONTENT "// Holds the precompiled header.\n")
+  add_library(wigeonfold_pch STATIC ${CMAKE_BINARY_DIR}/pch.cpp)
+  target_link_libraries(wigeonfold_pch PRIVATE Threads::Threads)
+  target_precompile_headers(wigeonfold_pch PRIVATE
+    <utility> <algorithm> <chrono> <functional> <map> <memory> <optional>
+    <string> <vector> <boost/asio.hpp> <boost/beast/core.hpp>
+    <boost/beast/http.hpp> <boost/outcome.hpp> <nlohmann/json.hpp>)
+endif()
+
+wigeonfold_library(base LINK glog::glog inih xxhash docopt)
+wigeonfold_library(wire USES base LINK thrift)
+wigeonfold_library(settings USES base wire)
+wigeonfold_library(net USES base wire)
+wigeonfold_library(storage USES base)
+wigeonfold_library(consensus USES base wire)
+wigeonfold_library(registry USES base settings wire)
+wigeonfold_library(discovery USES base wire)
+wigeonfold_library(distribution USES base settings wire discovery)
+wigeonfold_library(routing USES base settings wire discovery)
+wigeonfold_library(admission USES base settings)
+wigeonfold_library(forwarding USES base wire routing admission)
+wigeonfold_library(observe USES base wire net LINK prometheus-cpp::core)
+
+wigeonfold_app(wigeonfold-control USES base settings wire net storage consensus registry discovery distribution observe)
+wigeonfold_app(wigeonfold-node USES base settings wire net discovery distribution routing admission forwarding observe)
+wigeonfold_app(wigeonfold USES base settings registry observe net)
+wigeonfold_app(wigeonfold-target USES base net)
+wigeonfold_app(wigeonfold-load USES base net)
--- /dev/null
+++ b/idl/common.thrift
@@ -0,0 +1,29 @@
+// Types shared by all messages between the system's own processes.
+namespace cpp wigeonfold.wire
+
+// Position in the total order of accepted configurations.
+struct WireVersion {
+  1: i64 generation,
+  2: i64 number,
+}
+
+// One branch of the settings tree, or its tombstone when removed is true.
+struct BranchState {
+  1: string path,
+  2: map<string, string> settings,
+  3: WireVersion modified,
+  4: bool removed,
+}
+
+enum OperationKind {
+  Set = 1,
+  Unset = 2,
+  RemoveBranch = 3,
+}
+
+struct Operation {
+  1: OperationKind kind,
+  2: string path,
+  3: string key,
+  4: string value,
+}
--- /dev/null
+++ b/idl/control.thrift
@@ -0,0 +1,103 @@
+// Messages between a node and a control VM, and endpoint exchange between
+// control VMs.
+include "common.thrift"
+namespace cpp wigeonfold.wire
+
+enum EndpointState {
+  Ready = 1,
+  Draining = 2,
+  Lost = 3,
+}
+
+// A target as announced by its node. The record with the greater
+// (nodeEpoch, sequence) replaces the other.
+struct EndpointRecord {
+  1: string nodeName,
+  2: i64 nodeEpoch,
+  3: i64 sequence,
+  4: string serviceName,
+  5: string availabilityZone,
+  // Address on which the node takes calls from other nodes.
+  6: string nodeAddress,
+  7: i32 slots,
+  8: EndpointState state,
+  // Member id of the control VM that holds the node's session.
+  9: i64 owner,
+}
+
+// First message of a session. held is absent on a node that holds nothing.
+struct NodeHello {
+  1: string nodeName,
+  2: i64 nodeEpoch,
+  3: string availabilityZone,
+  4: optional common.WireVersion held,
+  // Source and position of the last endpoint update that the node applied.
+  5: i64 endpointSource,
+  6: i64 endpointCursor,
+}
+
+struct HelloReply {
+  1: i64 memberId,
+  // Newest version that this control VM knows a node of that name to have had.
+  2: optional common.WireVersion floor,
+  3: i64 freshnessAgeMs,
+  4: i64 greatestNodeEpoch,
+}
+
+struct Announce {
+  1: EndpointRecord endpoint,
+}
+
+// Difference between the state at base and the state at target. full means
+// that branches holds the whole tree.
+struct ConfigUpdate {
+  1: bool full,
+  2: common.WireVersion base,
+  3: common.WireVersion target,
+  4: list<common.BranchState> branches,
+  5: i64 digest,
+}
+
+struct EndpointUpdate {
+  1: i64 source,
+  2: i64 cursor,
+  // full means that the records replace all that the node holds.
+  3: bool full,
+  4: list<EndpointRecord> records,
+  5: list<string> removedNodes,
+}
+
+// Sent by the control VM each second; the node answers with NodeStatus.
+struct Heartbeat {
+  1: i64 freshnessAgeMs,
+  2: common.WireVersion newest,
+}
+
+struct NodeStatus {
+  1: optional common.WireVersion inForce,
+  // Version that the node refused, with the reason; empty when none.
+  2: optional common.WireVersion refused,
+  3: string refusal,
+  4: i64 controlBytesReceived,
+  5: i64 controlBytesSent,
+}
+
+// The control VM has no capacity for this session now.
+struct RetryLater {
+  1: i64 afterMs,
+}
+
+// Endpoint records that a control VM owns, sent to the other control VMs.
+struct EndpointSync {
+  1: i64 owner,
+  2: bool full,
+  3: list<EndpointRecord> records,
+  4: list<string> removedNodes,
+}
+
+// First message on a connection between two control VMs.
+struct ControlHello {
+  1: i64 memberId,
+  2: string name,
+  3: string clusterId,
+}
--- /dev/null
+++ b/idl/peer.thrift
@@ -0,0 +1,65 @@
+// Messages between nodes.
+include "common.thrift"
+namespace cpp wigeonfold.wire
+
+struct HeaderField {
+  1: string name,
+  2: string value,
+}
+
+// First message in each direction. epoch identifies the connection.
+struct PeerHello {
+  1: string nodeName,
+  2: i64 nodeEpoch,
+  3: i64 epoch,
+  4: optional common.WireVersion inForce,
+}
+
+struct CallRequest {
+  1: i64 callId,
+  2: string serviceName,
+  3: string office,
+  4: string method,
+  5: string path,
+  6: list<HeaderField> headers,
+  7: binary body,
+  // Time left until the deadline when the frame was written.
+  8: i64 deadlineUs,
+  9: i32 depth,
+  10: bool idempotent,
+}
+
+enum RunState {
+  Run = 1,
+  NotRun = 2,
+  Unknown = 3,
+}
+
+// Load of a node's own target, carried on each answer.
+struct TargetLoad {
+  1: i32 slots,
+  2: i32 running,
+  3: i32 queued,
+  4: i64 latencyUs,
+  5: bool draining,
+}
+
+struct CallResponse {
+  1: i64 callId,
+  2: RunState run,
+  3: i32 status,
+  4: list<HeaderField> headers,
+  5: binary body,
+  6: TargetLoad load,
+  // Why the call was refused or failed; empty when the target answered.
+  7: string reason,
+}
+
+struct CallCancel {
+  1: i64 callId,
+}
+
+// The sender takes no further calls on this connection.
+struct PeerGoaway {
+  1: string reason,
+}
--- /dev/null
+++ b/idl/raft.thrift
@@ -0,0 +1,66 @@
+// Messages between control VMs and records of the replicated log.
+namespace cpp wigeonfold.wire
+
+enum LogEntryKind {
+  Noop = 1,
+  Command = 2,
+  Membership = 3,
+}
+
+struct LogEntry {
+  1: i64 index,
+  2: i64 term,
+  3: LogEntryKind kind,
+  4: binary payload,
+}
+
+// A control VM as a member of the replicated group. memberId is the identity
+// stored in its data folder.
+struct Member {
+  1: i64 memberId,
+  2: string name,
+  3: string availabilityZone,
+  4: string peerAddress,
+  5: bool voter,
+  // Address of the operators' HTTP API.
+  6: string apiAddress,
+}
+
+struct Membership {
+  1: list<Member> members,
+}
+
+enum RaftMessageKind {
+  PreVoteRequest = 1,
+  PreVoteReply = 2,
+  VoteRequest = 3,
+  VoteReply = 4,
+  AppendRequest = 5,
+  AppendReply = 6,
+  SnapshotChunk = 7,
+  SnapshotReply = 8,
+}
+
+// One message of the consensus protocol; the kind says which fields are set.
+struct RaftMessage {
+  1: RaftMessageKind kind,
+  2: i64 fromMember,
+  3: i64 toMember,
+  4: i64 term,
+  // Requests: index and term of the entry before the first one sent, or of the
+  // candidate's last entry. Replies: the last index known to match.
+  5: i64 logIndex,
+  6: i64 logTerm,
+  7: i64 commitIndex,
+  8: list<LogEntry> entries,
+  9: bool granted,
+  // Set by the leader on each round and echoed in the reply; the reply confirms
+  // the leader's lease from the time the round was sent.
+  10: i64 round,
+  11: i64 snapshotOffset,
+  12: i64 snapshotSize,
+  13: binary snapshotData,
+  14: optional Membership membership,
+  // AppendRequest: time since the leader last heard from a quorum.
+  15: i64 quorumAgeMs,
+}
--- /dev/null
+++ b/libs/base/include/wigeonfold/base/CommandLine.h
@@ -0,0 +1,44 @@
+// Command line conventions shared by all binaries.
+#pragma once
+
+#include "wigeonfold/base/Settings.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace wigeonfold {
+
+enum class ExitStatus : int
+{
+  Success = 0,
+  Failed = 1,          // refused or failed at run time
+  Usage = 2,           // bad command line
+  InvalidSettings = 3, //
+  DamagedData = 4,     // damaged or unusable data folder
+  Unreachable = 5,     // no control VM answered
+};
+
+inline constexpr const char* kVersionText = "wigeonfold 0.1.0";
+
+// Arguments of a process that reads --config FILE.ini.
+struct DaemonArguments
+{
+  std::string m_configPath;
+  bool m_checkOnly = false;
+};
+
+// Parses the command line of a daemon with docopt. Prints help, version or the
+// usage error itself and then returns the exit status in aStatus.
+std::optional<DaemonArguments> ParseDaemonArguments(
+  const std::string& aBinary,
+  const std::string& aSummary,
+  int aCount,
+  const char* const* aArguments,
+  ExitStatus& aStatus);
+
+// Prints all problems to stderr; true when there are none.
+bool ReportProblems(const std::vector<std::string>& aProblems);
+
+} // namespace wigeonfold
--- /dev/null
+++ b/libs/base/include/wigeonfold/base/Events.h
@@ -0,0 +1,114 @@
+// Catalogue of numbered events and the log that records them.
+#pragma once
+
+#include "wigeonfold/base/HybridClock.h"
+
+#include <condition_variable>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+namespace wigeonfold {
+
+// ---- Catalogue -------------------------------------------------------------
+
+enum class EventLevel
+{
+  Info,
+  Warning,
+  Error,
+};
+
+// One line per event: identifier, number, level, meaning. docs/events.md holds
+// the same list; a test keeps the two equal. Number ranges: 1000 process,
+// 1100 storage, 1200 consensus, 1300 registry, 1400 discovery, 1500
+// distribution at the control VM, 2000 node configuration, 2100 node data path.
+// clang-format off
+#define WIGEONFOLD_EVENTS(X)                                                            \
+  X(ProcessStarted,         1000, Info,    "process started")                           \
+  X(ProcessStopping,        1001, Info,    "graceful shutdown began")                   \
+  X(ProcessStopped,         1002, Info,    "process stopped")                           \
+  X(ListenFailed,           1003, Error,   "a listening socket could not be opened")    \
+  X(ConnectionRejected,     1004, Warning, "a peer sent a malformed frame or message")  \
+  X(EventsDropped,          1005, Warning, "the event queue was full; events were lost")
+// clang-format on
+
+enum class EventId : int
+{
+#define WIGEONFOLD_EVENT_ENUM(aName, aNumber, aLevel, aText) aName = aNumber,
+  WIGEONFOLD_EVENTS(WIGEONFOLD_EVENT_ENUM)
+#undef WIGEONFOLD_EVENT_ENUM
+};
+
+struct EventInfo
+{
+  EventId m_id;
+  const char* m_name;
+  EventLevel m_level;
+  const char* m_meaning;
+};
+
+// All events in the order of the catalogue.
+const std::vector<EventInfo>& EventCatalogue();
+const EventInfo& InfoOf(EventId aId);
+
+// ---- Log -------------------------------------------------------------------
+
+struct EventField
+{
+  std::string m_name;
+  std::string m_value;
+};
+
+struct Event
+{
+  HybridTime m_time = 0;
+  EventId m_id = EventId::ProcessStarted;
+  std::vector<EventField> m_fields;
+};
+
+// "1000 ProcessStarted name=a peer=b"; values with blanks are quoted.
+std::string Format(const Event& aEvent);
+
+// Keeps the newest events of the process for the time line and writes each to
+// glog from a thread of its own, so that no caller waits for a log file.
+class EventLog
+{
+public:
+  // aProcess names the process in the time line; aKept bounds the memory.
+  EventLog(std::string aProcess, size_t aKept);
+  ~EventLog();
+  EventLog(const EventLog&) = delete;
+  EventLog& operator=(const EventLog&) = delete;
+
+  // Thread safe. Never waits for output; when more than kMaxPending events
+  // are waiting, further ones are counted and reported as EventsDropped.
+  void Record(EventId aId, std::vector<EventField> aFields);
+
+  // Thread safe. Copies the kept events with a stamp greater than aAfter.
+  std::vector<Event> Since(HybridTime aAfter) const;
+
+  const std::string& Process() const { return m_process; }
+
+private:
+  void WriteLoop();
+
+  static constexpr size_t kMaxPending = 8192;
+
+  const std::string m_process;
+  const size_t m_kept;
+  mutable std::mutex m_mutex;
+  std::condition_variable m_wake;
+  std::deque<Event> m_recent;
+  std::deque<Event> m_pending;
+  size_t m_dropped = 0;
+  bool m_stopping = false;
+  std::thread m_writer;
+};
+
+} // namespace wigeonfold
--- /dev/null
+++ b/libs/base/test/Events_test.cpp
@@ -0,0 +1,66 @@
+// Guards against a catalogue page that no longer matches the code, and against
+// time line stamps that run backwards.
+#include "wigeonfold/base/Events.h"
+
+#include <fstream>
+#include <gtest/gtest.h>
+#include <set>
+
+namespace wigeonfold {
+namespace {
+
+std::string LevelName(EventLevel aLevel)
+{
+  switch (aLevel) {
+    case EventLevel::Info:
+      return "info";
+    case EventLevel::Warning:
+      return "warning";
+    case EventLevel::Error:
+      return "error";
+  }
+  return "";
+}
+
+TEST(EventsTest, CataloguePageEqualsCode)
+{
+  std::ifstream page(WIGEONFOLD_SOURCE_DIR "/docs/events.md");
+  std::vector<std::string> documented;
+  for (std::string line; std::getline(page, line);) {
+    if (line.rfind("| 1", 0) == 0 || line.rfind("| 2", 0) == 0) {
+      documented.push_back(line);
+    }
+  }
+  std::vector<std::string> expected;
+  for (const EventInfo& info : EventCatalogue()) {
+    expected.push_back("| " + std::to_string(static_cast<int>(info.m_id)) +
+                       " | " + info.m_name + " | " + LevelName(info.m_level) +
+                       " | " + info.m_meaning + " |");
+  }
+  EXPECT_EQ(documented, expected);
+}
+
+TEST(EventsTest, NumbersAreUnique)
+{
+  std::set<int> numbers;
+  for (const EventInfo& info : EventCatalogue()) {
+    EXPECT_TRUE(numbers.insert(static_cast<int>(info.m_id)).second)
+      << info.m_name;
+  }
+}
+
+TEST(HybridClockTest, StampsFollowCausesAcrossClocks)
+{
+  using std::chrono::system_clock;
+  HybridClock ahead;
+  HybridClock behind;
+  const system_clock::time_point now = system_clock::now();
+  const HybridTime sent = ahead.Now(now + std::chrono::seconds(30));
+  behind.Observe(sent);
+  const HybridTime received = behind.Now(now);
+  EXPECT_GT(received, sent);
+  EXPECT_GT(behind.Now(now - std::chrono::seconds(5)), received);
+}
+
+} // namespace
+} // namespace wigeonfold
--- /dev/null
+++ b/libs/net/include/wigeonfold/net/Connection.h
@@ -0,0 +1,88 @@
+// Framed TCP connections between the system's own processes.
+#pragma once
+
+#include "wigeonfold/base/Settings.h"
+#include "wigeonfold/base/Time.h"
+#include "wigeonfold/wire/Codec.h"
+#include "wigeonfold/wire/Frame.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace wigeonfold::net {
+
+class Connection;
+using ConnectionPtr = std::shared_ptr<Connection>;
+
+// Callbacks of a connection. All run on the thread of its io_context.
+struct ConnectionHandlers
+{
+  std::function<void(const ConnectionPtr&, wire::Frame)> m_onFrame;
+  // Called once, whoever closed; not called after Close() by the owner.
+  std::function<void(const ConnectionPtr&, const Error&)> m_onClose;
+};
+
+// One connection. All methods run on the thread of its io_context. The
+// connection lives until it is closed, also without an owner.
+class Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+  virtual ~Connection() = default;
+
+  // Queues one frame. Returns false, and queues nothing, when the connection
+  // is closed or more than kMaxQueuedBytes wait to be written.
+  virtual bool SendFrame(wire::FrameType aType,
+                         const std::string& aPayload) = 0;
+
+  template<class T>
+  bool Send(wire::FrameType aType, const T& aMessage)
+  {
+    return SendFrame(aType, wire::Encode(aMessage));
+  }
+
+  // Closes at once. No handler is called afterwards.
+  virtual void Close() = 0;
+  // Writes what is queued, then closes. No handler is called afterwards.
+  virtual void CloseAfterWrites() = 0;
+
+  virtual bool IsOpen() const = 0;
+  virtual size_t QueuedBytes() const = 0;
+  virtual uint64_t BytesSent() const = 0;
+  virtual uint64_t BytesReceived() const = 0;
+  virtual const std::string& Peer() const = 0;
+
+  static constexpr size_t kMaxQueuedBytes = size_t{ 64 } << 20;
+};
+
+// Opens a connection. Calls aDone once with the connection or an error; the
+// handlers are called only after aDone succeeded. aTimeout bounds the attempt.
+void Connect(boost::asio::io_context& aIo,
+             const SocketAddress& aAddress,
+             Duration aTimeout,
+             ConnectionHandlers aHandlers,
+             std::function<void(Result<ConnectionPtr>)> aDone);
+
+// Accepts connections until it is stopped.
+class Listener
+{
+public:
+  virtual ~Listener() = default;
+  // Stops accepting; open connections stay.
+  virtual void Stop() = 0;
+  virtual uint16_t Port() const = 0;
+};
+
+// Fails with Io when the address can't be bound. aOnAccept runs before the
+// first frame of the connection is read.
+Result<std::unique_ptr<Listener>> Listen(
+  boost::asio::io_context& aIo,
+  const SocketAddress& aAddress,
+  ConnectionHandlers aHandlers,
+  std::function<void(const ConnectionPtr&)> aOnAccept);
+
+} // namespace wigeonfold::net
--- /dev/null
+++ b/libs/net/src/Connection.cpp
@@ -0,0 +1,359 @@
+#include "wigeonfold/net/Connection.h"
+
+#include <utility>
+
+#include <boost/asio.hpp>
+
+namespace wigeonfold::net {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr size_t kReadBytes = 16 * 1024;
+// Pause after a failed accept, such as when file descriptors run out.
+constexpr std::chrono::milliseconds kAcceptRetry{ 100 };
+
+std::string PeerName(const tcp::socket& aSocket)
+{
+  boost::system::error_code code;
+  const tcp::endpoint endpoint = aSocket.remote_endpoint(code);
+  if (code) {
+    return "unknown";
+  }
+  return ToString(
+    SocketAddress{ endpoint.address().to_string(), endpoint.port() });
+}
+
+// ---- Connection ------------------------------------------------------------
+
+class TcpConnection : public Connection
+{
+public:
+  TcpConnection(tcp::socket aSocket, ConnectionHandlers aHandlers)
+    : m_socket(std::move(aSocket))
+    , m_handlers(std::move(aHandlers))
+    , m_peer(PeerName(m_socket))
+    , m_reader(m_peer)
+  {
+    boost::system::error_code ignored;
+    m_socket.set_option(tcp::no_delay(true), ignored);
+  }
+
+  void Start() { Read(); }
+
+  bool SendFrame(wire::FrameType aType, const std::string& aPayload) override
+  {
+    if (!m_open || m_closeAfterWrites ||
+        QueuedBytes() + aPayload.size() > kMaxQueuedBytes ||
+        aPayload.size() > wire::kMaxPayloadBytes) {
+      return false;
+    }
+    wire::AppendFrame(m_queued,
+                      aType,
+                      ProcessClock().Now(std::chrono::system_clock::now()),
+                      aPayload);
+    Write();
+    return true;
+  }
+
+  void Close() override
+  {
+    if (!m_open) {
+      return;
+    }
+    m_open = false;
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+    // A handler may be running now, so its captures are released later.
+    asio::post(m_socket.get_executor(),
+               [self = Self()] { self->m_handlers = {}; });
+  }
+
+  void CloseAfterWrites() override
+  {
+    m_closeAfterWrites = true;
+    if (m_writing.empty()) {
+      Close();
+    }
+  }
+
+  bool IsOpen() const override { return m_open; }
+  size_t QueuedBytes() const override
+  {
+    return m_queued.size() + m_writing.size();
+  }
+  uint64_t BytesSent() const override { return m_sent; }
+  uint64_t BytesReceived() const override { return m_received; }
+  const std::string& Peer() const override { return m_peer; }
+
+private:
+  std::shared_ptr<TcpConnection> Self()
+  {
+    return std::static_pointer_cast<TcpConnection>(shared_from_this());
+  }
+
+  void Read()
+  {
+    m_socket.async_read_some(
+      asio::buffer(m_buffer),
+      [self = Self()](boost::system::error_code aCode, size_t aBytes) {
+        self->OnRead(aCode, aBytes);
+      });
+  }
+
+  void OnRead(const boost::system::error_code& aCode, size_t aBytes)
+  {
+    if (!m_open) {
+      return;
+    }
+    if (aCode) {
+      Fail(
+        Error{ ErrorCode::Unavailable, "read frame", m_peer, aCode.message() });
+      return;
+    }
+    m_received += aBytes;
+    m_reader.Feed(std::string_view(m_buffer.data(), aBytes));
+    while (m_open) {
+      auto next = m_reader.Next();
+      if (!next) {
+        Fail(next.error());
+        return;
+      }
+      if (!next.value()) {
+        break;
+      }
+      ProcessClock().Observe(next.value()->m_time);
+      if (m_handlers.m_onFrame) {
+        m_handlers.m_onFrame(Self(), std::move(*next.value()));
+      }
+    }
+    if (m_open) {
+      Read();
+    }
+  }
+
+  void Write()
+  {
+    if (!m_writing.empty() || m_queued.empty()) {
+      return;
+    }
+    m_writing.swap(m_queued);
+    asio::async_write(
+      m_socket,
+      asio::buffer(m_writing),
+      [self = Self()](boost::system::error_code aCode, size_t aBytes) {
+        self->OnWritten(aCode, aBytes);
+      });
+  }
+
+  void OnWritten(const boost::system::error_code& aCode, size_t aBytes)
+  {
+    if (!m_open) {
+      return;
+    }
+    if (aCode) {
+      Fail(Error{
+        ErrorCode::Unavailable, "write frame", m_peer, aCode.message() });
+      return;
+    }
+    m_sent += aBytes;
+    m_writing.clear();
+    Write();
+    if (m_writing.empty() && m_closeAfterWrites) {
+      Close();
+    }
+  }
+
+  void Fail(const Error& aError)
+  {
+    const auto onClose = m_handlers.m_onClose;
+    Close();
+    if (onClose) {
+      onClose(Self(), aError);
+    }
+  }
+
+  tcp::socket m_socket;
+  ConnectionHandlers m_handlers;
+  std::string m_peer;
+  wire::FrameReader m_reader;
+  std::array<char, kReadBytes> m_buffer{};
+  std::string m_queued;
+  std::string m_writing;
+  bool m_open = true;
+  bool m_closeAfterWrites = false;
+  uint64_t m_sent = 0;
+  uint64_t m_received = 0;
+};
+
+// ---- Listener --------------------------------------------------------------
+
+class TcpListener : public Listener
+{
+public:
+  TcpListener(tcp::acceptor aAcceptor,
+              ConnectionHandlers aHandlers,
+              std::function<void(const ConnectionPtr&)> aOnAccept)
+    : m_state(std::make_shared<State>(std::move(aAcceptor),
+                                      std::move(aHandlers),
+                                      std::move(aOnAccept)))
+  {
+    Accept(m_state);
+  }
+  ~TcpListener() override { Stop(); }
+
+  void Stop() override
+  {
+    boost::system::error_code ignored;
+    m_state->m_acceptor.close(ignored);
+    m_state->m_retry.cancel();
+  }
+
+  uint16_t Port() const override
+  {
+    boost::system::error_code ignored;
+    return m_state->m_acceptor.local_endpoint(ignored).port();
+  }
+
+private:
+  struct State
+  {
+    State(tcp::acceptor aAcceptor,
+          ConnectionHandlers aHandlers,
+          std::function<void(const ConnectionPtr&)> aOnAccept)
+      : m_acceptor(std::move(aAcceptor))
+      , m_retry(m_acceptor.get_executor())
+      , m_handlers(std::move(aHandlers))
+      , m_onAccept(std::move(aOnAccept))
+    {
+    }
+
+    tcp::acceptor m_acceptor;
+    asio::steady_timer m_retry;
+    ConnectionHandlers m_handlers;
+    std::function<void(const ConnectionPtr&)> m_onAccept;
+  };
+
+  static void Accept(const std::shared_ptr<State>& aState)
+  {
+    aState->m_acceptor.async_accept([aState](boost::system::error_code aCode,
+                                             tcp::socket aSocket) {
+      if (!aState->m_acceptor.is_open()) {
+        return;
+      }
+      if (aCode) {
+        AcceptLater(aState);
+        return;
+      }
+      auto connection =
+        std::make_shared<TcpConnection>(std::move(aSocket), aState->m_handlers);
+      if (aState->m_onAccept) {
+        aState->m_onAccept(connection);
+      }
+      connection->Start();
+      Accept(aState);
+    });
+  }
+
+  static void AcceptLater(const std::shared_ptr<State>& aState)
+  {
+    aState->m_retry.expires_after(kAcceptRetry);
+    aState->m_retry.async_wait([aState](boost::system::error_code aCode) {
+      if (!aCode && aState->m_acceptor.is_open()) {
+        Accept(aState);
+      }
+    });
+  }
+
+  std::shared_ptr<State> m_state;
+};
+
+// ---- Connect ---------------------------------------------------------------
+
+struct Attempt
+{
+  explicit Attempt(asio::io_context& aIo)
+    : m_socket(aIo)
+    , m_timer(aIo)
+  {
+  }
+
+  tcp::socket m_socket;
+  asio::steady_timer m_timer;
+  bool m_timedOut = false;
+};
+
+} // namespace
+
+void Connect(asio::io_context& aIo,
+             const SocketAddress& aAddress,
+             Duration aTimeout,
+             ConnectionHandlers aHandlers,
+             std::function<void(Result<ConnectionPtr>)> aDone)
+{
+  boost::system::error_code code;
+  const auto address = asio::ip::make_address(aAddress.m_host, code);
+  if (code) {
+    asio::post(aIo, [aAddress, done = std::move(aDone)] {
+      done(Error{ ErrorCode::InvalidArgument,
+                  "connect",
+                  ToString(aAddress),
+                  "not an IP number" });
+    });
+    return;
+  }
+  auto attempt = std::make_shared<Attempt>(aIo);
+  attempt->m_timer.expires_after(aTimeout);
+  attempt->m_timer.async_wait([attempt](boost::system::error_code aCode) {
+    if (!aCode) {
+      attempt->m_timedOut = true;
+      boost::system::error_code ignored;
+      attempt->m_socket.close(ignored);
+    }
+  });
+  attempt->m_socket.async_connect(
+    tcp::endpoint(address, aAddress.m_port),
+    [attempt,
+     aAddress,
+     handlers = std::move(aHandlers),
+     done = std::move(aDone)](boost::system::error_code aCode) mutable {
+      attempt->m_timer.cancel();
+      if (aCode || attempt->m_timedOut) {
+        done(Error{ attempt->m_timedOut ? ErrorCode::Timeout
+                                        : ErrorCode::Unavailable,
+                    "connect",
+                    ToString(aAddress),
+                    aCode.message() });
+        return;
+      }
+      auto connection = std::make_shared<TcpConnection>(
+        std::move(attempt->m_socket), std::move(handlers));
+      done(ConnectionPtr(connection));
+      if (connection->IsOpen()) {
+        connection->Start();
+      }
+    });
+}
+
+Result<std::unique_ptr<Listener>> Listen(
+  asio::io_context& aIo,
+  const SocketAddress& aAddress,
+  ConnectionHandlers aHandlers,
+  std::function<void(const ConnectionPtr&)> aOnAccept)
+{
+  try {
+    const tcp::endpoint endpoint(asio::ip::make_address(aAddress.m_host),
+                                 aAddress.m_port);
+    tcp::acceptor acceptor(aIo, endpoint);
+    return std::unique_ptr<Listener>(std::make_unique<TcpListener>(
+      std::move(acceptor), std::move(aHandlers), std::move(aOnAccept)));
+  } catch (const boost::system::system_error& error) {
+    return Error{
+      ErrorCode::Io, "listen", ToString(aAddress), error.code().message()
+    };
+  }
+}
+
+} // namespace wigeonfold::net
--- /dev/null
+++ b/libs/net/src/Http.cpp
@@ -0,0 +1,504 @@
+#include "wigeonfold/net/Http.h"
+
+#include <utility>
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <set>
+
+namespace wigeonfold::net {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr std::chrono::minutes kIdleTimeout{ 5 };
+constexpr std::chrono::milliseconds kAcceptRetry{ 100 };
+
+using ParsedRequest = http::request<http::string_body>;
+using PlainResponse = http::response<http::string_body>;
+
+HttpRequest ToPlain(ParsedRequest&& aRequest)
+{
+  HttpRequest request;
+  request.m_method = std::string(aRequest.method_string());
+  request.m_target = std::string(aRequest.target());
+  for (const auto& field : aRequest) {
+    request.m_fields.push_back(
+      { std::string(field.name_string()), std::string(field.value()) });
+  }
+  request.m_body = std::move(aRequest.body());
+  return request;
+}
+
+// The server frames the message itself, so fields that do so are left out.
+bool IsFramingField(const std::string& aName)
+{
+  return boost::iequals(aName, "content-length") ||
+         boost::iequals(aName, "transfer-encoding") ||
+         boost::iequals(aName, "connection");
+}
+
+class Server;
+
+// ---- One connection --------------------------------------------------------
+
+class Session : public std::enable_shared_from_this<Session>
+{
+public:
+  Session(tcp::socket aSocket, Server& aServer)
+    : m_stream(std::move(aSocket))
+    , m_server(&aServer)
+  {
+    boost::system::error_code ignored;
+    m_stream.socket().set_option(tcp::no_delay(true), ignored);
+  }
+
+  void Read();
+  void Close();
+  // Closes the connection if no request is under way or has begun to arrive.
+  void CloseIfIdle();
+  void Detach() { m_server = nullptr; }
+
+private:
+  void OnRead(beast::error_code aCode);
+  void Handle(ParsedRequest&& aRequest);
+  void WatchForClose();
+  void Reject(http::status aStatus);
+  void Respond(HttpResponse aResponse);
+  void OnWritten(beast::error_code aCode);
+
+  beast::tcp_stream m_stream;
+  beast::flat_buffer m_buffer;
+  std::optional<http::request_parser<http::string_body>> m_parser;
+  std::shared_ptr<PlainResponse> m_response;
+  std::function<void()> m_onAbandon;
+  Server* m_server; // null after the server is gone
+  bool m_reading = false;
+  bool m_handling = false;
+  bool m_keepAlive = true;
+  bool m_head = false;
+  bool m_http10 = false;
+};
+
+// ---- Server ----------------------------------------------------------------
+
+class Server : public HttpServer
+{
+public:
+  Server(tcp::acceptor aAcceptor,
+         HttpHandler aHandler,
+         std::vector<HttpField> aRejectFields)
+    : m_handler(std::move(aHandler))
+    , m_rejectFields(std::move(aRejectFields))
+    , m_acceptor(std::move(aAcceptor))
+    , m_timer(m_acceptor.get_executor())
+    , m_alive(std::make_shared<bool>(true))
+  {
+    Accept();
+  }
+
+  ~Server() override
+  {
+    *m_alive = false;
+    m_onDrained = nullptr;
+    Close();
+  }
+
+  void Drain(Duration aLinger, std::function<void()> aDone) override
+  {
+    m_draining = true;
+    m_onDrained = std::move(aDone);
+    m_timer.expires_after(aLinger);
+    m_timer.async_wait(
+      [this, alive = m_alive](boost::system::error_code aCode) {
+        if (!aCode && *alive) {
+          FinishDrain();
+        }
+      });
+  }
+
+  void Close() override
+  {
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
+    m_timer.cancel();
+    const auto sessions = std::move(m_sessions);
+    m_sessions.clear();
+    for (const auto& session : sessions) {
+      session->Detach();
+      session->Close();
+    }
+  }
+
+  uint16_t Port() const override
+  {
+    boost::system::error_code ignored;
+    return m_acceptor.local_endpoint(ignored).port();
+  }
+
+  size_t Connections() const override { return m_sessions.size(); }
+  bool IsDraining() const { return m_draining; }
+  // True once idle connections are to be closed.
+  bool IsLingerOver() const { return m_lingerOver; }
+
+  void Remove(const std::shared_ptr<Session>& aSession)
+  {
+    m_sessions.erase(aSession);
+    if (m_lingerOver && m_sessions.empty() && m_onDrained) {
+      asio::post(m_acceptor.get_executor(),
+                 std::exchange(m_onDrained, nullptr));
+    }
+  }
+
+  const HttpHandler m_handler;
+  const std::vector<HttpField> m_rejectFields;
+
+private:
+  void Accept()
+  {
+    m_acceptor.async_accept(
+      [this, alive = m_alive](boost::system::error_code aCode,
+                              tcp::socket aSocket) {
+        if (!*alive || !m_acceptor.is_open()) {
+          return;
+        }
+        if (aCode) {
+          AcceptLater();
+          return;
+        }
+        auto session = std::make_shared<Session>(std::move(aSocket), *this);
+        m_sessions.insert(session);
+        session->Read();
+        Accept();
+      });
+  }
+
+  // Errors such as a lack of file descriptors pass; the socket stays usable.
+  void AcceptLater()
+  {
+    auto timer = std::make_shared<asio::steady_timer>(m_acceptor.get_executor(),
+                                                      kAcceptRetry);
+    timer->async_wait(
+      [this, timer, alive = m_alive](boost::system::error_code aCode) {
+        if (!aCode && *alive && m_acceptor.is_open()) {
+          Accept();
+        }
+      });
+  }
+
+  void FinishDrain()
+  {
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
+    m_lingerOver = true;
+    const auto sessions = m_sessions;
+    for (const auto& session : sessions) {
+      session->CloseIfIdle();
+    }
+    if (m_sessions.empty() && m_onDrained) {
+      std::exchange(m_onDrained, nullptr)();
+    }
+  }
+
+  tcp::acceptor m_acceptor;
+  asio::steady_timer m_timer;
+  std::set<std::shared_ptr<Session>> m_sessions;
+  std::function<void()> m_onDrained;
+  bool m_draining = false;
+  bool m_lingerOver = false;
+  std::shared_ptr<bool> m_alive; // false once the server is destroyed
+};
+
+void Session::Read()
+{
+  if (m_server != nullptr && m_server->IsLingerOver() && m_buffer.size() == 0) {
+    boost::system::error_code code;
+    if (m_stream.socket().available(code) == 0) {
+      Close();
+      return;
+    }
+  }
+  m_parser.emplace();
+  m_parser->body_limit(kMaxBodyBytes);
+  m_stream.expires_after(kIdleTimeout);
+  m_reading = true;
+  http::async_read(m_stream,
+                   m_buffer,
+                   *m_parser,
+                   [self = shared_from_this()](
+                     beast::error_code aCode, size_t) { self->OnRead(aCode); });
+}
+
+void Session::OnRead(beast::error_code aCode)
+{
+  m_reading = false;
+  if (m_server == nullptr) {
+    return;
+  }
+  if (aCode == http::error::body_limit) {
+    Reject(http::status::payload_too_large);
+    return;
+  }
+  const bool malformed =
+    aCode.category() == make_error_code(http::error::bad_method).category();
+  if (malformed && aCode != http::error::end_of_stream &&
+      aCode != http::error::partial_message) {
+    Reject(http::status::bad_request);
+    return;
+  }
+  if (aCode) {
+    Close();
+    return;
+  }
+  Handle(m_parser->release());
+}
+
+void Session::Handle(ParsedRequest&& aRequest)
+{
+  m_keepAlive = aRequest.keep_alive();
+  m_head = aRequest.method() == http::verb::head;
+  m_http10 = aRequest.version() < 11;
+  m_handling = true;
+  m_stream.expires_never();
+  if (m_buffer.size() == 0) {
+    WatchForClose();
+  }
+  const std::weak_ptr<Session> weak = shared_from_this();
+  auto respond = [weak](HttpResponse aResponse) {
+    if (const auto self = weak.lock()) {
+      self->Respond(std::move(aResponse));
+    }
+  };
+  auto onAbandon = [weak](std::function<void()> aCallback) {
+    if (const auto self = weak.lock()) {
+      self->m_onAbandon = std::move(aCallback);
+    }
+  };
+  m_server->m_handler(ToPlain(std::move(aRequest)), respond, onAbandon);
+}
+
+void Session::WatchForClose()
+{
+  m_stream.socket().async_wait(
+    tcp::socket::wait_read,
+    [self = shared_from_this()](boost::system::error_code aCode) {
+      if (aCode || !self->m_handling) {
+        return;
+      }
+      boost::system::error_code code;
+      if (self->m_stream.socket().available(code) == 0) {
+        self->Close();
+      }
+    });
+}
+
+void Session::Reject(http::status aStatus)
+{
+  m_keepAlive = false;
+  m_handling = true;
+  HttpResponse response;
+  response.m_status = static_cast<int>(aStatus);
+  response.m_fields = m_server->m_rejectFields;
+  response.m_body = std::string(http::obsolete_reason(aStatus)) + "\n";
+  Respond(std::move(response));
+}
+
+void Session::Respond(HttpResponse aResponse)
+{
+  if (!m_handling || !m_stream.socket().is_open()) {
+    return;
+  }
+  m_handling = false;
+  m_onAbandon = nullptr;
+  if (m_server == nullptr || m_server->IsDraining()) {
+    m_keepAlive = false;
+  }
+  m_response = std::make_shared<PlainResponse>();
+  m_response->result(static_cast<unsigned>(aResponse.m_status));
+  m_response->version(m_http10 ? 10 : 11);
+  for (const HttpField& field : aResponse.m_fields) {
+    if (!IsFramingField(field.m_name)) {
+      m_response->insert(field.m_name, field.m_value);
+    }
+  }
+  m_response->keep_alive(m_keepAlive);
+  m_response->content_length(aResponse.m_body.size());
+  if (!m_head) {
+    m_response->body() = std::move(aResponse.m_body);
+  }
+  http::async_write(
+    m_stream,
+    *m_response,
+    [self = shared_from_this()](beast::error_code aCode, size_t) {
+      self->OnWritten(aCode);
+    });
+}
+
+void Session::OnWritten(beast::error_code aCode)
+{
+  if (aCode || !m_keepAlive) {
+    boost::system::error_code ignored;
+    m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    Close();
+    return;
+  }
+  Read();
+}
+
+void Session::CloseIfIdle()
+{
+  boost::system::error_code code;
+  const bool arriving = m_buffer.size() > 0 ||
+                        (m_parser && m_parser->got_some()) ||
+                        m_stream.socket().available(code) > 0;
+  if (m_reading && !arriving) {
+    Close();
+  }
+}
+
+void Session::Close()
+{
+  const auto self = shared_from_this();
+  boost::system::error_code ignored;
+  m_stream.socket().close(ignored);
+  m_handling = false;
+  if (const auto onAbandon = std::exchange(m_onAbandon, nullptr)) {
+    onAbandon();
+  }
+  if (Server* server = std::exchange(m_server, nullptr)) {
+    server->Remove(self);
+  }
+}
+
+} // namespace
+
+const std::string* FindField(const std::vector<HttpField>& aFields,
+                             const std::string& aName)
+{
+  for (const HttpField& field : aFields) {
+    if (boost::iequals(field.m_name, aName)) {
+      return &field.m_value;
+    }
+  }
+  return nullptr;
+}
+
+Result<std::unique_ptr<HttpServer>> ServeHttp(
+  asio::io_context& aIo,
+  const SocketAddress& aAddress,
+  HttpHandler aHandler,
+  std::vector<HttpField> aRejectFields)
+{
+  try {
+    const tcp::endpoint endpoint(asio::ip::make_address(aAddress.m_host),
+                                 aAddress.m_port);
+    tcp::acceptor acceptor(aIo, endpoint);
+    return std::unique_ptr<HttpServer>(std::make_unique<Server>(
+      std::move(acceptor), std::move(aHandler), std::move(aRejectFields)));
+  } catch (const boost::system::system_error& error) {
+    return Error{
+      ErrorCode::Io, "listen", ToString(aAddress), error.code().message()
+    };
+  }
+}
+
+// ---- Client ----------------------------------------------------------------
+
+namespace {
+
+// State of one blocking call; the steps run on an io_context of its own.
+struct ClientCall
+{
+  asio::io_context m_io;
+  beast::tcp_stream m_stream{ m_io };
+  beast::flat_buffer m_buffer;
+  ParsedRequest m_request;
+  http::response_parser<http::string_body> m_parser;
+  std::string m_step = "connect";
+  beast::error_code m_code;
+};
+
+void RunCall(ClientCall& aCall, const tcp::endpoint& aEndpoint)
+{
+  aCall.m_stream.async_connect(aEndpoint, [&aCall](beast::error_code aCode) {
+    aCall.m_code = aCode;
+    if (aCode) {
+      return;
+    }
+    aCall.m_step = "send request";
+    http::async_write(aCall.m_stream,
+                      aCall.m_request,
+                      [&aCall](beast::error_code aWriteCode, size_t) {
+                        aCall.m_code = aWriteCode;
+                        if (aWriteCode) {
+                          return;
+                        }
+                        aCall.m_step = "read answer";
+                        http::async_read(
+                          aCall.m_stream,
+                          aCall.m_buffer,
+                          aCall.m_parser,
+                          [&aCall](beast::error_code aReadCode, size_t) {
+                            aCall.m_code = aReadCode;
+                          });
+                      });
+  });
+  aCall.m_io.run();
+}
+
+} // namespace
+
+Result<HttpResponse> HttpCall(const SocketAddress& aAddress,
+                              const HttpRequest& aRequest,
+                              Duration aTimeout)
+{
+  ClientCall call;
+  call.m_request.method_string(aRequest.m_method);
+  call.m_request.target(aRequest.m_target);
+  call.m_request.version(11);
+  call.m_request.set(http::field::host, ToString(aAddress));
+  for (const HttpField& field : aRequest.m_fields) {
+    call.m_request.set(field.m_name, field.m_value);
+  }
+  call.m_request.body() = aRequest.m_body;
+  call.m_request.prepare_payload();
+  call.m_request.keep_alive(false);
+  // Answers of the control API, such as a whole tree, may exceed the limit
+  // that holds for callers' bodies.
+  call.m_parser.body_limit(wigeonfold::net::kMaxBodyBytes * 64);
+  call.m_stream.expires_after(aTimeout);
+
+  boost::system::error_code code;
+  const auto address = asio::ip::make_address(aAddress.m_host, code);
+  if (code) {
+    return Error{ ErrorCode::InvalidArgument,
+                  "connect",
+                  ToString(aAddress),
+                  "not an IP number" };
+  }
+  RunCall(call, tcp::endpoint(address, aAddress.m_port));
+  if (call.m_code) {
+    const bool timeout = call.m_code == beast::error::timeout;
+    return Error{ timeout ? ErrorCode::Timeout : ErrorCode::Unavailable,
+                  call.m_step,
+                  ToString(aAddress),
+                  call.m_code.message() };
+  }
+  auto answer = call.m_parser.release();
+  HttpResponse response;
+  response.m_status = static_cast<int>(answer.result_int());
+  for (const auto& field : answer) {
+    response.m_fields.push_back(
+      { std::string(field.name_string()), std::string(field.value()) });
+  }
+  response.m_body = std::move(answer.body());
+  return response;
+}
+
+} // namespace wigeonfold::net
--- /dev/null
+++ b/libs/net/test/Http_test.cpp
@@ -0,0 +1,139 @@
+// Guards against answers that are lost or cut when a server drains, and
+// against malformed requests that are not told so.
+#include "wigeonfold/net/Http.h"
+
+#include <boost/asio.hpp>
+#include <future>
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace wigeonfold::net {
+namespace {
+
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+// Reads until the peer closes the connection.
+std::string Exchange(uint16_t aPort, const std::string& aBytes)
+{
+  asio::io_context io;
+  asio::ip::tcp::socket socket(io);
+  socket.connect({ asio::ip::make_address("127.0.0.1"), aPort });
+  asio::write(socket, asio::buffer(aBytes));
+  std::string answer;
+  boost::system::error_code code;
+  asio::read(socket, asio::dynamic_buffer(answer), code);
+  return answer;
+}
+
+size_t Count(const std::string& aText, const std::string& aPart)
+{
+  size_t count = 0;
+  for (size_t at = aText.find(aPart); at != std::string::npos;
+       at = aText.find(aPart, at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
+class HttpTest : public testing::Test
+{
+protected:
+  void Serve(HttpHandler aHandler)
+  {
+    m_server = std::move(ServeHttp(m_io,
+                                   { "127.0.0.1", 0 },
+                                   std::move(aHandler),
+                                   { { "Wigeonfold-Run", "not-run" } })
+                           .value());
+    m_port = m_server->Port();
+    m_thread = std::thread([this] { m_io.run(); });
+  }
+
+  ~HttpTest() override
+  {
+    asio::post(m_io, [this] { m_server.reset(); });
+    m_thread.join();
+  }
+
+  asio::io_context m_io;
+  std::unique_ptr<HttpServer> m_server;
+  uint16_t m_port = 0;
+  std::thread m_thread;
+};
+
+TEST_F(HttpTest, DrainAnswersEveryPipelinedRequestInHand)
+{
+  std::vector<HttpRespond> waiting;
+  Serve([this, &waiting](HttpRequest, HttpRespond aRespond, const auto&) {
+    waiting.push_back(std::move(aRespond));
+    m_server->Drain(0ms, [] {});
+    auto timer = std::make_shared<asio::steady_timer>(m_io, 50ms);
+    timer->async_wait([timer, &waiting](boost::system::error_code) {
+      waiting.back()({ 200, {}, "whole answer" });
+    });
+  });
+  const std::string answer =
+    Exchange(m_port, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+  EXPECT_NE(answer.find("whole answer"), std::string::npos);
+  EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+}
+
+TEST_F(HttpTest, PipelinedRequestsAreAnsweredInOrder)
+{
+  Serve([](HttpRequest aRequest, HttpRespond aRespond, const auto&) {
+    aRespond({ 200, {}, "<" + aRequest.m_target + ">" });
+  });
+  const std::string answer =
+    Exchange(m_port,
+             "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n"
+             "GET /2 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  EXPECT_EQ(Count(answer, "HTTP/1.1 200"), 2U);
+  EXPECT_LT(answer.find("</1>"), answer.find("</2>"));
+}
+
+TEST_F(HttpTest, MalformedAndOversizedRequestsAreRejected)
+{
+  Serve([](HttpRequest, HttpRespond aRespond, const auto&) {
+    aRespond({ 200, {}, "" });
+  });
+  const std::string malformed = Exchange(m_port, "nonsense\r\n\r\n");
+  EXPECT_NE(malformed.find(" 400 "), std::string::npos);
+  EXPECT_NE(malformed.find("Wigeonfold-Run: not-run"), std::string::npos);
+  const std::string large = Exchange(
+    m_port, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2000000\r\n\r\n");
+  EXPECT_NE(large.find(" 413 "), std::string::npos);
+}
+
+TEST_F(HttpTest, AbandonedRequestIsReported)
+{
+  std::promise<void> abandoned;
+  Serve(
+    [&abandoned](HttpRequest, HttpRespond, const HttpOnAbandon& aOnAbandon) {
+      aOnAbandon([&abandoned] { abandoned.set_value(); });
+    });
+  {
+    asio::io_context io;
+    asio::ip::tcp::socket socket(io);
+    socket.connect({ asio::ip::make_address("127.0.0.1"), m_port });
+    asio::write(socket,
+                asio::buffer(std::string("GET / HTTP/1.1\r\nHost: x\r\n\r\n")));
+  }
+  abandoned.get_future().wait();
+}
+
+TEST_F(HttpTest, BlockingCallReturnsTheAnswer)
+{
+  Serve([](HttpRequest aRequest, HttpRespond aRespond, const auto&) {
+    aRespond({ 201, { { "X-Method", aRequest.m_method } }, aRequest.m_body });
+  });
+  const auto answer =
+    HttpCall({ "127.0.0.1", m_port }, { "PUT", "/x", {}, "body" }, 5s);
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer.value().m_status, 201);
+  EXPECT_EQ(answer.value().m_body, "body");
+  EXPECT_EQ(*FindField(answer.value().m_fields, "x-method"), "PUT");
+}
+
+} // namespace
+} // namespace wigeonfold::net
--- /dev/null
+++ b/libs/wire/test/Frame_test.cpp
@@ -0,0 +1,70 @@
+// Guards against frames that are cut short, merged or taken from a broken
+// stream.
+#include "wigeonfold/wire/Codec.h"
+#include "wigeonfold/wire/Frame.h"
+#include "wigeonfold/wire/gen/control_types.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace wigeonfold::wire {
+namespace {
+
+RC_GTEST_PROP(FrameTest,
+              AnySplitOfTheStreamGivesTheSameFrames,
+              (const std::vector<std::string>& aPayloads))
+{
+  std::string stream;
+  for (const std::string& payload : aPayloads) {
+    AppendFrame(stream, FrameType::Heartbeat, 7, payload);
+  }
+  FrameReader reader("peer");
+  std::vector<std::string> received;
+  size_t position = 0;
+  while (position < stream.size()) {
+    const size_t step = *rc::gen::inRange<size_t>(1, stream.size() + 1);
+    reader.Feed(std::string_view(stream).substr(position, step));
+    position = std::min(position + step, stream.size());
+    for (auto next = reader.Next(); next.value(); next = reader.Next()) {
+      received.push_back(next.value()->m_payload);
+    }
+  }
+  RC_ASSERT(received == aPayloads);
+}
+
+TEST(FrameTest, RefusesAnImpossibleLength)
+{
+  FrameReader reader("127.0.0.1:9");
+  reader.Feed(std::string(kFrameHeaderBytes, '\xff'));
+  const auto next = reader.Next();
+  ASSERT_FALSE(next);
+  EXPECT_EQ(next.error().m_code, ErrorCode::Protocol);
+  EXPECT_EQ(next.error().m_peer, "127.0.0.1:9");
+}
+
+RC_GTEST_PROP(CodecTest,
+              DamagedBytesNeverCrashTheDecoder,
+              (const std::string& aBytes))
+{
+  const auto decoded = Decode<ConfigUpdate>(aBytes, "peer");
+  if (!decoded) {
+    RC_ASSERT(decoded.error().m_code == ErrorCode::Protocol);
+  }
+}
+
+TEST(CodecTest, RoundTripKeepsEveryField)
+{
+  EndpointRecord record;
+  record.nodeName = "node-1";
+  record.nodeEpoch = 5;
+  record.sequence = 9;
+  record.serviceName = "lots";
+  record.slots = 6;
+  record.state = EndpointState::Draining;
+  const auto decoded = Decode<EndpointRecord>(Encode(record), "peer");
+  ASSERT_TRUE(decoded);
+  EXPECT_TRUE(decoded.value() == record);
+}
+
+} // namespace
+} // namespace wigeonfold::wire
