--- /dev/null
+++ b/libs/forwarding/src/Call.cpp
@@ -0,0 +1,159 @@
+#include "wigeonfold/forwarding/Call.h"
+
+#include <algorithm>
+
+namespace wigeonfold::forwarding {
+
+using wire::RunState;
+
+Call::Call(const CallSpec& aSpec,
+           const routing::ServiceRoute& aRoute,
+           RetryBudget& aBudget,
+           CallContext aContext)
+  : m_spec(aSpec)
+  , m_route(aRoute)
+  , m_budget(aBudget)
+  , m_context(aContext)
+{
+}
+
+CallStep Call::Start(TimePoint aNow)
+{
+  if (aNow >= m_spec.m_deadline) {
+    return End(Outcome::ExpiredBeforeWrite, aNow);
+  }
+  CallStep step;
+  step.m_start = StartNext(aNow);
+  if (!step.m_start) {
+    return End(Outcome::NoEndpoint, aNow);
+  }
+  m_budget.OnFirstAttempt(m_route.m_retryBudgetPercent);
+  return step;
+}
+
+void Call::OnWritten(int aAttempt)
+{
+  for (Attempt& attempt : m_outstanding) {
+    if (attempt.m_number == aAttempt) {
+      attempt.m_written = true;
+    }
+  }
+}
+
+CallStep Call::OnAttemptEnded(int aAttempt,
+                              Outcome aOutcome,
+                              const wire::TargetLoad* aLoad,
+                              TimePoint aNow)
+{
+  const auto attempt = std::find_if(
+    m_outstanding.begin(),
+    m_outstanding.end(),
+    [aAttempt](const Attempt& aOne) { return aOne.m_number == aAttempt; });
+  if (attempt == m_outstanding.end()) {
+    return {};
+  }
+  const OutcomeInfo& info = InfoOf(aOutcome);
+  m_context.m_tracker.OnEnded(
+    m_route, *attempt->m_endpoint, info.m_result, aLoad, aNow);
+  m_outstanding.erase(attempt);
+  if (aOutcome == Outcome::Answered) {
+    return End(aOutcome, aNow);
+  }
+  if (info.m_run == RunState::Unknown && !m_unknown) {
+    m_unknown = aOutcome;
+  }
+  if (!m_outstanding.empty()) {
+    return {};
+  }
+  if (MayRetry(aOutcome, aNow)) {
+    CallStep step;
+    step.m_start = StartNext(aNow);
+    if (step.m_start) {
+      return step;
+    }
+  }
+  return End(aOutcome, aNow);
+}
+
+CallStep Call::OnDeadline(TimePoint aNow)
+{
+  return Stop(Outcome::ExpiredBeforeWrite, Outcome::ExpiredAfterWrite, aNow);
+}
+
+CallStep Call::Cancel(TimePoint aNow)
+{
+  return Stop(
+    Outcome::CancelledBeforeWrite, Outcome::CancelledAfterWrite, aNow);
+}
+
+CallStep Call::Hedge(TimePoint aNow)
+{
+  CallStep step;
+  if (m_over || !m_spec.m_idempotent || m_outstanding.size() != 1 ||
+      aNow >= m_spec.m_deadline) {
+    return step;
+  }
+  step.m_start = StartNext(aNow);
+  return step;
+}
+
+bool Call::MayRetry(Outcome aOutcome, TimePoint aNow) const
+{
+  const bool mayHaveRun = m_unknown.has_value();
+  return InfoOf(aOutcome).m_elsewhere && aNow < m_spec.m_deadline &&
+         (!mayHaveRun || m_spec.m_idempotent);
+}
+
+// Next attempt at an endpoint not tried yet; every one after the first is
+// paid from the retry budget.
+std::optional<StartAttempt> Call::StartNext(TimePoint aNow)
+{
+  const int number = static_cast<int>(m_tried.size());
+  if (number >= m_route.m_maxAttempts) {
+    return std::nullopt;
+  }
+  const routing::Endpoint* endpoint =
+    m_context.m_chooser.Choose(m_route, m_tried, m_context.m_tracker, aNow);
+  if (endpoint == nullptr ||
+      (number > 0 && !m_budget.TryRetry(m_route.m_retryBudgetPercent))) {
+    return std::nullopt;
+  }
+  m_tried.push_back(endpoint->m_nodeName);
+  m_outstanding.push_back(Attempt{ number, endpoint, false });
+  m_context.m_tracker.OnSent(*endpoint);
+  return StartAttempt{ number, endpoint };
+}
+
+// Ends the call; attempts still under way are withdrawn and count as
+// aWithdrawn at their endpoints.
+CallStep Call::End(Outcome aOutcome,
+                   TimePoint aNow,
+                   routing::AttemptResult aWithdrawn)
+{
+  CallStep step;
+  for (const Attempt& attempt : m_outstanding) {
+    step.m_cancel.push_back(attempt.m_number);
+    m_context.m_tracker.OnEnded(
+      m_route, *attempt.m_endpoint, aWithdrawn, nullptr, aNow);
+  }
+  m_outstanding.clear();
+  m_over = true;
+  const bool claimsNotRun = InfoOf(aOutcome).m_run == RunState::NotRun;
+  step.m_end = claimsNotRun && m_unknown ? *m_unknown : aOutcome;
+  return step;
+}
+
+CallStep Call::Stop(Outcome aBeforeWrite, Outcome aAfterWrite, TimePoint aNow)
+{
+  if (m_over) {
+    return {};
+  }
+  const bool written =
+    std::any_of(m_outstanding.begin(),
+                m_outstanding.end(),
+                [](const Attempt& aAttempt) { return aAttempt.m_written; });
+  const Outcome outcome = written ? aAfterWrite : aBeforeWrite;
+  return End(outcome, aNow, InfoOf(outcome).m_result);
+}
+
+} // namespace wigeonfold::forwarding
--- /dev/null
+++ b/libs/forwarding/src/RetryBudget.cpp
@@ -0,0 +1,21 @@
+#include "wigeonfold/forwarding/RetryBudget.h"
+
+#include <algorithm>
+
+namespace wigeonfold::forwarding {
+
+void RetryBudget::OnFirstAttempt(int aPercent)
+{
+  m_hundredths = std::min(m_hundredths + aPercent, kMaxSaved * 100);
+}
+
+bool RetryBudget::TryRetry(int aPercent)
+{
+  if (aPercent == 0 || m_hundredths < 100) {
+    return false;
+  }
+  m_hundredths -= 100;
+  return true;
+}
+
+} // namespace wigeonfold::forwarding
--- /dev/null
+++ b/libs/forwarding/src/TargetCall.cpp
@@ -0,0 +1,116 @@
+#include "wigeonfold/forwarding/TargetCall.h"
+
+namespace wigeonfold::forwarding {
+
+TargetCall::TargetCall(TimePoint aDeadline)
+  : m_deadline(aDeadline)
+{
+}
+
+TargetStep TargetCall::OnAdmitted(TimePoint aNow)
+{
+  if (m_state != State::Waiting) {
+    return {};
+  }
+  m_state = State::Connecting;
+  if (aNow >= m_deadline) {
+    return End(Outcome::ExpiredBeforeWrite);
+  }
+  TargetStep step;
+  step.m_connect = true;
+  return step;
+}
+
+TargetStep TargetCall::OnRejected(admission::RejectReason aReason)
+{
+  return m_state == State::Waiting ? End(OutcomeOf(aReason)) : TargetStep{};
+}
+
+TargetStep TargetCall::OnConnected(TimePoint aNow)
+{
+  if (m_state != State::Connecting) {
+    return {};
+  }
+  if (aNow >= m_deadline) {
+    TargetStep step = End(Outcome::ExpiredBeforeWrite);
+    step.m_keep = true;
+    return step;
+  }
+  m_state = State::Written;
+  TargetStep step;
+  step.m_write = true;
+  return step;
+}
+
+TargetStep TargetCall::OnConnectFailed()
+{
+  return m_state == State::Connecting ? End(Outcome::TargetRefused)
+                                      : TargetStep{};
+}
+
+TargetStep TargetCall::OnAnswer(bool aShed, bool aReusable)
+{
+  if (m_state != State::Written) {
+    return {};
+  }
+  TargetStep step = End(aShed ? Outcome::Shed : Outcome::Answered);
+  step.m_keep = aReusable;
+  step.m_close = !aReusable;
+  return step;
+}
+
+TargetStep TargetCall::OnUnusableAnswer()
+{
+  if (m_state != State::Written) {
+    return {};
+  }
+  TargetStep step = End(Outcome::AnswerUnusable);
+  step.m_close = true;
+  return step;
+}
+
+TargetStep TargetCall::OnLost(bool aAnyByteWritten)
+{
+  if (m_state != State::Written) {
+    return {};
+  }
+  TargetStep step =
+    End(aAnyByteWritten ? Outcome::TargetLost : Outcome::TargetRefused);
+  step.m_close = true;
+  return step;
+}
+
+TargetStep TargetCall::OnDeadline()
+{
+  return Withdraw(Outcome::ExpiredBeforeWrite, Outcome::ExpiredAfterWrite);
+}
+
+TargetStep TargetCall::OnCancel()
+{
+  return Withdraw(Outcome::CancelledBeforeWrite, Outcome::CancelledAfterWrite);
+}
+
+// Ends the call. A call that waits holds no slot yet.
+TargetStep TargetCall::End(Outcome aOutcome)
+{
+  TargetStep step;
+  step.m_release = m_state != State::Waiting;
+  step.m_end = aOutcome;
+  m_state = State::Over;
+  return step;
+}
+
+TargetStep TargetCall::Withdraw(Outcome aBeforeWrite, Outcome aAfterWrite)
+{
+  if (m_state == State::Over) {
+    return {};
+  }
+  const State state = m_state;
+  TargetStep step =
+    End(state == State::Written ? aAfterWrite : aBeforeWrite);
+  step.m_unqueue = state == State::Waiting;
+  step.m_close = state != State::Waiting;
+  return step;
+}
+
+} // namespace wigeonfold::forwarding
