Add routing, admission and observability libraries

Cause: the node needs a routing view, a choice of targets, admission to its own target, metrics and a time line.

Change: immutable routing view with longest-prefix match, first-hand load tracking with bounded ejection, power-of-two choice with random and round-robin baselines, hierarchical weighted fair queue with a first-in first-out baseline, Prometheus text metrics, time line merge.

Ruled out: strict priority of one office over another; ejecting more than half of a service, which moves its whole load onto the rest.

With a backlog of 100 requests of one office and 10 of another, all 10 are among the first 22 served; none are with the baseline.

--- a/cmake/Layout.cmake
+++ b/cmake/Layout.cmake
@@ -19,7 +19,7 @@
 wigeonfold_library(discovery USES base wire)
 wigeonfold_library(distribution USES base settings wire discovery)
 wigeonfold_library(routing USES base settings wire discovery)
-wigeonfold_library(admission USES base settings)
+wigeonfold_library(admission USES base)
 wigeonfold_library(forwarding USES base wire routing admission)
 wigeonfold_library(observe USES base wire net LINK prometheus-cpp::core)
 
--- /dev/null
+++ b/libs/admission/src/Admission.cpp
@@ -0,0 +1,160 @@
+#include "wigeonfold/admission/Admission.h"
+
+#include <algorithm>
+
+namespace wigeonfold::admission {
+
+const char* ToString(RejectReason aReason)
+{
+  switch (aReason) {
+    case RejectReason::None:
+      return "none";
+    case RejectReason::QueueFull:
+      return "queue-full";
+    case RejectReason::OfficeShare:
+      return "office-share";
+    case RejectReason::QueueTimeout:
+      return "queue-timeout";
+    case RejectReason::Expired:
+      return "expired";
+    case RejectReason::Draining:
+      return "draining";
+    case RejectReason::Displaced:
+      return "displaced";
+  }
+  return "none";
+}
+
+Admission::Admission(std::unique_ptr<Queue> aQueue)
+  : m_queue(std::move(aQueue))
+{
+}
+
+std::vector<Decision> Admission::SetLimits(const Limits& aLimits,
+                                           TimePoint aNow)
+{
+  m_limits = aLimits;
+  std::vector<Decision> decisions;
+  StartWaiting(decisions, aNow);
+  return decisions;
+}
+
+std::vector<Decision> Admission::SetDraining(bool aDraining, TimePoint aNow)
+{
+  m_draining = aDraining;
+  std::vector<Decision> decisions;
+  if (aDraining) {
+    for (const Request& request : m_queue->Waiting()) {
+      m_queue->Remove(request.m_id);
+      decisions.push_back({ request.m_id, false, RejectReason::Draining });
+    }
+  }
+  StartWaiting(decisions, aNow);
+  return decisions;
+}
+
+std::vector<Decision> Admission::Offer(const Request& aRequest, TimePoint aNow)
+{
+  std::vector<Decision> decisions;
+  RejectReason reason =
+    m_draining ? RejectReason::Draining : CheckWait(aRequest, aNow);
+  const bool slotFree = Running() < m_limits.m_slots && m_queue->Size() == 0;
+  if (reason == RejectReason::None && !slotFree) {
+    reason = CheckRoom(aRequest);
+  }
+  if (reason == RejectReason::QueueFull) {
+    if (const auto victim = m_queue->Victim(aRequest)) {
+      m_queue->Remove(*victim);
+      decisions.push_back({ *victim, false, RejectReason::Displaced });
+      reason = RejectReason::None;
+    }
+  }
+  if (reason != RejectReason::None) {
+    decisions.push_back({ aRequest.m_id, false, reason });
+    return decisions;
+  }
+  m_queue->Push(aRequest);
+  StartWaiting(decisions, aNow);
+  return decisions;
+}
+
+std::vector<Decision> Admission::Finished(uint64_t aId, TimePoint aNow)
+{
+  std::vector<Decision> decisions;
+  const auto running = m_running.find(aId);
+  if (running != m_running.end()) {
+    m_queue->OnFinished(running->second.m_request,
+                        aNow - running->second.m_started);
+    m_running.erase(running);
+  }
+  StartWaiting(decisions, aNow);
+  return decisions;
+}
+
+bool Admission::Cancel(uint64_t aId)
+{
+  return m_queue->Remove(aId);
+}
+
+std::vector<Decision> Admission::Tick(TimePoint aNow)
+{
+  std::vector<Decision> decisions;
+  if (m_queue->Size() == 0) {
+    return decisions;
+  }
+  for (const Request& request : m_queue->Waiting()) {
+    const RejectReason reason = CheckWait(request, aNow);
+    if (reason != RejectReason::None) {
+      m_queue->Remove(request.m_id);
+      decisions.push_back({ request.m_id, false, reason });
+    }
+  }
+  return decisions;
+}
+
+// Whether the queue has room for the request.
+RejectReason Admission::CheckRoom(const Request& aRequest) const
+{
+  // The top office holds every request, so its part is the whole queue.
+  for (size_t level = 1; level < aRequest.m_shares.size(); ++level) {
+    const Share& share = aRequest.m_shares[level];
+    const size_t part =
+      std::max<size_t>(1, m_limits.m_queueLimit * share.m_queuePercent / 100);
+    if (m_queue->WaitingFor(share.m_office) >= part) {
+      return RejectReason::OfficeShare;
+    }
+  }
+  return m_queue->Size() >= m_limits.m_queueLimit ? RejectReason::QueueFull
+                                                  : RejectReason::None;
+}
+
+// Whether the request may still take a slot.
+RejectReason Admission::CheckWait(const Request& aRequest, TimePoint aNow) const
+{
+  if (aNow >= aRequest.m_deadline) {
+    return RejectReason::Expired;
+  }
+  return aNow - aRequest.m_arrived > m_limits.m_queueTimeout
+           ? RejectReason::QueueTimeout
+           : RejectReason::None;
+}
+
+void Admission::StartWaiting(std::vector<Decision>& aDecisions, TimePoint aNow)
+{
+  while (Running() < m_limits.m_slots) {
+    const auto next = m_queue->Pop();
+    if (!next) {
+      return;
+    }
+    const RejectReason reason = CheckWait(*next, aNow);
+    if (reason != RejectReason::None) {
+      m_queue->Refund(*next);
+      aDecisions.push_back({ next->m_id, false, reason });
+      continue;
+    }
+    m_running[next->m_id] = RunningRequest{ *next, aNow };
+    aDecisions.push_back({ next->m_id, true, RejectReason::None });
+  }
+}
+
+} // namespace wigeonfold::admission
--- /dev/null
+++ b/libs/routing/include/wigeonfold/routing/Chooser.h
@@ -0,0 +1,64 @@
+// Choice of the target for an attempt.
+#pragma once
+
+#include "wigeonfold/routing/Tracker.h"
+
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace wigeonfold::routing {
+
+// Strategy that picks among candidates; all candidates are usable. Not thread
+// safe.
+class PickStrategy
+{
+public:
+  virtual ~PickStrategy() = default;
+  // Precondition: aCandidates is not empty.
+  virtual const Endpoint* Pick(const std::string& aService,
+                               const std::vector<const Endpoint*>& aCandidates,
+                               const Tracker& aTracker,
+                               TimePoint aNow) = 0;
+};
+
+// The less loaded of two different random candidates.
+std::unique_ptr<PickStrategy> MakePowerOfTwo(uint64_t aSeed);
+// Baselines.
+std::unique_ptr<PickStrategy> MakeRoundRobin();
+std::unique_ptr<PickStrategy> MakeRandom(uint64_t aSeed);
+// "power-of-two", "round-robin" or "random"; nullptr for another name.
+std::unique_ptr<PickStrategy> MakePickStrategy(const std::string& aName,
+                                               uint64_t aSeed);
+
+// Narrows a service's endpoints to candidates and lets the strategy pick. Not
+// thread safe.
+class Chooser
+{
+public:
+  // aZone is the node's own availability zone.
+  Chooser(std::string aZone, std::unique_ptr<PickStrategy> aStrategy);
+
+  // Endpoint for the next attempt, or nullptr when every endpoint was tried.
+  // Prefers endpoints that are not avoided, then those of the own zone unless
+  // their load exceeds the service's spill limit. When more than half of the
+  // endpoints are avoided, avoidance is ignored: ejecting most of a service
+  // moves its whole load onto the rest. aTried holds node names.
+  const Endpoint* Choose(const ServiceRoute& aRoute,
+                         const std::vector<std::string>& aTried,
+                         const Tracker& aTracker,
+                         TimePoint aNow);
+
+private:
+  std::vector<const Endpoint*> Candidates(
+    const ServiceRoute& aRoute,
+    const std::vector<std::string>& aTried,
+    const Tracker& aTracker,
+    TimePoint aNow) const;
+
+  std::string m_zone;
+  std::unique_ptr<PickStrategy> m_strategy;
+};
+
+} // namespace wigeonfold::routing
--- /dev/null
+++ b/libs/routing/src/Chooser.cpp
@@ -0,0 +1,177 @@
+#include "wigeonfold/routing/Chooser.h"
+
+#include <algorithm>
+#include <map>
+
+namespace wigeonfold::routing {
+
+namespace {
+
+using CandidateList = std::vector<const Endpoint*>;
+
+// ---- Strategies ------------------------------------------------------------
+
+class PowerOfTwo : public PickStrategy
+{
+public:
+  explicit PowerOfTwo(uint64_t aSeed)
+    : m_random(aSeed)
+  {
+  }
+
+  const Endpoint* Pick(const std::string&,
+                       const CandidateList& aCandidates,
+                       const Tracker& aTracker,
+                       TimePoint aNow) override
+  {
+    if (aCandidates.size() == 1) {
+      return aCandidates.front();
+    }
+    std::uniform_int_distribution<size_t> any(0, aCandidates.size() - 1);
+    std::uniform_int_distribution<size_t> other(1, aCandidates.size() - 1);
+    const size_t first = any(m_random);
+    const size_t second = (first + other(m_random)) % aCandidates.size();
+    const bool firstIsBetter = aTracker.LoadOf(*aCandidates[first], aNow) <=
+                               aTracker.LoadOf(*aCandidates[second], aNow);
+    return aCandidates[firstIsBetter ? first : second];
+  }
+
+private:
+  std::mt19937_64 m_random;
+};
+
+class RoundRobin : public PickStrategy
+{
+public:
+  const Endpoint* Pick(const std::string& aService,
+                       const CandidateList& aCandidates,
+                       const Tracker&,
+                       TimePoint) override
+  {
+    return aCandidates[m_next[aService]++ % aCandidates.size()];
+  }
+
+private:
+  std::map<std::string, size_t> m_next;
+};
+
+class RandomPick : public PickStrategy
+{
+public:
+  explicit RandomPick(uint64_t aSeed)
+    : m_random(aSeed)
+  {
+  }
+
+  const Endpoint* Pick(const std::string&,
+                       const CandidateList& aCandidates,
+                       const Tracker&,
+                       TimePoint) override
+  {
+    std::uniform_int_distribution<size_t> any(0, aCandidates.size() - 1);
+    return aCandidates[any(m_random)];
+  }
+
+private:
+  std::mt19937_64 m_random;
+};
+
+// Load of the candidates in percent of their slots.
+double LoadPercent(const CandidateList& aCandidates,
+                   const Tracker& aTracker,
+                   TimePoint aNow)
+{
+  double calls = 0;
+  double slots = 0;
+  for (const Endpoint* endpoint : aCandidates) {
+    calls += aTracker.LoadOf(*endpoint, aNow) * endpoint->m_slots;
+    slots += endpoint->m_slots;
+  }
+  return slots == 0 ? 0 : 100 * calls / slots;
+}
+
+} // namespace
+
+std::unique_ptr<PickStrategy> MakePowerOfTwo(uint64_t aSeed)
+{
+  return std::make_unique<PowerOfTwo>(aSeed);
+}
+
+std::unique_ptr<PickStrategy> MakeRoundRobin()
+{
+  return std::make_unique<RoundRobin>();
+}
+
+std::unique_ptr<PickStrategy> MakeRandom(uint64_t aSeed)
+{
+  return std::make_unique<RandomPick>(aSeed);
+}
+
+std::unique_ptr<PickStrategy> MakePickStrategy(const std::string& aName,
+                                               uint64_t aSeed)
+{
+  if (aName == "power-of-two") {
+    return MakePowerOfTwo(aSeed);
+  }
+  if (aName == "round-robin") {
+    return MakeRoundRobin();
+  }
+  return aName == "random" ? MakeRandom(aSeed) : nullptr;
+}
+
+// ---- Chooser ---------------------------------------------------------------
+
+Chooser::Chooser(std::string aZone, std::unique_ptr<PickStrategy> aStrategy)
+  : m_zone(std::move(aZone))
+  , m_strategy(std::move(aStrategy))
+{
+}
+
+std::vector<const Endpoint*> Chooser::Candidates(
+  const ServiceRoute& aRoute,
+  const std::vector<std::string>& aTried,
+  const Tracker& aTracker,
+  TimePoint aNow) const
+{
+  CandidateList untried;
+  CandidateList preferred;
+  size_t avoided = 0;
+  for (const Endpoint& endpoint : aRoute.m_endpoints) {
+    const bool isAvoided = aTracker.IsAvoided(endpoint, aNow);
+    avoided += isAvoided ? 1 : 0;
+    if (std::find(aTried.begin(), aTried.end(), endpoint.m_nodeName) !=
+        aTried.end()) {
+      continue;
+    }
+    untried.push_back(&endpoint);
+    if (!isAvoided) {
+      preferred.push_back(&endpoint);
+    }
+  }
+  const bool mostAvoided = avoided * 2 > aRoute.m_endpoints.size();
+  return mostAvoided || preferred.empty() ? untried : preferred;
+}
+
+const Endpoint* Chooser::Choose(const ServiceRoute& aRoute,
+                                const std::vector<std::string>& aTried,
+                                const Tracker& aTracker,
+                                TimePoint aNow)
+{
+  const CandidateList all = Candidates(aRoute, aTried, aTracker, aNow);
+  if (all.empty()) {
+    return nullptr;
+  }
+  CandidateList local;
+  std::copy_if(all.begin(),
+               all.end(),
+               std::back_inserter(local),
+               [this](const Endpoint* aEndpoint) {
+                 return aEndpoint->m_availabilityZone == m_zone;
+               });
+  const bool useLocal = !local.empty() && LoadPercent(local, aTracker, aNow) <=
+                                            aRoute.m_spillPercent;
+  return m_strategy->Pick(
+    aRoute.m_name, useLocal ? local : all, aTracker, aNow);
+}
+
+} // namespace wigeonfold::routing
--- /dev/null
+++ b/libs/routing/src/Tracker.cpp
@@ -0,0 +1,121 @@
+#include "wigeonfold/routing/Tracker.h"
+
+#include <algorithm>
+#include <set>
+
+namespace wigeonfold::routing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// An older load report says nothing about demand that swings within seconds.
+constexpr Duration kReportLifetime = 500ms;
+// A draining target stays avoided until its record leaves the view; the bound
+// lets a target that comes back under the same epoch be found again.
+constexpr Duration kDrainAvoidance = 3s;
+constexpr int kMaxEjectionFactor = 10;
+
+} // namespace
+
+const Tracker::State* Tracker::FindState(const Endpoint& aEndpoint) const
+{
+  const auto found = m_states.find(aEndpoint.m_nodeName);
+  if (found == m_states.end() ||
+      found->second.m_nodeEpoch != aEndpoint.m_nodeEpoch) {
+    return nullptr;
+  }
+  return &found->second;
+}
+
+Tracker::State& Tracker::StateOf(const Endpoint& aEndpoint)
+{
+  State& state = m_states[aEndpoint.m_nodeName];
+  if (state.m_nodeEpoch < aEndpoint.m_nodeEpoch) {
+    // A restarted node starts with a clean record.
+    state = State{};
+    state.m_nodeEpoch = aEndpoint.m_nodeEpoch;
+  }
+  return state;
+}
+
+void Tracker::OnSent(const Endpoint& aEndpoint)
+{
+  ++StateOf(aEndpoint).m_inFlight;
+}
+
+void Tracker::OnEnded(const ServiceRoute& aRoute,
+                      const Endpoint& aEndpoint,
+                      AttemptResult aResult,
+                      const wire::TargetLoad* aLoad,
+                      TimePoint aNow)
+{
+  State& state = StateOf(aEndpoint);
+  if (state.m_nodeEpoch != aEndpoint.m_nodeEpoch) {
+    return; // an attempt at an earlier incarnation of the node
+  }
+  if (aLoad != nullptr) {
+    state.m_othersAtTarget =
+      std::max(0, aLoad->running + aLoad->queued - state.m_inFlight);
+    state.m_reported = aNow;
+  }
+  state.m_inFlight = std::max(0, state.m_inFlight - 1);
+  switch (aResult) {
+    case AttemptResult::Answered:
+      state.m_failures = 0;
+      state.m_ejections = 0;
+      break;
+    case AttemptResult::Refused:
+      break;
+    case AttemptResult::Draining:
+      state.m_avoidUntil = aNow + kDrainAvoidance;
+      break;
+    case AttemptResult::Failed:
+      if (++state.m_failures >= aRoute.m_ejectFailures) {
+        state.m_failures = 0;
+        state.m_ejections = std::min(state.m_ejections + 1, kMaxEjectionFactor);
+        state.m_avoidUntil = aNow + aRoute.m_ejectDuration * state.m_ejections;
+      }
+      break;
+  }
+}
+
+double Tracker::LoadOf(const Endpoint& aEndpoint, TimePoint aNow) const
+{
+  const State* state = FindState(aEndpoint);
+  if (state == nullptr) {
+    return 0;
+  }
+  const bool recent = aNow - state->m_reported < kReportLifetime;
+  const int calls = state->m_inFlight + (recent ? state->m_othersAtTarget : 0);
+  return static_cast<double>(calls) / aEndpoint.m_slots;
+}
+
+bool Tracker::IsAvoided(const Endpoint& aEndpoint, TimePoint aNow) const
+{
+  const State* state = FindState(aEndpoint);
+  return state != nullptr && aNow < state->m_avoidUntil;
+}
+
+int Tracker::InFlight(const Endpoint& aEndpoint) const
+{
+  const State* state = FindState(aEndpoint);
+  return state == nullptr ? 0 : state->m_inFlight;
+}
+
+void Tracker::Retain(const View& aView)
+{
+  std::set<std::string> known;
+  for (const std::string& name : aView.Settings().Children("services")) {
+    for (const Endpoint& endpoint : aView.Find(name)->m_endpoints) {
+      known.insert(endpoint.m_nodeName);
+    }
+  }
+  for (auto state = m_states.begin(); state != m_states.end();) {
+    const bool idle = state->second.m_inFlight == 0;
+    const bool drop = idle && known.count(state->first) == 0;
+    state = drop ? m_states.erase(state) : std::next(state);
+  }
+}
+
+} // namespace wigeonfold::routing
--- /dev/null
+++ b/libs/routing/src/View.cpp
@@ -0,0 +1,144 @@
+#include "wigeonfold/routing/View.h"
+
+namespace wigeonfold::routing {
+
+namespace {
+
+const std::string kServices = "services";
+const std::string kOffices = "offices";
+const std::string kTargets = "targets";
+
+ServiceRoute ReadService(const settings::Tree& aTree, const std::string& aName)
+{
+  const std::string path = kServices + "/" + aName;
+  const auto number = [&](const char* aKey) {
+    return static_cast<int>(aTree.Integer(path, aKey));
+  };
+  ServiceRoute route;
+  route.m_name = aName;
+  route.m_prefix = aTree.Text(path, "route.prefix");
+  route.m_requestTimeout = aTree.Time(path, "request.timeout");
+  route.m_idempotentMethods = aTree.List(path, "request.idempotent-methods");
+  route.m_maxAttempts = number("retry.max-attempts");
+  route.m_retryBudgetPercent = number("retry.budget-percent");
+  route.m_queueLimit = number("queue.limit");
+  route.m_queueTimeout = aTree.Time(path, "queue.timeout");
+  route.m_spillPercent = number("zone.spill-percent");
+  route.m_ejectFailures = number("eject.failures");
+  route.m_ejectDuration = aTree.Time(path, "eject.duration");
+  return route;
+}
+
+OfficeLevel ReadOffice(const settings::Tree& aTree, const std::string& aPath)
+{
+  return OfficeLevel{ aPath,
+                      static_cast<int>(aTree.Integer(aPath, "share.weight")),
+                      static_cast<int>(
+                        aTree.Integer(aPath, "share.queue-percent")) };
+}
+
+// Prefixes are compared without a trailing slash, so that "/lots/" and "/lots"
+// select the same requests.
+std::string_view WithoutTrailingSlash(std::string_view aPath)
+{
+  while (!aPath.empty() && aPath.back() == '/') {
+    aPath.remove_suffix(1);
+  }
+  return aPath;
+}
+
+} // namespace
+
+Result<std::shared_ptr<const View>> View::Build(
+  const settings::Tree& aTree,
+  const std::vector<wire::EndpointRecord>& aEndpoints)
+{
+  auto view = std::make_shared<View>();
+  view->m_tree = aTree;
+  for (const std::string& name : aTree.Children(kServices)) {
+    view->m_services.emplace(name, ReadService(aTree, name));
+  }
+  for (const wire::EndpointRecord& record : aEndpoints) {
+    const auto service = view->m_services.find(record.serviceName);
+    if (service == view->m_services.end() ||
+        record.state != wire::EndpointState::Ready) {
+      continue;
+    }
+    const auto address = ParseSocketAddress(record.nodeAddress);
+    if (!address) {
+      continue; // one bad announcement must not take the others away
+    }
+    service->second.m_endpoints.push_back(
+      Endpoint{ record.nodeName,
+                record.nodeEpoch,
+                record.availabilityZone,
+                address.value(),
+                std::max(1, record.slots) });
+    ++view->m_endpointCount;
+  }
+  for (const auto& [name, route] : view->m_services) {
+    if (route.m_prefix.empty()) {
+      continue;
+    }
+    const std::string prefix(WithoutTrailingSlash(route.m_prefix));
+    const auto [place, added] = view->m_prefixes.emplace(prefix, &route);
+    if (!added) {
+      return Error{ ErrorCode::InvalidArgument,
+                    "build routing view",
+                    kServices + "/" + name,
+                    "route.prefix is also that of service " +
+                      place->second->m_name };
+    }
+  }
+  return std::shared_ptr<const View>(std::move(view));
+}
+
+const ServiceRoute* View::Match(std::string_view aTarget) const
+{
+  std::string_view path = aTarget.substr(0, aTarget.find_first_of("?#"));
+  for (path = WithoutTrailingSlash(path);;
+       path = path.substr(0, path.rfind('/'))) {
+    const auto found = m_prefixes.find(std::string(path));
+    if (found != m_prefixes.end()) {
+      return found->second;
+    }
+    if (path.empty() || path.rfind('/') == std::string_view::npos) {
+      return nullptr;
+    }
+  }
+}
+
+const ServiceRoute* View::Find(const std::string& aService) const
+{
+  const auto found = m_services.find(aService);
+  return found == m_services.end() ? nullptr : &found->second;
+}
+
+std::vector<OfficeLevel> View::OfficeChain(const std::string& aAccount) const
+{
+  std::vector<OfficeLevel> chain{ ReadOffice(m_tree, kOffices) };
+  std::string_view rest = aAccount;
+  const std::string root = kOffices + "/";
+  if (rest.substr(0, root.size()) == root) {
+    rest.remove_prefix(root.size());
+  }
+  std::string path = kOffices;
+  while (!rest.empty()) {
+    const size_t slash = rest.find('/');
+    path += '/';
+    path += rest.substr(0, slash);
+    if (!m_tree.Has(path)) {
+      break;
+    }
+    chain.push_back(ReadOffice(m_tree, path));
+    rest = slash == std::string_view::npos ? "" : rest.substr(slash + 1);
+  }
+  return chain;
+}
+
+bool View::IsDrained(const std::string& aNodeName) const
+{
+  return m_tree.Boolean(kTargets + "/" + aNodeName, "target.drain");
+}
+
+} // namespace wigeonfold::routing
--- /dev/null
+++ b/libs/routing/test/Chooser_test.cpp
@@ -0,0 +1,120 @@
+// Guards against choosing targets that failed, drain or are overloaded while
+// better ones are there.
+#include "wigeonfold/routing/Chooser.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <set>
+
+namespace wigeonfold::routing {
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint kStart{ 1h };
+
+ServiceRoute MakeRoute(const std::vector<std::string>& aZones)
+{
+  ServiceRoute route;
+  route.m_name = "lots";
+  route.m_ejectFailures = 2;
+  route.m_ejectDuration = 1s;
+  route.m_spillPercent = 150;
+  for (size_t i = 0; i < aZones.size(); ++i) {
+    route.m_endpoints.push_back(Endpoint{
+      "node-" + std::to_string(i), 1, aZones[i], { "127.0.0.1", 1 }, 2 });
+  }
+  return route;
+}
+
+void Fail(Tracker& aTracker,
+          const ServiceRoute& aRoute,
+          size_t aIndex,
+          int aTimes)
+{
+  for (int i = 0; i < aTimes; ++i) {
+    aTracker.OnSent(aRoute.m_endpoints[aIndex]);
+    aTracker.OnEnded(aRoute,
+                     aRoute.m_endpoints[aIndex],
+                     AttemptResult::Failed,
+                     nullptr,
+                     kStart);
+  }
+}
+
+TEST(ChooserTest, EjectsAfterConsecutiveFailuresForAWhile)
+{
+  const ServiceRoute route = MakeRoute({ "a", "a", "a" });
+  Tracker tracker;
+  Chooser chooser("a", MakeRoundRobin());
+  Fail(tracker, route, 0, 2);
+  for (int i = 0; i < 6; ++i) {
+    EXPECT_NE(chooser.Choose(route, {}, tracker, kStart)->m_nodeName, "node-0");
+  }
+  EXPECT_FALSE(tracker.IsAvoided(route.m_endpoints[0], kStart + 1s));
+}
+
+TEST(ChooserTest, IgnoresEjectionOfMoreThanHalf)
+{
+  const ServiceRoute route = MakeRoute({ "a", "a", "a" });
+  Tracker tracker;
+  Chooser chooser("a", MakeRoundRobin());
+  Fail(tracker, route, 0, 2);
+  Fail(tracker, route, 1, 2);
+  std::set<std::string> chosen;
+  for (int i = 0; i < 6; ++i) {
+    chosen.insert(chooser.Choose(route, {}, tracker, kStart)->m_nodeName);
+  }
+  EXPECT_EQ(chosen.size(), 3U);
+}
+
+TEST(ChooserTest, SpillsOverByLoadAndNotBefore)
+{
+  const ServiceRoute route = MakeRoute({ "a", "b" });
+  Tracker tracker;
+  Chooser chooser("a", MakePowerOfTwo(1));
+  for (int sent = 0; sent < 3; ++sent) {
+    EXPECT_EQ(chooser.Choose(route, {}, tracker, kStart)->m_nodeName, "node-0");
+    tracker.OnSent(route.m_endpoints[0]);
+  }
+  tracker.OnSent(route.m_endpoints[0]);
+  EXPECT_EQ(chooser.Choose(route, {}, tracker, kStart)->m_nodeName, "node-1");
+}
+
+TEST(ChooserTest, RestartedNodeStartsWithACleanRecord)
+{
+  ServiceRoute route = MakeRoute({ "a", "a", "a" });
+  Tracker tracker;
+  Fail(tracker, route, 0, 2);
+  EXPECT_TRUE(tracker.IsAvoided(route.m_endpoints[0], kStart));
+  route.m_endpoints[0].m_nodeEpoch = 2;
+  EXPECT_FALSE(tracker.IsAvoided(route.m_endpoints[0], kStart));
+}
+
+RC_GTEST_PROP(ChooserProperty,
+              NeverOffersATriedEndpointAndAlwaysAnUntriedOne,
+              ())
+{
+  const auto zones =
+    *rc::gen::nonEmpty(rc::gen::container<std::vector<std::string>>(
+      rc::gen::element<std::string>("a", "b", "c")));
+  const ServiceRoute route = MakeRoute(zones);
+  Tracker tracker;
+  for (size_t i = 0; i < zones.size(); ++i) {
+    Fail(tracker, route, i, *rc::gen::inRange(0, 4));
+  }
+  Chooser chooser("a",
+                  MakePickStrategy(*rc::gen::element<std::string>(
+                                     "power-of-two", "round-robin", "random"),
+                                   7));
+  std::vector<std::string> tried;
+  while (const Endpoint* next = chooser.Choose(route, tried, tracker, kStart)) {
+    RC_ASSERT(std::find(tried.begin(), tried.end(), next->m_nodeName) ==
+              tried.end());
+    tried.push_back(next->m_nodeName);
+  }
+  RC_ASSERT(tried.size() == zones.size());
+}
+
+} // namespace
+} // namespace wigeonfold::routing
