--- a/idl/control.thrift
+++ b/idl/control.thrift
@@ -10,7 +10,7 @@
 }
 
 // A target as announced by its node. The record with the greater
-// (nodeEpoch, sequence) replaces the other.
+// (nodeEpoch, sequence) replaces the other; of two equal ones the Lost one.
 struct EndpointRecord {
   1: string nodeName,
   2: i64 nodeEpoch,
@@ -34,6 +34,9 @@
   // Source and position of the last endpoint update that the node applied.
   5: i64 endpointSource,
   6: i64 endpointCursor,
+  // Asks only for a HelloReply: the node compares control VMs and keeps its
+  // session elsewhere. A later hello without it begins a session.
+  7: bool probe,
 }
 
 struct HelloReply {
@@ -58,6 +61,8 @@
   5: i64 digest,
 }
 
+// Changes of the endpoint table after baseCursor up to cursor. Cursors of
+// different sources are not comparable.
 struct EndpointUpdate {
   1: i64 source,
   2: i64 cursor,
@@ -65,6 +70,7 @@
   3: bool full,
   4: list<EndpointRecord> records,
   5: list<string> removedNodes,
+  6: i64 baseCursor,
 }
 
 // Sent by the control VM each second; the node answers with NodeStatus.
@@ -80,6 +86,16 @@
   3: string refusal,
   4: i64 controlBytesReceived,
   5: i64 controlBytesSent,
+  // Endpoint update applied last.
+  6: i64 endpointSource,
+  7: i64 endpointCursor,
+  // The node can't use what it was sent and asks for an update from the state
+  // reported here; full means the whole tree.
+  8: bool resync,
+  9: bool resyncFull,
+  // The node serves although it is below its floor: no fresh control VM
+  // answered.
+  10: bool belowFloor,
 }
 
 // The control VM has no capacity for this session now.
@@ -87,12 +103,20 @@
   1: i64 afterMs,
 }
 
-// Endpoint records that a control VM owns, sent to the other control VMs.
+// Endpoint records that a control VM owns, sent to the other control VMs each
+// second and on change. A receiver that does not hold baseCursor of that
+// incarnation answers with a request for a full transfer.
 struct EndpointSync {
   1: i64 owner,
   2: bool full,
   3: list<EndpointRecord> records,
   4: list<string> removedNodes,
+  // Start time of the owner's process; the cursor counts within it.
+  5: i64 incarnation,
+  6: i64 baseCursor,
+  7: i64 cursor,
+  // Asks the receiver, who is the owner, for a full transfer.
+  8: bool request,
 }
 
 // First message on a connection between two control VMs.
@@ -100,4 +124,7 @@
   1: i64 memberId,
   2: string name,
   3: string clusterId,
+  4: string availabilityZone,
+  5: string peerAddress,
+  6: string apiAddress,
 }
--- a/libs/wire/gen/include/wigeonfold/wire/gen/control_types.h
+++ b/libs/wire/gen/include/wigeonfold/wire/gen/control_types.h
@@ -164,13 +164,14 @@
 std::ostream& operator<<(std::ostream& out, const EndpointRecord& obj);
 
 typedef struct _NodeHello__isset {
-  _NodeHello__isset() : nodeName(false), nodeEpoch(false), availabilityZone(false), held(false), endpointSource(false), endpointCursor(false) {}
+  _NodeHello__isset() : nodeName(false), nodeEpoch(false), availabilityZone(false), held(false), endpointSource(false), endpointCursor(false), probe(false) {}
   bool nodeName :1;
   bool nodeEpoch :1;
   bool availabilityZone :1;
   bool held :1;
   bool endpointSource :1;
   bool endpointCursor :1;
+  bool probe :1;
 } _NodeHello__isset;
 
 class NodeHello : public virtual ::apache::thrift::TBase {
@@ -185,7 +186,8 @@
               nodeEpoch(0),
               availabilityZone(),
               endpointSource(0),
-              endpointCursor(0) {
+              endpointCursor(0),
+              probe(0) {
   }
 
   virtual ~NodeHello() noexcept;
@@ -195,6 +197,7 @@
    ::wigeonfold::wire::WireVersion held;
   int64_t endpointSource;
   int64_t endpointCursor;
+  bool probe;
 
   _NodeHello__isset __isset;
 
@@ -210,6 +213,8 @@
 
   void __set_endpointCursor(const int64_t val);
 
+  void __set_probe(const bool val);
+
   bool operator == (const NodeHello & rhs) const
   {
     if (!(nodeName == rhs.nodeName))
@@ -226,6 +231,8 @@
       return false;
     if (!(endpointCursor == rhs.endpointCursor))
       return false;
+    if (!(probe == rhs.probe))
+      return false;
     return true;
   }
   bool operator != (const NodeHello &rhs) const {
@@ -426,12 +433,13 @@
 std::ostream& operator<<(std::ostream& out, const ConfigUpdate& obj);
 
 typedef struct _EndpointUpdate__isset {
-  _EndpointUpdate__isset() : source(false), cursor(false), full(false), records(false), removedNodes(false) {}
+  _EndpointUpdate__isset() : source(false), cursor(false), full(false), records(false), removedNodes(false), baseCursor(false) {}
   bool source :1;
   bool cursor :1;
   bool full :1;
   bool records :1;
   bool removedNodes :1;
+  bool baseCursor :1;
 } _EndpointUpdate__isset;
 
 class EndpointUpdate : public virtual ::apache::thrift::TBase {
@@ -444,7 +452,8 @@
   EndpointUpdate() noexcept
                  : source(0),
                    cursor(0),
-                   full(0) {
+                   full(0),
+                   baseCursor(0) {
   }
 
   virtual ~EndpointUpdate() noexcept;
@@ -453,6 +462,7 @@
   bool full;
   std::vector<EndpointRecord>  records;
   std::vector<std::string>  removedNodes;
+  int64_t baseCursor;
 
   _EndpointUpdate__isset __isset;
 
@@ -466,6 +476,8 @@
 
   void __set_removedNodes(const std::vector<std::string> & val);
 
+  void __set_baseCursor(const int64_t val);
+
   bool operator == (const EndpointUpdate & rhs) const
   {
     if (!(source == rhs.source))
@@ -478,6 +490,8 @@
       return false;
     if (!(removedNodes == rhs.removedNodes))
       return false;
+    if (!(baseCursor == rhs.baseCursor))
+      return false;
     return true;
   }
   bool operator != (const EndpointUpdate &rhs) const {
@@ -548,12 +562,17 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 typedef struct _NodeStatus__isset {
-  _NodeStatus__isset() : inForce(false), refused(false), refusal(false), controlBytesReceived(false), controlBytesSent(false) {}
+  _NodeStatus__isset() : inForce(false), refused(false), refusal(false), controlBytesReceived(false), controlBytesSent(false), endpointSource(false), endpointCursor(false), resync(false), resyncFull(false), belowFloor(false) {}
   bool inForce :1;
   bool refused :1;
   bool refusal :1;
   bool controlBytesReceived :1;
   bool controlBytesSent :1;
+  bool endpointSource :1;
+  bool endpointCursor :1;
+  bool resync :1;
+  bool resyncFull :1;
+  bool belowFloor :1;
 } _NodeStatus__isset;
 
 class NodeStatus : public virtual ::apache::thrift::TBase {
@@ -566,7 +585,12 @@
   NodeStatus() noexcept
              : refusal(),
                controlBytesReceived(0),
-               controlBytesSent(0) {
+               controlBytesSent(0),
+               endpointSource(0),
+               endpointCursor(0),
+               resync(0),
+               resyncFull(0),
+               belowFloor(0) {
   }
 
   virtual ~NodeStatus() noexcept;
@@ -575,6 +599,11 @@
   std::string refusal;
   int64_t controlBytesReceived;
   int64_t controlBytesSent;
+  int64_t endpointSource;
+  int64_t endpointCursor;
+  bool resync;
+  bool resyncFull;
+  bool belowFloor;
 
   _NodeStatus__isset __isset;
 
@@ -588,6 +617,16 @@
 
   void __set_controlBytesSent(const int64_t val);
 
+  void __set_endpointSource(const int64_t val);
+
+  void __set_endpointCursor(const int64_t val);
+
+  void __set_resync(const bool val);
+
+  void __set_resyncFull(const bool val);
+
+  void __set_belowFloor(const bool val);
+
   bool operator == (const NodeStatus & rhs) const
   {
     if (__isset.inForce != rhs.__isset.inForce)
@@ -604,6 +643,16 @@
       return false;
     if (!(controlBytesSent == rhs.controlBytesSent))
       return false;
+    if (!(endpointSource == rhs.endpointSource))
+      return false;
+    if (!(endpointCursor == rhs.endpointCursor))
+      return false;
+    if (!(resync == rhs.resync))
+      return false;
+    if (!(resyncFull == rhs.resyncFull))
+      return false;
+    if (!(belowFloor == rhs.belowFloor))
+      return false;
     return true;
   }
   bool operator != (const NodeStatus &rhs) const {
@@ -668,11 +717,15 @@
 std::ostream& operator<<(std::ostream& out, const RetryLater& obj);
 
 typedef struct _EndpointSync__isset {
-  _EndpointSync__isset() : owner(false), full(false), records(false), removedNodes(false) {}
+  _EndpointSync__isset() : owner(false), full(false), records(false), removedNodes(false), incarnation(false), baseCursor(false), cursor(false), request(false) {}
   bool owner :1;
   bool full :1;
   bool records :1;
   bool removedNodes :1;
+  bool incarnation :1;
+  bool baseCursor :1;
+  bool cursor :1;
+  bool request :1;
 } _EndpointSync__isset;
 
 class EndpointSync : public virtual ::apache::thrift::TBase {
@@ -684,7 +737,11 @@
   EndpointSync& operator=(EndpointSync&&) noexcept;
   EndpointSync() noexcept
                : owner(0),
-                 full(0) {
+                 full(0),
+                 incarnation(0),
+                 baseCursor(0),
+                 cursor(0),
+                 request(0) {
   }
 
   virtual ~EndpointSync() noexcept;
@@ -692,6 +749,10 @@
   bool full;
   std::vector<EndpointRecord>  records;
   std::vector<std::string>  removedNodes;
+  int64_t incarnation;
+  int64_t baseCursor;
+  int64_t cursor;
+  bool request;
 
   _EndpointSync__isset __isset;
 
@@ -703,6 +764,14 @@
 
   void __set_removedNodes(const std::vector<std::string> & val);
 
+  void __set_incarnation(const int64_t val);
+
+  void __set_baseCursor(const int64_t val);
+
+  void __set_cursor(const int64_t val);
+
+  void __set_request(const bool val);
+
   bool operator == (const EndpointSync & rhs) const
   {
     if (!(owner == rhs.owner))
@@ -713,6 +782,14 @@
       return false;
     if (!(removedNodes == rhs.removedNodes))
       return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(baseCursor == rhs.baseCursor))
+      return false;
+    if (!(cursor == rhs.cursor))
+      return false;
+    if (!(request == rhs.request))
+      return false;
     return true;
   }
   bool operator != (const EndpointSync &rhs) const {
@@ -732,10 +809,13 @@
 std::ostream& operator<<(std::ostream& out, const EndpointSync& obj);
 
 typedef struct _ControlHello__isset {
-  _ControlHello__isset() : memberId(false), name(false), clusterId(false) {}
+  _ControlHello__isset() : memberId(false), name(false), clusterId(false), availabilityZone(false), peerAddress(false), apiAddress(false) {}
   bool memberId :1;
   bool name :1;
   bool clusterId :1;
+  bool availabilityZone :1;
+  bool peerAddress :1;
+  bool apiAddress :1;
 } _ControlHello__isset;
 
 class ControlHello : public virtual ::apache::thrift::TBase {
@@ -748,13 +828,19 @@
   ControlHello() noexcept
                : memberId(0),
                  name(),
-                 clusterId() {
+                 clusterId(),
+                 availabilityZone(),
+                 peerAddress(),
+                 apiAddress() {
   }
 
   virtual ~ControlHello() noexcept;
   int64_t memberId;
   std::string name;
   std::string clusterId;
+  std::string availabilityZone;
+  std::string peerAddress;
+  std::string apiAddress;
 
   _ControlHello__isset __isset;
 
@@ -764,6 +850,12 @@
 
   void __set_clusterId(const std::string& val);
 
+  void __set_availabilityZone(const std::string& val);
+
+  void __set_peerAddress(const std::string& val);
+
+  void __set_apiAddress(const std::string& val);
+
   bool operator == (const ControlHello & rhs) const
   {
     if (!(memberId == rhs.memberId))
@@ -772,6 +864,12 @@
       return false;
     if (!(clusterId == rhs.clusterId))
       return false;
+    if (!(availabilityZone == rhs.availabilityZone))
+      return false;
+    if (!(peerAddress == rhs.peerAddress))
+      return false;
+    if (!(apiAddress == rhs.apiAddress))
+      return false;
     return true;
   }
   bool operator != (const ControlHello &rhs) const {
--- a/libs/wire/gen/src/control_types.cpp
+++ b/libs/wire/gen/src/control_types.cpp
@@ -352,6 +352,10 @@
 void NodeHello::__set_endpointCursor(const int64_t val) {
   this->endpointCursor = val;
 }
+
+void NodeHello::__set_probe(const bool val) {
+  this->probe = val;
+}
 std::ostream& operator<<(std::ostream& out, const NodeHello& obj)
 {
   obj.printTo(out);
@@ -428,6 +432,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->probe);
+          this->__isset.probe = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -470,6 +482,10 @@
   xfer += oprot->writeI64(this->endpointCursor);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("probe", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->probe);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -483,6 +499,7 @@
   swap(a.held, b.held);
   swap(a.endpointSource, b.endpointSource);
   swap(a.endpointCursor, b.endpointCursor);
+  swap(a.probe, b.probe);
   swap(a.__isset, b.__isset);
 }
 
@@ -493,6 +510,7 @@
   held = other5.held;
   endpointSource = other5.endpointSource;
   endpointCursor = other5.endpointCursor;
+  probe = other5.probe;
   __isset = other5.__isset;
 }
 NodeHello::NodeHello(NodeHello&& other6) noexcept {
@@ -502,6 +520,7 @@
   held = std::move(other6.held);
   endpointSource = other6.endpointSource;
   endpointCursor = other6.endpointCursor;
+  probe = other6.probe;
   __isset = other6.__isset;
 }
 NodeHello& NodeHello::operator=(const NodeHello& other7) {
@@ -511,6 +530,7 @@
   held = other7.held;
   endpointSource = other7.endpointSource;
   endpointCursor = other7.endpointCursor;
+  probe = other7.probe;
   __isset = other7.__isset;
   return *this;
 }
@@ -521,6 +541,7 @@
   held = std::move(other8.held);
   endpointSource = other8.endpointSource;
   endpointCursor = other8.endpointCursor;
+  probe = other8.probe;
   __isset = other8.__isset;
   return *this;
 }
@@ -533,6 +554,7 @@
   out << ", " << "held="; (__isset.held ? (out << to_string(held)) : (out << "<null>"));
   out << ", " << "endpointSource=" << to_string(endpointSource);
   out << ", " << "endpointCursor=" << to_string(endpointCursor);
+  out << ", " << "probe=" << to_string(probe);
   out << ")";
 }
 
@@ -1039,6 +1061,10 @@
 void EndpointUpdate::__set_removedNodes(const std::vector<std::string> & val) {
   this->removedNodes = val;
 }
+
+void EndpointUpdate::__set_baseCursor(const int64_t val) {
+  this->baseCursor = val;
+}
 std::ostream& operator<<(std::ostream& out, const EndpointUpdate& obj)
 {
   obj.printTo(out);
@@ -1131,6 +1157,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->baseCursor);
+          this->__isset.baseCursor = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1184,6 +1218,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("baseCursor", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->baseCursor);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1196,6 +1234,7 @@
   swap(a.full, b.full);
   swap(a.records, b.records);
   swap(a.removedNodes, b.removedNodes);
+  swap(a.baseCursor, b.baseCursor);
   swap(a.__isset, b.__isset);
 }
 
@@ -1205,6 +1244,7 @@
   full = other39.full;
   records = other39.records;
   removedNodes = other39.removedNodes;
+  baseCursor = other39.baseCursor;
   __isset = other39.__isset;
 }
 EndpointUpdate::EndpointUpdate(EndpointUpdate&& other40) noexcept {
@@ -1213,6 +1253,7 @@
   full = other40.full;
   records = std::move(other40.records);
   removedNodes = std::move(other40.removedNodes);
+  baseCursor = other40.baseCursor;
   __isset = other40.__isset;
 }
 EndpointUpdate& EndpointUpdate::operator=(const EndpointUpdate& other41) {
@@ -1221,6 +1262,7 @@
   full = other41.full;
   records = other41.records;
   removedNodes = other41.removedNodes;
+  baseCursor = other41.baseCursor;
   __isset = other41.__isset;
   return *this;
 }
@@ -1230,6 +1272,7 @@
   full = other42.full;
   records = std::move(other42.records);
   removedNodes = std::move(other42.removedNodes);
+  baseCursor = other42.baseCursor;
   __isset = other42.__isset;
   return *this;
 }
@@ -1241,6 +1284,7 @@
   out << ", " << "full=" << to_string(full);
   out << ", " << "records=" << to_string(records);
   out << ", " << "removedNodes=" << to_string(removedNodes);
+  out << ", " << "baseCursor=" << to_string(baseCursor);
   out << ")";
 }
 
@@ -1393,6 +1437,26 @@
 void NodeStatus::__set_controlBytesSent(const int64_t val) {
   this->controlBytesSent = val;
 }
+
+void NodeStatus::__set_endpointSource(const int64_t val) {
+  this->endpointSource = val;
+}
+
+void NodeStatus::__set_endpointCursor(const int64_t val) {
+  this->endpointCursor = val;
+}
+
+void NodeStatus::__set_resync(const bool val) {
+  this->resync = val;
+}
+
+void NodeStatus::__set_resyncFull(const bool val) {
+  this->resyncFull = val;
+}
+
+void NodeStatus::__set_belowFloor(const bool val) {
+  this->belowFloor = val;
+}
 std::ostream& operator<<(std::ostream& out, const NodeStatus& obj)
 {
   obj.printTo(out);
@@ -1461,6 +1525,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->endpointSource);
+          this->__isset.endpointSource = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->endpointCursor);
+          this->__isset.endpointCursor = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->resync);
+          this->__isset.resync = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->resyncFull);
+          this->__isset.resyncFull = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->belowFloor);
+          this->__isset.belowFloor = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1500,6 +1604,26 @@
   xfer += oprot->writeI64(this->controlBytesSent);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("endpointSource", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->endpointSource);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endpointCursor", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->endpointCursor);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("resync", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->resync);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("resyncFull", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->resyncFull);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("belowFloor", ::apache::thrift::protocol::T_BOOL, 10);
+  xfer += oprot->writeBool(this->belowFloor);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1512,6 +1636,11 @@
   swap(a.refusal, b.refusal);
   swap(a.controlBytesReceived, b.controlBytesReceived);
   swap(a.controlBytesSent, b.controlBytesSent);
+  swap(a.endpointSource, b.endpointSource);
+  swap(a.endpointCursor, b.endpointCursor);
+  swap(a.resync, b.resync);
+  swap(a.resyncFull, b.resyncFull);
+  swap(a.belowFloor, b.belowFloor);
   swap(a.__isset, b.__isset);
 }
 
@@ -1521,6 +1650,11 @@
   refusal = other47.refusal;
   controlBytesReceived = other47.controlBytesReceived;
   controlBytesSent = other47.controlBytesSent;
+  endpointSource = other47.endpointSource;
+  endpointCursor = other47.endpointCursor;
+  resync = other47.resync;
+  resyncFull = other47.resyncFull;
+  belowFloor = other47.belowFloor;
   __isset = other47.__isset;
 }
 NodeStatus::NodeStatus(NodeStatus&& other48) noexcept {
@@ -1529,6 +1663,11 @@
   refusal = std::move(other48.refusal);
   controlBytesReceived = other48.controlBytesReceived;
   controlBytesSent = other48.controlBytesSent;
+  endpointSource = other48.endpointSource;
+  endpointCursor = other48.endpointCursor;
+  resync = other48.resync;
+  resyncFull = other48.resyncFull;
+  belowFloor = other48.belowFloor;
   __isset = other48.__isset;
 }
 NodeStatus& NodeStatus::operator=(const NodeStatus& other49) {
@@ -1537,6 +1676,11 @@
   refusal = other49.refusal;
   controlBytesReceived = other49.controlBytesReceived;
   controlBytesSent = other49.controlBytesSent;
+  endpointSource = other49.endpointSource;
+  endpointCursor = other49.endpointCursor;
+  resync = other49.resync;
+  resyncFull = other49.resyncFull;
+  belowFloor = other49.belowFloor;
   __isset = other49.__isset;
   return *this;
 }
@@ -1546,6 +1690,11 @@
   refusal = std::move(other50.refusal);
   controlBytesReceived = other50.controlBytesReceived;
   controlBytesSent = other50.controlBytesSent;
+  endpointSource = other50.endpointSource;
+  endpointCursor = other50.endpointCursor;
+  resync = other50.resync;
+  resyncFull = other50.resyncFull;
+  belowFloor = other50.belowFloor;
   __isset = other50.__isset;
   return *this;
 }
@@ -1557,6 +1706,11 @@
   out << ", " << "refusal=" << to_string(refusal);
   out << ", " << "controlBytesReceived=" << to_string(controlBytesReceived);
   out << ", " << "controlBytesSent=" << to_string(controlBytesSent);
+  out << ", " << "endpointSource=" << to_string(endpointSource);
+  out << ", " << "endpointCursor=" << to_string(endpointCursor);
+  out << ", " << "resync=" << to_string(resync);
+  out << ", " << "resyncFull=" << to_string(resyncFull);
+  out << ", " << "belowFloor=" << to_string(belowFloor);
   out << ")";
 }
 
@@ -1681,6 +1835,22 @@
 void EndpointSync::__set_removedNodes(const std::vector<std::string> & val) {
   this->removedNodes = val;
 }
+
+void EndpointSync::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void EndpointSync::__set_baseCursor(const int64_t val) {
+  this->baseCursor = val;
+}
+
+void EndpointSync::__set_cursor(const int64_t val) {
+  this->cursor = val;
+}
+
+void EndpointSync::__set_request(const bool val) {
+  this->request = val;
+}
 std::ostream& operator<<(std::ostream& out, const EndpointSync& obj)
 {
   obj.printTo(out);
@@ -1765,6 +1935,38 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->baseCursor);
+          this->__isset.baseCursor = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->cursor);
+          this->__isset.cursor = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->request);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1814,6 +2016,22 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("baseCursor", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->baseCursor);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cursor", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->cursor);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->request);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1825,6 +2043,10 @@
   swap(a.full, b.full);
   swap(a.records, b.records);
   swap(a.removedNodes, b.removedNodes);
+  swap(a.incarnation, b.incarnation);
+  swap(a.baseCursor, b.baseCursor);
+  swap(a.cursor, b.cursor);
+  swap(a.request, b.request);
   swap(a.__isset, b.__isset);
 }
 
@@ -1833,6 +2055,10 @@
   full = other67.full;
   records = other67.records;
   removedNodes = other67.removedNodes;
+  incarnation = other67.incarnation;
+  baseCursor = other67.baseCursor;
+  cursor = other67.cursor;
+  request = other67.request;
   __isset = other67.__isset;
 }
 EndpointSync::EndpointSync(EndpointSync&& other68) noexcept {
@@ -1840,6 +2066,10 @@
   full = other68.full;
   records = std::move(other68.records);
   removedNodes = std::move(other68.removedNodes);
+  incarnation = other68.incarnation;
+  baseCursor = other68.baseCursor;
+  cursor = other68.cursor;
+  request = other68.request;
   __isset = other68.__isset;
 }
 EndpointSync& EndpointSync::operator=(const EndpointSync& other69) {
@@ -1847,6 +2077,10 @@
   full = other69.full;
   records = other69.records;
   removedNodes = other69.removedNodes;
+  incarnation = other69.incarnation;
+  baseCursor = other69.baseCursor;
+  cursor = other69.cursor;
+  request = other69.request;
   __isset = other69.__isset;
   return *this;
 }
@@ -1855,6 +2089,10 @@
   full = other70.full;
   records = std::move(other70.records);
   removedNodes = std::move(other70.removedNodes);
+  incarnation = other70.incarnation;
+  baseCursor = other70.baseCursor;
+  cursor = other70.cursor;
+  request = other70.request;
   __isset = other70.__isset;
   return *this;
 }
@@ -1865,6 +2103,10 @@
   out << ", " << "full=" << to_string(full);
   out << ", " << "records=" << to_string(records);
   out << ", " << "removedNodes=" << to_string(removedNodes);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "baseCursor=" << to_string(baseCursor);
+  out << ", " << "cursor=" << to_string(cursor);
+  out << ", " << "request=" << to_string(request);
   out << ")";
 }
 
@@ -1884,6 +2126,18 @@
 void ControlHello::__set_clusterId(const std::string& val) {
   this->clusterId = val;
 }
+
+void ControlHello::__set_availabilityZone(const std::string& val) {
+  this->availabilityZone = val;
+}
+
+void ControlHello::__set_peerAddress(const std::string& val) {
+  this->peerAddress = val;
+}
+
+void ControlHello::__set_apiAddress(const std::string& val) {
+  this->apiAddress = val;
+}
 std::ostream& operator<<(std::ostream& out, const ControlHello& obj)
 {
   obj.printTo(out);
@@ -1936,6 +2190,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->availabilityZone);
+          this->__isset.availabilityZone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->peerAddress);
+          this->__isset.peerAddress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->apiAddress);
+          this->__isset.apiAddress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1965,6 +2243,18 @@
   xfer += oprot->writeString(this->clusterId);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("availabilityZone", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->availabilityZone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("peerAddress", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->peerAddress);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("apiAddress", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->apiAddress);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1975,6 +2265,9 @@
   swap(a.memberId, b.memberId);
   swap(a.name, b.name);
   swap(a.clusterId, b.clusterId);
+  swap(a.availabilityZone, b.availabilityZone);
+  swap(a.peerAddress, b.peerAddress);
+  swap(a.apiAddress, b.apiAddress);
   swap(a.__isset, b.__isset);
 }
 
@@ -1982,18 +2275,27 @@
   memberId = other71.memberId;
   name = other71.name;
   clusterId = other71.clusterId;
+  availabilityZone = other71.availabilityZone;
+  peerAddress = other71.peerAddress;
+  apiAddress = other71.apiAddress;
   __isset = other71.__isset;
 }
 ControlHello::ControlHello(ControlHello&& other72) noexcept {
   memberId = other72.memberId;
   name = std::move(other72.name);
   clusterId = std::move(other72.clusterId);
+  availabilityZone = std::move(other72.availabilityZone);
+  peerAddress = std::move(other72.peerAddress);
+  apiAddress = std::move(other72.apiAddress);
   __isset = other72.__isset;
 }
 ControlHello& ControlHello::operator=(const ControlHello& other73) {
   memberId = other73.memberId;
   name = other73.name;
   clusterId = other73.clusterId;
+  availabilityZone = other73.availabilityZone;
+  peerAddress = other73.peerAddress;
+  apiAddress = other73.apiAddress;
   __isset = other73.__isset;
   return *this;
 }
@@ -2001,6 +2303,9 @@
   memberId = other74.memberId;
   name = std::move(other74.name);
   clusterId = std::move(other74.clusterId);
+  availabilityZone = std::move(other74.availabilityZone);
+  peerAddress = std::move(other74.peerAddress);
+  apiAddress = std::move(other74.apiAddress);
   __isset = other74.__isset;
   return *this;
 }
@@ -2010,6 +2315,9 @@
   out << "memberId=" << to_string(memberId);
   out << ", " << "name=" << to_string(name);
   out << ", " << "clusterId=" << to_string(clusterId);
+  out << ", " << "availabilityZone=" << to_string(availabilityZone);
+  out << ", " << "peerAddress=" << to_string(peerAddress);
+  out << ", " << "apiAddress=" << to_string(apiAddress);
   out << ")";
 }
 
