--- /dev/null
+++ b/apps/wigeonfold-node/NodeSettings.cpp
@@ -0,0 +1,71 @@
+#include "NodeSettings.h"
+
+#include "wigeonfold/admission/Queue.h"
+#include "wigeonfold/routing/Chooser.h"
+
+namespace wigeonfold::node {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+// "zone = IP:PORT, IP:PORT" for each availability zone with control VMs.
+void ReadControlVms(SettingsFile& aFile, NodeSettings& aSettings)
+{
+  for (const std::string& zone : aFile.Keys("control")) {
+    for (const SocketAddress& address : aFile.Addresses("control", zone)) {
+      aSettings.m_controlVms.push_back({ address, zone });
+    }
+  }
+  if (aSettings.m_controlVms.empty()) {
+    aFile.AddProblem("control", "", "lists no control VM");
+  }
+}
+
+void ReadCalls(SettingsFile& aFile, NodeSettings& aSettings)
+{
+  aSettings.m_pickStrategy =
+    aFile.String("calls", "load-balancing", "power-of-two");
+  if (routing::MakePickStrategy(aSettings.m_pickStrategy, 0) == nullptr) {
+    aFile.AddProblem("calls",
+                     "load-balancing",
+                     "'" + aSettings.m_pickStrategy +
+                       "' is not power-of-two, round-robin or random");
+  }
+  aSettings.m_queue = aFile.String("calls", "queue", "fair");
+  if (admission::MakeQueue(aSettings.m_queue) == nullptr) {
+    aFile.AddProblem(
+      "calls", "queue", "'" + aSettings.m_queue + "' is not fair or fifo");
+  }
+  aSettings.m_peerConnectTimeout =
+    aFile.Time("calls", "peer-connect-timeout", 250ms, 1ms, 10s);
+  aSettings.m_targetConnectTimeout =
+    aFile.Time("calls", "target-connect-timeout", 250ms, 1ms, 10s);
+  aSettings.m_announceLease =
+    aFile.Time("calls", "announce-lease", 3s, 100ms, 60s);
+}
+
+} // namespace
+
+NodeSettings ReadNodeSettings(SettingsFile& aFile)
+{
+  NodeSettings settings;
+  settings.m_name = aFile.RequiredString("node", "name");
+  settings.m_availabilityZone =
+    aFile.RequiredString("node", "availability-zone");
+  settings.m_callerListen = aFile.RequiredAddress("node", "caller-listen");
+  settings.m_peerListen = aFile.RequiredAddress("node", "peer-listen");
+  settings.m_peerAddress =
+    aFile.Address("node", "peer-address").value_or(settings.m_peerListen);
+  settings.m_localListen = aFile.RequiredAddress("node", "local-listen");
+  ReadControlVms(aFile, settings);
+  ReadCalls(aFile, settings);
+  settings.m_drainLinger = aFile.Time("drain", "linger", 1s, 0ms, 60s);
+  settings.m_drainLimit = aFile.Time("drain", "limit", 30s, 0ms, 600s);
+  if (settings.m_drainLimit < settings.m_drainLinger) {
+    aFile.AddProblem("drain", "limit", "shorter than linger");
+  }
+  return settings;
+}
+
+} // namespace wigeonfold::node
--- /dev/null
+++ b/apps/wigeonfold-node/NodeSettings.h
@@ -0,0 +1,41 @@
+// Settings of a node.
+#pragma once
+
+#include "wigeonfold/base/Settings.h"
+
+#include <string>
+#include <vector>
+
+namespace wigeonfold::node {
+
+struct NodeSettings
+{
+  // [node]
+  std::string m_name;
+  std::string m_availabilityZone;
+  SocketAddress m_callerListen; // HTTP for callers
+  SocketAddress m_peerListen;   // calls from other nodes
+  SocketAddress m_peerAddress;  // where other nodes reach m_peerListen
+  SocketAddress m_localListen;  // HTTP for the own target and for operators
+  // [control]
+  struct ControlVm
+  {
+    SocketAddress m_address;
+    std::string m_availabilityZone;
+  };
+  std::vector<ControlVm> m_controlVms;
+  // [calls]
+  std::string m_pickStrategy;
+  std::string m_queue;
+  Duration m_peerConnectTimeout{};
+  Duration m_targetConnectTimeout{};
+  Duration m_announceLease{};
+  // [drain]
+  Duration m_drainLinger{}; // new requests are still accepted this long
+  Duration m_drainLimit{};  // requests under way are cut after this
+};
+
+// Reads every key; problems are listed by aFile.Finish().
+NodeSettings ReadNodeSettings(SettingsFile& aFile);
+
+} // namespace wigeonfold::node
