--- a/idl/registry.thrift
+++ b/idl/registry.thrift
@@ -23,21 +23,38 @@
   1: AcceptOutcome outcome,
   2: common.WireVersion version,
   3: list<string> problems,
-  // For a conflict: paths that changed since the base version.
+  // For a conflict: paths that changed since the base version, at most the
+  // first 100 of changedCount.
   4: list<string> changedPaths,
+  5: i32 changedCount,
 }
 
 struct RememberedResult {
   1: string changeId,
   2: AcceptResult result,
+  // Hash of the change's content; a change that reuses the id with other
+  // content is invalid.
+  3: i64 contentHash,
+}
+
+// What a change did to one value; absent before or after means not set. With
+// an empty key the branch itself was created or removed.
+struct Edit {
+  1: string path,
+  2: string key,
+  3: optional string before,
+  4: optional string after,
 }
 
 struct HistoryEntry {
   1: common.WireVersion version,
   2: Change change,
+  // Ordered by path and key.
+  3: list<Edit> edits,
 }
 
-// Creates the first version of a cluster.
+// Creates the first version of a cluster. A later one with the same cluster id
+// and a greater generation is a recovery by force: the content stays.
 struct Bootstrap {
   1: i64 generation,
   2: string clusterId,
@@ -56,4 +73,6 @@
   4: list<RememberedResult> results,
   5: list<HistoryEntry> history,
   6: common.WireVersion tombstoneHorizon,
+  // Digest of the tree.
+  7: i64 digest,
 }
--- /dev/null
+++ b/libs/registry/src/Registry.cpp
@@ -0,0 +1,315 @@
+#include "wigeonfold/registry/Registry.h"
+
+#include "wigeonfold/base/Hash.h"
+#include "wigeonfold/wire/Codec.h"
+
+#include <algorithm>
+#include <boost/algorithm/string.hpp>
+#include <map>
+
+namespace wigeonfold::registry {
+
+namespace {
+
+using settings::Branch;
+using settings::Tree;
+
+// The time of the proposal differs when a change is sent again.
+int64_t ContentHash(const wire::Change& aChange)
+{
+  wire::Change content = aChange;
+  content.acceptedAtMs = 0;
+  return static_cast<int64_t>(Hash64(wire::Encode(content)));
+}
+
+wire::AcceptResult Invalid(const Version& aNewest,
+                           std::vector<std::string> aProblems)
+{
+  wire::AcceptResult result;
+  result.outcome = wire::AcceptOutcome::Invalid;
+  result.version = wire::ToWire(aNewest);
+  if (aProblems.size() > kMaxListed) {
+    const size_t more = aProblems.size() - kMaxListed;
+    aProblems.resize(kMaxListed);
+    aProblems.push_back("and " + std::to_string(more) + " more problems");
+  }
+  result.problems = std::move(aProblems);
+  return result;
+}
+
+wire::AcceptResult Conflict(const Tree& aTree, const Version& aBase)
+{
+  wire::AcceptResult result;
+  result.outcome = wire::AcceptOutcome::Conflict;
+  result.version = wire::ToWire(aTree.At());
+  result.changedPaths = aTree.ChangedSince(aBase);
+  result.changedCount = static_cast<int32_t>(result.changedPaths.size());
+  if (result.changedPaths.size() > kMaxListed) {
+    result.changedPaths.resize(kMaxListed);
+  }
+  return result;
+}
+
+// ---- Edits -----------------------------------------------------------------
+
+std::shared_ptr<const Branch> FindBranch(const Tree& aTree,
+                                         const std::string& aPath)
+{
+  const auto branch = aTree.Branches().find(aPath);
+  return branch == aTree.Branches().end() ? nullptr : branch->second;
+}
+
+void AddEdits(const std::string& aPath,
+              const Branch* aBefore,
+              const Branch* aAfter,
+              std::vector<wire::Edit>& aEdits)
+{
+  std::map<std::string, wire::Edit> edits;
+  if (aBefore != nullptr) {
+    for (const auto& [key, value] : aBefore->m_settings) {
+      edits[key].__set_before(value);
+    }
+  }
+  if (aAfter != nullptr) {
+    for (const auto& [key, value] : aAfter->m_settings) {
+      edits[key].__set_after(value);
+    }
+  }
+  if (aBefore == nullptr) {
+    edits[""].__set_after("");
+  }
+  if (aAfter == nullptr) {
+    edits[""].__set_before("");
+  }
+  for (auto& [key, edit] : edits) {
+    const bool same =
+      edit.__isset.before && edit.__isset.after && edit.before == edit.after;
+    if (!same) {
+      edit.path = aPath;
+      edit.key = key;
+      aEdits.push_back(std::move(edit));
+    }
+  }
+}
+
+std::vector<wire::Edit> EditsBetween(const Tree& aBefore, const Tree& aAfter)
+{
+  std::vector<wire::Edit> edits;
+  for (const std::string& path : aAfter.ChangedSince(aBefore.At())) {
+    AddEdits(path,
+             FindBranch(aBefore, path).get(),
+             FindBranch(aAfter, path).get(),
+             edits);
+  }
+  return edits;
+}
+
+Error DamagedSnapshot(const std::string& aDetail)
+{
+  return Error{ ErrorCode::Corrupt, "restore registry", "", aDetail };
+}
+
+} // namespace
+
+Registry::Registry(const RegistryLimits& aLimits)
+  : m_limits(aLimits)
+  , m_tree(std::make_shared<const Tree>())
+{
+}
+
+// ---- Commands --------------------------------------------------------------
+
+std::optional<wire::AcceptResult> Registry::Apply(
+  const wire::RegistryCommand& aCommand)
+{
+  if (aCommand.__isset.bootstrap) {
+    Apply(aCommand.bootstrap);
+    return std::nullopt;
+  }
+  if (aCommand.__isset.change) {
+    return Apply(aCommand.change);
+  }
+  return std::nullopt;
+}
+
+Result<std::optional<wire::AcceptResult>> Registry::Apply(
+  std::string_view aCommand)
+{
+  auto command = wire::Decode<wire::RegistryCommand>(aCommand, "log");
+  if (!command) {
+    return command.error();
+  }
+  return Apply(command.value());
+}
+
+void Registry::Apply(const wire::Bootstrap& aBootstrap)
+{
+  const bool sameCluster =
+    !IsBootstrapped() || aBootstrap.clusterId == m_clusterId;
+  if (aBootstrap.clusterId.empty() || !sameCluster ||
+      aBootstrap.generation <= At().m_generation) {
+    return;
+  }
+  m_clusterId = aBootstrap.clusterId;
+  m_tree =
+    std::make_shared<const Tree>(m_tree->WithGeneration(aBootstrap.generation));
+}
+
+wire::AcceptResult Registry::Apply(const wire::Change& aChange)
+{
+  if (!IsBootstrapped()) {
+    return Invalid(At(), { "the cluster has not been bootstrapped" });
+  }
+  if (aChange.changeId.empty() || aChange.changeId.size() > kMaxChangeIdBytes) {
+    return Invalid(At(), { "the change id is empty or too long" });
+  }
+  const int64_t hash = ContentHash(aChange);
+  const auto known = m_results.find(aChange.changeId);
+  if (known != m_results.end()) {
+    return known->second.m_contentHash == hash
+             ? known->second.m_result
+             : Invalid(At(),
+                       { "change id " + aChange.changeId +
+                         " was used before for another change" });
+  }
+  wire::AcceptResult result = Decide(aChange);
+  Remember(aChange.changeId, Remembered{ result, hash });
+  return result;
+}
+
+wire::AcceptResult Registry::Decide(const wire::Change& aChange)
+{
+  const Version base = wire::FromWire(aChange.base);
+  if (base != At()) {
+    return Conflict(*m_tree, base);
+  }
+  const Version nextVersion{ base.m_generation, base.m_number + 1 };
+  const auto next = m_tree->Apply(aChange.operations, nextVersion);
+  if (!next) {
+    std::vector<std::string> problems;
+    boost::split(problems, next.error().m_detail, [](char aByte) {
+      return aByte == '\n';
+    });
+    return Invalid(At(), std::move(problems));
+  }
+  Accept(aChange, next.value());
+  wire::AcceptResult result;
+  result.outcome = wire::AcceptOutcome::Accepted;
+  result.version = wire::ToWire(nextVersion);
+  return result;
+}
+
+void Registry::Accept(const wire::Change& aChange, const Tree& aNext)
+{
+  wire::HistoryEntry entry;
+  entry.version = wire::ToWire(aNext.At());
+  entry.change = aChange;
+  entry.edits = EditsBetween(*m_tree, aNext);
+  Append(std::move(entry));
+  m_tree = std::make_shared<const Tree>(
+    aNext.WithTombstoneLimit(m_limits.m_tombstones));
+}
+
+void Registry::Remember(const std::string& aChangeId, Remembered aRemembered)
+{
+  m_results.emplace(aChangeId, std::move(aRemembered));
+  m_resultOrder.push_back(aChangeId);
+  while (m_resultOrder.size() > m_limits.m_results) {
+    m_results.erase(m_resultOrder.front());
+    m_resultOrder.pop_front();
+  }
+}
+
+void Registry::Append(wire::HistoryEntry aEntry)
+{
+  const size_t bytes = wire::Encode(aEntry).size();
+  m_history.push_back(
+    { std::make_shared<const wire::HistoryEntry>(std::move(aEntry)), bytes });
+  m_historyBytes += bytes;
+  while (m_history.size() > 1 && (m_history.size() > m_limits.m_history ||
+                                  m_historyBytes > m_limits.m_historyBytes)) {
+    m_historyBytes -= m_history.front().m_bytes;
+    m_history.pop_front();
+  }
+}
+
+// ---- Reading ---------------------------------------------------------------
+
+const wire::AcceptResult* Registry::FindResult(
+  const std::string& aChangeId) const
+{
+  const auto known = m_results.find(aChangeId);
+  return known == m_results.end() ? nullptr : &known->second.m_result;
+}
+
+RegistryView Registry::View() const
+{
+  RegistryView view{ m_clusterId, m_tree, {} };
+  view.m_history.reserve(m_history.size());
+  for (const Accepted& accepted : m_history) {
+    view.m_history.push_back(accepted.m_entry);
+  }
+  return view;
+}
+
+// ---- Snapshot --------------------------------------------------------------
+
+std::string Registry::Snapshot() const
+{
+  wire::RegistrySnapshot snapshot;
+  snapshot.clusterId = m_clusterId;
+  snapshot.version = wire::ToWire(At());
+  snapshot.branches = m_tree->Export();
+  snapshot.tombstoneHorizon = wire::ToWire(m_tree->Horizon());
+  snapshot.digest = static_cast<int64_t>(m_tree->Digest());
+  snapshot.results.reserve(m_resultOrder.size());
+  for (const std::string& changeId : m_resultOrder) {
+    const Remembered& known = m_results.at(changeId);
+    wire::RememberedResult result;
+    result.changeId = changeId;
+    result.result = known.m_result;
+    result.contentHash = known.m_contentHash;
+    snapshot.results.push_back(std::move(result));
+  }
+  snapshot.history.reserve(m_history.size());
+  for (const Accepted& accepted : m_history) {
+    snapshot.history.push_back(*accepted.m_entry);
+  }
+  return wire::Encode(snapshot);
+}
+
+Result<Registry> Registry::Restore(std::string_view aSnapshot,
+                                   const RegistryLimits& aLimits)
+{
+  auto decoded = wire::Decode<wire::RegistrySnapshot>(aSnapshot, "snapshot");
+  if (!decoded) {
+    return decoded.error();
+  }
+  wire::RegistrySnapshot& snapshot = decoded.value();
+  auto tree = Tree::Restore(wire::FromWire(snapshot.version),
+                            wire::FromWire(snapshot.tombstoneHorizon),
+                            snapshot.branches);
+  if (!tree) {
+    return tree.error();
+  }
+  if (static_cast<int64_t>(tree.value().Digest()) != snapshot.digest) {
+    return DamagedSnapshot("the digest of the tree does not match");
+  }
+  Registry registry(aLimits);
+  registry.m_clusterId = snapshot.clusterId;
+  registry.m_tree = std::make_shared<const Tree>(std::move(tree.value()));
+  for (wire::RememberedResult& result : snapshot.results) {
+    if (registry.m_results.count(result.changeId) > 0) {
+      return DamagedSnapshot("change id " + result.changeId + " repeats");
+    }
+    registry.Remember(
+      result.changeId,
+      Remembered{ std::move(result.result), result.contentHash });
+  }
+  for (wire::HistoryEntry& entry : snapshot.history) {
+    registry.Append(std::move(entry));
+  }
+  return registry;
+}
+
+} // namespace wigeonfold::registry
--- a/libs/settings/include/wigeonfold/settings/Tree.h
+++ b/libs/settings/include/wigeonfold/settings/Tree.h
@@ -114,6 +114,9 @@
   // Forgets tombstones up to and including aHorizon.
   Tree WithHorizon(const Version& aHorizon) const;
   const Version& Horizon() const { return m_horizon; }
+  // Raises the horizon when there are more than aLimit tombstones, so that at
+  // most three quarters of aLimit remain and not every removal raises it.
+  Tree WithTombstoneLimit(size_t aLimit) const;
 
   // The same branches and number at a greater generation, for recovery by
   // force. No delta leads there: the horizon is the new version.
--- a/libs/settings/src/Schema.cpp
+++ b/libs/settings/src/Schema.cpp
@@ -15,9 +15,13 @@
 constexpr const char* kSegmentCharacters =
   "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789._-";
 
+// Bounds the length of a message that quotes an operator's input.
 std::string Quote(const std::string& aText)
 {
-  return "'" + aText + "'";
+  constexpr size_t kMaxQuoted = 80;
+  return aText.size() <= kMaxQuoted
+           ? "'" + aText + "'"
+           : "'" + aText.substr(0, kMaxQuoted) + "...'";
 }
 
 // Shows the root, whose path is empty, as "/".
--- a/libs/settings/src/Tree.cpp
+++ b/libs/settings/src/Tree.cpp
@@ -4,6 +4,7 @@
 #include "wigeonfold/settings/Schema.h"
 #include "wigeonfold/wire/Codec.h"
 
+#include <algorithm>
 #include <boost/algorithm/string.hpp>
 #include <set>
 
@@ -479,6 +480,20 @@
   return next;
 }
 
+Tree Tree::WithTombstoneLimit(size_t aLimit) const
+{
+  if (m_tombstones.size() <= aLimit) {
+    return *this;
+  }
+  std::vector<Version> removals;
+  for (const auto& [path, removedAt] : m_tombstones) {
+    removals.push_back(removedAt);
+  }
+  std::sort(removals.begin(), removals.end());
+  const size_t kept = aLimit * 3 / 4;
+  return WithHorizon(removals[removals.size() - kept - 1]);
+}
+
 Tree Tree::WithGeneration(int64_t aGeneration) const
 {
   Tree next = *this;
--- a/libs/wire/gen/include/wigeonfold/wire/gen/registry_types.h
+++ b/libs/wire/gen/include/wigeonfold/wire/gen/registry_types.h
@@ -42,6 +42,8 @@
 
 class RememberedResult;
 
+class Edit;
+
 class HistoryEntry;
 
 class Bootstrap;
@@ -129,11 +131,12 @@
 std::ostream& operator<<(std::ostream& out, const Change& obj);
 
 typedef struct _AcceptResult__isset {
-  _AcceptResult__isset() : outcome(false), version(false), problems(false), changedPaths(false) {}
+  _AcceptResult__isset() : outcome(false), version(false), problems(false), changedPaths(false), changedCount(false) {}
   bool outcome :1;
   bool version :1;
   bool problems :1;
   bool changedPaths :1;
+  bool changedCount :1;
 } _AcceptResult__isset;
 
 class AcceptResult : public virtual ::apache::thrift::TBase {
@@ -144,7 +147,8 @@
   AcceptResult& operator=(const AcceptResult&);
   AcceptResult& operator=(AcceptResult&&) noexcept;
   AcceptResult() noexcept
-               : outcome(static_cast<AcceptOutcome::type>(0)) {
+               : outcome(static_cast<AcceptOutcome::type>(0)),
+                 changedCount(0) {
   }
 
   virtual ~AcceptResult() noexcept;
@@ -156,6 +160,7 @@
    ::wigeonfold::wire::WireVersion version;
   std::vector<std::string>  problems;
   std::vector<std::string>  changedPaths;
+  int32_t changedCount;
 
   _AcceptResult__isset __isset;
 
@@ -167,6 +172,8 @@
 
   void __set_changedPaths(const std::vector<std::string> & val);
 
+  void __set_changedCount(const int32_t val);
+
   bool operator == (const AcceptResult & rhs) const
   {
     if (!(outcome == rhs.outcome))
@@ -177,6 +184,8 @@
       return false;
     if (!(changedPaths == rhs.changedPaths))
       return false;
+    if (!(changedCount == rhs.changedCount))
+      return false;
     return true;
   }
   bool operator != (const AcceptResult &rhs) const {
@@ -196,9 +205,10 @@
 std::ostream& operator<<(std::ostream& out, const AcceptResult& obj);
 
 typedef struct _RememberedResult__isset {
-  _RememberedResult__isset() : changeId(false), result(false) {}
+  _RememberedResult__isset() : changeId(false), result(false), contentHash(false) {}
   bool changeId :1;
   bool result :1;
+  bool contentHash :1;
 } _RememberedResult__isset;
 
 class RememberedResult : public virtual ::apache::thrift::TBase {
@@ -209,12 +219,14 @@
   RememberedResult& operator=(const RememberedResult&);
   RememberedResult& operator=(RememberedResult&&) noexcept;
   RememberedResult() noexcept
-                   : changeId() {
+                   : changeId(),
+                     contentHash(0) {
   }
 
   virtual ~RememberedResult() noexcept;
   std::string changeId;
   AcceptResult result;
+  int64_t contentHash;
 
   _RememberedResult__isset __isset;
 
@@ -222,12 +234,16 @@
 
   void __set_result(const AcceptResult& val);
 
+  void __set_contentHash(const int64_t val);
+
   bool operator == (const RememberedResult & rhs) const
   {
     if (!(changeId == rhs.changeId))
       return false;
     if (!(result == rhs.result))
       return false;
+    if (!(contentHash == rhs.contentHash))
+      return false;
     return true;
   }
   bool operator != (const RememberedResult &rhs) const {
@@ -246,10 +262,81 @@
 
 std::ostream& operator<<(std::ostream& out, const RememberedResult& obj);
 
+typedef struct _Edit__isset {
+  _Edit__isset() : path(false), key(false), before(false), after(false) {}
+  bool path :1;
+  bool key :1;
+  bool before :1;
+  bool after :1;
+} _Edit__isset;
+
+class Edit : public virtual ::apache::thrift::TBase {
+ public:
+
+  Edit(const Edit&);
+  Edit(Edit&&) noexcept;
+  Edit& operator=(const Edit&);
+  Edit& operator=(Edit&&) noexcept;
+  Edit() noexcept
+       : path(),
+         key(),
+         before(),
+         after() {
+  }
+
+  virtual ~Edit() noexcept;
+  std::string path;
+  std::string key;
+  std::string before;
+  std::string after;
+
+  _Edit__isset __isset;
+
+  void __set_path(const std::string& val);
+
+  void __set_key(const std::string& val);
+
+  void __set_before(const std::string& val);
+
+  void __set_after(const std::string& val);
+
+  bool operator == (const Edit & rhs) const
+  {
+    if (!(path == rhs.path))
+      return false;
+    if (!(key == rhs.key))
+      return false;
+    if (__isset.before != rhs.__isset.before)
+      return false;
+    else if (__isset.before && !(before == rhs.before))
+      return false;
+    if (__isset.after != rhs.__isset.after)
+      return false;
+    else if (__isset.after && !(after == rhs.after))
+      return false;
+    return true;
+  }
+  bool operator != (const Edit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Edit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Edit &a, Edit &b);
+
+std::ostream& operator<<(std::ostream& out, const Edit& obj);
+
 typedef struct _HistoryEntry__isset {
-  _HistoryEntry__isset() : version(false), change(false) {}
+  _HistoryEntry__isset() : version(false), change(false), edits(false) {}
   bool version :1;
   bool change :1;
+  bool edits :1;
 } _HistoryEntry__isset;
 
 class HistoryEntry : public virtual ::apache::thrift::TBase {
@@ -265,6 +352,7 @@
   virtual ~HistoryEntry() noexcept;
    ::wigeonfold::wire::WireVersion version;
   Change change;
+  std::vector<Edit>  edits;
 
   _HistoryEntry__isset __isset;
 
@@ -272,12 +360,16 @@
 
   void __set_change(const Change& val);
 
+  void __set_edits(const std::vector<Edit> & val);
+
   bool operator == (const HistoryEntry & rhs) const
   {
     if (!(version == rhs.version))
       return false;
     if (!(change == rhs.change))
       return false;
+    if (!(edits == rhs.edits))
+      return false;
     return true;
   }
   bool operator != (const HistoryEntry &rhs) const {
@@ -403,13 +495,14 @@
 std::ostream& operator<<(std::ostream& out, const RegistryCommand& obj);
 
 typedef struct _RegistrySnapshot__isset {
-  _RegistrySnapshot__isset() : clusterId(false), version(false), branches(false), results(false), history(false), tombstoneHorizon(false) {}
+  _RegistrySnapshot__isset() : clusterId(false), version(false), branches(false), results(false), history(false), tombstoneHorizon(false), digest(false) {}
   bool clusterId :1;
   bool version :1;
   bool branches :1;
   bool results :1;
   bool history :1;
   bool tombstoneHorizon :1;
+  bool digest :1;
 } _RegistrySnapshot__isset;
 
 class RegistrySnapshot : public virtual ::apache::thrift::TBase {
@@ -420,7 +513,8 @@
   RegistrySnapshot& operator=(const RegistrySnapshot&);
   RegistrySnapshot& operator=(RegistrySnapshot&&) noexcept;
   RegistrySnapshot() noexcept
-                   : clusterId() {
+                   : clusterId(),
+                     digest(0) {
   }
 
   virtual ~RegistrySnapshot() noexcept;
@@ -430,6 +524,7 @@
   std::vector<RememberedResult>  results;
   std::vector<HistoryEntry>  history;
    ::wigeonfold::wire::WireVersion tombstoneHorizon;
+  int64_t digest;
 
   _RegistrySnapshot__isset __isset;
 
@@ -445,6 +540,8 @@
 
   void __set_tombstoneHorizon(const  ::wigeonfold::wire::WireVersion& val);
 
+  void __set_digest(const int64_t val);
+
   bool operator == (const RegistrySnapshot & rhs) const
   {
     if (!(clusterId == rhs.clusterId))
@@ -459,6 +556,8 @@
       return false;
     if (!(tombstoneHorizon == rhs.tombstoneHorizon))
       return false;
+    if (!(digest == rhs.digest))
+      return false;
     return true;
   }
   bool operator != (const RegistrySnapshot &rhs) const {
--- a/libs/wire/gen/src/registry_types.cpp
+++ b/libs/wire/gen/src/registry_types.cpp
@@ -295,6 +295,10 @@
 void AcceptResult::__set_changedPaths(const std::vector<std::string> & val) {
   this->changedPaths = val;
 }
+
+void AcceptResult::__set_changedCount(const int32_t val) {
+  this->changedCount = val;
+}
 std::ostream& operator<<(std::ostream& out, const AcceptResult& obj)
 {
   obj.printTo(out);
@@ -381,6 +385,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->changedCount);
+          this->__isset.changedCount = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -430,6 +442,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("changedCount", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->changedCount);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -441,6 +457,7 @@
   swap(a.version, b.version);
   swap(a.problems, b.problems);
   swap(a.changedPaths, b.changedPaths);
+  swap(a.changedCount, b.changedCount);
   swap(a.__isset, b.__isset);
 }
 
@@ -449,6 +466,7 @@
   version = other23.version;
   problems = other23.problems;
   changedPaths = other23.changedPaths;
+  changedCount = other23.changedCount;
   __isset = other23.__isset;
 }
 AcceptResult::AcceptResult(AcceptResult&& other24) noexcept {
@@ -456,6 +474,7 @@
   version = std::move(other24.version);
   problems = std::move(other24.problems);
   changedPaths = std::move(other24.changedPaths);
+  changedCount = other24.changedCount;
   __isset = other24.__isset;
 }
 AcceptResult& AcceptResult::operator=(const AcceptResult& other25) {
@@ -463,6 +482,7 @@
   version = other25.version;
   problems = other25.problems;
   changedPaths = other25.changedPaths;
+  changedCount = other25.changedCount;
   __isset = other25.__isset;
   return *this;
 }
@@ -471,6 +491,7 @@
   version = std::move(other26.version);
   problems = std::move(other26.problems);
   changedPaths = std::move(other26.changedPaths);
+  changedCount = other26.changedCount;
   __isset = other26.__isset;
   return *this;
 }
@@ -481,6 +502,7 @@
   out << ", " << "version=" << to_string(version);
   out << ", " << "problems=" << to_string(problems);
   out << ", " << "changedPaths=" << to_string(changedPaths);
+  out << ", " << "changedCount=" << to_string(changedCount);
   out << ")";
 }
 
@@ -496,6 +518,10 @@
 void RememberedResult::__set_result(const AcceptResult& val) {
   this->result = val;
 }
+
+void RememberedResult::__set_contentHash(const int64_t val) {
+  this->contentHash = val;
+}
 std::ostream& operator<<(std::ostream& out, const RememberedResult& obj)
 {
   obj.printTo(out);
@@ -540,6 +566,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->contentHash);
+          this->__isset.contentHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -565,6 +599,10 @@
   xfer += this->result.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("contentHash", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->contentHash);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -574,28 +612,33 @@
   using ::std::swap;
   swap(a.changeId, b.changeId);
   swap(a.result, b.result);
+  swap(a.contentHash, b.contentHash);
   swap(a.__isset, b.__isset);
 }
 
 RememberedResult::RememberedResult(const RememberedResult& other27) {
   changeId = other27.changeId;
   result = other27.result;
+  contentHash = other27.contentHash;
   __isset = other27.__isset;
 }
 RememberedResult::RememberedResult(RememberedResult&& other28) noexcept {
   changeId = std::move(other28.changeId);
   result = std::move(other28.result);
+  contentHash = other28.contentHash;
   __isset = other28.__isset;
 }
 RememberedResult& RememberedResult::operator=(const RememberedResult& other29) {
   changeId = other29.changeId;
   result = other29.result;
+  contentHash = other29.contentHash;
   __isset = other29.__isset;
   return *this;
 }
 RememberedResult& RememberedResult::operator=(RememberedResult&& other30) noexcept {
   changeId = std::move(other30.changeId);
   result = std::move(other30.result);
+  contentHash = other30.contentHash;
   __isset = other30.__isset;
   return *this;
 }
@@ -604,6 +647,178 @@
   out << "RememberedResult(";
   out << "changeId=" << to_string(changeId);
   out << ", " << "result=" << to_string(result);
+  out << ", " << "contentHash=" << to_string(contentHash);
+  out << ")";
+}
+
+
+Edit::~Edit() noexcept {
+}
+
+
+void Edit::__set_path(const std::string& val) {
+  this->path = val;
+}
+
+void Edit::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void Edit::__set_before(const std::string& val) {
+  this->before = val;
+__isset.before = true;
+}
+
+void Edit::__set_after(const std::string& val) {
+  this->after = val;
+__isset.after = true;
+}
+std::ostream& operator<<(std::ostream& out, const Edit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Edit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->path);
+          this->__isset.path = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->before);
+          this->__isset.before = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->after);
+          this->__isset.after = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Edit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Edit");
+
+  xfer += oprot->writeFieldBegin("path", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->path);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.before) {
+    xfer += oprot->writeFieldBegin("before", ::apache::thrift::protocol::T_STRING, 3);
+    xfer += oprot->writeString(this->before);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.after) {
+    xfer += oprot->writeFieldBegin("after", ::apache::thrift::protocol::T_STRING, 4);
+    xfer += oprot->writeString(this->after);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Edit &a, Edit &b) {
+  using ::std::swap;
+  swap(a.path, b.path);
+  swap(a.key, b.key);
+  swap(a.before, b.before);
+  swap(a.after, b.after);
+  swap(a.__isset, b.__isset);
+}
+
+Edit::Edit(const Edit& other31) {
+  path = other31.path;
+  key = other31.key;
+  before = other31.before;
+  after = other31.after;
+  __isset = other31.__isset;
+}
+Edit::Edit(Edit&& other32) noexcept {
+  path = std::move(other32.path);
+  key = std::move(other32.key);
+  before = std::move(other32.before);
+  after = std::move(other32.after);
+  __isset = other32.__isset;
+}
+Edit& Edit::operator=(const Edit& other33) {
+  path = other33.path;
+  key = other33.key;
+  before = other33.before;
+  after = other33.after;
+  __isset = other33.__isset;
+  return *this;
+}
+Edit& Edit::operator=(Edit&& other34) noexcept {
+  path = std::move(other34.path);
+  key = std::move(other34.key);
+  before = std::move(other34.before);
+  after = std::move(other34.after);
+  __isset = other34.__isset;
+  return *this;
+}
+void Edit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Edit(";
+  out << "path=" << to_string(path);
+  out << ", " << "key=" << to_string(key);
+  out << ", " << "before="; (__isset.before ? (out << to_string(before)) : (out << "<null>"));
+  out << ", " << "after="; (__isset.after ? (out << to_string(after)) : (out << "<null>"));
   out << ")";
 }
 
@@ -619,6 +834,10 @@
 void HistoryEntry::__set_change(const Change& val) {
   this->change = val;
 }
+
+void HistoryEntry::__set_edits(const std::vector<Edit> & val) {
+  this->edits = val;
+}
 std::ostream& operator<<(std::ostream& out, const HistoryEntry& obj)
 {
   obj.printTo(out);
@@ -663,6 +882,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->edits.clear();
+            uint32_t _size35;
+            ::apache::thrift::protocol::TType _etype38;
+            xfer += iprot->readListBegin(_etype38, _size35);
+            this->edits.resize(_size35);
+            uint32_t _i39;
+            for (_i39 = 0; _i39 < _size35; ++_i39)
+            {
+              xfer += this->edits[_i39].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.edits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -688,6 +927,18 @@
   xfer += this->change.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("edits", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->edits.size()));
+    std::vector<Edit> ::const_iterator _iter40;
+    for (_iter40 = this->edits.begin(); _iter40 != this->edits.end(); ++_iter40)
+    {
+      xfer += (*_iter40).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -697,29 +948,34 @@
   using ::std::swap;
   swap(a.version, b.version);
   swap(a.change, b.change);
+  swap(a.edits, b.edits);
   swap(a.__isset, b.__isset);
 }
 
-HistoryEntry::HistoryEntry(const HistoryEntry& other31) {
-  version = other31.version;
-  change = other31.change;
-  __isset = other31.__isset;
+HistoryEntry::HistoryEntry(const HistoryEntry& other41) {
+  version = other41.version;
+  change = other41.change;
+  edits = other41.edits;
+  __isset = other41.__isset;
 }
-HistoryEntry::HistoryEntry(HistoryEntry&& other32) noexcept {
-  version = std::move(other32.version);
-  change = std::move(other32.change);
-  __isset = other32.__isset;
+HistoryEntry::HistoryEntry(HistoryEntry&& other42) noexcept {
+  version = std::move(other42.version);
+  change = std::move(other42.change);
+  edits = std::move(other42.edits);
+  __isset = other42.__isset;
 }
-HistoryEntry& HistoryEntry::operator=(const HistoryEntry& other33) {
-  version = other33.version;
-  change = other33.change;
-  __isset = other33.__isset;
+HistoryEntry& HistoryEntry::operator=(const HistoryEntry& other43) {
+  version = other43.version;
+  change = other43.change;
+  edits = other43.edits;
+  __isset = other43.__isset;
   return *this;
 }
-HistoryEntry& HistoryEntry::operator=(HistoryEntry&& other34) noexcept {
-  version = std::move(other34.version);
-  change = std::move(other34.change);
-  __isset = other34.__isset;
+HistoryEntry& HistoryEntry::operator=(HistoryEntry&& other44) noexcept {
+  version = std::move(other44.version);
+  change = std::move(other44.change);
+  edits = std::move(other44.edits);
+  __isset = other44.__isset;
   return *this;
 }
 void HistoryEntry::printTo(std::ostream& out) const {
@@ -727,6 +983,7 @@
   out << "HistoryEntry(";
   out << "version=" << to_string(version);
   out << ", " << "change=" << to_string(change);
+  out << ", " << "edits=" << to_string(edits);
   out << ")";
 }
 
@@ -823,26 +1080,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Bootstrap::Bootstrap(const Bootstrap& other35) {
-  generation = other35.generation;
-  clusterId = other35.clusterId;
-  __isset = other35.__isset;
+Bootstrap::Bootstrap(const Bootstrap& other45) {
+  generation = other45.generation;
+  clusterId = other45.clusterId;
+  __isset = other45.__isset;
 }
-Bootstrap::Bootstrap(Bootstrap&& other36) noexcept {
-  generation = other36.generation;
-  clusterId = std::move(other36.clusterId);
-  __isset = other36.__isset;
+Bootstrap::Bootstrap(Bootstrap&& other46) noexcept {
+  generation = other46.generation;
+  clusterId = std::move(other46.clusterId);
+  __isset = other46.__isset;
 }
-Bootstrap& Bootstrap::operator=(const Bootstrap& other37) {
-  generation = other37.generation;
-  clusterId = other37.clusterId;
-  __isset = other37.__isset;
+Bootstrap& Bootstrap::operator=(const Bootstrap& other47) {
+  generation = other47.generation;
+  clusterId = other47.clusterId;
+  __isset = other47.__isset;
   return *this;
 }
-Bootstrap& Bootstrap::operator=(Bootstrap&& other38) noexcept {
-  generation = other38.generation;
-  clusterId = std::move(other38.clusterId);
-  __isset = other38.__isset;
+Bootstrap& Bootstrap::operator=(Bootstrap&& other48) noexcept {
+  generation = other48.generation;
+  clusterId = std::move(other48.clusterId);
+  __isset = other48.__isset;
   return *this;
 }
 void Bootstrap::printTo(std::ostream& out) const {
@@ -950,26 +1207,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RegistryCommand::RegistryCommand(const RegistryCommand& other39) {
-  change = other39.change;
-  bootstrap = other39.bootstrap;
-  __isset = other39.__isset;
+RegistryCommand::RegistryCommand(const RegistryCommand& other49) {
+  change = other49.change;
+  bootstrap = other49.bootstrap;
+  __isset = other49.__isset;
 }
-RegistryCommand::RegistryCommand(RegistryCommand&& other40) noexcept {
-  change = std::move(other40.change);
-  bootstrap = std::move(other40.bootstrap);
-  __isset = other40.__isset;
+RegistryCommand::RegistryCommand(RegistryCommand&& other50) noexcept {
+  change = std::move(other50.change);
+  bootstrap = std::move(other50.bootstrap);
+  __isset = other50.__isset;
 }
-RegistryCommand& RegistryCommand::operator=(const RegistryCommand& other41) {
-  change = other41.change;
-  bootstrap = other41.bootstrap;
-  __isset = other41.__isset;
+RegistryCommand& RegistryCommand::operator=(const RegistryCommand& other51) {
+  change = other51.change;
+  bootstrap = other51.bootstrap;
+  __isset = other51.__isset;
   return *this;
 }
-RegistryCommand& RegistryCommand::operator=(RegistryCommand&& other42) noexcept {
-  change = std::move(other42.change);
-  bootstrap = std::move(other42.bootstrap);
-  __isset = other42.__isset;
+RegistryCommand& RegistryCommand::operator=(RegistryCommand&& other52) noexcept {
+  change = std::move(other52.change);
+  bootstrap = std::move(other52.bootstrap);
+  __isset = other52.__isset;
   return *this;
 }
 void RegistryCommand::printTo(std::ostream& out) const {
@@ -1008,6 +1265,10 @@
 void RegistrySnapshot::__set_tombstoneHorizon(const  ::wigeonfold::wire::WireVersion& val) {
   this->tombstoneHorizon = val;
 }
+
+void RegistrySnapshot::__set_digest(const int64_t val) {
+  this->digest = val;
+}
 std::ostream& operator<<(std::ostream& out, const RegistrySnapshot& obj)
 {
   obj.printTo(out);
@@ -1056,14 +1317,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->branches.clear();
-            uint32_t _size43;
-            ::apache::thrift::protocol::TType _etype46;
-            xfer += iprot->readListBegin(_etype46, _size43);
-            this->branches.resize(_size43);
-            uint32_t _i47;
-            for (_i47 = 0; _i47 < _size43; ++_i47)
+            uint32_t _size53;
+            ::apache::thrift::protocol::TType _etype56;
+            xfer += iprot->readListBegin(_etype56, _size53);
+            this->branches.resize(_size53);
+            uint32_t _i57;
+            for (_i57 = 0; _i57 < _size53; ++_i57)
             {
-              xfer += this->branches[_i47].read(iprot);
+              xfer += this->branches[_i57].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1076,14 +1337,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->results.clear();
-            uint32_t _size48;
-            ::apache::thrift::protocol::TType _etype51;
-            xfer += iprot->readListBegin(_etype51, _size48);
-            this->results.resize(_size48);
-            uint32_t _i52;
-            for (_i52 = 0; _i52 < _size48; ++_i52)
+            uint32_t _size58;
+            ::apache::thrift::protocol::TType _etype61;
+            xfer += iprot->readListBegin(_etype61, _size58);
+            this->results.resize(_size58);
+            uint32_t _i62;
+            for (_i62 = 0; _i62 < _size58; ++_i62)
             {
-              xfer += this->results[_i52].read(iprot);
+              xfer += this->results[_i62].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1096,14 +1357,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->history.clear();
-            uint32_t _size53;
-            ::apache::thrift::protocol::TType _etype56;
-            xfer += iprot->readListBegin(_etype56, _size53);
-            this->history.resize(_size53);
-            uint32_t _i57;
-            for (_i57 = 0; _i57 < _size53; ++_i57)
+            uint32_t _size63;
+            ::apache::thrift::protocol::TType _etype66;
+            xfer += iprot->readListBegin(_etype66, _size63);
+            this->history.resize(_size63);
+            uint32_t _i67;
+            for (_i67 = 0; _i67 < _size63; ++_i67)
             {
-              xfer += this->history[_i57].read(iprot);
+              xfer += this->history[_i67].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1120,6 +1381,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1148,10 +1417,10 @@
   xfer += oprot->writeFieldBegin("branches", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->branches.size()));
-    std::vector< ::wigeonfold::wire::BranchState> ::const_iterator _iter58;
-    for (_iter58 = this->branches.begin(); _iter58 != this->branches.end(); ++_iter58)
+    std::vector< ::wigeonfold::wire::BranchState> ::const_iterator _iter68;
+    for (_iter68 = this->branches.begin(); _iter68 != this->branches.end(); ++_iter68)
     {
-      xfer += (*_iter58).write(oprot);
+      xfer += (*_iter68).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1160,10 +1429,10 @@
   xfer += oprot->writeFieldBegin("results", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->results.size()));
-    std::vector<RememberedResult> ::const_iterator _iter59;
-    for (_iter59 = this->results.begin(); _iter59 != this->results.end(); ++_iter59)
+    std::vector<RememberedResult> ::const_iterator _iter69;
+    for (_iter69 = this->results.begin(); _iter69 != this->results.end(); ++_iter69)
     {
-      xfer += (*_iter59).write(oprot);
+      xfer += (*_iter69).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1172,10 +1441,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<HistoryEntry> ::const_iterator _iter60;
-    for (_iter60 = this->history.begin(); _iter60 != this->history.end(); ++_iter60)
+    std::vector<HistoryEntry> ::const_iterator _iter70;
+    for (_iter70 = this->history.begin(); _iter70 != this->history.end(); ++_iter70)
     {
-      xfer += (*_iter60).write(oprot);
+      xfer += (*_iter70).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1185,6 +1454,10 @@
   xfer += this->tombstoneHorizon.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->digest);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1198,45 +1471,50 @@
   swap(a.results, b.results);
   swap(a.history, b.history);
   swap(a.tombstoneHorizon, b.tombstoneHorizon);
+  swap(a.digest, b.digest);
   swap(a.__isset, b.__isset);
 }
 
-RegistrySnapshot::RegistrySnapshot(const RegistrySnapshot& other61) {
-  clusterId = other61.clusterId;
-  version = other61.version;
-  branches = other61.branches;
-  results = other61.results;
-  history = other61.history;
-  tombstoneHorizon = other61.tombstoneHorizon;
-  __isset = other61.__isset;
-}
-RegistrySnapshot::RegistrySnapshot(RegistrySnapshot&& other62) noexcept {
-  clusterId = std::move(other62.clusterId);
-  version = std::move(other62.version);
-  branches = std::move(other62.branches);
-  results = std::move(other62.results);
-  history = std::move(other62.history);
-  tombstoneHorizon = std::move(other62.tombstoneHorizon);
-  __isset = other62.__isset;
-}
-RegistrySnapshot& RegistrySnapshot::operator=(const RegistrySnapshot& other63) {
-  clusterId = other63.clusterId;
-  version = other63.version;
-  branches = other63.branches;
-  results = other63.results;
-  history = other63.history;
-  tombstoneHorizon = other63.tombstoneHorizon;
-  __isset = other63.__isset;
+RegistrySnapshot::RegistrySnapshot(const RegistrySnapshot& other71) {
+  clusterId = other71.clusterId;
+  version = other71.version;
+  branches = other71.branches;
+  results = other71.results;
+  history = other71.history;
+  tombstoneHorizon = other71.tombstoneHorizon;
+  digest = other71.digest;
+  __isset = other71.__isset;
+}
+RegistrySnapshot::RegistrySnapshot(RegistrySnapshot&& other72) noexcept {
+  clusterId = std::move(other72.clusterId);
+  version = std::move(other72.version);
+  branches = std::move(other72.branches);
+  results = std::move(other72.results);
+  history = std::move(other72.history);
+  tombstoneHorizon = std::move(other72.tombstoneHorizon);
+  digest = other72.digest;
+  __isset = other72.__isset;
+}
+RegistrySnapshot& RegistrySnapshot::operator=(const RegistrySnapshot& other73) {
+  clusterId = other73.clusterId;
+  version = other73.version;
+  branches = other73.branches;
+  results = other73.results;
+  history = other73.history;
+  tombstoneHorizon = other73.tombstoneHorizon;
+  digest = other73.digest;
+  __isset = other73.__isset;
   return *this;
 }
-RegistrySnapshot& RegistrySnapshot::operator=(RegistrySnapshot&& other64) noexcept {
-  clusterId = std::move(other64.clusterId);
-  version = std::move(other64.version);
-  branches = std::move(other64.branches);
-  results = std::move(other64.results);
-  history = std::move(other64.history);
-  tombstoneHorizon = std::move(other64.tombstoneHorizon);
-  __isset = other64.__isset;
+RegistrySnapshot& RegistrySnapshot::operator=(RegistrySnapshot&& other74) noexcept {
+  clusterId = std::move(other74.clusterId);
+  version = std::move(other74.version);
+  branches = std::move(other74.branches);
+  results = std::move(other74.results);
+  history = std::move(other74.history);
+  tombstoneHorizon = std::move(other74.tombstoneHorizon);
+  digest = other74.digest;
+  __isset = other74.__isset;
   return *this;
 }
 void RegistrySnapshot::printTo(std::ostream& out) const {
@@ -1248,6 +1526,7 @@
   out << ", " << "results=" << to_string(results);
   out << ", " << "history=" << to_string(history);
   out << ", " << "tombstoneHorizon=" << to_string(tombstoneHorizon);
+  out << ", " << "digest=" << to_string(digest);
   out << ")";
 }
 
