--- /dev/null
+++ b/apps/wigeonfold-node/CallerSide.cpp
@@ -0,0 +1,253 @@
+#include "CallerSide.h"
+
+#include "Translate.h"
+
+#include <algorithm>
+
+namespace wigeonfold::node {
+
+using forwarding::AttemptKey;
+using forwarding::CallStep;
+using forwarding::Outcome;
+using namespace std::chrono_literals;
+
+namespace {
+
+// The target's node rejects expired requests itself, and only it knows whether
+// one was written. This covers its 10 ms tick and the way back between zones.
+constexpr Duration kVerdictGrace = 20ms;
+
+} // namespace
+
+CallerSide::CallerSide(std::string aNodeName,
+                       routing::Chooser aChooser,
+                       TargetSide& aTarget,
+                       PeerClient& aPeers,
+                       NodeMetrics& aMetrics)
+  : m_nodeName(std::move(aNodeName))
+  , m_chooser(std::move(aChooser))
+  , m_target(aTarget)
+  , m_peers(aPeers)
+  , m_metrics(aMetrics)
+{
+}
+
+void CallerSide::SetView(std::shared_ptr<const routing::View> aView)
+{
+  m_view = std::move(aView);
+  m_tracker.Retain(*m_view);
+}
+
+// ---- Requests --------------------------------------------------------------
+
+void CallerSide::OnRequest(net::HttpRequest aRequest,
+                           net::HttpRespond aRespond,
+                           const net::HttpOnAbandon& aOnAbandon)
+{
+  if (!m_view || !m_ready) {
+    Reject(Outcome::NoConfiguration, aRespond);
+    return;
+  }
+  const TimePoint now = Clock::now();
+  ParsedCall parsed;
+  if (const auto outcome =
+        ParseCall(std::move(aRequest), *m_view, now, parsed)) {
+    Reject(*outcome, aRespond);
+    return;
+  }
+  const uint64_t id = ++m_lastId;
+  const forwarding::CallSpec spec{ parsed.m_request->idempotent,
+                                   parsed.m_deadline };
+  const auto added = m_calls.emplace(
+    id,
+    ActiveCall{ m_view,
+                std::move(parsed.m_request),
+                forwarding::Call(spec,
+                                 *parsed.m_route,
+                                 m_budgets[parsed.m_route->m_name],
+                                 { m_chooser, m_tracker }),
+                std::move(aRespond),
+                now,
+                parsed.m_deadline + kVerdictGrace,
+                kNoTarget });
+  ActiveCall& call = added.first->second;
+  m_deadlines.Add(call.m_timeout, id);
+  aOnAbandon([this, id] { Abandon(id); });
+  Execute(id, call.m_call.Start(now));
+}
+
+void CallerSide::Reject(Outcome aOutcome, const net::HttpRespond& aRespond)
+{
+  m_metrics.CountOutcome(aOutcome);
+  aRespond(OwnAnswer(aOutcome, kNoTarget));
+}
+
+void CallerSide::Abandon(uint64_t aId)
+{
+  const auto call = m_calls.find(aId);
+  if (call != m_calls.end()) {
+    call->second.m_respond = nullptr;
+    Execute(aId, call->second.m_call.Cancel(Clock::now()));
+  }
+}
+
+void CallerSide::Tick(TimePoint aNow)
+{
+  for (const uint64_t id : m_deadlines.TakeDue(aNow)) {
+    const auto call = m_calls.find(id);
+    if (call != m_calls.end()) {
+      Execute(id, call->second.m_call.OnDeadline(aNow));
+    }
+  }
+}
+
+void CallerSide::Execute(uint64_t aId, const CallStep& aStep)
+{
+  const auto found = m_calls.find(aId);
+  if (found == m_calls.end()) {
+    return;
+  }
+  for (const int number : aStep.m_cancel) {
+    Withdraw(found->second, number);
+  }
+  if (aStep.m_start) {
+    Start(aId, found->second, *aStep.m_start);
+  } else if (aStep.m_end) {
+    Finish(aId, *aStep.m_end);
+  }
+}
+
+// ---- Attempts --------------------------------------------------------------
+
+// The attempt may end, and with it the call, before this returns.
+void CallerSide::Start(uint64_t aId,
+                       ActiveCall& aCall,
+                       const forwarding::StartAttempt& aStart)
+{
+  m_metrics.CountAttempt(aStart.m_attempt > 0);
+  aCall.m_lastTarget = aStart.m_endpoint->m_nodeName;
+  if (aStart.m_endpoint->m_nodeName == m_nodeName) {
+    StartLocal(aId, aCall, aStart.m_attempt);
+  } else {
+    StartRemote(aId, aCall, aStart);
+  }
+}
+
+void CallerSide::StartLocal(uint64_t aId, ActiveCall& aCall, int aNumber)
+{
+  // The target side reports before this call's own timeout whether the request
+  // was written, so the attempt counts as written from the start.
+  aCall.m_call.OnWritten(aNumber);
+  const AttemptKey key{ aId, aNumber };
+  const uint64_t served = m_target.Serve(
+    aCall.m_request,
+    aCall.m_call.Deadline(),
+    Clock::now(),
+    [this, key](TargetReply aReply) {
+      OnAttemptEnded(key, aReply.m_outcome, std::move(aReply.m_response));
+    });
+  const auto call = m_calls.find(aId);
+  if (call != m_calls.end() && !call->second.m_call.IsOver()) {
+    call->second.m_attempts.push_back({ aNumber, true, served, {} });
+  }
+}
+
+void CallerSide::StartRemote(uint64_t aId,
+                             ActiveCall& aCall,
+                             const forwarding::StartAttempt& aStart)
+{
+  const AttemptKey key{ aId, aStart.m_attempt };
+  const auto ticket = m_peers.Send(*aStart.m_endpoint,
+                                   aCall.m_request,
+                                   aCall.m_call.Deadline(),
+                                   key);
+  if (ticket) {
+    aCall.m_attempts.push_back({ aStart.m_attempt, false, 0, *ticket });
+  } else {
+    OnAttemptEnded(key, Outcome::PeerNotWritten, {});
+  }
+}
+
+void CallerSide::Withdraw(ActiveCall& aCall, int aNumber)
+{
+  for (const Attempt& attempt : aCall.m_attempts) {
+    if (attempt.m_number != aNumber) {
+      continue;
+    }
+    if (attempt.m_local) {
+      m_target.Cancel(attempt.m_served, Clock::now());
+    } else {
+      m_peers.Cancel(attempt.m_ticket);
+    }
+  }
+}
+
+void CallerSide::OnWritten(const AttemptKey& aKey)
+{
+  const auto call = m_calls.find(aKey.m_call);
+  if (call != m_calls.end()) {
+    call->second.m_call.OnWritten(aKey.m_attempt);
+  }
+}
+
+void CallerSide::OnAttemptEnded(const AttemptKey& aKey,
+                                Outcome aOutcome,
+                                wire::CallResponse aResponse)
+{
+  const auto found = m_calls.find(aKey.m_call);
+  if (found == m_calls.end()) {
+    return;
+  }
+  ActiveCall& call = found->second;
+  call.m_response = std::move(aResponse);
+  call.m_responseOutcome = aOutcome;
+  const wire::TargetLoad* load =
+    call.m_response.__isset.load ? &call.m_response.load : nullptr;
+  Execute(
+    aKey.m_call,
+    call.m_call.OnAttemptEnded(aKey.m_attempt, aOutcome, load, Clock::now()));
+}
+
+void CallerSide::OnGoaway(const std::string& aNodeName)
+{
+  if (!m_view) {
+    return;
+  }
+  for (const std::string& name : m_view->Settings().Children("services")) {
+    const routing::ServiceRoute* route = m_view->Find(name);
+    for (const routing::Endpoint& endpoint : route->m_endpoints) {
+      if (endpoint.m_nodeName == aNodeName) {
+        m_tracker.OnSent(endpoint);
+        m_tracker.OnEnded(*route,
+                          endpoint,
+                          routing::AttemptResult::Draining,
+                          nullptr,
+                          Clock::now());
+      }
+    }
+  }
+}
+
+// ---- Answers ---------------------------------------------------------------
+
+void CallerSide::Finish(uint64_t aId, Outcome aOutcome)
+{
+  auto node = m_calls.extract(aId);
+  ActiveCall& call = node.mapped();
+  m_deadlines.Remove(call.m_timeout, aId);
+  m_metrics.CountOutcome(aOutcome);
+  m_metrics.ObserveLatency(Clock::now() - call.m_arrived);
+  if (!call.m_respond) {
+    return;
+  }
+  const bool fromTarget =
+    aOutcome == Outcome::Answered || aOutcome == Outcome::Shed;
+  if (fromTarget && aOutcome == call.m_responseOutcome) {
+    call.m_respond(
+      TargetAnswer(aOutcome, std::move(call.m_response), call.m_lastTarget));
+  } else {
+    call.m_respond(OwnAnswer(aOutcome, call.m_lastTarget));
+  }
+}
+
+} // namespace wigeonfold::node
--- /dev/null
+++ b/apps/wigeonfold-node/ControlLink.cpp
@@ -0,0 +1,272 @@
+#include "ControlLink.h"
+
+#include "wigeonfold/routing/View.h"
+
+#include <utility>
+
+#include <algorithm>
+#include <random>
+
+namespace wigeonfold::node {
+
+using namespace std::chrono_literals;
+using distribution::SessionId;
+
+namespace {
+
+constexpr Duration kTick = 100ms;
+constexpr Duration kConnectTimeout = 1s;
+// Endpoints churn constantly. A pause of this many times the duration of the
+// last build keeps view building near 2 % of a core.
+constexpr int kBuildPauseFactor = 50;
+
+std::vector<wire::EndpointRecord> Records(
+  const discovery::Endpoints& aEndpoints)
+{
+  std::vector<wire::EndpointRecord> records;
+  records.reserve(aEndpoints.Size());
+  for (const auto& [service, endpoints] : aEndpoints.Services()) {
+    records.insert(records.end(), endpoints->begin(), endpoints->end());
+  }
+  return records;
+}
+
+// The settings decide whether a view can be built; endpoints can't break it.
+Status CheckState(const distribution::NodeState& aState)
+{
+  const auto view = routing::View::Build(aState.m_tree, {});
+  if (!view) {
+    return view.error();
+  }
+  return Ok();
+}
+
+distribution::SubscriberOptions MakeOptions(const NodeSettings& aSettings,
+                                            int64_t aNodeEpoch)
+{
+  distribution::SubscriberOptions options;
+  options.m_nodeName = aSettings.m_name;
+  options.m_nodeEpoch = aNodeEpoch;
+  options.m_availabilityZone = aSettings.m_availabilityZone;
+  for (const NodeSettings::ControlVm& vm : aSettings.m_controlVms) {
+    options.m_controlVms.push_back({ vm.m_address, vm.m_availabilityZone });
+  }
+  return options;
+}
+
+} // namespace
+
+ControlLink::ControlLink(boost::asio::io_context& aIo,
+                         const NodeSettings& aSettings,
+                         int64_t aNodeEpoch,
+                         NodeMetrics& aMetrics,
+                         EventLog& aLog,
+                         std::function<bool(ViewUpdate)> aPublish)
+  : m_io(aIo)
+  , m_settings(aSettings)
+  , m_metrics(aMetrics)
+  , m_log(aLog)
+  , m_publish(std::move(aPublish))
+  , m_subscriber(MakeOptions(aSettings, aNodeEpoch),
+                 CheckState,
+                 std::random_device{}())
+  , m_tick(aIo)
+{
+}
+
+void ControlLink::Start()
+{
+  Execute(m_subscriber.Start(Clock::now()));
+  Tick();
+}
+
+void ControlLink::Stop()
+{
+  m_stopped = true;
+  m_tick.cancel();
+  for (auto& [id, session] : m_sessions) {
+    if (session.m_connection) {
+      session.m_connection->CloseAfterWrites();
+    }
+  }
+  m_sessions.clear();
+}
+
+void ControlLink::OnMessage(const DataToControl& aMessage)
+{
+  const TimePoint now = Clock::now();
+  if (const auto* record = std::get_if<wire::EndpointRecord>(&aMessage)) {
+    Execute(m_subscriber.Announce(*record, now));
+  } else {
+    Execute(m_subscriber.OnPeerVersion(std::get<Version>(aMessage), now));
+  }
+}
+
+void ControlLink::Tick()
+{
+  const TimePoint now = Clock::now();
+  Execute(m_subscriber.OnTick(now));
+  BuildWhenDue(now);
+  Publish();
+  m_metrics.SetControlBytes(m_subscriber.ControlBytesReceived(),
+                            m_subscriber.ControlBytesSent());
+  m_tick.expires_after(kTick);
+  m_tick.async_wait([this](boost::system::error_code aCode) {
+    if (!aCode && !m_stopped) {
+      Tick();
+    }
+  });
+}
+
+// ---- Actions ---------------------------------------------------------------
+
+void ControlLink::Execute(const distribution::SubscriberActions& aActions)
+{
+  for (const auto& action : aActions) {
+    std::visit([this](const auto& aOne) { Do(aOne); }, action);
+  }
+}
+
+void ControlLink::Do(const distribution::ConnectTo& aAction)
+{
+  Session& session = m_sessions[aAction.m_session];
+  session.m_delay =
+    std::make_unique<boost::asio::steady_timer>(m_io, aAction.m_at);
+  session.m_delay->async_wait(
+    [this, id = aAction.m_session, address = aAction.m_address](
+      boost::system::error_code aCode) {
+      if (!aCode && m_sessions.count(id) > 0) {
+        Connect(id, address);
+      }
+    });
+}
+
+void ControlLink::Connect(SessionId aId, const SocketAddress& aAddress)
+{
+  net::ConnectionHandlers handlers;
+  handlers.m_onFrame = [this, aId](const net::ConnectionPtr&,
+                                   const wire::Frame& aFrame) {
+    Execute(m_subscriber.OnFrame(aId, aFrame, Clock::now()));
+  };
+  handlers.m_onClose = [this, aId](const net::ConnectionPtr&,
+                                   const Error& aError) {
+    OnClosed(aId, aError);
+  };
+  net::Connect(m_io,
+               aAddress,
+               kConnectTimeout,
+               std::move(handlers),
+               [this, aId](Result<net::ConnectionPtr> aResult) {
+                 const auto session = m_sessions.find(aId);
+                 if (session == m_sessions.end()) {
+                   if (aResult) {
+                     aResult.value()->Close();
+                   }
+                   return;
+                 }
+                 if (!aResult) {
+                   OnClosed(aId, aResult.error());
+                   return;
+                 }
+                 session->second.m_connection = std::move(aResult.value());
+                 m_log.Record(
+                   EventId::ControlSessionOpened,
+                   { { "peer", session->second.m_connection->Peer() } });
+                 Execute(m_subscriber.OnConnected(aId, Clock::now()));
+               });
+}
+
+void ControlLink::OnClosed(SessionId aId, const Error& aError)
+{
+  m_sessions.erase(aId);
+  m_log.Record(EventId::ControlSessionClosed,
+               { { "peer", aError.m_peer },
+                 { "step", aError.m_step },
+                 { "detail", aError.m_detail } });
+  Execute(m_subscriber.OnClosed(aId, Clock::now()));
+}
+
+void ControlLink::Do(const distribution::SendFrame& aAction)
+{
+  const auto session = m_sessions.find(aAction.m_session);
+  if (session != m_sessions.end() && session->second.m_connection) {
+    session->second.m_connection->SendFrame(aAction.m_type, aAction.m_payload);
+  }
+}
+
+void ControlLink::Do(const distribution::CloseSession& aAction)
+{
+  auto node = m_sessions.extract(aAction.m_session);
+  if (!node.empty() && node.mapped().m_connection) {
+    node.mapped().m_connection->Close();
+  }
+}
+
+void ControlLink::Do(const distribution::ApplyState& aAction)
+{
+  m_unbuilt = aAction.m_state;
+  BuildWhenDue(Clock::now());
+}
+
+void ControlLink::Do(const distribution::ReportRefusal& aAction)
+{
+  m_log.Record(EventId::ConfigRefused,
+               { { "version", ToString(aAction.m_version) },
+                 { "reason", aAction.m_reason } });
+}
+
+void ControlLink::Do(const distribution::BecomeReady& aAction)
+{
+  m_ready = true;
+  if (aAction.m_belowFloor) {
+    m_log.Record(
+      EventId::ServingBelowFloor,
+      { { "floor", aAction.m_floor ? ToString(*aAction.m_floor) : "" } });
+  }
+  if (!m_unpublished) {
+    m_unpublished.emplace();
+  }
+  m_unpublished->m_ready = true;
+  Publish();
+}
+
+// ---- Views -----------------------------------------------------------------
+
+// A new version is built at once; changed endpoints wait for the pause to end.
+void ControlLink::BuildWhenDue(TimePoint aNow)
+{
+  if (!m_unbuilt) {
+    return;
+  }
+  const Version version = m_unbuilt->m_tree.At();
+  const bool newVersion = version != m_builtVersion;
+  if (aNow < m_nextBuild && !newVersion) {
+    return;
+  }
+  const auto state = std::exchange(m_unbuilt, nullptr);
+  auto view = routing::View::Build(state->m_tree, Records(state->m_endpoints));
+  const TimePoint end = Clock::now();
+  m_nextBuild = end + (end - aNow) * kBuildPauseFactor;
+  if (!view) {
+    m_log.Record(EventId::ConfigRefused,
+                 { { "version", ToString(version) },
+                   { "reason", view.error().ToString() } });
+    return;
+  }
+  if (newVersion) {
+    m_builtVersion = version;
+    m_log.Record(EventId::ConfigApplied, { { "version", ToString(version) } });
+  }
+  m_unpublished =
+    ViewUpdate{ std::move(view.value()), state->m_tree.Digest(), m_ready };
+  Publish();
+}
+
+void ControlLink::Publish()
+{
+  if (m_unpublished && m_publish(*m_unpublished)) {
+    m_unpublished.reset();
+  }
+}
+
+} // namespace wigeonfold::node
--- /dev/null
+++ b/apps/wigeonfold-node/ControlLink.h
@@ -0,0 +1,75 @@
+// Session with a control VM; everything that runs on a node's control thread.
+#pragma once
+
+#include "Messages.h"
+#include "NodeMetrics.h"
+#include "NodeSettings.h"
+
+#include "wigeonfold/base/Events.h"
+#include "wigeonfold/distribution/Subscriber.h"
+#include "wigeonfold/net/Connection.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace wigeonfold::node {
+
+// Carries out the actions of the subscriber and builds routing views. All
+// methods run on the thread of the io_context.
+class ControlLink
+{
+public:
+  // aPublish hands an update to the data thread; false when it can't take it
+  // now, which is tried again.
+  ControlLink(boost::asio::io_context& aIo,
+              const NodeSettings& aSettings,
+              int64_t aNodeEpoch,
+              NodeMetrics& aMetrics,
+              EventLog& aLog,
+              std::function<bool(ViewUpdate)> aPublish);
+
+  void Start();
+  void Stop();
+  void OnMessage(const DataToControl& aMessage);
+
+private:
+  struct Session
+  {
+    net::ConnectionPtr m_connection;
+    std::unique_ptr<boost::asio::steady_timer> m_delay;
+  };
+
+  void Execute(const distribution::SubscriberActions& aActions);
+  void Do(const distribution::ConnectTo& aAction);
+  void Do(const distribution::SendFrame& aAction);
+  void Do(const distribution::CloseSession& aAction);
+  void Do(const distribution::ApplyState& aAction);
+  void Do(const distribution::ReportRefusal& aAction);
+  void Do(const distribution::BecomeReady& aAction);
+  void Connect(distribution::SessionId aId, const SocketAddress& aAddress);
+  void OnClosed(distribution::SessionId aId, const Error& aError);
+  void BuildWhenDue(TimePoint aNow);
+  void Publish();
+  void Tick();
+
+  boost::asio::io_context& m_io;
+  const NodeSettings m_settings;
+  NodeMetrics& m_metrics;
+  EventLog& m_log;
+  const std::function<bool(ViewUpdate)> m_publish;
+  distribution::Subscriber m_subscriber;
+  std::map<distribution::SessionId, Session> m_sessions;
+  boost::asio::steady_timer m_tick;
+  distribution::NodeStatePtr m_unbuilt; // applied, but not in a view yet
+  TimePoint m_nextBuild{};
+  Version m_builtVersion;
+  std::optional<ViewUpdate> m_unpublished;
+  bool m_ready = false;
+  bool m_stopped = false;
+};
+
+} // namespace wigeonfold::node
--- /dev/null
+++ b/apps/wigeonfold-node/DataPlane.cpp
@@ -0,0 +1,256 @@
+#include "DataPlane.h"
+
+#include "Translate.h"
+
+#include <utility>
+
+namespace wigeonfold::node {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+// Bounds how late deadlines and queue timeouts are noticed.
+constexpr Duration kTick = 10ms;
+constexpr int kTicksPerSecond = 100;
+
+uint64_t SeedOf(const NodeSettings& aSettings, int64_t aNodeEpoch)
+{
+  return static_cast<uint64_t>(aNodeEpoch) ^
+         std::hash<std::string>{}(aSettings.m_name);
+}
+
+} // namespace
+
+DataPlane::DataPlane(boost::asio::io_context& aIo,
+                     const NodeSettings& aSettings,
+                     int64_t aNodeEpoch,
+                     NodeMetrics& aMetrics,
+                     EventLog& aLog,
+                     Hooks aHooks)
+  : m_io(aIo)
+  , m_settings(aSettings)
+  , m_metrics(aMetrics)
+  , m_log(aLog)
+  , m_hooks(std::move(aHooks))
+  , m_identity{ aSettings.m_name, aNodeEpoch, std::nullopt }
+  , m_target({ aSettings.m_name, aSettings.m_announceLease },
+             admission::MakeQueue(aSettings.m_queue),
+             MakeTargetPool(aIo, aSettings.m_targetConnectTimeout),
+             [this] { AnnounceEndpoint(); })
+  , m_peerClient(aIo,
+                 m_identity,
+                 aSettings.m_peerConnectTimeout,
+                 SeedOf(aSettings, aNodeEpoch),
+                 ClientHandlers())
+  , m_callerSide(
+      aSettings.m_name,
+      routing::Chooser(aSettings.m_availabilityZone,
+                       routing::MakePickStrategy(
+                         aSettings.m_pickStrategy,
+                         SeedOf(aSettings, aNodeEpoch))),
+      m_target,
+      m_peerClient,
+      aMetrics)
+  , m_peerServer(aIo,
+                 m_identity,
+                 SeedOf(aSettings, aNodeEpoch),
+                 m_target,
+                 aLog,
+                 m_hooks.m_onPeerVersion)
+  , m_tick(aIo)
+  , m_linger(aIo)
+{
+}
+
+DataPlane::~DataPlane() = default;
+
+PeerClientHandlers DataPlane::ClientHandlers()
+{
+  PeerClientHandlers handlers;
+  handlers.m_onWritten = [this](const forwarding::AttemptKey& aKey) {
+    m_callerSide.OnWritten(aKey);
+  };
+  handlers.m_onEnded = [this](const forwarding::AttemptKey& aKey,
+                              forwarding::Outcome aOutcome,
+                              wire::CallResponse aResponse) {
+    m_callerSide.OnAttemptEnded(aKey, aOutcome, std::move(aResponse));
+  };
+  handlers.m_onGoaway = [this](const std::string& aNodeName) {
+    m_callerSide.OnGoaway(aNodeName);
+  };
+  handlers.m_onPeerVersion = m_hooks.m_onPeerVersion;
+  return handlers;
+}
+
+Status DataPlane::Start()
+{
+  if (auto status = m_peerServer.Listen(m_settings.m_peerListen); !status) {
+    return status;
+  }
+  auto server = net::ServeHttp(
+    m_io,
+    m_settings.m_callerListen,
+    [this](net::HttpRequest aRequest,
+           net::HttpRespond aRespond,
+           const net::HttpOnAbandon& aOnAbandon) {
+      m_callerSide.OnRequest(
+        std::move(aRequest), std::move(aRespond), aOnAbandon);
+    },
+    RejectFields());
+  if (!server) {
+    return server.error();
+  }
+  m_callers = std::move(server.value());
+  Tick();
+  return Ok();
+}
+
+// ---- Inputs from other threads ---------------------------------------------
+
+void DataPlane::OnView(const ViewUpdate& aUpdate)
+{
+  if (aUpdate.m_view) {
+    m_view = aUpdate.m_view;
+    m_digest = aUpdate.m_digest;
+    m_identity.m_inForce = m_view->Settings().At();
+    m_target.SetView(m_view, Clock::now());
+    m_callerSide.SetView(m_view);
+  }
+  if (aUpdate.m_ready && !m_ready) {
+    m_ready = true;
+    m_callerSide.SetReady();
+    m_log.Record(EventId::NodeReady, {});
+  }
+}
+
+void DataPlane::OnAnnouncement(const Announcement& aAnnouncement)
+{
+  m_target.Announce(aAnnouncement, Clock::now());
+}
+
+StatusReport DataPlane::Report(uint64_t aId) const
+{
+  StatusReport report;
+  report.m_id = aId;
+  report.m_ready = m_ready;
+  report.m_stopping = m_stopping;
+  report.m_calls = m_callerSide.Active();
+  report.m_peers = m_peerClient.Links() + m_peerServer.Connections();
+  report.m_target = m_target.Status();
+  if (m_view) {
+    report.m_inForce = m_view->Settings().At();
+    report.m_digest = m_digest;
+    report.m_services = m_view->Settings().Children("services").size();
+    report.m_endpoints = m_view->EndpointCount();
+  }
+  return report;
+}
+
+// ---- Own endpoint ----------------------------------------------------------
+
+void DataPlane::AnnounceEndpoint()
+{
+  const auto& target = m_target.Announced();
+  if (!target) {
+    return;
+  }
+  const TargetState state = m_target.State();
+  wire::EndpointRecord record;
+  record.serviceName = target->m_service;
+  record.availabilityZone = m_settings.m_availabilityZone;
+  record.nodeAddress = ToString(m_settings.m_peerAddress);
+  record.slots = target->m_slots;
+  record.state = state == TargetState::Ready ? wire::EndpointState::Ready
+                                             : wire::EndpointState::Draining;
+  if (state != m_lastState) {
+    m_lastState = state;
+    m_log.Record(EventId::TargetStateChanged,
+                 { { "service", target->m_service },
+                   { "state", ToString(state) },
+                   { "instance", target->m_instance } });
+  }
+  m_hooks.m_onEndpoint(std::move(record));
+}
+
+// ---- Timers ----------------------------------------------------------------
+
+void DataPlane::Tick()
+{
+  const TimePoint now = Clock::now();
+  m_target.Tick(now);
+  m_callerSide.Tick(now);
+  if (++m_ticks % kTicksPerSecond == 0) {
+    Each100Ticks(now);
+  }
+  FinishIfDrained(now);
+  m_tick.expires_after(kTick);
+  m_tick.async_wait([this](boost::system::error_code aCode) {
+    if (!aCode) {
+      Tick();
+    }
+  });
+}
+
+void DataPlane::Each100Ticks(TimePoint aNow)
+{
+  m_peerClient.Tick(aNow);
+  m_target.Sweep();
+  const TargetStatus status = m_target.Status();
+  m_metrics.SetTarget(status.m_running, status.m_queued, status.m_slots);
+}
+
+// ---- Graceful shutdown -----------------------------------------------------
+
+void DataPlane::Drain(std::function<void()> aDone)
+{
+  if (m_stopping) {
+    return;
+  }
+  m_stopping = true;
+  m_onDrained = std::move(aDone);
+  m_drainEnd = Clock::now() + m_settings.m_drainLimit;
+  m_log.Record(EventId::ProcessStopping, {});
+  m_target.BeginStopping();
+  m_peerServer.SendGoaway();
+  m_callers->Drain(m_settings.m_drainLinger, [this] { m_callersDone = true; });
+  m_linger.expires_after(m_settings.m_drainLinger);
+  m_linger.async_wait([this](boost::system::error_code aCode) {
+    if (!aCode) {
+      OnLingerOver();
+    }
+  });
+}
+
+// Nodes that connected since the shutdown began get their goaway now. Their
+// side closes the connections once the last call on them is answered, so no
+// call is lost on the way.
+void DataPlane::OnLingerOver()
+{
+  m_lingerOver = true;
+  m_target.RejectNew();
+  m_peerServer.StopListening();
+  m_peerServer.SendGoaway();
+}
+
+void DataPlane::FinishIfDrained(TimePoint aNow)
+{
+  if (!m_onDrained) {
+    return;
+  }
+  const bool finished = m_lingerOver && m_callersDone &&
+                        m_callerSide.Active() == 0 && m_target.Active() == 0 &&
+                        m_peerServer.Connections() == 0;
+  if (!finished && aNow < m_drainEnd) {
+    return;
+  }
+  if (!finished) {
+    m_log.Record(EventId::DrainCutShort,
+                 { { "calls", std::to_string(m_callerSide.Active()) },
+                   { "served", std::to_string(m_target.Active()) } });
+  }
+  m_peerClient.CloseAll();
+  std::exchange(m_onDrained, nullptr)();
+}
+
+} // namespace wigeonfold::node
--- /dev/null
+++ b/apps/wigeonfold-node/DataPlane.h
@@ -0,0 +1,84 @@
+// Everything that runs on a node's data thread.
+#pragma once
+
+#include "CallerSide.h"
+#include "Messages.h"
+#include "NodeSettings.h"
+#include "PeerServer.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+
+namespace wigeonfold::node {
+
+// Owns callers, peers and the own target. All methods and callbacks run on the
+// thread of the io_context; nothing here is locked.
+class DataPlane
+{
+public:
+  struct Hooks
+  {
+    // The own endpoint changed and has to be announced.
+    std::function<void(wire::EndpointRecord)> m_onEndpoint;
+    std::function<void(const Version&)> m_onPeerVersion;
+  };
+
+  DataPlane(boost::asio::io_context& aIo,
+            const NodeSettings& aSettings,
+            int64_t aNodeEpoch,
+            NodeMetrics& aMetrics,
+            EventLog& aLog,
+            Hooks aHooks);
+  ~DataPlane();
+
+  // Opens the listening sockets.
+  Status Start();
+
+  void OnView(const ViewUpdate& aUpdate);
+  void OnAnnouncement(const Announcement& aAnnouncement);
+  StatusReport Report(uint64_t aId) const;
+
+  // Graceful shutdown as in docs/design.md 6.5; aDone is called when all
+  // requests are finished or the limit is reached. A second call does nothing.
+  void Drain(std::function<void()> aDone);
+
+  uint16_t CallerPort() const { return m_callers->Port(); }
+  uint16_t PeerPort() const { return m_peerServer.Port(); }
+
+private:
+  PeerClientHandlers ClientHandlers();
+  void Tick();
+  void Each100Ticks(TimePoint aNow);
+  void AnnounceEndpoint();
+  void OnLingerOver();
+  void FinishIfDrained(TimePoint aNow);
+
+  boost::asio::io_context& m_io;
+  const NodeSettings m_settings;
+  NodeMetrics& m_metrics;
+  EventLog& m_log;
+  const Hooks m_hooks;
+  PeerIdentity m_identity;
+  TargetSide m_target;
+  PeerClient m_peerClient;
+  CallerSide m_callerSide;
+  PeerServer m_peerServer;
+  std::unique_ptr<net::HttpServer> m_callers;
+  std::shared_ptr<const routing::View> m_view;
+  uint64_t m_digest = 0;
+  bool m_ready = false;
+  TargetState m_lastState = TargetState::Absent;
+  boost::asio::steady_timer m_tick;
+  int m_ticks = 0;
+  // Graceful shutdown.
+  std::function<void()> m_onDrained;
+  boost::asio::steady_timer m_linger;
+  TimePoint m_drainEnd{};
+  bool m_stopping = false;
+  bool m_lingerOver = false;
+  bool m_callersDone = false;
+};
+
+} // namespace wigeonfold::node
--- /dev/null
+++ b/apps/wigeonfold-node/LocalApi.cpp
@@ -0,0 +1,217 @@
+#include "LocalApi.h"
+
+#include "wigeonfold/observe/Timeline.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace wigeonfold::node {
+
+namespace {
+
+constexpr int kMaxSlots = 10'000;
+constexpr int kMaxConnections = 60'000;
+constexpr const char* kJsonType = "application/json";
+
+net::HttpResponse Answer(int aStatus, std::string aBody, const char* aType)
+{
+  return net::HttpResponse{ aStatus,
+                            { { "Content-Type", aType } },
+                            std::move(aBody) };
+}
+
+net::HttpResponse PlainAnswer(int aStatus, const std::string& aText)
+{
+  return Answer(aStatus, aText + "\n", "text/plain");
+}
+
+Error Invalid(const std::string& aDetail)
+{
+  return Error{
+    ErrorCode::InvalidArgument, "read announcement", "", aDetail
+  };
+}
+
+int Bounded(const nlohmann::json& aJson, const char* aKey, int aMax)
+{
+  const auto value = aJson.at(aKey).get<int64_t>();
+  if (value < 1 || value > aMax) {
+    throw std::out_of_range(std::string(aKey) + " is not from 1 to " +
+                            std::to_string(aMax));
+  }
+  return static_cast<int>(value);
+}
+
+// Stamp in "after=N"; 0 when absent.
+HybridTime AfterOf(const std::string& aQuery)
+{
+  const std::string key = "after=";
+  const size_t at = aQuery.find(key);
+  HybridTime after = 0;
+  if (at != std::string::npos) {
+    const char* begin = aQuery.data() + at + key.size();
+    std::from_chars(begin, aQuery.data() + aQuery.size(), after);
+  }
+  return after;
+}
+
+} // namespace
+
+Result<Announcement> ParseAnnouncement(const std::string& aJson)
+{
+  try {
+    const auto json = nlohmann::json::parse(aJson);
+    Announcement announcement;
+    announcement.m_service = json.at("service").get<std::string>();
+    announcement.m_instance = json.at("instance").get<std::string>();
+    announcement.m_slots = Bounded(json, "slots", kMaxSlots);
+    announcement.m_connections = Bounded(json, "connections", kMaxConnections);
+    const auto state = json.at("state").get<std::string>();
+    announcement.m_draining = state == "draining";
+    if (announcement.m_service.empty() ||
+        (state != "ready" && state != "draining")) {
+      return Invalid("service is empty, or state is not ready or draining");
+    }
+    const auto address =
+      ParseSocketAddress(json.at("address").get<std::string>());
+    if (!address) {
+      return address.error();
+    }
+    announcement.m_address = address.value();
+    return announcement;
+  } catch (const std::exception& error) {
+    return Invalid(error.what());
+  }
+}
+
+std::string StatusJson(const NodeSettings& aSettings,
+                       const StatusReport& aReport)
+{
+  const TargetStatus& target = aReport.m_target;
+  nlohmann::json json{
+    { "node", aSettings.m_name },
+    { "zone", aSettings.m_availabilityZone },
+    { "ready", aReport.m_ready },
+    { "stopping", aReport.m_stopping },
+    { "version", nullptr },
+    { "digest", nullptr },
+    { "services", aReport.m_services },
+    { "endpoints", aReport.m_endpoints },
+    { "calls", aReport.m_calls },
+    { "peers", aReport.m_peers },
+    { "target",
+      { { "service", target.m_service },
+        { "address", target.m_service.empty() ? "" : ToString(target.m_address) },
+        { "state", ToString(target.m_state) },
+        { "lease-lost", target.m_leaseLost },
+        { "slots", target.m_slots },
+        { "running", target.m_running },
+        { "queued", target.m_queued },
+        { "connections", target.m_connections } } },
+  };
+  if (aReport.m_inForce) {
+    json["version"] = ToString(*aReport.m_inForce);
+    // Text: JSON readers may keep numbers as 53-bit floats.
+    json["digest"] = std::to_string(aReport.m_digest);
+  }
+  return json.dump() + "\n";
+}
+
+LocalApi::LocalApi(boost::asio::io_context& aIo,
+                   const NodeSettings& aSettings,
+                   const observe::Metrics& aMetrics,
+                   const EventLog& aLog,
+                   std::function<bool(HttpToData)> aSend)
+  : m_io(aIo)
+  , m_settings(aSettings)
+  , m_metrics(aMetrics)
+  , m_log(aLog)
+  , m_send(std::move(aSend))
+{
+}
+
+Status LocalApi::Start()
+{
+  auto server = net::ServeHttp(
+    m_io,
+    m_settings.m_localListen,
+    [this](net::HttpRequest aRequest, net::HttpRespond aRespond, const auto&) {
+      Handle(std::move(aRequest), std::move(aRespond));
+    });
+  if (!server) {
+    return server.error();
+  }
+  m_server = std::move(server.value());
+  return Ok();
+}
+
+void LocalApi::Stop()
+{
+  m_server.reset();
+  m_queries.clear();
+}
+
+void LocalApi::Handle(net::HttpRequest aRequest, net::HttpRespond aRespond)
+{
+  const std::string& target = aRequest.m_target;
+  const size_t mark = target.find('?');
+  const std::string path = target.substr(0, mark);
+  const std::string query =
+    mark == std::string::npos ? "" : target.substr(mark + 1);
+  if (path == "/wigeonfold/announce") {
+    aRespond(aRequest.m_method == "PUT" ? Announce(aRequest)
+                                        : PlainAnswer(405, "use PUT"));
+  } else if (aRequest.m_method != "GET") {
+    aRespond(PlainAnswer(405, "use GET"));
+  } else if (path == "/status") {
+    AskStatus(std::move(aRespond));
+  } else if (path == "/metrics") {
+    aRespond(Answer(200, m_metrics.Text(), "text/plain; version=0.0.4"));
+  } else if (path == "/timeline") {
+    aRespond(Timeline(query));
+  } else if (path == "/healthz") {
+    aRespond(PlainAnswer(200, "ok"));
+  } else {
+    aRespond(PlainAnswer(404, "no such path"));
+  }
+}
+
+net::HttpResponse LocalApi::Announce(const net::HttpRequest& aRequest)
+{
+  const auto announcement = ParseAnnouncement(aRequest.m_body);
+  if (!announcement) {
+    return PlainAnswer(400, announcement.error().ToString());
+  }
+  if (!m_send(announcement.value())) {
+    return PlainAnswer(503, "busy");
+  }
+  return Answer(200, "{}\n", kJsonType);
+}
+
+net::HttpResponse LocalApi::Timeline(const std::string& aQuery) const
+{
+  return Answer(
+    200,
+    observe::ToJson({ m_log.Process(), m_log.Since(AfterOf(aQuery)) }),
+    kJsonType);
+}
+
+void LocalApi::AskStatus(net::HttpRespond aRespond)
+{
+  const uint64_t id = ++m_lastQuery;
+  if (!m_send(StatusQuery{ id })) {
+    aRespond(PlainAnswer(503, "busy"));
+    return;
+  }
+  m_queries.emplace(id, std::move(aRespond));
+}
+
+void LocalApi::OnReport(const StatusReport& aReport)
+{
+  auto node = m_queries.extract(aReport.m_id);
+  if (!node.empty()) {
+    node.mapped()(Answer(200, StatusJson(m_settings, aReport), kJsonType));
+  }
+}
+
+} // namespace wigeonfold::node
--- /dev/null
+++ b/apps/wigeonfold-node/Node.cpp
@@ -0,0 +1,175 @@
+#include "Node.h"
+
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <csignal>
+
+namespace wigeonfold::node {
+
+namespace {
+
+constexpr size_t kKeptEvents = 2000;
+
+int64_t StartTimeUs()
+{
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
+} // namespace
+
+Node::Node(const NodeSettings& aSettings)
+  : m_settings(aSettings)
+  , m_epoch(StartTimeUs())
+  , m_log("node " + aSettings.m_name, kKeptEvents)
+  , m_metrics(m_registry)
+  , m_controlToData(
+      kRingCapacity,
+      [this] {
+        boost::asio::post(m_dataIo, [this] {
+          m_controlToData.Drain(
+            [this](const ViewUpdate& aUpdate) { m_data.OnView(aUpdate); });
+        });
+      })
+  , m_dataToControl(
+      kRingCapacity,
+      [this] {
+        boost::asio::post(m_controlIo, [this] {
+          m_dataToControl.Drain([this](const DataToControl& aMessage) {
+            m_control.OnMessage(aMessage);
+          });
+        });
+      })
+  , m_httpToData(
+      kRingCapacity,
+      [this] {
+        boost::asio::post(m_dataIo, [this] {
+          m_httpToData.Drain(
+            [this](const HttpToData& aMessage) { OnHttpMessage(aMessage); });
+        });
+      })
+  , m_dataToHttp(
+      kRingCapacity,
+      [this] {
+        boost::asio::post(m_httpIo, [this] {
+          m_dataToHttp.Drain(
+            [this](const StatusReport& aReport) { m_http.OnReport(aReport); });
+        });
+      })
+  , m_data(m_dataIo, m_settings, m_epoch, m_metrics, m_log, MakeHooks())
+  , m_control(m_controlIo,
+              m_settings,
+              m_epoch,
+              m_metrics,
+              m_log,
+              [this](ViewUpdate aUpdate) {
+                return m_controlToData.Push(std::move(aUpdate));
+              })
+  , m_http(m_httpIo,
+           m_settings,
+           m_registry,
+           m_log,
+           [this](HttpToData aMessage) {
+             return m_httpToData.Push(std::move(aMessage));
+           })
+  , m_signals(m_dataIo, SIGTERM, SIGINT)
+{
+}
+
+Node::~Node()
+{
+  StopOtherThreads();
+}
+
+DataPlane::Hooks Node::MakeHooks()
+{
+  DataPlane::Hooks hooks;
+  hooks.m_onEndpoint = [this](wire::EndpointRecord aRecord) {
+    SendToControl(std::move(aRecord));
+  };
+  hooks.m_onPeerVersion = [this](const Version& aVersion) {
+    SendToControl(aVersion);
+  };
+  return hooks;
+}
+
+Status Node::Run()
+{
+  if (auto status = m_data.Start(); !status) {
+    return status;
+  }
+  if (auto status = m_http.Start(); !status) {
+    return status;
+  }
+  m_log.Record(EventId::ProcessStarted,
+               { { "name", m_settings.m_name },
+                 { "zone", m_settings.m_availabilityZone },
+                 { "callers", ToString(m_settings.m_callerListen) },
+                 { "peers", ToString(m_settings.m_peerListen) } });
+  m_control.Start();
+  m_controlThread = std::thread([this] {
+    const Guard guard(m_controlIo.get_executor());
+    m_controlIo.run();
+  });
+  m_httpThread = std::thread([this] {
+    const Guard guard(m_httpIo.get_executor());
+    m_httpIo.run();
+  });
+  m_signals.async_wait([this](boost::system::error_code aCode, int) {
+    if (!aCode) {
+      OnStopSignal();
+    }
+  });
+  m_dataIo.run();
+  StopOtherThreads();
+  m_log.Record(EventId::ProcessStopped, {});
+  return Ok();
+}
+
+void Node::OnStopSignal()
+{
+  m_data.Drain([this] { m_dataIo.stop(); });
+}
+
+void Node::StopOtherThreads()
+{
+  if (m_controlThread.joinable()) {
+    boost::asio::post(m_controlIo, [this] {
+      m_control.Stop();
+      m_controlIo.stop();
+    });
+    m_controlThread.join();
+  }
+  if (m_httpThread.joinable()) {
+    boost::asio::post(m_httpIo, [this] {
+      m_http.Stop();
+      m_httpIo.stop();
+    });
+    m_httpThread.join();
+  }
+}
+
+// ---- Rings -----------------------------------------------------------------
+
+void Node::SendToControl(DataToControl aMessage)
+{
+  if (!m_dataToControl.Push(std::move(aMessage))) {
+    m_log.Record(EventId::RingFull, { { "ring", "data to control" } });
+  }
+}
+
+void Node::OnHttpMessage(const HttpToData& aMessage)
+{
+  if (const auto* announcement = std::get_if<Announcement>(&aMessage)) {
+    m_data.OnAnnouncement(*announcement);
+    return;
+  }
+  const uint64_t id = std::get<StatusQuery>(aMessage).m_id;
+  if (!m_dataToHttp.Push(m_data.Report(id))) {
+    m_log.Record(EventId::RingFull, { { "ring", "data to http" } });
+  }
+}
+
+} // namespace wigeonfold::node
--- /dev/null
+++ b/apps/wigeonfold-node/NodeMetrics.cpp
@@ -0,0 +1,76 @@
+#include "NodeMetrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+
+namespace wigeonfold::node {
+
+namespace {
+
+constexpr const char* kAttempts = "wigeonfold_node_attempts_total";
+constexpr const char* kAttemptsHelp = "Attempts at endpoints";
+constexpr const char* kControlBytes = "wigeonfold_node_control_bytes";
+constexpr const char* kControlBytesHelp =
+  "Frame bytes exchanged with control VMs since the start";
+
+} // namespace
+
+NodeMetrics::NodeMetrics(observe::Metrics& aMetrics)
+  : m_first(aMetrics.Counter(kAttempts, kAttemptsHelp, { { "kind", "first" } }))
+  , m_retries(
+      aMetrics.Counter(kAttempts, kAttemptsHelp, { { "kind", "retry" } }))
+  , m_latency(aMetrics.Histogram("wigeonfold_node_request_seconds",
+                                 "Time from a caller's request to its end",
+                                 observe::LatencyBounds()))
+  , m_running(aMetrics.Gauge("wigeonfold_node_target_running",
+                             "Requests that occupy a slot of the own target"))
+  , m_queued(aMetrics.Gauge("wigeonfold_node_target_queued",
+                            "Requests that wait for a slot of the own target"))
+  , m_slots(aMetrics.Gauge("wigeonfold_node_target_slots",
+                           "Slots of the own target"))
+  , m_controlReceived(aMetrics.Gauge(kControlBytes,
+                                     kControlBytesHelp,
+                                     { { "direction", "received" } }))
+  , m_controlSent(aMetrics.Gauge(kControlBytes,
+                                 kControlBytesHelp,
+                                 { { "direction", "sent" } }))
+{
+  for (const forwarding::OutcomeInfo& info : forwarding::OutcomeTable()) {
+    m_outcomes.push_back(
+      &aMetrics.Counter("wigeonfold_node_requests_total",
+                        "Requests of callers by outcome",
+                        { { "outcome", info.m_reason },
+                          { "run", forwarding::RunText(info.m_run) } }));
+  }
+}
+
+void NodeMetrics::CountOutcome(forwarding::Outcome aOutcome)
+{
+  m_outcomes[static_cast<size_t>(aOutcome)]->Increment();
+}
+
+void NodeMetrics::CountAttempt(bool aIsRetry)
+{
+  (aIsRetry ? m_retries : m_first).Increment();
+}
+
+void NodeMetrics::ObserveLatency(Duration aLatency)
+{
+  m_latency.Observe(std::chrono::duration<double>(aLatency).count());
+}
+
+void NodeMetrics::SetTarget(int aRunning, int aQueued, int aSlots)
+{
+  m_running.Set(aRunning);
+  m_queued.Set(aQueued);
+  m_slots.Set(aSlots);
+}
+
+void NodeMetrics::SetControlBytes(uint64_t aReceived, uint64_t aSent)
+{
+  m_controlReceived.Set(static_cast<double>(aReceived));
+  m_controlSent.Set(static_cast<double>(aSent));
+}
+
+} // namespace wigeonfold::node
--- /dev/null
+++ b/apps/wigeonfold-node/PeerServer.cpp
@@ -0,0 +1,239 @@
+#include "PeerServer.h"
+
+#include <utility>
+
+namespace wigeonfold::node {
+
+using wire::FrameType;
+
+namespace {
+
+// Stands in the call table until the target side has given its id.
+constexpr uint64_t kNoServedId = 0;
+
+} // namespace
+
+PeerServer::PeerServer(boost::asio::io_context& aIo,
+                       const PeerIdentity& aIdentity,
+                       uint64_t aSeed,
+                       TargetSide& aTarget,
+                       EventLog& aLog,
+                       std::function<void(const Version&)> aOnPeerVersion)
+  : m_io(aIo)
+  , m_identity(aIdentity)
+  , m_target(aTarget)
+  , m_log(aLog)
+  , m_onPeerVersion(std::move(aOnPeerVersion))
+  , m_lastEpoch(static_cast<int64_t>(aSeed >> 1))
+  , m_alive(std::make_shared<bool>(true))
+{
+}
+
+PeerServer::~PeerServer()
+{
+  *m_alive = false;
+  for (auto& [connection, peer] : m_peers) {
+    peer.m_connection->Close();
+  }
+}
+
+Status PeerServer::Listen(const SocketAddress& aAddress)
+{
+  net::ConnectionHandlers handlers;
+  handlers.m_onFrame = [this, alive = m_alive](const net::ConnectionPtr& aOne,
+                                               const wire::Frame& aFrame) {
+    if (*alive) {
+      OnFrame(aOne, aFrame);
+    }
+  };
+  handlers.m_onClose = [this, alive = m_alive](const net::ConnectionPtr& aOne,
+                                               const Error& aError) {
+    if (!*alive) {
+      return;
+    }
+    if (aError.m_code == ErrorCode::Protocol) {
+      m_log.Record(EventId::ConnectionRejected,
+                   { { "peer", aError.m_peer }, { "step", aError.m_step } });
+    }
+    Drop(aOne.get());
+  };
+  auto listener = net::Listen(m_io,
+                              aAddress,
+                              std::move(handlers),
+                              [this](const net::ConnectionPtr& aConnection) {
+                                Peer peer;
+                                peer.m_connection = aConnection;
+                                peer.m_epoch = ++m_lastEpoch;
+                                m_peers.emplace(aConnection.get(),
+                                                std::move(peer));
+                              });
+  if (!listener) {
+    return listener.error();
+  }
+  m_listener = std::move(listener.value());
+  return Ok();
+}
+
+void PeerServer::SendGoaway()
+{
+  m_leaving = true;
+  wire::PeerGoaway goaway;
+  goaway.reason = "stopping";
+  for (auto& [connection, peer] : m_peers) {
+    if (peer.m_greeted && !peer.m_goawaySent) {
+      peer.m_goawaySent = true;
+      peer.m_connection->Send(FrameType::PeerGoaway, goaway);
+    }
+  }
+}
+
+void PeerServer::StopListening()
+{
+  m_listener->Stop();
+}
+
+size_t PeerServer::Calls() const
+{
+  size_t calls = 0;
+  for (const auto& [connection, peer] : m_peers) {
+    calls += peer.m_calls.size();
+  }
+  return calls;
+}
+
+// ---- Frames ----------------------------------------------------------------
+
+void PeerServer::OnFrame(const net::ConnectionPtr& aConnection,
+                         const wire::Frame& aFrame)
+{
+  const auto found = m_peers.find(aConnection.get());
+  if (found == m_peers.end()) {
+    return;
+  }
+  Peer& peer = found->second;
+  bool valid = peer.m_greeted || aFrame.m_type == FrameType::PeerHello;
+  if (valid) {
+    switch (aFrame.m_type) {
+      case FrameType::PeerHello:
+        valid = OnHello(peer, aFrame);
+        break;
+      case FrameType::CallRequest:
+        valid = OnRequest(aConnection, peer, aFrame);
+        break;
+      case FrameType::CallCancel:
+        valid = OnCancel(peer, aFrame);
+        break;
+      default:
+        valid = false;
+        break;
+    }
+  }
+  if (!valid) {
+    m_log.Record(EventId::ConnectionRejected,
+                 { { "peer", aConnection->Peer() }, { "step", "read call" } });
+    aConnection->Close();
+    Drop(aConnection.get());
+  }
+}
+
+// The first hello opens the connection; later ones ask for a sign of life.
+bool PeerServer::OnHello(Peer& aPeer, const wire::Frame& aFrame)
+{
+  const auto hello = wire::Decode<wire::PeerHello>(
+    aFrame.m_payload, aPeer.m_connection->Peer());
+  if (!hello) {
+    return false;
+  }
+  aPeer.m_greeted = true;
+  if (hello.value().__isset.inForce) {
+    m_onPeerVersion(wire::FromWire(hello.value().inForce));
+  }
+  aPeer.m_connection->Send(FrameType::PeerHello,
+                           MakeHello(m_identity, aPeer.m_epoch));
+  return true;
+}
+
+bool PeerServer::OnRequest(const net::ConnectionPtr& aConnection,
+                           Peer& aPeer,
+                           const wire::Frame& aFrame)
+{
+  auto decoded =
+    wire::Decode<wire::CallRequest>(aFrame.m_payload, aConnection->Peer());
+  if (!decoded) {
+    return false;
+  }
+  auto request =
+    std::make_shared<wire::CallRequest>(std::move(decoded.value()));
+  const int64_t callId = request->callId;
+  if (!aPeer.m_calls.emplace(callId, kNoServedId).second) {
+    return false; // an id is used once per connection
+  }
+  const TimePoint now = Clock::now();
+  const TimePoint deadline =
+    now + std::chrono::microseconds(request->deadlineUs);
+  net::Connection* connection = aConnection.get();
+  const uint64_t served = m_target.Serve(
+    std::move(request), deadline, now, [this, connection, callId](auto aReply) {
+      Respond(connection, callId, std::move(aReply));
+    });
+  // The reply may have been sent already, or the connection be gone.
+  const auto peer = m_peers.find(connection);
+  if (peer != m_peers.end()) {
+    const auto call = peer->second.m_calls.find(callId);
+    if (call != peer->second.m_calls.end()) {
+      call->second = served;
+    }
+  }
+  return true;
+}
+
+bool PeerServer::OnCancel(Peer& aPeer, const wire::Frame& aFrame)
+{
+  const auto cancel = wire::Decode<wire::CallCancel>(
+    aFrame.m_payload, aPeer.m_connection->Peer());
+  if (!cancel) {
+    return false;
+  }
+  // An unknown id was answered while the cancellation was on its way.
+  const auto call = aPeer.m_calls.find(cancel.value().callId);
+  if (call != aPeer.m_calls.end()) {
+    const uint64_t served = call->second;
+    aPeer.m_calls.erase(call);
+    m_target.Cancel(served, Clock::now());
+  }
+  return true;
+}
+
+// A pointer of a dropped connection is not in the table; one that is in the
+// table keeps its connection alive, so its address is not reused.
+void PeerServer::Respond(net::Connection* aConnection,
+                         int64_t aCallId,
+                         TargetReply aReply)
+{
+  const auto peer = m_peers.find(aConnection);
+  if (peer == m_peers.end() || peer->second.m_calls.erase(aCallId) == 0) {
+    return;
+  }
+  wire::CallResponse& response = aReply.m_response;
+  response.callId = aCallId;
+  if (!aConnection->Send(FrameType::CallResponse, response)) {
+    // The peer does not read its answers; its calls end as unknown.
+    aConnection->Close();
+    Drop(aConnection);
+  }
+}
+
+// Cancels the calls of a connection that is gone.
+void PeerServer::Drop(net::Connection* aConnection)
+{
+  auto node = m_peers.extract(aConnection);
+  if (node.empty()) {
+    return;
+  }
+  const TimePoint now = Clock::now();
+  for (const auto& [callId, served] : node.mapped().m_calls) {
+    m_target.Cancel(served, now);
+  }
+}
+
+} // namespace wigeonfold::node
--- /dev/null
+++ b/apps/wigeonfold-node/PeerServer.h
@@ -0,0 +1,77 @@
+// Calls from other nodes.
+#pragma once
+
+#include "PeerClient.h"
+#include "TargetSide.h"
+
+#include "wigeonfold/base/Events.h"
+#include "wigeonfold/net/Connection.h"
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+namespace wigeonfold::node {
+
+// Accepts connections of other nodes and serves their calls. Runs on the
+// thread of the io_context.
+class PeerServer
+{
+public:
+  PeerServer(boost::asio::io_context& aIo,
+             const PeerIdentity& aIdentity,
+             uint64_t aSeed,
+             TargetSide& aTarget,
+             EventLog& aLog,
+             std::function<void(const Version&)> aOnPeerVersion);
+  ~PeerServer();
+
+  // Fails with Io when the address can't be bound.
+  Status Listen(const SocketAddress& aAddress);
+
+  // Tells the connected nodes to send their further calls elsewhere. Calls
+  // that arrive nevertheless are served.
+  void SendGoaway();
+  // Accepts no further connections.
+  void StopListening();
+
+  uint16_t Port() const { return m_listener->Port(); }
+  size_t Connections() const { return m_peers.size(); }
+  size_t Calls() const;
+
+private:
+  struct Peer
+  {
+    net::ConnectionPtr m_connection;
+    int64_t m_epoch = 0;
+    bool m_greeted = false;
+    bool m_goawaySent = false;
+    // Target-side id of each call under way, by the peer's call id.
+    std::unordered_map<int64_t, uint64_t> m_calls;
+  };
+
+  void OnFrame(const net::ConnectionPtr& aConnection,
+               const wire::Frame& aFrame);
+  bool OnHello(Peer& aPeer, const wire::Frame& aFrame);
+  bool OnRequest(const net::ConnectionPtr& aConnection,
+                 Peer& aPeer,
+                 const wire::Frame& aFrame);
+  bool OnCancel(Peer& aPeer, const wire::Frame& aFrame);
+  void Respond(net::Connection* aConnection,
+               int64_t aCallId,
+               TargetReply aReply);
+  void Drop(net::Connection* aConnection);
+
+  boost::asio::io_context& m_io;
+  const PeerIdentity& m_identity;
+  TargetSide& m_target;
+  EventLog& m_log;
+  const std::function<void(const Version&)> m_onPeerVersion;
+  int64_t m_lastEpoch;
+  bool m_leaving = false;
+  std::unique_ptr<net::Listener> m_listener;
+  std::unordered_map<net::Connection*, Peer> m_peers;
+  std::shared_ptr<bool> m_alive; // false once this object is destroyed
+};
+
+} // namespace wigeonfold::node
--- a/apps/wigeonfold-node/TargetPool.cpp
+++ b/apps/wigeonfold-node/TargetPool.cpp
@@ -207,7 +207,9 @@
 
   void Finish(Exchange aExchange)
   {
-    m_source = nullptr;
+    if (m_written) {
+      m_source = nullptr; // an unfinished write still reads the body
+    }
     std::exchange(m_done, nullptr)(std::move(aExchange));
   }
 
--- /dev/null
+++ b/apps/wigeonfold-node/TargetSide.cpp
@@ -0,0 +1,418 @@
+#include "TargetSide.h"
+
+#include "Translate.h"
+
+#include <algorithm>
+#include <boost/algorithm/string/predicate.hpp>
+
+namespace wigeonfold::node {
+
+using admission::Decision;
+using forwarding::Outcome;
+using forwarding::TargetStep;
+
+namespace {
+
+constexpr int kShedStatus = 503;
+// Offices whose shares are kept at hand; the table starts anew when full.
+constexpr size_t kMaxCachedOffices = 4096;
+// Weight of the newest sample in the smoothed latency: 1/8, as TCP does for
+// its round trip time.
+constexpr int64_t kLatencyDivisor = 8;
+
+// The target itself says that it did not run the request.
+bool IsShed(const Exchange& aExchange)
+{
+  return aExchange.m_status == kShedStatus &&
+         std::any_of(aExchange.m_headers.begin(),
+                     aExchange.m_headers.end(),
+                     [](const wire::HeaderField& aField) {
+                       return boost::iequals(aField.name, kRunHeader) &&
+                              aField.value == "not-run";
+                     });
+}
+
+wire::HeaderField Field(const char* aName, std::string aValue)
+{
+  wire::HeaderField field;
+  field.name = aName;
+  field.value = std::move(aValue);
+  return field;
+}
+
+} // namespace
+
+const char* ToString(TargetState aState)
+{
+  switch (aState) {
+    case TargetState::Absent:
+      return "absent";
+    case TargetState::Ready:
+      return "ready";
+    case TargetState::Draining:
+      return "draining";
+  }
+  return "absent";
+}
+
+TargetSide::TargetSide(TargetSideOptions aOptions,
+                       std::unique_ptr<admission::Queue> aQueue,
+                       std::unique_ptr<TargetPool> aPool,
+                       std::function<void()> aOnChange)
+  : m_options(std::move(aOptions))
+  , m_admission(std::move(aQueue))
+  , m_pool(std::move(aPool))
+  , m_onChange(std::move(aOnChange))
+{
+}
+
+// ---- Target ----------------------------------------------------------------
+
+void TargetSide::SetView(std::shared_ptr<const routing::View> aView,
+                         TimePoint aNow)
+{
+  m_view = std::move(aView);
+  m_shares.clear();
+  UpdateLimits(aNow);
+  UpdateDraining(aNow);
+}
+
+void TargetSide::Announce(const Announcement& aAnnouncement, TimePoint aNow)
+{
+  const std::optional<Announcement> before = std::move(m_target);
+  m_target = aAnnouncement;
+  m_leaseEnd = aNow + m_options.m_announceLease;
+  m_leaseLost = false;
+  const bool otherInstance =
+    !before || before->m_instance != m_target->m_instance ||
+    !(before->m_address == m_target->m_address) ||
+    before->m_connections != m_target->m_connections;
+  if (otherInstance) {
+    m_pool->SetTarget(m_target->m_address,
+                      static_cast<size_t>(m_target->m_connections));
+  }
+  const bool changed = !before || before->m_service != m_target->m_service ||
+                       before->m_slots != m_target->m_slots || otherInstance;
+  if (changed) {
+    UpdateLimits(aNow);
+    m_onChange();
+  }
+  UpdateDraining(aNow);
+}
+
+void TargetSide::BeginStopping()
+{
+  m_stopping = true;
+  m_onChange();
+}
+
+TargetState TargetSide::State() const
+{
+  if (!m_target) {
+    return TargetState::Absent;
+  }
+  return m_stopping || m_admission.IsDraining() ? TargetState::Draining
+                                                : TargetState::Ready;
+}
+
+TargetStatus TargetSide::Status() const
+{
+  TargetStatus status;
+  status.m_state = State();
+  status.m_leaseLost = m_leaseLost;
+  status.m_slots = m_admission.Slots();
+  status.m_running = m_admission.Running();
+  status.m_queued = m_admission.Queued();
+  status.m_connections =
+    m_pool->Idle() + static_cast<size_t>(m_admission.Running());
+  if (m_target) {
+    status.m_service = m_target->m_service;
+    status.m_address = m_target->m_address;
+  }
+  return status;
+}
+
+void TargetSide::UpdateLimits(TimePoint aNow)
+{
+  const routing::ServiceRoute* route =
+    m_view && m_target ? m_view->Find(m_target->m_service) : nullptr;
+  admission::Limits limits;
+  if (route != nullptr) {
+    // Each running request occupies one connection.
+    limits.m_slots = std::min(m_target->m_slots, m_target->m_connections);
+    limits.m_queueLimit = static_cast<size_t>(route->m_queueLimit);
+    limits.m_queueTimeout = route->m_queueTimeout;
+  }
+  Apply(m_admission.SetLimits(limits, aNow), aNow);
+}
+
+void TargetSide::UpdateDraining(TimePoint aNow)
+{
+  const bool told = m_view && m_view->IsDrained(m_options.m_nodeName);
+  const bool draining =
+    m_target && (m_target->m_draining || m_leaseLost || told);
+  if (draining == m_admission.IsDraining()) {
+    return;
+  }
+  Apply(m_admission.SetDraining(draining, aNow), aNow);
+  m_onChange();
+}
+
+// ---- Requests --------------------------------------------------------------
+
+uint64_t TargetSide::Serve(std::shared_ptr<const wire::CallRequest> aRequest,
+                           TimePoint aDeadline,
+                           TimePoint aNow,
+                           OnTargetReply aReply)
+{
+  const uint64_t id = ++m_lastId;
+  if (const auto outcome = CheckServable(*aRequest)) {
+    TargetReply reply;
+    reply.m_outcome = *outcome;
+    Exchange none;
+    FillResponse(reply, none);
+    aReply(std::move(reply));
+    return id;
+  }
+  admission::Request request;
+  request.m_id = id;
+  request.m_shares = SharesOf(aRequest->office);
+  request.m_depth = aRequest->depth;
+  request.m_deadline = aDeadline;
+  request.m_arrived = aNow;
+  ServedCall call{ forwarding::TargetCall(aDeadline) };
+  call.m_request = std::move(aRequest);
+  call.m_deadline = aDeadline;
+  call.m_reply = std::move(aReply);
+  m_calls.emplace(id, std::move(call));
+  m_deadlines.Add(aDeadline, id);
+  Apply(m_admission.Offer(request, aNow), aNow);
+  return id;
+}
+
+std::optional<Outcome> TargetSide::CheckServable(
+  const wire::CallRequest& aRequest) const
+{
+  if (!m_view) {
+    return Outcome::NoConfiguration;
+  }
+  if (!m_target || m_target->m_service != aRequest.serviceName ||
+      m_view->Find(aRequest.serviceName) == nullptr) {
+    return Outcome::NoTarget;
+  }
+  if (m_rejectNew) {
+    return Outcome::Draining;
+  }
+  return std::nullopt;
+}
+
+const std::vector<admission::Share>& TargetSide::SharesOf(
+  const std::string& aOffice)
+{
+  const auto known = m_shares.find(aOffice);
+  if (known != m_shares.end()) {
+    return known->second;
+  }
+  if (m_shares.size() >= kMaxCachedOffices) {
+    m_shares.clear();
+  }
+  std::vector<admission::Share>& shares = m_shares[aOffice];
+  for (const routing::OfficeLevel& level : m_view->OfficeChain(aOffice)) {
+    shares.push_back(
+      admission::Share{ level.m_path, level.m_weight, level.m_queuePercent });
+  }
+  return shares;
+}
+
+void TargetSide::Cancel(uint64_t aId, TimePoint aNow)
+{
+  const auto call = m_calls.find(aId);
+  if (call != m_calls.end()) {
+    call->second.m_reply = nullptr;
+    Execute(aId, call->second.m_call.OnCancel(), aNow);
+  }
+}
+
+void TargetSide::Tick(TimePoint aNow)
+{
+  if (m_target && !m_leaseLost && aNow >= m_leaseEnd) {
+    m_leaseLost = true;
+    m_pool->CloseIdle();
+    UpdateDraining(aNow);
+  }
+  Apply(m_admission.Tick(aNow), aNow);
+  for (const uint64_t id : m_deadlines.TakeDue(aNow)) {
+    const auto call = m_calls.find(id);
+    if (call != m_calls.end()) {
+      Execute(id, call->second.m_call.OnDeadline(), aNow);
+    }
+  }
+}
+
+// Carries out decisions in order. Carrying out one may bring further ones; they
+// are appended rather than handled in a nested call.
+void TargetSide::Apply(std::vector<Decision> aDecisions, TimePoint aNow)
+{
+  m_decisions.insert(m_decisions.end(), aDecisions.begin(), aDecisions.end());
+  if (m_applying) {
+    return;
+  }
+  m_applying = true;
+  while (!m_decisions.empty()) {
+    const Decision decision = m_decisions.front();
+    m_decisions.pop_front();
+    const auto call = m_calls.find(decision.m_id);
+    if (call == m_calls.end()) {
+      // Cancelled between the decision and now: the slot is free again.
+      if (decision.m_start) {
+        const auto more = m_admission.Finished(decision.m_id, aNow);
+        m_decisions.insert(m_decisions.end(), more.begin(), more.end());
+      }
+      continue;
+    }
+    forwarding::TargetCall& machine = call->second.m_call;
+    Execute(decision.m_id,
+            decision.m_start ? machine.OnAdmitted(aNow)
+                             : machine.OnRejected(decision.m_reason),
+            aNow);
+  }
+  m_applying = false;
+}
+
+void TargetSide::Execute(uint64_t aId, TargetStep aStep, TimePoint aNow)
+{
+  const auto found = m_calls.find(aId);
+  if (found == m_calls.end()) {
+    return;
+  }
+  ServedCall& call = found->second;
+  if (aStep.m_connect) {
+    Connect(aId, call, aNow);
+  } else if (aStep.m_write) {
+    Write(aId, call, aNow);
+  } else if (aStep.m_end) {
+    End(aId, aStep, aNow);
+  }
+}
+
+void TargetSide::Connect(uint64_t aId, ServedCall& aCall, TimePoint aNow)
+{
+  aCall.m_connection = m_pool->TakeIdle();
+  if (aCall.m_connection) {
+    Execute(aId, aCall.m_call.OnConnected(aNow), aNow);
+    return;
+  }
+  aCall.m_connection = m_pool->Open([this, aId](bool aConnected) {
+    const auto call = m_calls.find(aId);
+    if (call != m_calls.end()) {
+      const TimePoint now = Clock::now();
+      forwarding::TargetCall& machine = call->second.m_call;
+      Execute(aId,
+              aConnected ? machine.OnConnected(now) : machine.OnConnectFailed(),
+              now);
+    }
+  });
+}
+
+void TargetSide::Write(uint64_t aId, ServedCall& aCall, TimePoint aNow)
+{
+  aCall.m_started = aNow;
+  const int64_t left =
+    std::max<int64_t>(1, ToMilliseconds(aCall.m_deadline - aNow));
+  std::vector<wire::HeaderField> extra;
+  extra.push_back(Field(kDeadlineHeader, std::to_string(left)));
+  extra.push_back(
+    Field(kDepthHeader, std::to_string(aCall.m_request->depth)));
+  if (!aCall.m_request->office.empty()) {
+    extra.push_back(Field(kAccountHeader, aCall.m_request->office));
+  }
+  aCall.m_connection->Run(
+    aCall.m_request, std::move(extra), [this, aId](Exchange aExchange) {
+      OnExchange(aId, std::move(aExchange));
+    });
+}
+
+void TargetSide::OnExchange(uint64_t aId, Exchange aExchange)
+{
+  const auto found = m_calls.find(aId);
+  if (found == m_calls.end()) {
+    return;
+  }
+  const TimePoint now = Clock::now();
+  ServedCall& call = found->second;
+  TargetStep step;
+  switch (aExchange.m_kind) {
+    case Exchange::Kind::Answer: {
+      const int64_t sample = ToMicroseconds(now - call.m_started);
+      m_latencyUs += (sample - m_latencyUs) / kLatencyDivisor;
+      step = call.m_call.OnAnswer(IsShed(aExchange), aExchange.m_reusable);
+      break;
+    }
+    case Exchange::Kind::Unusable:
+      step = call.m_call.OnUnusableAnswer();
+      break;
+    case Exchange::Kind::Lost:
+      step = call.m_call.OnLost(aExchange.m_anyByteWritten);
+      break;
+  }
+  call.m_exchange = std::move(aExchange);
+  Execute(aId, step, now);
+}
+
+void TargetSide::End(uint64_t aId, const TargetStep& aStep, TimePoint aNow)
+{
+  auto node = m_calls.extract(aId);
+  ServedCall& call = node.mapped();
+  m_deadlines.Remove(call.m_deadline, aId);
+  if (aStep.m_unqueue) {
+    m_admission.Cancel(aId);
+  }
+  if (aStep.m_close && call.m_connection) {
+    call.m_connection->Close();
+  } else if (aStep.m_keep) {
+    m_pool->GiveBack(std::move(call.m_connection));
+  }
+  std::vector<Decision> next;
+  if (aStep.m_release) {
+    next = m_admission.Finished(aId, aNow);
+  }
+  if (call.m_reply) {
+    TargetReply reply;
+    reply.m_outcome = *aStep.m_end;
+    FillResponse(reply, call.m_exchange);
+    call.m_reply(std::move(reply));
+  }
+  Apply(std::move(next), aNow);
+}
+
+void TargetSide::FillResponse(TargetReply& aReply, Exchange& aExchange)
+{
+  const forwarding::OutcomeInfo& info = InfoOf(aReply.m_outcome);
+  wire::CallResponse& response = aReply.m_response;
+  response.run = info.m_run;
+  response.status = info.m_status;
+  response.__set_load(Load());
+  const bool answered = aReply.m_outcome == Outcome::Answered;
+  if (answered || aReply.m_outcome == Outcome::Shed) {
+    response.status = aExchange.m_status;
+    response.headers = std::move(aExchange.m_headers);
+    response.body = std::move(aExchange.m_body);
+    StripHopByHop(response.headers);
+  }
+  if (!answered) {
+    response.reason = info.m_reason;
+  }
+}
+
+wire::TargetLoad TargetSide::Load() const
+{
+  wire::TargetLoad load;
+  load.slots = m_admission.Slots();
+  load.running = m_admission.Running();
+  load.queued = m_admission.Queued();
+  load.latencyUs = m_latencyUs;
+  load.draining = State() == TargetState::Draining;
+  return load;
+}
+
+} // namespace wigeonfold::node
