--- a/libs/discovery/include/wigeonfold/discovery/Endpoints.h
+++ b/libs/discovery/include/wigeonfold/discovery/Endpoints.h
@@ -41,6 +41,8 @@
   Endpoints With(const wire::EndpointUpdate& aUpdate) const;
 
 private:
+  Endpoints WithFull(const std::vector<wire::EndpointRecord>& aRecords) const;
+
   using NodeIndex = std::map<std::string, std::string>;
 
   std::map<std::string, std::shared_ptr<const ServiceEndpoints>> m_services;
--- a/libs/distribution/include/wigeonfold/distribution/Subscriber.h
+++ b/libs/distribution/include/wigeonfold/distribution/Subscriber.h
@@ -179,14 +179,14 @@
   };
   struct Candidate
   {
-    int m_failures = 0;
-    // A probe found this control VM not fresher; another is tried first.
+    int m_failures = 0; // attempts that failed since the last session
     TimePoint m_lastProbe;
   };
 
   template<class T>
   void Send(const Session& aSession, wire::FrameType aType, const T& aMessage);
   void SendHello(const Session& aSession, bool aProbe);
+  wire::NodeStatus MakeStatus() const;
   void SendStatus();
   void AskResync(bool aFull, TimePoint aNow);
   void SendAnnouncement();
@@ -194,7 +194,7 @@
   size_t ChooseVm(std::optional<size_t> aExcept);
   void ConnectMain(Duration aDelay, TimePoint aNow);
   void StartProbe(TimePoint aNow);
-  void DropProbe();
+  void DropProbe(TimePoint aNow);
   void LoseMain(TimePoint aNow);
 
   void HandleMain(const wire::Frame& aFrame, TimePoint aNow);
@@ -204,12 +204,17 @@
   void Handle(const wire::EndpointUpdate& aUpdate, TimePoint aNow);
   void Handle(const wire::Heartbeat& aBeat, TimePoint aNow);
   void Handle(const wire::RetryLater& aRetry, TimePoint aNow);
+  template<class T>
+  bool Dispatch(const wire::Frame& aFrame, TimePoint aNow);
+  void RefuseDelta(const wire::ConfigUpdate& aUpdate,
+                   const Error& aError,
+                   TimePoint aNow);
   void Refuse(const Version& aVersion, const std::string& aReason);
   void Apply(NodeState aState);
   void RaiseFloor(const Version& aVersion);
   void CheckReady(TimePoint aNow);
   void CheckFreshness(TimePoint aNow);
-  bool IsFresh() const;
+  void NoteFreshness(TimePoint aNow);
   SubscriberActions Take();
 
   const SubscriberOptions m_options;
@@ -224,6 +229,7 @@
   std::optional<Session> m_probe;
   TimePoint m_nextProbe;
   std::vector<Candidate> m_candidates;
+  int64_t m_nodeEpoch = 0; // grows when the clock had gone back
 
   NodeStatePtr m_state;
   // Endpoints that arrived before the first configuration.
@@ -232,6 +238,9 @@
   int64_t m_endpointCursor = 0;
   std::optional<Version> m_refused;
   std::string m_refusal;
+  // Version for which a whole tree was asked after a delta failed.
+  std::optional<Version> m_askedFullFor;
+  bool m_askedFull = false;
 
   std::optional<wire::EndpointRecord> m_announced;
   int64_t m_sequence = 0;
--- /dev/null
+++ b/libs/distribution/src/Subscriber.cpp
@@ -0,0 +1,579 @@
+#include "wigeonfold/distribution/Subscriber.h"
+
+#include "wigeonfold/wire/Codec.h"
+
+#include <algorithm>
+
+namespace wigeonfold::distribution {
+
+using wire::FrameType;
+
+namespace {
+
+settings::TreeDelta ToDelta(const wire::ConfigUpdate& aUpdate)
+{
+  settings::TreeDelta delta;
+  delta.m_full = aUpdate.full;
+  delta.m_base = wire::FromWire(aUpdate.base);
+  delta.m_target = wire::FromWire(aUpdate.target);
+  delta.m_branches = aUpdate.branches;
+  delta.m_digest = static_cast<uint64_t>(aUpdate.digest);
+  return delta;
+}
+
+// A malformed payload leaves the message empty.
+template<class T>
+std::optional<T> DecodeFrame(const wire::Frame& aFrame)
+{
+  auto message = wire::Decode<T>(aFrame.m_payload, "control VM");
+  return message ? std::optional<T>(std::move(message.value())) : std::nullopt;
+}
+
+// Seeds of the two backoffs differ from that of the main generator.
+constexpr uint64_t kBackoffSeed = 0x9e3779b97f4a7c15;
+constexpr uint64_t kProbeSeed = 0xd1b54a32d192ed03;
+
+} // namespace
+
+Subscriber::Subscriber(SubscriberOptions aOptions,
+                       StateCheck aCheck,
+                       uint64_t aSeed)
+  : m_options(std::move(aOptions))
+  , m_check(std::move(aCheck))
+  , m_random(aSeed)
+  , m_backoff(m_options.m_backoffBase,
+              m_options.m_backoffMax,
+              aSeed ^ kBackoffSeed)
+  , m_probeBackoff(m_options.m_backoffBase,
+                   m_options.m_backoffMax,
+                   aSeed ^ kProbeSeed)
+  , m_candidates(m_options.m_controlVms.size())
+  , m_nodeEpoch(m_options.m_nodeEpoch)
+{
+}
+
+SubscriberActions Subscriber::Take()
+{
+  SubscriberActions actions;
+  actions.swap(m_actions);
+  return actions;
+}
+
+// ---- Sessions --------------------------------------------------------------
+
+// Fewest failures first, then the own availability zone, then at random.
+size_t Subscriber::ChooseVm(std::optional<size_t> aExcept)
+{
+  std::vector<size_t> best;
+  auto bestKey = std::make_pair(0, false);
+  for (size_t vm = 0; vm < m_candidates.size(); ++vm) {
+    if (vm == aExcept) {
+      continue;
+    }
+    const auto key =
+      std::make_pair(m_candidates[vm].m_failures,
+                     m_options.m_controlVms[vm].m_availabilityZone !=
+                       m_options.m_availabilityZone);
+    if (best.empty() || key < bestKey) {
+      best.clear();
+      bestKey = key;
+    }
+    if (key == bestKey) {
+      best.push_back(vm);
+    }
+  }
+  return best[m_random() % best.size()];
+}
+
+void Subscriber::ConnectMain(Duration aDelay, TimePoint aNow)
+{
+  if (m_candidates.empty()) {
+    return;
+  }
+  Session session;
+  session.m_id = ++m_lastSession;
+  session.m_vm = ChooseVm(std::nullopt);
+  session.m_lastFrame = aNow + aDelay;
+  m_main = session;
+  m_actions.emplace_back(
+    ConnectTo{ session.m_id,
+               m_options.m_controlVms[session.m_vm].m_address,
+               aNow + aDelay });
+}
+
+void Subscriber::StartProbe(TimePoint aNow)
+{
+  // The control VM that was probed longest ago, own zone first among equals.
+  std::optional<size_t> choice;
+  for (size_t vm = 0; vm < m_candidates.size(); ++vm) {
+    if (vm != m_main->m_vm &&
+        (!choice ||
+         m_candidates[vm].m_lastProbe < m_candidates[*choice].m_lastProbe)) {
+      choice = vm;
+    }
+  }
+  if (!choice) {
+    return;
+  }
+  m_candidates[*choice].m_lastProbe = aNow;
+  Session session;
+  session.m_id = ++m_lastSession;
+  session.m_vm = *choice;
+  session.m_lastFrame = aNow;
+  m_probe = session;
+  m_actions.emplace_back(
+    ConnectTo{ session.m_id, m_options.m_controlVms[*choice].m_address, aNow });
+}
+
+void Subscriber::DropProbe(TimePoint aNow)
+{
+  if (m_probe) {
+    m_actions.emplace_back(CloseSession{ m_probe->m_id });
+    m_probe.reset();
+  }
+  m_nextProbe = aNow + m_probeBackoff.Next();
+}
+
+void Subscriber::LoseMain(TimePoint aNow)
+{
+  ++m_candidates[m_main->m_vm].m_failures;
+  m_main.reset();
+  if (m_probe) {
+    m_actions.emplace_back(CloseSession{ m_probe->m_id });
+    m_probe.reset();
+  }
+  ConnectMain(m_backoff.Next(), aNow);
+}
+
+SubscriberActions Subscriber::Start(TimePoint aNow)
+{
+  m_lastFresh = aNow;
+  ConnectMain(Duration::zero(), aNow);
+  return Take();
+}
+
+SubscriberActions Subscriber::OnConnected(SessionId aSession, TimePoint aNow)
+{
+  for (auto* session : { &m_main, &m_probe }) {
+    if (*session && (*session)->m_id == aSession) {
+      (*session)->m_connected = true;
+      (*session)->m_lastFrame = aNow;
+      SendHello(**session, session == &m_probe);
+    }
+  }
+  return Take();
+}
+
+SubscriberActions Subscriber::OnClosed(SessionId aSession, TimePoint aNow)
+{
+  if (m_main && m_main->m_id == aSession) {
+    LoseMain(aNow);
+  } else if (m_probe && m_probe->m_id == aSession) {
+    m_probe.reset();
+    m_nextProbe = aNow + m_probeBackoff.Next();
+  }
+  return Take();
+}
+
+SubscriberActions Subscriber::OnFrame(SessionId aSession,
+                                      const wire::Frame& aFrame,
+                                      TimePoint aNow)
+{
+  m_bytesReceived += wire::kFrameHeaderBytes + aFrame.m_payload.size();
+  if (m_main && m_main->m_id == aSession) {
+    m_main->m_lastFrame = aNow;
+    HandleMain(aFrame, aNow);
+  } else if (m_probe && m_probe->m_id == aSession) {
+    m_probe->m_lastFrame = aNow;
+    HandleProbe(aFrame, aNow);
+  }
+  return Take();
+}
+
+SubscriberActions Subscriber::OnTick(TimePoint aNow)
+{
+  if (m_main && aNow - m_main->m_lastFrame > m_options.m_silence) {
+    m_actions.emplace_back(CloseSession{ m_main->m_id });
+    LoseMain(aNow);
+  }
+  if (m_probe && aNow - m_probe->m_lastFrame > m_options.m_silence) {
+    DropProbe(aNow);
+  }
+  CheckFreshness(aNow);
+  CheckReady(aNow);
+  return Take();
+}
+
+// ---- Frames ----------------------------------------------------------------
+
+template<class T>
+bool Subscriber::Dispatch(const wire::Frame& aFrame, TimePoint aNow)
+{
+  const auto message = DecodeFrame<T>(aFrame);
+  if (message) {
+    Handle(*message, aNow);
+  }
+  return message.has_value();
+}
+
+void Subscriber::HandleMain(const wire::Frame& aFrame, TimePoint aNow)
+{
+  bool good = false;
+  switch (aFrame.m_type) {
+    case FrameType::HelloReply:
+      good = Dispatch<wire::HelloReply>(aFrame, aNow);
+      break;
+    case FrameType::ConfigUpdate:
+      good = Dispatch<wire::ConfigUpdate>(aFrame, aNow);
+      break;
+    case FrameType::EndpointUpdate:
+      good = Dispatch<wire::EndpointUpdate>(aFrame, aNow);
+      break;
+    case FrameType::Heartbeat:
+      good = Dispatch<wire::Heartbeat>(aFrame, aNow);
+      break;
+    case FrameType::RetryLater:
+      good = Dispatch<wire::RetryLater>(aFrame, aNow);
+      break;
+    default:
+      break;
+  }
+  if (!good && m_main) {
+    m_actions.emplace_back(CloseSession{ m_main->m_id });
+    LoseMain(aNow);
+  }
+}
+
+// A probe is answered with one HelloReply. The session moves only when the
+// other control VM is fresh, or staler by much less, so that nodes do not
+// swing between control VMs that are equally cut off.
+void Subscriber::HandleProbe(const wire::Frame& aFrame, TimePoint aNow)
+{
+  const auto reply = aFrame.m_type == FrameType::HelloReply
+                       ? DecodeFrame<wire::HelloReply>(aFrame)
+                       : std::nullopt;
+  if (!reply) {
+    DropProbe(aNow);
+    return;
+  }
+  if (reply->__isset.floor) {
+    RaiseFloor(wire::FromWire(reply->floor));
+  }
+  const Duration age = std::chrono::milliseconds(reply->freshnessAgeMs);
+  const Duration limit = m_options.m_maxFreshnessAge;
+  const bool fresher = m_main->m_freshnessAge > limit &&
+                       (age <= limit || age + limit <= m_main->m_freshnessAge);
+  if (!fresher) {
+    DropProbe(aNow);
+    return;
+  }
+  m_actions.emplace_back(CloseSession{ m_main->m_id });
+  m_main = m_probe;
+  m_probe.reset();
+  m_probeBackoff.Reset();
+  SendHello(*m_main, false);
+}
+
+void Subscriber::Handle(const wire::HelloReply& aReply, TimePoint aNow)
+{
+  m_main->m_established = true;
+  m_backoff.Reset();
+  for (Candidate& candidate : m_candidates) {
+    candidate.m_failures = 0;
+  }
+  m_main->m_freshnessAge = std::chrono::milliseconds(aReply.freshnessAgeMs);
+  if (aReply.__isset.floor) {
+    RaiseFloor(wire::FromWire(aReply.floor));
+  }
+  if (!m_floorEnd) {
+    m_floorEnd = aNow + m_options.m_floorWait;
+  }
+  // An earlier start of this node had a later epoch: the clock went back.
+  if (aReply.greatestNodeEpoch > m_nodeEpoch) {
+    m_nodeEpoch = aReply.greatestNodeEpoch + 1;
+  }
+  NoteFreshness(aNow);
+  ++m_sequence;
+  SendAnnouncement();
+  CheckReady(aNow);
+}
+
+void Subscriber::Handle(const wire::Heartbeat& aBeat, TimePoint aNow)
+{
+  m_main->m_freshnessAge = std::chrono::milliseconds(aBeat.freshnessAgeMs);
+  NoteFreshness(aNow);
+  SendStatus();
+  CheckReady(aNow);
+  CheckFreshness(aNow);
+}
+
+void Subscriber::Handle(const wire::RetryLater& aRetry, TimePoint aNow)
+{
+  m_actions.emplace_back(CloseSession{ m_main->m_id });
+  m_main.reset();
+  if (m_probe) {
+    DropProbe(aNow);
+  }
+  // The control VM is alive and has named a time, so this is no failure.
+  ConnectMain(std::chrono::milliseconds(std::max<int64_t>(aRetry.afterMs, 0)),
+              aNow);
+}
+
+// ---- Configuration ---------------------------------------------------------
+
+std::optional<Version> Subscriber::InForce() const
+{
+  return m_state ? std::optional<Version>(m_state->m_tree.At()) : std::nullopt;
+}
+
+void Subscriber::Handle(const wire::ConfigUpdate& aUpdate, TimePoint aNow)
+{
+  const Version target = wire::FromWire(aUpdate.target);
+  const auto held = InForce();
+  if (held && target == *held) {
+    SendStatus(); // a duplicate; confirms once more
+    return;
+  }
+  if (m_refused == target && !m_askedFull) {
+    SendStatus();
+    return;
+  }
+  const bool wrongBase =
+    !aUpdate.full && (!held || wire::FromWire(aUpdate.base) != *held);
+  if ((held && target < *held) || wrongBase) {
+    AskResync(false, aNow);
+    return;
+  }
+  const settings::Tree tree = m_state ? m_state->m_tree : settings::Tree();
+  const auto patched = tree.Patch(ToDelta(aUpdate));
+  if (!patched) {
+    RefuseDelta(aUpdate, patched.error(), aNow);
+    return;
+  }
+  NodeState next{ patched.value(),
+                  m_state ? m_state->m_endpoints : m_earlyEndpoints };
+  if (const Status checked = m_check(next); !checked) {
+    Refuse(target, checked.error().m_detail);
+    return;
+  }
+  m_refused.reset();
+  m_refusal.clear();
+  m_askedFull = false;
+  Apply(std::move(next));
+  SendStatus();
+  CheckReady(aNow);
+}
+
+// A digest that differs after a delta may be the fault of the base, so the
+// whole tree is asked for once before the version is refused.
+void Subscriber::RefuseDelta(const wire::ConfigUpdate& aUpdate,
+                             const Error& aError,
+                             TimePoint aNow)
+{
+  const Version target = wire::FromWire(aUpdate.target);
+  if (!aUpdate.full && m_askedFullFor != target) {
+    m_askedFullFor = target;
+    m_askedFull = true;
+    AskResync(true, aNow);
+    return;
+  }
+  m_askedFull = false;
+  Refuse(target, aError.ToString());
+}
+
+void Subscriber::Refuse(const Version& aVersion, const std::string& aReason)
+{
+  m_refused = aVersion;
+  m_refusal = aReason;
+  m_actions.emplace_back(ReportRefusal{ aVersion, aReason });
+  SendStatus();
+}
+
+void Subscriber::Apply(NodeState aState)
+{
+  m_state = std::make_shared<const NodeState>(std::move(aState));
+  m_actions.emplace_back(ApplyState{ m_state });
+}
+
+// ---- Endpoints -------------------------------------------------------------
+
+void Subscriber::Handle(const wire::EndpointUpdate& aUpdate, TimePoint aNow)
+{
+  const bool sameSource = aUpdate.source == m_endpointSource;
+  if (sameSource && aUpdate.cursor <= m_endpointCursor) {
+    SendStatus();
+    return;
+  }
+  if (!aUpdate.full && (!sameSource || aUpdate.baseCursor > m_endpointCursor)) {
+    AskResync(false, aNow);
+    return;
+  }
+  m_endpointSource = aUpdate.source;
+  m_endpointCursor = aUpdate.cursor;
+  if (m_state) {
+    Apply(NodeState{ m_state->m_tree, m_state->m_endpoints.With(aUpdate) });
+  } else {
+    m_earlyEndpoints = m_earlyEndpoints.With(aUpdate);
+  }
+  SendStatus();
+}
+
+SubscriberActions Subscriber::Announce(wire::EndpointRecord aEndpoint,
+                                       TimePoint /*aNow*/)
+{
+  aEndpoint.nodeName = m_options.m_nodeName;
+  aEndpoint.nodeEpoch = 0;
+  aEndpoint.sequence = 0;
+  aEndpoint.owner = 0;
+  if (m_announced != aEndpoint) {
+    m_announced = std::move(aEndpoint);
+    ++m_sequence;
+    SendAnnouncement();
+  }
+  return Take();
+}
+
+void Subscriber::SendAnnouncement()
+{
+  if (!m_announced || !HasSession()) {
+    return;
+  }
+  wire::Announce announce;
+  announce.endpoint = *m_announced;
+  announce.endpoint.nodeEpoch = m_nodeEpoch;
+  announce.endpoint.sequence = m_sequence;
+  Send(*m_main, FrameType::Announce, announce);
+}
+
+// ---- Outgoing messages -----------------------------------------------------
+
+template<class T>
+void Subscriber::Send(const Session& aSession,
+                      wire::FrameType aType,
+                      const T& aMessage)
+{
+  SendFrame frame{ aSession.m_id, aType, wire::Encode(aMessage) };
+  m_bytesSent += wire::kFrameHeaderBytes + frame.m_payload.size();
+  m_actions.emplace_back(std::move(frame));
+}
+
+void Subscriber::SendHello(const Session& aSession, bool aProbe)
+{
+  wire::NodeHello hello;
+  hello.nodeName = m_options.m_nodeName;
+  hello.nodeEpoch = m_nodeEpoch;
+  hello.availabilityZone = m_options.m_availabilityZone;
+  if (const auto held = InForce()) {
+    hello.__set_held(wire::ToWire(*held));
+  }
+  hello.endpointSource = m_endpointSource;
+  hello.endpointCursor = m_endpointCursor;
+  hello.probe = aProbe;
+  Send(aSession, FrameType::NodeHello, hello);
+}
+
+wire::NodeStatus Subscriber::MakeStatus() const
+{
+  wire::NodeStatus status;
+  if (const auto held = InForce()) {
+    status.__set_inForce(wire::ToWire(*held));
+  }
+  if (m_refused) {
+    status.__set_refused(wire::ToWire(*m_refused));
+    status.refusal = m_refusal;
+  }
+  status.controlBytesReceived = static_cast<int64_t>(m_bytesReceived);
+  status.controlBytesSent = static_cast<int64_t>(m_bytesSent);
+  status.endpointSource = m_endpointSource;
+  status.endpointCursor = m_endpointCursor;
+  status.resync = false;
+  status.resyncFull = false;
+  status.belowFloor = m_belowFloor;
+  return status;
+}
+
+void Subscriber::SendStatus()
+{
+  if (HasSession()) {
+    Send(*m_main, FrameType::NodeStatus, MakeStatus());
+  }
+}
+
+void Subscriber::AskResync(bool aFull, TimePoint aNow)
+{
+  const auto& last = m_main->m_lastResync;
+  if (!HasSession() ||
+      (!aFull && last && aNow - *last < m_options.m_resyncPause)) {
+    return;
+  }
+  m_main->m_lastResync = aNow;
+  wire::NodeStatus status = MakeStatus();
+  status.resync = true;
+  status.resyncFull = aFull;
+  Send(*m_main, FrameType::NodeStatus, status);
+}
+
+// ---- Floor and freshness ---------------------------------------------------
+
+SubscriberActions Subscriber::OnPeerVersion(const Version& aVersion,
+                                            TimePoint aNow)
+{
+  RaiseFloor(aVersion);
+  CheckReady(aNow);
+  return Take();
+}
+
+// The floor counts only until the node is ready; later versions are ordered by
+// the version in force.
+void Subscriber::RaiseFloor(const Version& aVersion)
+{
+  if (!m_ready) {
+    m_floor = std::max(m_floor.value_or(aVersion), aVersion);
+  }
+}
+
+void Subscriber::CheckReady(TimePoint aNow)
+{
+  if (m_ready || !m_state || !m_floorEnd || aNow < *m_floorEnd) {
+    return;
+  }
+  const bool below = m_floor && m_state->m_tree.At() < *m_floor;
+  if (below && aNow - m_lastFresh < m_options.m_floorGiveUp) {
+    return;
+  }
+  m_ready = true;
+  m_belowFloor = below;
+  m_actions.emplace_back(BecomeReady{ m_floor, below });
+  SendStatus();
+}
+
+void Subscriber::NoteFreshness(TimePoint aNow)
+{
+  if (m_main->m_freshnessAge <= m_options.m_maxFreshnessAge) {
+    m_lastFresh = aNow;
+  }
+}
+
+std::optional<Duration> Subscriber::FreshnessAge() const
+{
+  return HasSession() ? std::optional<Duration>(m_main->m_freshnessAge)
+                      : std::nullopt;
+}
+
+std::optional<SocketAddress> Subscriber::ControlAddress() const
+{
+  return m_main ? std::optional<SocketAddress>(
+                    m_options.m_controlVms[m_main->m_vm].m_address)
+                : std::nullopt;
+}
+
+void Subscriber::CheckFreshness(TimePoint aNow)
+{
+  const bool stale =
+    HasSession() && m_main->m_freshnessAge > m_options.m_maxFreshnessAge;
+  if (stale && !m_probe && aNow >= m_nextProbe) {
+    StartProbe(aNow);
+  }
+}
+
+} // namespace wigeonfold::distribution
