Declare the storage and consensus interfaces

The control process needs the headers before the implementations are complete. raft.thrift gains SnapshotContent and the rejected index of an append reply; the unused optional membership of RaftMessage is removed.

--- a/idl/raft.thrift
+++ b/idl/raft.thrift
@@ -30,6 +30,14 @@
   1: list<Member> members,
 }
 
+// Content of a snapshot file: state is the state machine's own encoding,
+// membershipIndex the log index of the membership entry in effect.
+struct SnapshotContent {
+  1: Membership membership,
+  2: i64 membershipIndex,
+  3: binary state,
+}
+
 enum RaftMessageKind {
   PreVoteRequest = 1,
   PreVoteReply = 2,
@@ -48,7 +56,9 @@
   3: i64 toMember,
   4: i64 term,
   // Requests: index and term of the entry before the first one sent, or of the
-  // candidate's last entry. Replies: the last index known to match.
+  // candidate's last entry. Replies: the last index known to match and to be
+  // synced; on a mismatch, the position from which the leader should search
+  // backwards. Snapshot chunks and replies: position of the snapshot.
   5: i64 logIndex,
   6: i64 logTerm,
   7: i64 commitIndex,
@@ -60,7 +70,10 @@
   11: i64 snapshotOffset,
   12: i64 snapshotSize,
   13: binary snapshotData,
-  14: optional Membership membership,
-  // AppendRequest: time since the leader last heard from a quorum.
+  // 14 was an optional membership; snapshots carry it in their content.
+  // AppendRequest and SnapshotChunk: time since the leader last heard from a
+  // quorum.
   15: i64 quorumAgeMs,
+  // AppendReply without grant: the request's logIndex that did not match.
+  16: i64 rejectedIndex,
 }
--- /dev/null
+++ b/libs/consensus/include/wigeonfold/consensus/Membership.h
@@ -0,0 +1,48 @@
+// Membership of the replicated group and its single-step changes.
+#pragma once
+
+#include "wigeonfold/base/Error.h"
+#include "wigeonfold/wire/gen/raft_types.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace wigeonfold::consensus {
+
+using MemberId = int64_t;
+
+enum class MembershipChangeKind
+{
+  AddLearner, // replicates the log, does not vote
+  Promote,    // learner that has caught up becomes voter
+  Demote,     // voter becomes learner
+  Remove,     //
+};
+
+struct MembershipChange
+{
+  MembershipChangeKind m_kind = MembershipChangeKind::AddLearner;
+  // AddLearner uses all fields but voter; the others only memberId.
+  wire::Member m_member;
+};
+
+// A membership and the log index of its entry.
+struct IndexedMembership
+{
+  int64_t m_index = 0;
+  wire::Membership m_membership;
+};
+
+const wire::Member* FindMember(const wire::Membership& aMembership,
+                               MemberId aId);
+bool IsVoter(const wire::Membership& aMembership, MemberId aId);
+size_t VoterCount(const wire::Membership& aMembership);
+// Smallest number of voters that is more than half.
+size_t QuorumSize(const wire::Membership& aMembership);
+
+// The membership after the change. Fails with InvalidArgument or Conflict on
+// an impossible change, such as the removal of the last voter.
+Result<wire::Membership> ApplyChange(const wire::Membership& aMembership,
+                                     const MembershipChange& aChange);
+
+} // namespace wigeonfold::consensus
--- a/libs/wire/gen/include/wigeonfold/wire/gen/raft_types.h
+++ b/libs/wire/gen/include/wigeonfold/wire/gen/raft_types.h
@@ -60,6 +60,8 @@
 
 class Membership;
 
+class SnapshotContent;
+
 class RaftMessage;
 
 typedef struct _LogEntry__isset {
@@ -256,8 +258,66 @@
 
 std::ostream& operator<<(std::ostream& out, const Membership& obj);
 
+typedef struct _SnapshotContent__isset {
+  _SnapshotContent__isset() : membership(false), membershipIndex(false), state(false) {}
+  bool membership :1;
+  bool membershipIndex :1;
+  bool state :1;
+} _SnapshotContent__isset;
+
+class SnapshotContent : public virtual ::apache::thrift::TBase {
+ public:
+
+  SnapshotContent(const SnapshotContent&);
+  SnapshotContent(SnapshotContent&&) noexcept;
+  SnapshotContent& operator=(const SnapshotContent&);
+  SnapshotContent& operator=(SnapshotContent&&) noexcept;
+  SnapshotContent() noexcept
+                  : membershipIndex(0),
+                    state() {
+  }
+
+  virtual ~SnapshotContent() noexcept;
+  Membership membership;
+  int64_t membershipIndex;
+  std::string state;
+
+  _SnapshotContent__isset __isset;
+
+  void __set_membership(const Membership& val);
+
+  void __set_membershipIndex(const int64_t val);
+
+  void __set_state(const std::string& val);
+
+  bool operator == (const SnapshotContent & rhs) const
+  {
+    if (!(membership == rhs.membership))
+      return false;
+    if (!(membershipIndex == rhs.membershipIndex))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    return true;
+  }
+  bool operator != (const SnapshotContent &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SnapshotContent & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SnapshotContent &a, SnapshotContent &b);
+
+std::ostream& operator<<(std::ostream& out, const SnapshotContent& obj);
+
 typedef struct _RaftMessage__isset {
-  _RaftMessage__isset() : kind(false), fromMember(false), toMember(false), term(false), logIndex(false), logTerm(false), commitIndex(false), entries(false), granted(false), round(false), snapshotOffset(false), snapshotSize(false), snapshotData(false), membership(false), quorumAgeMs(false) {}
+  _RaftMessage__isset() : kind(false), fromMember(false), toMember(false), term(false), logIndex(false), logTerm(false), commitIndex(false), entries(false), granted(false), round(false), snapshotOffset(false), snapshotSize(false), snapshotData(false), quorumAgeMs(false), rejectedIndex(false) {}
   bool kind :1;
   bool fromMember :1;
   bool toMember :1;
@@ -271,8 +331,8 @@
   bool snapshotOffset :1;
   bool snapshotSize :1;
   bool snapshotData :1;
-  bool membership :1;
   bool quorumAgeMs :1;
+  bool rejectedIndex :1;
 } _RaftMessage__isset;
 
 class RaftMessage : public virtual ::apache::thrift::TBase {
@@ -295,7 +355,8 @@
                 snapshotOffset(0),
                 snapshotSize(0),
                 snapshotData(),
-                quorumAgeMs(0) {
+                quorumAgeMs(0),
+                rejectedIndex(0) {
   }
 
   virtual ~RaftMessage() noexcept;
@@ -316,8 +377,8 @@
   int64_t snapshotOffset;
   int64_t snapshotSize;
   std::string snapshotData;
-  Membership membership;
   int64_t quorumAgeMs;
+  int64_t rejectedIndex;
 
   _RaftMessage__isset __isset;
 
@@ -347,10 +408,10 @@
 
   void __set_snapshotData(const std::string& val);
 
-  void __set_membership(const Membership& val);
-
   void __set_quorumAgeMs(const int64_t val);
 
+  void __set_rejectedIndex(const int64_t val);
+
   bool operator == (const RaftMessage & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -379,12 +440,10 @@
       return false;
     if (!(snapshotData == rhs.snapshotData))
       return false;
-    if (__isset.membership != rhs.__isset.membership)
-      return false;
-    else if (__isset.membership && !(membership == rhs.membership))
-      return false;
     if (!(quorumAgeMs == rhs.quorumAgeMs))
       return false;
+    if (!(rejectedIndex == rhs.rejectedIndex))
+      return false;
     return true;
   }
   bool operator != (const RaftMessage &rhs) const {
--- a/libs/wire/gen/src/raft_types.cpp
+++ b/libs/wire/gen/src/raft_types.cpp
@@ -587,6 +587,151 @@
 }
 
 
+SnapshotContent::~SnapshotContent() noexcept {
+}
+
+
+void SnapshotContent::__set_membership(const Membership& val) {
+  this->membership = val;
+}
+
+void SnapshotContent::__set_membershipIndex(const int64_t val) {
+  this->membershipIndex = val;
+}
+
+void SnapshotContent::__set_state(const std::string& val) {
+  this->state = val;
+}
+std::ostream& operator<<(std::ostream& out, const SnapshotContent& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SnapshotContent::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->membership.read(iprot);
+          this->__isset.membership = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->membershipIndex);
+          this->__isset.membershipIndex = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->state);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SnapshotContent::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SnapshotContent");
+
+  xfer += oprot->writeFieldBegin("membership", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->membership.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("membershipIndex", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->membershipIndex);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->state);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SnapshotContent &a, SnapshotContent &b) {
+  using ::std::swap;
+  swap(a.membership, b.membership);
+  swap(a.membershipIndex, b.membershipIndex);
+  swap(a.state, b.state);
+  swap(a.__isset, b.__isset);
+}
+
+SnapshotContent::SnapshotContent(const SnapshotContent& other19) {
+  membership = other19.membership;
+  membershipIndex = other19.membershipIndex;
+  state = other19.state;
+  __isset = other19.__isset;
+}
+SnapshotContent::SnapshotContent(SnapshotContent&& other20) noexcept {
+  membership = std::move(other20.membership);
+  membershipIndex = other20.membershipIndex;
+  state = std::move(other20.state);
+  __isset = other20.__isset;
+}
+SnapshotContent& SnapshotContent::operator=(const SnapshotContent& other21) {
+  membership = other21.membership;
+  membershipIndex = other21.membershipIndex;
+  state = other21.state;
+  __isset = other21.__isset;
+  return *this;
+}
+SnapshotContent& SnapshotContent::operator=(SnapshotContent&& other22) noexcept {
+  membership = std::move(other22.membership);
+  membershipIndex = other22.membershipIndex;
+  state = std::move(other22.state);
+  __isset = other22.__isset;
+  return *this;
+}
+void SnapshotContent::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SnapshotContent(";
+  out << "membership=" << to_string(membership);
+  out << ", " << "membershipIndex=" << to_string(membershipIndex);
+  out << ", " << "state=" << to_string(state);
+  out << ")";
+}
+
+
 RaftMessage::~RaftMessage() noexcept {
 }
 
@@ -643,14 +788,13 @@
   this->snapshotData = val;
 }
 
-void RaftMessage::__set_membership(const Membership& val) {
-  this->membership = val;
-__isset.membership = true;
-}
-
 void RaftMessage::__set_quorumAgeMs(const int64_t val) {
   this->quorumAgeMs = val;
 }
+
+void RaftMessage::__set_rejectedIndex(const int64_t val) {
+  this->rejectedIndex = val;
+}
 std::ostream& operator<<(std::ostream& out, const RaftMessage& obj)
 {
   obj.printTo(out);
@@ -681,9 +825,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast19;
-          xfer += iprot->readI32(ecast19);
-          this->kind = static_cast<RaftMessageKind::type>(ecast19);
+          int32_t ecast23;
+          xfer += iprot->readI32(ecast23);
+          this->kind = static_cast<RaftMessageKind::type>(ecast23);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -741,14 +885,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size20;
-            ::apache::thrift::protocol::TType _etype23;
-            xfer += iprot->readListBegin(_etype23, _size20);
-            this->entries.resize(_size20);
-            uint32_t _i24;
-            for (_i24 = 0; _i24 < _size20; ++_i24)
+            uint32_t _size24;
+            ::apache::thrift::protocol::TType _etype27;
+            xfer += iprot->readListBegin(_etype27, _size24);
+            this->entries.resize(_size24);
+            uint32_t _i28;
+            for (_i28 = 0; _i28 < _size24; ++_i28)
             {
-              xfer += this->entries[_i24].read(iprot);
+              xfer += this->entries[_i28].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -797,18 +941,18 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 14:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->membership.read(iprot);
-          this->__isset.membership = true;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->quorumAgeMs);
+          this->__isset.quorumAgeMs = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 15:
+      case 16:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->quorumAgeMs);
-          this->__isset.quorumAgeMs = true;
+          xfer += iprot->readI64(this->rejectedIndex);
+          this->__isset.rejectedIndex = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -861,10 +1005,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter25;
-    for (_iter25 = this->entries.begin(); _iter25 != this->entries.end(); ++_iter25)
+    std::vector<LogEntry> ::const_iterator _iter29;
+    for (_iter29 = this->entries.begin(); _iter29 != this->entries.end(); ++_iter29)
     {
-      xfer += (*_iter25).write(oprot);
+      xfer += (*_iter29).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -890,15 +1034,14 @@
   xfer += oprot->writeBinary(this->snapshotData);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.membership) {
-    xfer += oprot->writeFieldBegin("membership", ::apache::thrift::protocol::T_STRUCT, 14);
-    xfer += this->membership.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldBegin("quorumAgeMs", ::apache::thrift::protocol::T_I64, 15);
   xfer += oprot->writeI64(this->quorumAgeMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("rejectedIndex", ::apache::thrift::protocol::T_I64, 16);
+  xfer += oprot->writeI64(this->rejectedIndex);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -919,83 +1062,83 @@
   swap(a.snapshotOffset, b.snapshotOffset);
   swap(a.snapshotSize, b.snapshotSize);
   swap(a.snapshotData, b.snapshotData);
-  swap(a.membership, b.membership);
   swap(a.quorumAgeMs, b.quorumAgeMs);
+  swap(a.rejectedIndex, b.rejectedIndex);
   swap(a.__isset, b.__isset);
 }
 
-RaftMessage::RaftMessage(const RaftMessage& other26) {
-  kind = other26.kind;
-  fromMember = other26.fromMember;
-  toMember = other26.toMember;
-  term = other26.term;
-  logIndex = other26.logIndex;
-  logTerm = other26.logTerm;
-  commitIndex = other26.commitIndex;
-  entries = other26.entries;
-  granted = other26.granted;
-  round = other26.round;
-  snapshotOffset = other26.snapshotOffset;
-  snapshotSize = other26.snapshotSize;
-  snapshotData = other26.snapshotData;
-  membership = other26.membership;
-  quorumAgeMs = other26.quorumAgeMs;
-  __isset = other26.__isset;
-}
-RaftMessage::RaftMessage(RaftMessage&& other27) noexcept {
-  kind = other27.kind;
-  fromMember = other27.fromMember;
-  toMember = other27.toMember;
-  term = other27.term;
-  logIndex = other27.logIndex;
-  logTerm = other27.logTerm;
-  commitIndex = other27.commitIndex;
-  entries = std::move(other27.entries);
-  granted = other27.granted;
-  round = other27.round;
-  snapshotOffset = other27.snapshotOffset;
-  snapshotSize = other27.snapshotSize;
-  snapshotData = std::move(other27.snapshotData);
-  membership = std::move(other27.membership);
-  quorumAgeMs = other27.quorumAgeMs;
-  __isset = other27.__isset;
-}
-RaftMessage& RaftMessage::operator=(const RaftMessage& other28) {
-  kind = other28.kind;
-  fromMember = other28.fromMember;
-  toMember = other28.toMember;
-  term = other28.term;
-  logIndex = other28.logIndex;
-  logTerm = other28.logTerm;
-  commitIndex = other28.commitIndex;
-  entries = other28.entries;
-  granted = other28.granted;
-  round = other28.round;
-  snapshotOffset = other28.snapshotOffset;
-  snapshotSize = other28.snapshotSize;
-  snapshotData = other28.snapshotData;
-  membership = other28.membership;
-  quorumAgeMs = other28.quorumAgeMs;
-  __isset = other28.__isset;
+RaftMessage::RaftMessage(const RaftMessage& other30) {
+  kind = other30.kind;
+  fromMember = other30.fromMember;
+  toMember = other30.toMember;
+  term = other30.term;
+  logIndex = other30.logIndex;
+  logTerm = other30.logTerm;
+  commitIndex = other30.commitIndex;
+  entries = other30.entries;
+  granted = other30.granted;
+  round = other30.round;
+  snapshotOffset = other30.snapshotOffset;
+  snapshotSize = other30.snapshotSize;
+  snapshotData = other30.snapshotData;
+  quorumAgeMs = other30.quorumAgeMs;
+  rejectedIndex = other30.rejectedIndex;
+  __isset = other30.__isset;
+}
+RaftMessage::RaftMessage(RaftMessage&& other31) noexcept {
+  kind = other31.kind;
+  fromMember = other31.fromMember;
+  toMember = other31.toMember;
+  term = other31.term;
+  logIndex = other31.logIndex;
+  logTerm = other31.logTerm;
+  commitIndex = other31.commitIndex;
+  entries = std::move(other31.entries);
+  granted = other31.granted;
+  round = other31.round;
+  snapshotOffset = other31.snapshotOffset;
+  snapshotSize = other31.snapshotSize;
+  snapshotData = std::move(other31.snapshotData);
+  quorumAgeMs = other31.quorumAgeMs;
+  rejectedIndex = other31.rejectedIndex;
+  __isset = other31.__isset;
+}
+RaftMessage& RaftMessage::operator=(const RaftMessage& other32) {
+  kind = other32.kind;
+  fromMember = other32.fromMember;
+  toMember = other32.toMember;
+  term = other32.term;
+  logIndex = other32.logIndex;
+  logTerm = other32.logTerm;
+  commitIndex = other32.commitIndex;
+  entries = other32.entries;
+  granted = other32.granted;
+  round = other32.round;
+  snapshotOffset = other32.snapshotOffset;
+  snapshotSize = other32.snapshotSize;
+  snapshotData = other32.snapshotData;
+  quorumAgeMs = other32.quorumAgeMs;
+  rejectedIndex = other32.rejectedIndex;
+  __isset = other32.__isset;
   return *this;
 }
-RaftMessage& RaftMessage::operator=(RaftMessage&& other29) noexcept {
-  kind = other29.kind;
-  fromMember = other29.fromMember;
-  toMember = other29.toMember;
-  term = other29.term;
-  logIndex = other29.logIndex;
-  logTerm = other29.logTerm;
-  commitIndex = other29.commitIndex;
-  entries = std::move(other29.entries);
-  granted = other29.granted;
-  round = other29.round;
-  snapshotOffset = other29.snapshotOffset;
-  snapshotSize = other29.snapshotSize;
-  snapshotData = std::move(other29.snapshotData);
-  membership = std::move(other29.membership);
-  quorumAgeMs = other29.quorumAgeMs;
-  __isset = other29.__isset;
+RaftMessage& RaftMessage::operator=(RaftMessage&& other33) noexcept {
+  kind = other33.kind;
+  fromMember = other33.fromMember;
+  toMember = other33.toMember;
+  term = other33.term;
+  logIndex = other33.logIndex;
+  logTerm = other33.logTerm;
+  commitIndex = other33.commitIndex;
+  entries = std::move(other33.entries);
+  granted = other33.granted;
+  round = other33.round;
+  snapshotOffset = other33.snapshotOffset;
+  snapshotSize = other33.snapshotSize;
+  snapshotData = std::move(other33.snapshotData);
+  quorumAgeMs = other33.quorumAgeMs;
+  rejectedIndex = other33.rejectedIndex;
+  __isset = other33.__isset;
   return *this;
 }
 void RaftMessage::printTo(std::ostream& out) const {
@@ -1014,8 +1157,8 @@
   out << ", " << "snapshotOffset=" << to_string(snapshotOffset);
   out << ", " << "snapshotSize=" << to_string(snapshotSize);
   out << ", " << "snapshotData=" << to_string(snapshotData);
-  out << ", " << "membership="; (__isset.membership ? (out << to_string(membership)) : (out << "<null>"));
   out << ", " << "quorumAgeMs=" << to_string(quorumAgeMs);
+  out << ", " << "rejectedIndex=" << to_string(rejectedIndex);
   out << ")";
 }
 
