Add node sessions: deltas, floors, load shedding

The control VM side of distribution: at most one unconfirmed update of each kind per node, computed from what the node confirmed; bounded full transfers and hello rate with spaced RetryLater times.

--- /dev/null
+++ b/libs/distribution/src/NodeSessions.cpp
@@ -0,0 +1,578 @@
+#include "wigeonfold/distribution/NodeSessions.h"
+
+#include "wigeonfold/wire/Codec.h"
+
+#include <algorithm>
+
+namespace wigeonfold::distribution {
+
+using wire::FrameType;
+
+namespace {
+
+template<class T>
+std::shared_ptr<const std::string> EncodeShared(const T& aMessage)
+{
+  return std::make_shared<const std::string>(wire::Encode(aMessage));
+}
+
+// Age reported before this control VM was ever confirmed as current.
+constexpr std::chrono::hours kNeverCurrent{ 24 };
+
+wire::ConfigUpdate ToUpdate(const settings::TreeDelta& aDelta)
+{
+  wire::ConfigUpdate update;
+  update.full = aDelta.m_full;
+  update.base = wire::ToWire(aDelta.m_base);
+  update.target = wire::ToWire(aDelta.m_target);
+  update.branches = aDelta.m_branches;
+  update.digest = static_cast<int64_t>(aDelta.m_digest);
+  return update;
+}
+
+std::optional<Version> ToVersion(bool aIsSet, const wire::WireVersion& aVersion)
+{
+  return aIsSet ? std::optional<Version>(wire::FromWire(aVersion))
+                : std::nullopt;
+}
+
+} // namespace
+
+NodeSessions::NodeSessions(NodeSessionsOptions aOptions,
+                           discovery::EndpointTable& aTable,
+                           uint64_t aSeed)
+  : m_options(aOptions)
+  , m_table(aTable)
+  , m_random(aSeed)
+  , m_helloLimit(aOptions.m_helloRate, aOptions.m_helloBurst)
+  , m_floors(aOptions.m_maxFloors)
+{
+}
+
+NodeActions NodeSessions::Take()
+{
+  NodeActions actions;
+  actions.swap(m_actions);
+  return actions;
+}
+
+void NodeSessions::Send(NodeSessionId aSession,
+                        wire::FrameType aType,
+                        Payload aPayload)
+{
+  m_counters.m_bytesSent += wire::kFrameHeaderBytes + aPayload->size();
+  m_actions.emplace_back(SendToNode{ aSession, aType, std::move(aPayload) });
+}
+
+// ---- Connections -----------------------------------------------------------
+
+void NodeSessions::OnOpened(NodeSessionId aSession, TimePoint aNow)
+{
+  Session session;
+  session.m_id = aSession;
+  session.m_lastFrame = aNow;
+  m_sessions.emplace(aSession, std::move(session));
+}
+
+void NodeSessions::Forget(std::map<NodeSessionId, Session>::iterator aAt,
+                          TimePoint aNow)
+{
+  Session& session = aAt->second;
+  EndConfig(session);
+  EndEndpoints(session);
+  const auto named = m_byName.find(session.m_info.m_nodeName);
+  if (named != m_byName.end() && named->second == session.m_id) {
+    m_table.LoseSession(named->first, aNow);
+    m_byName.erase(named);
+  }
+  m_sessions.erase(aAt);
+}
+
+void NodeSessions::OnClosed(NodeSessionId aSession, TimePoint aNow)
+{
+  const auto found = m_sessions.find(aSession);
+  if (found != m_sessions.end()) {
+    Forget(found, aNow);
+  }
+}
+
+void NodeSessions::Close(NodeSessionId aSession,
+                         std::string aReason,
+                         TimePoint aNow)
+{
+  m_actions.emplace_back(CloseNode{ aSession, std::move(aReason) });
+  OnClosed(aSession, aNow);
+}
+
+NodeActions NodeSessions::OnFrame(NodeSessionId aSession,
+                                  const wire::Frame& aFrame,
+                                  TimePoint aNow)
+{
+  m_counters.m_bytesReceived +=
+    wire::kFrameHeaderBytes + aFrame.m_payload.size();
+  const auto found = m_sessions.find(aSession);
+  if (found != m_sessions.end()) {
+    found->second.m_lastFrame = aNow;
+    if (!Dispatch(found->second, aFrame, aNow)) {
+      Close(aSession, "malformed or unexpected frame", aNow);
+    }
+  }
+  return Take();
+}
+
+bool NodeSessions::Dispatch(Session& aSession,
+                            const wire::Frame& aFrame,
+                            TimePoint aNow)
+{
+  const std::string& peer = aSession.m_info.m_nodeName;
+  switch (aFrame.m_type) {
+    case FrameType::NodeHello: {
+      const auto hello = wire::Decode<wire::NodeHello>(aFrame.m_payload, peer);
+      return hello && Handle(aSession, hello.value(), aNow);
+    }
+    case FrameType::Announce: {
+      const auto message = wire::Decode<wire::Announce>(aFrame.m_payload, peer);
+      return message && Handle(aSession, message.value(), aNow);
+    }
+    case FrameType::NodeStatus: {
+      const auto status =
+        wire::Decode<wire::NodeStatus>(aFrame.m_payload, peer);
+      return status && Handle(aSession, status.value(), aNow);
+    }
+    default:
+      return false;
+  }
+}
+
+// ---- Hello -----------------------------------------------------------------
+
+bool NodeSessions::Handle(Session& aSession,
+                          const wire::NodeHello& aHello,
+                          TimePoint aNow)
+{
+  if (aHello.nodeName.empty()) {
+    return false;
+  }
+  if (!Admit(aSession, aHello, aNow)) {
+    return true;
+  }
+  if (aHello.probe) {
+    ++m_counters.m_probes;
+    Reply(aSession, aHello.nodeName, aNow);
+    return true;
+  }
+  Greet(aSession, aHello, aNow);
+  return true;
+}
+
+// Sheds load: a node that can't be served now is told when to come back. It is
+// cheaper for both sides than a session whose first update has to wait.
+bool NodeSessions::Admit(Session& aSession,
+                         const wire::NodeHello& aHello,
+                         TimePoint aNow)
+{
+  ++m_counters.m_hellos;
+  std::optional<Duration> wait = m_helloLimit.Check(aNow);
+  const bool known = m_byName.count(aHello.nodeName) > 0;
+  const bool sessionsFull =
+    !known && m_byName.size() >= m_options.m_maxSessions;
+  const bool transfersFull =
+    !aHello.probe && FullTransfers() >= m_options.m_maxFullTransfers &&
+    (!aHello.__isset.held || aHello.endpointSource != m_table.Source());
+  if (!wait && (sessionsFull || transfersFull)) {
+    wait = m_helloLimit.NextSlot(aNow);
+  }
+  if (!wait) {
+    return true;
+  }
+  ++m_counters.m_shedHellos;
+  const NodeSessionId id = aSession.m_id;
+  SendRetryLater(id, *wait);
+  Close(id, "no capacity", aNow);
+  return false;
+}
+
+void NodeSessions::SendRetryLater(NodeSessionId aSession, Duration aAfter)
+{
+  wire::RetryLater retry;
+  retry.afterMs = ToMilliseconds(aAfter);
+  Send(aSession, FrameType::RetryLater, EncodeShared(retry));
+}
+
+// The node has opened a new connection while the old one looks alive here.
+void NodeSessions::Supersede(const std::string& aNodeName, NodeSessionId aBy)
+{
+  const auto named = m_byName.find(aNodeName);
+  if (named == m_byName.end() || named->second == aBy) {
+    return;
+  }
+  const auto old = m_sessions.find(named->second);
+  m_actions.emplace_back(CloseNode{ named->second, "superseded" });
+  EndConfig(old->second);
+  EndEndpoints(old->second);
+  m_sessions.erase(old);
+}
+
+void NodeSessions::Greet(Session& aSession,
+                         const wire::NodeHello& aHello,
+                         TimePoint aNow)
+{
+  Supersede(aHello.nodeName, aSession.m_id);
+  m_byName[aHello.nodeName] = aSession.m_id;
+  EndConfig(aSession);
+  EndEndpoints(aSession);
+  aSession.m_greeted = true;
+  aSession.m_info = NodeInfo();
+  aSession.m_info.m_nodeName = aHello.nodeName;
+  aSession.m_info.m_availabilityZone = aHello.availabilityZone;
+  aSession.m_confirmed = ToVersion(aHello.__isset.held, aHello.held);
+  aSession.m_info.m_inForce = aSession.m_confirmed;
+  aSession.m_wantsFull = false;
+  aSession.m_endpointSource = aHello.endpointSource;
+  aSession.m_endpointCursor = aHello.endpointCursor;
+  aSession.m_nextEndpoints = aNow;
+  // The first heartbeats are spread so that a herd does not stay in step.
+  const auto part = static_cast<double>(m_random() % 1000) / 1000;
+  aSession.m_nextHeartbeat =
+    aNow + std::chrono::duration_cast<Duration>(m_options.m_heartbeat * part);
+  m_table.RenewSession(aHello.nodeName);
+  Reply(aSession, aHello.nodeName, aNow);
+  if (aSession.m_confirmed) {
+    m_floors.Raise(aHello.nodeName, *aSession.m_confirmed);
+  }
+  SendUpdates(aSession, aNow);
+}
+
+void NodeSessions::Reply(const Session& aSession,
+                         const std::string& aNodeName,
+                         TimePoint aNow)
+{
+  wire::HelloReply reply;
+  reply.memberId = m_options.m_memberId;
+  if (const auto floor = m_floors.Of(aNodeName)) {
+    reply.__set_floor(wire::ToWire(*floor));
+  }
+  reply.freshnessAgeMs = ToMilliseconds(FreshnessAge(aNow));
+  reply.greatestNodeEpoch = m_table.GreatestEpoch(aNodeName);
+  Send(aSession.m_id, FrameType::HelloReply, EncodeShared(reply));
+}
+
+// ---- Announcements and status ----------------------------------------------
+
+bool NodeSessions::Handle(Session& aSession,
+                          const wire::Announce& aMessage,
+                          TimePoint aNow)
+{
+  if (!aSession.m_greeted ||
+      aMessage.endpoint.nodeName != aSession.m_info.m_nodeName ||
+      aMessage.endpoint.serviceName.empty()) {
+    return false;
+  }
+  m_table.Announce(aMessage.endpoint, aNow);
+  return true;
+}
+
+bool NodeSessions::Handle(Session& aSession,
+                          const wire::NodeStatus& aStatus,
+                          TimePoint aNow)
+{
+  if (!aSession.m_greeted) {
+    return false;
+  }
+  NodeInfo& info = aSession.m_info;
+  info.m_bytesReceived = aStatus.controlBytesReceived;
+  info.m_bytesSent = aStatus.controlBytesSent;
+  info.m_belowFloor = aStatus.belowFloor;
+  info.m_inForce = ToVersion(aStatus.__isset.inForce, aStatus.inForce);
+  NoteRefusal(aSession, aStatus);
+  if (info.m_inForce) {
+    m_floors.Raise(info.m_nodeName, *info.m_inForce);
+  }
+  Confirm(aSession, aStatus);
+  SendUpdates(aSession, aNow);
+  return true;
+}
+
+void NodeSessions::NoteRefusal(Session& aSession,
+                               const wire::NodeStatus& aStatus)
+{
+  NodeInfo& info = aSession.m_info;
+  const auto refused = ToVersion(aStatus.__isset.refused, aStatus.refused);
+  if (refused && refused != info.m_refused) {
+    ++m_counters.m_refusals;
+    m_actions.emplace_back(
+      NodeRefused{ info.m_nodeName, *refused, aStatus.refusal });
+  }
+  info.m_refused = refused;
+  info.m_refusal = aStatus.refusal;
+}
+
+void NodeSessions::Confirm(Session& aSession, const wire::NodeStatus& aStatus)
+{
+  aSession.m_confirmed = aSession.m_info.m_inForce;
+  aSession.m_endpointSource = aStatus.endpointSource;
+  aSession.m_endpointCursor = aStatus.endpointCursor;
+  const auto& info = aSession.m_info;
+  if (aStatus.resync) {
+    ++m_counters.m_resyncs;
+    aSession.m_wantsFull = aSession.m_wantsFull || aStatus.resyncFull;
+    EndConfig(aSession);
+    EndEndpoints(aSession);
+    return;
+  }
+  const auto& config = aSession.m_config;
+  if (config && (info.m_inForce >= config->m_target ||
+                 info.m_refused == config->m_target)) {
+    aSession.m_wantsFull = false;
+    EndConfig(aSession);
+  }
+  const auto& endpoints = aSession.m_endpoints;
+  if (endpoints && aStatus.endpointSource == m_table.Source() &&
+      aStatus.endpointCursor >= endpoints->m_cursor) {
+    EndEndpoints(aSession);
+  }
+}
+
+// ---- Updates ---------------------------------------------------------------
+
+size_t NodeSessions::FullTransfers() const
+{
+  return std::max(m_fullConfigs, m_fullEndpoints);
+}
+
+void NodeSessions::NoteFull(size_t& aCount)
+{
+  ++aCount;
+  m_counters.m_peakFullTransfers =
+    std::max(m_counters.m_peakFullTransfers, FullTransfers());
+}
+
+void NodeSessions::EndConfig(Session& aSession)
+{
+  if (aSession.m_config && aSession.m_config->m_full) {
+    --m_fullConfigs;
+  }
+  aSession.m_config.reset();
+}
+
+void NodeSessions::EndEndpoints(Session& aSession)
+{
+  if (aSession.m_endpoints && aSession.m_endpoints->m_full) {
+    --m_fullEndpoints;
+  }
+  aSession.m_endpoints.reset();
+}
+
+void NodeSessions::SendUpdates(Session& aSession, TimePoint aNow)
+{
+  if (!aSession.m_greeted) {
+    return;
+  }
+  const auto late = [&](const auto& aFlight) {
+    return aFlight && aNow - aFlight->m_sentAt > m_options.m_confirmTimeout;
+  };
+  if (late(aSession.m_config)) {
+    EndConfig(aSession);
+  }
+  if (late(aSession.m_endpoints)) {
+    EndEndpoints(aSession);
+  }
+  // Endpoints first: the first configuration is then applied with them.
+  SendEndpoints(aSession, aNow);
+  SendConfig(aSession, aNow);
+}
+
+bool NodeSessions::NeedsConfig(const Session& aSession) const
+{
+  if (!m_tree || aSession.m_config ||
+      aSession.m_info.m_refused == m_tree->At()) {
+    return false;
+  }
+  return !aSession.m_confirmed || *aSession.m_confirmed < m_tree->At();
+}
+
+void NodeSessions::SendConfig(Session& aSession, TimePoint aNow)
+{
+  if (!NeedsConfig(aSession)) {
+    return;
+  }
+  const EncodedConfig& update =
+    ConfigFrom(aSession.m_wantsFull ? std::nullopt : aSession.m_confirmed);
+  if (update.m_full && m_fullConfigs >= m_options.m_maxFullTransfers) {
+    return; // tried again at the next tick
+  }
+  ConfigFlight flight;
+  flight.m_sentAt = aNow;
+  flight.m_full = update.m_full;
+  flight.m_target = m_tree->At();
+  aSession.m_config = flight;
+  if (update.m_full) {
+    NoteFull(m_fullConfigs);
+  }
+  ++(update.m_full ? m_counters.m_configFulls : m_counters.m_configDeltas);
+  Send(aSession.m_id, FrameType::ConfigUpdate, update.m_payload);
+}
+
+const NodeSessions::EncodedConfig& NodeSessions::ConfigFrom(
+  const std::optional<Version>& aBase)
+{
+  EncodedConfig& cached = m_configCache[aBase];
+  if (!cached.m_payload) {
+    const wire::ConfigUpdate update = ToUpdate(m_tree->DeltaFrom(aBase));
+    cached.m_full = update.full;
+    cached.m_payload = EncodeShared(update);
+  }
+  return cached;
+}
+
+bool NodeSessions::NeedsFullEndpoints(const Session& aSession) const
+{
+  return aSession.m_endpointSource != m_table.Source();
+}
+
+void NodeSessions::SendEndpoints(Session& aSession, TimePoint aNow)
+{
+  const bool current = !NeedsFullEndpoints(aSession) &&
+                       aSession.m_endpointCursor == m_table.Cursor();
+  if (!m_endpointsComplete || current || aSession.m_endpoints ||
+      aNow < aSession.m_nextEndpoints) {
+    return;
+  }
+  const EncodedEndpoints& update =
+    EndpointsFrom(aSession.m_endpointSource, aSession.m_endpointCursor);
+  if (update.m_full && m_fullEndpoints >= m_options.m_maxFullTransfers) {
+    return;
+  }
+  EndpointFlight flight;
+  flight.m_sentAt = aNow;
+  flight.m_full = update.m_full;
+  flight.m_cursor = update.m_cursor;
+  aSession.m_endpoints = flight;
+  aSession.m_nextEndpoints = aNow + m_options.m_endpointPause;
+  if (update.m_full) {
+    NoteFull(m_fullEndpoints);
+  }
+  ++(update.m_full ? m_counters.m_endpointFulls : m_counters.m_endpointDeltas);
+  Send(aSession.m_id, FrameType::EndpointUpdate, update.m_payload);
+}
+
+const NodeSessions::EncodedEndpoints& NodeSessions::EndpointsFrom(
+  int64_t aSource,
+  int64_t aCursor)
+{
+  // A cursor of another source is served like one that is too old.
+  constexpr int64_t kForeign = -1;
+  const int64_t base = aSource == m_table.Source() ? aCursor : kForeign;
+  if (m_endpointCacheCursor != m_table.Cursor()) {
+    m_endpointCache.clear();
+    m_endpointCacheCursor = m_table.Cursor();
+  }
+  EncodedEndpoints& cached = m_endpointCache[base];
+  if (!cached.m_payload) {
+    const wire::EndpointUpdate update = m_table.ChangesSince(aSource, aCursor);
+    cached.m_full = update.full;
+    cached.m_cursor = update.cursor;
+    cached.m_payload = EncodeShared(update);
+  }
+  return cached;
+}
+
+// ---- Time and state --------------------------------------------------------
+
+NodeActions NodeSessions::OnTick(TimePoint aNow)
+{
+  wire::Heartbeat beat;
+  beat.freshnessAgeMs = ToMilliseconds(FreshnessAge(aNow));
+  beat.newest = wire::ToWire(Newest().value_or(Version{}));
+  const Payload payload = EncodeShared(beat);
+  std::vector<NodeSessionId> silent;
+  for (auto& [id, session] : m_sessions) {
+    if (aNow - session.m_lastFrame > m_options.m_silence) {
+      silent.push_back(id);
+      continue;
+    }
+    if (!session.m_greeted) {
+      continue;
+    }
+    if (aNow >= session.m_nextHeartbeat) {
+      session.m_nextHeartbeat = aNow + m_options.m_heartbeat;
+      Send(id, FrameType::Heartbeat, payload);
+    }
+    SendUpdates(session, aNow);
+  }
+  for (const NodeSessionId id : silent) {
+    Close(id, "silent", aNow);
+  }
+  return Take();
+}
+
+NodeActions NodeSessions::SetTree(const settings::Tree& aTree, TimePoint aNow)
+{
+  if (m_tree && aTree.At() <= m_tree->At()) {
+    return {};
+  }
+  m_tree = aTree;
+  m_configCache.clear();
+  for (auto& [id, session] : m_sessions) {
+    SendUpdates(session, aNow);
+  }
+  return Take();
+}
+
+void NodeSessions::SetFreshness(Duration aAge, TimePoint aNow)
+{
+  m_age = aAge;
+  m_ageAt = aNow;
+}
+
+Duration NodeSessions::FreshnessAge(TimePoint aNow) const
+{
+  if (m_age > kNeverCurrent) {
+    return kNeverCurrent;
+  }
+  return m_age + std::max(aNow - m_ageAt, Duration::zero());
+}
+
+NodeActions NodeSessions::SendAway(Duration aSpread)
+{
+  const auto spread = std::max<int64_t>(ToMilliseconds(aSpread), 1);
+  for (const auto& [id, session] : m_sessions) {
+    const auto wait = static_cast<int64_t>(m_random() % spread);
+    SendRetryLater(id, std::chrono::milliseconds(wait));
+    m_actions.emplace_back(CloseNode{ id, "shutdown" });
+  }
+  m_sessions.clear();
+  m_byName.clear();
+  m_fullConfigs = 0;
+  m_fullEndpoints = 0;
+  return Take();
+}
+
+// ---- Queries ---------------------------------------------------------------
+
+std::optional<Version> NodeSessions::Newest() const
+{
+  return m_tree ? std::optional<Version>(m_tree->At()) : std::nullopt;
+}
+
+std::vector<NodeInfo> NodeSessions::Nodes() const
+{
+  std::vector<NodeInfo> nodes;
+  nodes.reserve(m_byName.size());
+  for (const auto& [name, id] : m_byName) {
+    nodes.push_back(m_sessions.at(id).m_info);
+    nodes.back().m_updateInFlight = m_sessions.at(id).m_config.has_value();
+  }
+  return nodes;
+}
+
+size_t NodeSessions::CurrentNodes() const
+{
+  const auto newest = Newest();
+  return static_cast<size_t>(
+    std::count_if(m_byName.begin(), m_byName.end(), [&](const auto& aNamed) {
+      return newest && m_sessions.at(aNamed.second).m_info.m_inForce == newest;
+    }));
+}
+
+} // namespace wigeonfold::distribution
--- a/libs/distribution/src/Subscriber.cpp
+++ b/libs/distribution/src/Subscriber.cpp
@@ -350,6 +350,11 @@
     RefuseDelta(aUpdate, patched.error(), aNow);
     return;
   }
+  const auto problems = patched.value().Problems();
+  if (!problems.empty()) {
+    Refuse(target, problems.front());
+    return;
+  }
   NodeState next{ patched.value(),
                   m_state ? m_state->m_endpoints : m_earlyEndpoints };
   if (const Status checked = m_check(next); !checked) {
