--- a/apps/wigeonfold-node/DataPlane.cpp
+++ b/apps/wigeonfold-node/DataPlane.cpp
@@ -57,7 +57,7 @@
                  SeedOf(aSettings, aNodeEpoch),
                  m_target,
                  aLog,
-                 m_hooks.m_onPeerVersion)
+                 [this](const Version& aVersion) { OnPeerVersion(aVersion); })
   , m_tick(aIo)
   , m_linger(aIo)
 {
@@ -79,7 +79,9 @@
   handlers.m_onGoaway = [this](const std::string& aNodeName) {
     m_callerSide.OnGoaway(aNodeName);
   };
-  handlers.m_onPeerVersion = m_hooks.m_onPeerVersion;
+  handlers.m_onPeerVersion = [this](const Version& aVersion) {
+    OnPeerVersion(aVersion);
+  };
   return handlers;
 }
 
@@ -170,7 +172,14 @@
                    { "state", ToString(state) },
                    { "instance", target->m_instance } });
   }
-  m_hooks.m_onEndpoint(std::move(record));
+  m_announcePending = !m_hooks.m_onEndpoint(std::move(record));
+}
+
+void DataPlane::OnPeerVersion(const Version& aVersion)
+{
+  if (!m_identity.m_inForce || aVersion > *m_identity.m_inForce) {
+    m_hooks.m_onPeerVersion(aVersion);
+  }
 }
 
 // ---- Timers ----------------------------------------------------------------
@@ -180,6 +189,9 @@
   const TimePoint now = Clock::now();
   m_target.Tick(now);
   m_callerSide.Tick(now);
+  if (m_announcePending) {
+    AnnounceEndpoint();
+  }
   if (++m_ticks % kTicksPerSecond == 0) {
     Each100Ticks(now);
   }
--- a/apps/wigeonfold-node/DataPlane.h
+++ b/apps/wigeonfold-node/DataPlane.h
@@ -20,8 +20,10 @@
 public:
   struct Hooks
   {
-    // The own endpoint changed and has to be announced.
-    std::function<void(wire::EndpointRecord)> m_onEndpoint;
+    // The own endpoint changed and has to be announced; false when that can't
+    // be taken now, which is tried again.
+    std::function<bool(wire::EndpointRecord)> m_onEndpoint;
+    // A peer has a greater version.
     std::function<void(const Version&)> m_onPeerVersion;
   };
 
@@ -52,6 +54,7 @@
   void Tick();
   void Each100Ticks(TimePoint aNow);
   void AnnounceEndpoint();
+  void OnPeerVersion(const Version& aVersion);
   void OnLingerOver();
   void FinishIfDrained(TimePoint aNow);
 
@@ -70,6 +73,7 @@
   uint64_t m_digest = 0;
   bool m_ready = false;
   TargetState m_lastState = TargetState::Absent;
+  bool m_announcePending = false;
   boost::asio::steady_timer m_tick;
   int m_ticks = 0;
   // Graceful shutdown.
--- a/apps/wigeonfold-node/Node.cpp
+++ b/apps/wigeonfold-node/Node.cpp
@@ -87,7 +87,7 @@
 {
   DataPlane::Hooks hooks;
   hooks.m_onEndpoint = [this](wire::EndpointRecord aRecord) {
-    SendToControl(std::move(aRecord));
+    return SendToControl(std::move(aRecord));
   };
   hooks.m_onPeerVersion = [this](const Version& aVersion) {
     SendToControl(aVersion);
@@ -153,11 +153,13 @@
 
 // ---- Rings -----------------------------------------------------------------
 
-void Node::SendToControl(DataToControl aMessage)
+bool Node::SendToControl(DataToControl aMessage)
 {
-  if (!m_dataToControl.Push(std::move(aMessage))) {
+  const bool taken = m_dataToControl.Push(std::move(aMessage));
+  if (!taken) {
     m_log.Record(EventId::RingFull, { { "ring", "data to control" } });
   }
+  return taken;
 }
 
 void Node::OnHttpMessage(const HttpToData& aMessage)
--- a/apps/wigeonfold-node/Node.h
+++ b/apps/wigeonfold-node/Node.h
@@ -31,7 +31,7 @@
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type>;
 
   DataPlane::Hooks MakeHooks();
-  void SendToControl(DataToControl aMessage);
+  bool SendToControl(DataToControl aMessage);
   void OnHttpMessage(const HttpToData& aMessage);
   void OnStopSignal();
   void StopOtherThreads();
--- a/libs/base/include/wigeonfold/base/Events.h
+++ b/libs/base/include/wigeonfold/base/Events.h
@@ -35,7 +35,16 @@
   X(ProcessStopped,         1002, Info,    "process stopped")                           \
   X(ListenFailed,           1003, Error,   "a listening socket could not be opened")    \
   X(ConnectionRejected,     1004, Warning, "a peer sent a malformed frame or message")  \
-  X(EventsDropped,          1005, Warning, "the event queue was full; events were lost")
+  X(EventsDropped,          1005, Warning, "the event queue was full; events were lost")\
+  X(NodeReady,               2000, Info,    "callers' traffic is accepted")             \
+  X(ConfigApplied,           2001, Info,    "a configuration version is in force")      \
+  X(ConfigRefused,           2002, Error,   "a configuration version was refused")      \
+  X(ServingBelowFloor,       2003, Warning, "no fresh control VM; an older version is in force")\
+  X(ControlSessionOpened,    2004, Info,    "connected to a control VM")                \
+  X(ControlSessionClosed,    2005, Warning, "connection to a control VM failed or ended")\
+  X(TargetStateChanged,      2100, Info,    "the own target's state changed")           \
+  X(DrainCutShort,           2101, Warning, "requests were cut at the end of the drain limit")\
+  X(RingFull,                2102, Warning, "a ring between threads was full")
 // clang-format on
 
 enum class EventId : int
