Add injected cuts between availability zones to the connection layer

Cause: proofs under partition need links that refuse or fall silent between real processes, without tools that change the machine's network.

Change: a link policy per io_context with rules by IP prefix, read from a file while a process runs; outgoing connections can be bound to the process's own address so that the peer's rules apply too. A silent link holds bytes back and delivers them later, as TCP does.

Ruled out: dropping bytes on a silent link, which no TCP connection does.

--- a/libs/net/src/Connection.cpp
+++ b/libs/net/src/Connection.cpp
@@ -1,5 +1,7 @@
 #include "wigeonfold/net/Connection.h"
 
+#include "LinkService.h"
+
 #include <utility>
 
 #include <boost/asio.hpp>
@@ -14,6 +16,8 @@
 constexpr size_t kReadBytes = 16 * 1024;
 // Pause after a failed accept, such as when file descriptors run out.
 constexpr std::chrono::milliseconds kAcceptRetry{ 100 };
+// Period in which a connection on a silent link checks whether it is up again.
+constexpr std::chrono::milliseconds kLinkCheck{ 20 };
 
 std::string PeerName(const tcp::socket& aSocket)
 {
@@ -31,14 +35,19 @@
 class TcpConnection : public Connection
 {
 public:
-  TcpConnection(tcp::socket aSocket, ConnectionHandlers aHandlers)
-    : m_socket(std::move(aSocket))
+  TcpConnection(asio::io_context& aIo,
+                tcp::socket aSocket,
+                ConnectionHandlers aHandlers)
+    : m_links(asio::use_service<LinkService>(aIo))
+    , m_socket(std::move(aSocket))
+    , m_linkTimer(aIo)
     , m_handlers(std::move(aHandlers))
     , m_peer(PeerName(m_socket))
     , m_reader(m_peer)
   {
     boost::system::error_code ignored;
     m_socket.set_option(tcp::no_delay(true), ignored);
+    m_peerHost = m_socket.remote_endpoint(ignored).address().to_string(ignored);
   }
 
   void Start() { Read(); }
@@ -66,6 +75,7 @@
     m_open = false;
     boost::system::error_code ignored;
     m_socket.close(ignored);
+    m_linkTimer.cancel();
     // A handler may be running now, so its captures are released later.
     asio::post(m_socket.get_executor(),
                [self = Self()] { self->m_handlers = {}; });
@@ -113,6 +123,11 @@
         Error{ ErrorCode::Unavailable, "read frame", m_peer, aCode.message() });
       return;
     }
+    if (LinkIsDown([aBytes](TcpConnection& aSelf) {
+          aSelf.OnRead(boost::system::error_code(), aBytes);
+        })) {
+      return;
+    }
     m_received += aBytes;
     m_reader.Feed(std::string_view(m_buffer.data(), aBytes));
     while (m_open) {
@@ -136,7 +151,12 @@
 
   void Write()
   {
-    if (!m_writing.empty() || m_queued.empty()) {
+    if (!m_writing.empty() || m_queued.empty() || !m_open) {
+      return;
+    }
+    const LinkState link = m_links.StateOf(m_peerHost);
+    if (link != LinkState::Up) {
+      WaitToWrite();
       return;
     }
     m_writing.swap(m_queued);
@@ -166,6 +186,52 @@
     }
   }
 
+  // ---- Injected faults ----
+
+  // Breaks the connection on a refused link; on a silent one, tries aRetry
+  // again later. False when the link is up.
+  bool LinkIsDown(std::function<void(TcpConnection&)> aRetry)
+  {
+    const LinkState link = m_links.StateOf(m_peerHost);
+    if (link == LinkState::Up) {
+      return false;
+    }
+    if (link == LinkState::Refused) {
+      Fail(Error{ ErrorCode::Unavailable, "read frame", m_peer, "link cut" });
+      return true;
+    }
+    m_linkTimer.expires_after(kLinkCheck);
+    m_linkTimer.async_wait([self = Self(), retry = std::move(aRetry)](
+                             boost::system::error_code aCode) {
+      if (!aCode) {
+        retry(*self);
+      }
+    });
+    return true;
+  }
+
+  void WaitToWrite()
+  {
+    if (m_waitingToWrite) {
+      return;
+    }
+    m_waitingToWrite = true;
+    auto timer =
+      std::make_shared<asio::steady_timer>(m_socket.get_executor(), kLinkCheck);
+    timer->async_wait([self = Self(), timer](boost::system::error_code aCode) {
+      self->m_waitingToWrite = false;
+      if (aCode || !self->m_open) {
+        return;
+      }
+      if (self->m_links.StateOf(self->m_peerHost) == LinkState::Refused) {
+        self->Fail(Error{
+          ErrorCode::Unavailable, "write frame", self->m_peer, "link cut" });
+        return;
+      }
+      self->Write();
+    });
+  }
+
   void Fail(const Error& aError)
   {
     const auto onClose = m_handlers.m_onClose;
@@ -175,15 +241,19 @@
     }
   }
 
+  const LinkService& m_links;
   tcp::socket m_socket;
+  asio::steady_timer m_linkTimer; // waits while the link is silent
   ConnectionHandlers m_handlers;
   std::string m_peer;
+  std::string m_peerHost;
   wire::FrameReader m_reader;
   std::array<char, kReadBytes> m_buffer{};
   std::string m_queued;
   std::string m_writing;
   bool m_open = true;
   bool m_closeAfterWrites = false;
+  bool m_waitingToWrite = false;
   uint64_t m_sent = 0;
   uint64_t m_received = 0;
 };
@@ -193,10 +263,12 @@
 class TcpListener : public Listener
 {
 public:
-  TcpListener(tcp::acceptor aAcceptor,
+  TcpListener(asio::io_context& aIo,
+              tcp::acceptor aAcceptor,
               ConnectionHandlers aHandlers,
               std::function<void(const ConnectionPtr&)> aOnAccept)
-    : m_state(std::make_shared<State>(std::move(aAcceptor),
+    : m_state(std::make_shared<State>(aIo,
+                                      std::move(aAcceptor),
                                       std::move(aHandlers),
                                       std::move(aOnAccept)))
   {
@@ -220,16 +292,19 @@
 private:
   struct State
   {
-    State(tcp::acceptor aAcceptor,
+    State(asio::io_context& aIo,
+          tcp::acceptor aAcceptor,
           ConnectionHandlers aHandlers,
           std::function<void(const ConnectionPtr&)> aOnAccept)
-      : m_acceptor(std::move(aAcceptor))
+      : m_io(aIo)
+      , m_acceptor(std::move(aAcceptor))
       , m_retry(m_acceptor.get_executor())
       , m_handlers(std::move(aHandlers))
       , m_onAccept(std::move(aOnAccept))
     {
     }
 
+    asio::io_context& m_io;
     tcp::acceptor m_acceptor;
     asio::steady_timer m_retry;
     ConnectionHandlers m_handlers;
@@ -238,23 +313,23 @@
 
   static void Accept(const std::shared_ptr<State>& aState)
   {
-    aState->m_acceptor.async_accept([aState](boost::system::error_code aCode,
-                                             tcp::socket aSocket) {
-      if (!aState->m_acceptor.is_open()) {
-        return;
-      }
-      if (aCode) {
-        AcceptLater(aState);
-        return;
-      }
-      auto connection =
-        std::make_shared<TcpConnection>(std::move(aSocket), aState->m_handlers);
-      if (aState->m_onAccept) {
-        aState->m_onAccept(connection);
-      }
-      connection->Start();
-      Accept(aState);
-    });
+    aState->m_acceptor.async_accept(
+      [aState](boost::system::error_code aCode, tcp::socket aSocket) {
+        if (!aState->m_acceptor.is_open()) {
+          return;
+        }
+        if (aCode) {
+          AcceptLater(aState);
+          return;
+        }
+        auto connection = std::make_shared<TcpConnection>(
+          aState->m_io, std::move(aSocket), aState->m_handlers);
+        if (aState->m_onAccept) {
+          aState->m_onAccept(connection);
+        }
+        connection->Start();
+        Accept(aState);
+      });
   }
 
   static void AcceptLater(const std::shared_ptr<State>& aState)
@@ -275,16 +350,49 @@
 struct Attempt
 {
   explicit Attempt(asio::io_context& aIo)
-    : m_socket(aIo)
+    : m_io(aIo)
+    , m_socket(aIo)
     , m_timer(aIo)
   {
   }
 
+  asio::io_context& m_io;
   tcp::socket m_socket;
   asio::steady_timer m_timer;
   bool m_timedOut = false;
 };
 
+// Ends an attempt on a link that is down: at once when it is refused, after
+// the time-out when it is silent.
+void FailLater(const std::shared_ptr<Attempt>& aAttempt,
+               LinkState aLink,
+               const SocketAddress& aAddress,
+               Duration aTimeout,
+               std::function<void(Result<ConnectionPtr>)> aDone)
+{
+  const bool silent = aLink == LinkState::Silent;
+  aAttempt->m_timer.expires_after(silent ? aTimeout : Duration::zero());
+  aAttempt->m_timer.async_wait(
+    [aAttempt, silent, aAddress, done = std::move(aDone)](
+      boost::system::error_code) {
+      done(Error{ silent ? ErrorCode::Timeout : ErrorCode::Unavailable,
+                  "connect",
+                  ToString(aAddress),
+                  "link cut" });
+    });
+}
+
+// A failure leaves the choice of the address to the system.
+void BindLocally(tcp::socket& aSocket, const std::string& aHost)
+{
+  boost::system::error_code code;
+  const tcp::endpoint local(asio::ip::make_address(aHost, code), 0);
+  if (!code) {
+    aSocket.open(local.protocol(), code);
+    aSocket.bind(local, code);
+  }
+}
+
 } // namespace
 
 void Connect(asio::io_context& aIo,
@@ -305,6 +413,15 @@
     return;
   }
   auto attempt = std::make_shared<Attempt>(aIo);
+  const auto& links = asio::use_service<LinkService>(aIo);
+  const LinkState link = links.StateOf(aAddress.m_host);
+  if (link != LinkState::Up) {
+    FailLater(attempt, link, aAddress, aTimeout, std::move(aDone));
+    return;
+  }
+  if (!links.m_localHost.empty()) {
+    BindLocally(attempt->m_socket, links.m_localHost);
+  }
   attempt->m_timer.expires_after(aTimeout);
   attempt->m_timer.async_wait([attempt](boost::system::error_code aCode) {
     if (!aCode) {
@@ -329,7 +446,7 @@
         return;
       }
       auto connection = std::make_shared<TcpConnection>(
-        std::move(attempt->m_socket), std::move(handlers));
+        attempt->m_io, std::move(attempt->m_socket), std::move(handlers));
       done(ConnectionPtr(connection));
       if (connection->IsOpen()) {
         connection->Start();
@@ -348,7 +465,7 @@
                                  aAddress.m_port);
     tcp::acceptor acceptor(aIo, endpoint);
     return std::unique_ptr<Listener>(std::make_unique<TcpListener>(
-      std::move(acceptor), std::move(aHandlers), std::move(aOnAccept)));
+      aIo, std::move(acceptor), std::move(aHandlers), std::move(aOnAccept)));
   } catch (const boost::system::system_error& error) {
     return Error{
       ErrorCode::Io, "listen", ToString(aAddress), error.code().message()
--- /dev/null
+++ b/libs/net/test/Connection_test.cpp
@@ -0,0 +1,128 @@
+// Guards against frames that are lost, doubled or reordered on a connection,
+// and against an injected cut that does not cut.
+#include "wigeonfold/net/Connection.h"
+#include "wigeonfold/net/LinkPolicy.h"
+
+#include <utility>
+
+#include <boost/asio.hpp>
+#include <gtest/gtest.h>
+
+namespace wigeonfold::net {
+namespace {
+
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+// An echo server and one client connection on one io_context.
+class ConnectionTest : public testing::Test
+{
+protected:
+  ConnectionTest()
+  {
+    InstallLinkPolicy(m_io, m_policy);
+    m_listener = std::move(
+      Listen(m_io,
+             { "127.0.0.1", 0 },
+             { [](const ConnectionPtr& aConnection, wire::Frame aFrame) {
+                aConnection->SendFrame(aFrame.m_type, aFrame.m_payload);
+              },
+               nullptr },
+             nullptr)
+        .value());
+  }
+
+  void Open()
+  {
+    Connect(m_io,
+            { "127.0.0.1", m_listener->Port() },
+            100ms,
+            { [this](const ConnectionPtr&, wire::Frame aFrame) {
+               m_received.push_back(aFrame.m_payload);
+             },
+              [this](const ConnectionPtr&, const Error& aError) {
+                m_closed = aError;
+              } },
+            [this](Result<ConnectionPtr> aResult) {
+              if (aResult) {
+                m_client = aResult.value();
+              } else {
+                m_closed = aResult.error();
+              }
+            });
+  }
+
+  // Runs the loop until the condition holds; a failure shows as a time-out of
+  // the test program.
+  template<class F>
+  void RunUntil(F&& aCondition)
+  {
+    while (!aCondition()) {
+      m_io.run_one();
+    }
+  }
+
+  asio::io_context m_io;
+  std::shared_ptr<LinkPolicy> m_policy = std::make_shared<LinkPolicy>();
+  std::unique_ptr<Listener> m_listener;
+  ConnectionPtr m_client;
+  std::vector<std::string> m_received;
+  std::optional<Error> m_closed;
+};
+
+TEST_F(ConnectionTest, FramesArriveWholeAndInOrder)
+{
+  Open();
+  RunUntil([this] { return m_client != nullptr; });
+  std::vector<std::string> sent;
+  for (size_t i = 0; i < 200; ++i) {
+    sent.push_back(std::string(i * 997 % 50'000, static_cast<char>(i)));
+    ASSERT_TRUE(m_client->SendFrame(wire::FrameType::Raft, sent.back()));
+  }
+  RunUntil([&] { return m_received.size() == sent.size(); });
+  EXPECT_EQ(m_received, sent);
+  m_client->Close();
+}
+
+TEST_F(ConnectionTest, RefusedLinkFailsAtOnceAndBreaksConnections)
+{
+  Open();
+  RunUntil([this] { return m_client != nullptr; });
+  m_policy->SetRules({ { "127.0.0.", LinkState::Refused } });
+  m_client->SendFrame(wire::FrameType::Raft, "x");
+  RunUntil([this] { return m_closed.has_value(); });
+  EXPECT_EQ(m_closed->m_detail, "link cut");
+  m_closed.reset();
+  Open();
+  RunUntil([this] { return m_closed.has_value(); });
+  EXPECT_EQ(m_closed->m_code, ErrorCode::Unavailable);
+}
+
+TEST_F(ConnectionTest, SilentLinkDeliversNothingUntilItIsUpAgain)
+{
+  Open();
+  RunUntil([this] { return m_client != nullptr; });
+  m_policy->SetRules({ { "127.0.0.", LinkState::Silent } });
+  m_client->SendFrame(wire::FrameType::Raft, "delayed");
+  Open();
+  RunUntil([this] { return m_closed.has_value(); });
+  EXPECT_EQ(m_closed->m_code, ErrorCode::Timeout);
+  EXPECT_TRUE(m_received.empty());
+  m_policy->SetRules({});
+  RunUntil([this] { return !m_received.empty(); });
+  EXPECT_EQ(m_received.front(), "delayed");
+  m_client->Close();
+}
+
+TEST(LinkRulesTest, ReadsRulesAndNamesABadLine)
+{
+  const auto rules =
+    ParseLinkRules("# cut\nrefuse 127.0.1.\nsilent 127.0.2.\n");
+  ASSERT_TRUE(rules);
+  ASSERT_EQ(rules.value().size(), 2U);
+  EXPECT_EQ(rules.value()[1].m_state, LinkState::Silent);
+  EXPECT_EQ(ParseLinkRules("drop it\n").error().m_detail, "'drop it'");
+}
+
+} // namespace
+} // namespace wigeonfold::net
