--- /dev/null
+++ b/apps/wigeonfold-control/Channel.h
@@ -0,0 +1,88 @@
+// Bounded channel from one thread to the event loop of another.
+#pragma once
+
+#include "wigeonfold/base/Ring.h"
+
+#include <utility>
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <deque>
+#include <functional>
+
+namespace wigeonfold::control {
+
+// One thread pushes; the thread of the attached io_context consumes. Wake-ups
+// are posted only when none is waiting.
+template<class T>
+class Channel
+{
+public:
+  explicit Channel(size_t aCapacity)
+    : m_ring(aCapacity, [this] { Wake(); })
+  {
+  }
+
+  // Call before the first push. aIo must outlive the channel's use. aDrained
+  // is called when all that was in the ring has been consumed.
+  void Attach(boost::asio::io_context& aIo,
+              std::function<void(T)> aConsume,
+              std::function<void()> aDrained = {})
+  {
+    m_io = &aIo;
+    m_consume = std::move(aConsume);
+    m_drained = std::move(aDrained);
+  }
+
+  // Returns false, and drops the value, when the ring is full. For messages
+  // that are repeated by their protocol and for calls that can be refused.
+  bool TryPush(T aValue)
+  {
+    return Flush() && m_ring.Push(std::move(aValue));
+  }
+
+  // Keeps the value on the producer's side while the ring is full. For values
+  // whose number is bounded by the producer; call Flush from a timer.
+  void Push(T aValue)
+  {
+    if (!Flush() || !m_ring.Push(std::move(aValue))) {
+      m_waiting.push_back(std::move(aValue));
+    }
+  }
+
+  // True when nothing waits on the producer's side any more.
+  bool Flush()
+  {
+    while (!m_waiting.empty()) {
+      if (!m_ring.Push(std::move(m_waiting.front()))) {
+        return false;
+      }
+      m_waiting.pop_front();
+    }
+    return true;
+  }
+
+private:
+  void Wake()
+  {
+    if (!m_scheduled.exchange(true)) {
+      boost::asio::post(*m_io, [this] {
+        m_scheduled.store(false);
+        m_ring.Drain(m_consume);
+        if (m_drained) {
+          m_drained();
+        }
+      });
+    }
+  }
+
+  Ring<T> m_ring;
+  std::deque<T> m_waiting;
+  std::atomic<bool> m_scheduled{ false };
+  boost::asio::io_context* m_io = nullptr;
+  std::function<void(T)> m_consume;
+  std::function<void()> m_drained;
+};
+
+} // namespace wigeonfold::control
--- /dev/null
+++ b/apps/wigeonfold-control/ControlSettings.cpp
@@ -0,0 +1,128 @@
+#include "ControlSettings.h"
+
+#include <algorithm>
+#include <boost/algorithm/string.hpp>
+
+namespace wigeonfold::control {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr const char* kControl = "control";
+constexpr const char* kTiming = "timing";
+constexpr const char* kLimits = "limits";
+
+std::set<std::string> Names(const std::string& aText)
+{
+  std::vector<std::string> parts;
+  boost::split(parts, aText, boost::is_any_of(","));
+  std::set<std::string> names;
+  for (std::string& part : parts) {
+    boost::trim(part);
+    if (!part.empty()) {
+      names.insert(std::move(part));
+    }
+  }
+  return names;
+}
+
+void ReadAddresses(SettingsFile& aFile, ControlSettings& aSettings)
+{
+  aSettings.m_peerListen = aFile.RequiredAddress(kControl, "peer-listen");
+  aSettings.m_nodeListen = aFile.RequiredAddress(kControl, "node-listen");
+  aSettings.m_apiListen = aFile.RequiredAddress(kControl, "api-listen");
+  aSettings.m_peerAddress =
+    aFile.Address(kControl, "peer-address").value_or(aSettings.m_peerListen);
+  aSettings.m_apiAddress =
+    aFile.Address(kControl, "api-address").value_or(aSettings.m_apiListen);
+  aSettings.m_seeds = aFile.Addresses(kControl, "seeds");
+  std::erase(aSettings.m_seeds, aSettings.m_peerAddress);
+  std::erase(aSettings.m_seeds, aSettings.m_peerListen);
+}
+
+void ReadTiming(SettingsFile& aFile, ControlSettings& aSettings)
+{
+  consensus::RaftSettings& raft = aSettings.m_raft;
+  raft.m_heartbeat =
+    aFile.Time(kTiming, "heartbeat", raft.m_heartbeat, 5ms, 10s);
+  raft.m_electionMin =
+    aFile.Time(kTiming, "election-min", raft.m_electionMin, 20ms, 60s);
+  raft.m_electionMax =
+    aFile.Time(kTiming, "election-max", raft.m_electionMax, 20ms, 120s);
+  raft.m_lease = aFile.Time(kTiming, "lease", raft.m_lease, 10ms, 60s);
+  aSettings.m_endpoints.m_sessionLease =
+    aFile.Time(kTiming,
+               "session-lease",
+               aSettings.m_endpoints.m_sessionLease,
+               100ms,
+               60s);
+  aSettings.m_endpoints.m_ownerLease = aFile.Time(
+    kTiming, "owner-lease", aSettings.m_endpoints.m_ownerLease, 1s, 600s);
+  if (raft.m_electionMax <= raft.m_electionMin) {
+    aFile.AddProblem(
+      kTiming, "election-max", "must be greater than election-min");
+  }
+  if (raft.m_heartbeat * 3 > raft.m_electionMin) {
+    aFile.AddProblem(
+      kTiming, "heartbeat", "must be at most a third of election-min");
+  }
+  // Clocks may differ in rate by 10 % between VMs.
+  if (raft.m_lease * 11 > raft.m_electionMin * 10) {
+    aFile.AddProblem(
+      kTiming, "lease", "must be shorter than election-min by a tenth");
+  }
+}
+
+void ReadLimits(SettingsFile& aFile, ControlSettings& aSettings)
+{
+  distribution::NodeSessionsOptions& nodes = aSettings.m_nodes;
+  nodes.m_maxSessions = static_cast<size_t>(
+    aFile.Integer(kLimits,
+                  "node-sessions",
+                  static_cast<int64_t>(nodes.m_maxSessions),
+                  1,
+                  100'000));
+  nodes.m_maxFullTransfers = static_cast<size_t>(
+    aFile.Integer(kLimits,
+                  "full-transfers",
+                  static_cast<int64_t>(nodes.m_maxFullTransfers),
+                  1,
+                  1000));
+  nodes.m_helloRate = static_cast<double>(
+    aFile.Integer(kLimits,
+                  "hellos-per-second",
+                  static_cast<int64_t>(nodes.m_helloRate),
+                  1,
+                  100'000));
+}
+
+} // namespace
+
+ControlSettings ReadControlSettings(SettingsFile& aFile)
+{
+  ControlSettings settings;
+  settings.m_name = aFile.RequiredString(kControl, "name");
+  settings.m_availabilityZone =
+    aFile.RequiredString(kControl, "availability-zone");
+  settings.m_dataFolder = aFile.RequiredString(kControl, "data-folder");
+  ReadAddresses(aFile, settings);
+  settings.m_bootstrap = aFile.Boolean(kControl, "bootstrap", false);
+  settings.m_initialVoters =
+    Names(aFile.String(kControl, "initial-voters", ""));
+  ReadTiming(aFile, settings);
+  ReadLimits(aFile, settings);
+  const auto& voters = settings.m_initialVoters;
+  if (!voters.empty() && !settings.m_bootstrap) {
+    aFile.AddProblem(kControl, "initial-voters", "needs bootstrap = true");
+  }
+  if (!voters.empty() && voters.count(settings.m_name) == 0) {
+    aFile.AddProblem(kControl, "initial-voters", "must contain this VM's name");
+  }
+  if (voters.size() > 1 && settings.m_seeds.empty()) {
+    aFile.AddProblem(kControl, "seeds", "must name the other initial voters");
+  }
+  return settings;
+}
+
+} // namespace wigeonfold::control
--- /dev/null
+++ b/apps/wigeonfold-control/Messages.h
@@ -0,0 +1,167 @@
+// Messages between the threads of the control process.
+#pragma once
+
+#include "Channel.h"
+
+#include "wigeonfold/consensus/Raft.h"
+#include "wigeonfold/distribution/NodeSessions.h"
+#include "wigeonfold/registry/OperatorApi.h"
+#include "wigeonfold/registry/Registry.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace wigeonfold::control {
+
+// ---- net to core -----------------------------------------------------------
+
+struct RaftArrived
+{
+  wire::RaftMessage m_message;
+};
+
+// Another control VM said hello.
+struct PeerSeen
+{
+  wire::ControlHello m_hello;
+};
+
+using CoreOrder = std::variant<RaftArrived, PeerSeen>;
+
+// ---- core to net -----------------------------------------------------------
+
+struct SendRaft
+{
+  wire::RaftMessage m_message;
+};
+
+struct SetPeers
+{
+  wire::Membership m_membership;
+  std::string m_clusterId;
+};
+
+struct DistributeTree
+{
+  std::shared_ptr<const settings::Tree> m_tree;
+};
+
+struct SetFreshness
+{
+  Duration m_age{};
+  TimePoint m_at;
+};
+
+using NetOrder =
+  std::variant<SendRaft, SetPeers, DistributeTree, SetFreshness>;
+
+// ---- core to storage and back ----------------------------------------------
+
+struct StorageJob
+{
+  uint64_t m_sequence = 0; // reported when the job is synced; 0 for none
+  std::optional<consensus::RaftSnapshot> m_snapshot;
+  std::optional<consensus::HardState> m_hardState;
+  int64_t m_truncateFrom = 0;
+  std::vector<wire::LogEntry> m_append;
+  int64_t m_compactTo = 0;
+  int64_t m_clusterId = 0; // stored in the identity file; 0 for none
+};
+
+struct StorageReport
+{
+  uint64_t m_sequence = 0;
+};
+
+// ---- http to core and back -------------------------------------------------
+
+// Number of a waiting HTTP request.
+using Ticket = uint64_t;
+
+struct ReadCall
+{
+  Ticket m_ticket = 0;
+};
+
+struct AcceptCall
+{
+  Ticket m_ticket = 0;
+  std::string m_target;
+  wire::Change m_change;
+};
+
+struct MemberCall
+{
+  Ticket m_ticket = 0;
+  std::string m_target;
+  registry::MemberRequest m_request;
+};
+
+using ApiCall = std::variant<ReadCall, AcceptCall, MemberCall>;
+
+using RegistryViewPtr = std::shared_ptr<const registry::RegistryView>;
+
+struct ReadAnswer
+{
+  Ticket m_ticket = 0;
+  RegistryViewPtr m_registry;
+  registry::ClusterView m_cluster; // without nodes
+};
+
+struct CallAnswer
+{
+  Ticket m_ticket = 0;
+  registry::ApiReply m_reply;
+};
+
+// State of the core for /healthz and /metrics, sent every 100 ms.
+struct CoreSummary
+{
+  TimePoint m_at;
+  consensus::Role m_role = consensus::Role::Follower;
+  int64_t m_term = 0;
+  int64_t m_commitIndex = 0;
+  int64_t m_appliedIndex = 0;
+  Duration m_age{};
+  std::optional<Version> m_version;
+  bool m_leaseHeld = false;
+  size_t m_members = 0;
+  uint64_t m_accepted = 0;
+  uint64_t m_conflicts = 0;
+};
+
+using HttpOrder = std::variant<ReadAnswer, CallAnswer, CoreSummary>;
+
+// ---- net to http -----------------------------------------------------------
+
+// Sent every 500 ms.
+struct NetSummary
+{
+  TimePoint m_at;
+  std::shared_ptr<const std::vector<distribution::NodeInfo>> m_nodes;
+  distribution::NodeSessionsCounters m_counters;
+  size_t m_currentNodes = 0;
+  size_t m_endpoints = 0;
+  size_t m_peers = 0;
+};
+
+// ---- All channels ----------------------------------------------------------
+
+// Capacities: Raft keeps at most 8 appends in flight for each of 20 peers, so
+// 4,096 messages hold several rounds; operators' calls beyond 1,024 waiting
+// ones are refused.
+struct Channels
+{
+  Channel<CoreOrder> m_netToCore{ 4096 };
+  Channel<NetOrder> m_coreToNet{ 4096 };
+  Channel<StorageJob> m_coreToStorage{ 4096 };
+  Channel<StorageReport> m_storageToCore{ 4096 };
+  Channel<ApiCall> m_httpToCore{ 1024 };
+  Channel<HttpOrder> m_coreToHttp{ 4096 };
+  Channel<NetSummary> m_netToHttp{ 64 };
+};
+
+} // namespace wigeonfold::control
--- a/libs/discovery/include/wigeonfold/discovery/EndpointTable.h
+++ b/libs/discovery/include/wigeonfold/discovery/EndpointTable.h
@@ -130,9 +130,9 @@
   bool IsOutdated(const SourceId& aId) const;
   wire::EndpointSync SetOf(const SourceId& aId, int64_t aCursor) const;
 
-  const EndpointTableOptions m_options;
-  const SourceId m_own;
-  const int64_t m_source;
+  EndpointTableOptions m_options;
+  SourceId m_own;
+  int64_t m_source;
   std::map<std::string, Entry> m_entries;
   std::map<SourceId, KnownSource>
     m_sources;              // other control VMs and incarnations
--- /dev/null
+++ b/libs/discovery/test/EndpointTable_test.cpp
@@ -0,0 +1,321 @@
+// Guards against control VMs that disagree for ever on the endpoints, against
+// older records that replace newer ones, and against readers of the change
+// cursor that miss a change.
+#include "wigeonfold/discovery/EndpointTable.h"
+#include "wigeonfold/discovery/Endpoints.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace wigeonfold::discovery {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int kTables = 3;
+constexpr int kNodes = 4;
+
+wire::EndpointRecord MakeRecord(const std::string& aNode,
+                                int64_t aEpoch,
+                                int64_t aSequence)
+{
+  wire::EndpointRecord record;
+  record.nodeName = aNode;
+  record.nodeEpoch = aEpoch;
+  record.sequence = aSequence;
+  record.serviceName = "service" + std::to_string(aSequence % 3);
+  record.availabilityZone = "a";
+  record.nodeAddress = "127.0.0.1:1";
+  record.slots = 4;
+  record.state = aSequence % 5 == 0 ? wire::EndpointState::Draining
+                                    : wire::EndpointState::Ready;
+  return record;
+}
+
+struct Message
+{
+  size_t m_to = 0;
+  wire::EndpointSync m_sync;
+};
+
+// Control VMs whose messages wait in one bag.
+class World
+{
+public:
+  World()
+  {
+    for (int64_t member = 1; member <= kTables; ++member) {
+      m_tables.emplace_back(member, 1);
+      m_sent.push_back(0);
+    }
+  }
+
+  // Any fault may hit a message: delay, duplication, loss.
+  void Step()
+  {
+    const auto table = *rc::gen::inRange<size_t>(0, kTables);
+    switch (*rc::gen::inRange(0, 9)) {
+      case 0:
+      case 1:
+        Move(*rc::gen::inRange(0, kNodes), table);
+        break;
+      case 2:
+        m_tables[table].LoseSession(Name(*rc::gen::inRange(0, kNodes)), m_now);
+        break;
+      case 3:
+        m_now += *rc::gen::element(100ms, 1000ms, 3100ms, 16000ms);
+        TickAll();
+        break;
+      case 4:
+        Restart(table);
+        break;
+      case 5:
+        Publish(table, false);
+        break;
+      default:
+        DeliverOne();
+        break;
+    }
+    CheckNeverOlder();
+  }
+
+  // Sessions come back, messages arrive, and everybody hears everybody.
+  void Settle()
+  {
+    m_bag.clear();
+    for (int node = 0; node < kNodes; ++node) {
+      if (m_home[node] >= 0) {
+        Move(node, static_cast<size_t>(m_home[node]));
+      }
+    }
+    for (int round = 0; round < 90; ++round) {
+      for (size_t table = 0; table < kTables; ++table) {
+        Publish(table, false);
+      }
+      while (!m_bag.empty()) {
+        Deliver(0);
+      }
+      m_now += 1s;
+      TickAll();
+      CheckNeverOlder();
+    }
+  }
+
+  void CheckAgreement()
+  {
+    for (const EndpointTable& table : m_tables) {
+      RC_ASSERT(table.Records() == m_tables[0].Records());
+    }
+    for (int node = 0; node < kNodes; ++node) {
+      const auto* record = m_tables[0].Find(Name(node));
+      if (m_home[node] >= 0) {
+        RC_ASSERT(record != nullptr);
+        RC_ASSERT(record->sequence == m_sequences[node]);
+        RC_ASSERT(record->owner == m_home[node] + 1);
+      } else {
+        RC_ASSERT(record == nullptr);
+      }
+    }
+  }
+
+private:
+  static std::string Name(int aNode) { return "n" + std::to_string(aNode); }
+
+  void Move(int aNode, size_t aTable)
+  {
+    if (m_home[aNode] >= 0 && m_home[aNode] != static_cast<int>(aTable)) {
+      m_tables[static_cast<size_t>(m_home[aNode])].LoseSession(Name(aNode),
+                                                               m_now);
+    }
+    m_home[aNode] = static_cast<int>(aTable);
+    m_tables[aTable].Announce(MakeRecord(Name(aNode), 1, ++m_sequence), m_now);
+    m_sequences[aNode] = m_sequence;
+  }
+
+  void Restart(size_t aTable)
+  {
+    const auto member = static_cast<int64_t>(aTable) + 1;
+    m_tables[aTable] = EndpointTable(member, ++m_incarnation);
+    m_sent[aTable] = 0;
+    m_shown[aTable].clear();
+    for (int& home : m_home) {
+      home = home == static_cast<int>(aTable) ? -1 : home;
+    }
+    for (size_t peer = 0; peer < kTables; ++peer) {
+      if (peer != aTable) {
+        for (auto& sync : m_tables[peer].FullSyncFor(member)) {
+          m_bag.push_back({ aTable, sync });
+        }
+      }
+    }
+  }
+
+  void Publish(size_t aTable, bool aFull)
+  {
+    const auto sync =
+      m_tables[aTable].SyncSince(aFull ? int64_t{ -1 } : m_sent[aTable]);
+    m_sent[aTable] = m_tables[aTable].SyncCursor();
+    for (size_t peer = 0; peer < kTables; ++peer) {
+      if (peer != aTable) {
+        m_bag.push_back({ peer, sync });
+      }
+    }
+  }
+
+  void DeliverOne()
+  {
+    if (m_bag.empty()) {
+      return;
+    }
+    const auto index = *rc::gen::inRange<size_t>(0, m_bag.size());
+    const int fault = *rc::gen::inRange(0, 4);
+    if (fault == 0) {
+      m_bag.erase(m_bag.begin() + static_cast<long>(index));
+    } else if (fault == 1) {
+      m_bag.push_back(m_bag[index]);
+      Deliver(index);
+    } else {
+      Deliver(index);
+    }
+  }
+
+  void Deliver(size_t aIndex)
+  {
+    const Message message = m_bag[aIndex];
+    m_bag.erase(m_bag.begin() + static_cast<long>(aIndex));
+    const auto answer = m_tables[message.m_to].OnSync(message.m_sync, m_now);
+    if (!answer) {
+      return;
+    }
+    // A request goes to the owner; the owner's answer goes to everybody.
+    for (size_t peer = 0; peer < kTables; ++peer) {
+      const bool owner = static_cast<int64_t>(peer) + 1 == answer->owner;
+      if (peer != message.m_to && owner == answer->request) {
+        m_bag.push_back({ peer, *answer });
+      }
+    }
+  }
+
+  void TickAll()
+  {
+    for (EndpointTable& table : m_tables) {
+      table.Tick(m_now);
+    }
+  }
+
+  void CheckNeverOlder()
+  {
+    for (size_t table = 0; table < kTables; ++table) {
+      for (const auto& record : m_tables[table].Records()) {
+        int64_t& shown = m_shown[table][record.nodeName];
+        RC_ASSERT(record.sequence >= shown);
+        shown = record.sequence;
+      }
+    }
+  }
+
+  std::vector<EndpointTable> m_tables;
+  std::vector<int64_t> m_sent;
+  std::vector<Message> m_bag;
+  std::map<size_t, std::map<std::string, int64_t>> m_shown;
+  int m_home[kNodes] = { -1, -1, -1, -1 };
+  int64_t m_sequences[kNodes] = {};
+  int64_t m_sequence = 0;
+  int64_t m_incarnation = 1;
+  TimePoint m_now = TimePoint() + 1h;
+};
+
+RC_GTEST_PROP(EndpointTable, ConvergesWhateverHappenedBefore, ())
+{
+  World world;
+  const int steps = *rc::gen::inRange(0, 120);
+  for (int step = 0; step < steps; ++step) {
+    world.Step();
+  }
+  world.Settle();
+  world.CheckAgreement();
+}
+
+RC_GTEST_PROP(EndpointTable, ReaderOfTheCursorHoldsTheTable, ())
+{
+  EndpointTable table(1, 1);
+  Endpoints reader;
+  int64_t source = 0;
+  int64_t cursor = 0;
+  TimePoint now = TimePoint() + 1h;
+  const int steps = *rc::gen::inRange(1, 60);
+  for (int step = 1; step <= steps; ++step) {
+    const std::string node = "n" + std::to_string(*rc::gen::inRange(0, 3));
+    switch (*rc::gen::inRange(0, 4)) {
+      case 0:
+        table.LoseSession(node, now);
+        break;
+      case 1:
+        now += *rc::gen::element(100ms, 3100ms, 63100ms, 130000ms);
+        table.Tick(now);
+        break;
+      default:
+        table.Announce(MakeRecord(node, 1, step), now);
+        break;
+    }
+    if (*rc::gen::inRange(0, 3) == 0) {
+      const auto update = table.ChangesSince(source, cursor);
+      reader = reader.With(update);
+      source = update.source;
+      cursor = update.cursor;
+      RC_ASSERT(reader.Size() == table.Size());
+      for (const auto& record : table.Records()) {
+        RC_ASSERT(reader.Find(record.nodeName) != nullptr);
+        RC_ASSERT(*reader.Find(record.nodeName) == record);
+      }
+    }
+  }
+}
+
+TEST(EndpointTable, SessionLossMarksTheRecordLostAfterTheLease)
+{
+  EndpointTable table(1, 1);
+  const TimePoint start;
+  table.Announce(MakeRecord("n", 1, 1), start);
+  table.LoseSession("n", start);
+  table.Tick(start + 2900ms);
+  EXPECT_EQ(table.Find("n")->state, wire::EndpointState::Ready);
+  table.Tick(start + 3s);
+  EXPECT_EQ(table.Find("n")->state, wire::EndpointState::Lost);
+}
+
+TEST(EndpointTable, SilentOwnerIsDroppedUnlessTheNodeMoved)
+{
+  EndpointTable gone(1, 1);
+  EndpointTable here(2, 1);
+  const TimePoint start;
+  gone.Announce(MakeRecord("moved", 1, 1), start);
+  gone.Announce(MakeRecord("lost", 1, 1), start);
+  here.OnSync(gone.SyncSince(-1), start);
+  here.Announce(MakeRecord("moved", 1, 2), start);
+  here.Tick(start + 14900ms);
+  EXPECT_NE(here.Find("lost"), nullptr);
+  here.Tick(start + 15s);
+  EXPECT_EQ(here.Find("lost"), nullptr);
+  ASSERT_NE(here.Find("moved"), nullptr);
+  EXPECT_EQ(here.Find("moved")->owner, 2);
+}
+
+TEST(EndpointTable, RestartedOwnerDoesNotHideItsNodes)
+{
+  EndpointTable peer(2, 1);
+  EndpointTable before(1, 1);
+  const TimePoint start;
+  before.Announce(MakeRecord("n", 1, 1), start);
+  peer.OnSync(before.SyncSince(-1), start);
+  EndpointTable after(1, 2);
+  peer.OnSync(after.SyncSince(-1), start + 1s);
+  EXPECT_NE(peer.Find("n"), nullptr);
+  for (const auto& sync : peer.FullSyncFor(1)) {
+    after.OnSync(sync, start + 1s);
+  }
+  EXPECT_NE(after.Find("n"), nullptr);
+}
+
+} // namespace
+} // namespace wigeonfold::discovery
