Add the storage of a control VM

One record holds a whole batch, and each is synced before the next is written, so a bad record in front of a valid one is damage, while one at the tail is a torn write and is cut.

--- a/libs/base/include/wigeonfold/base/Events.h
+++ b/libs/base/include/wigeonfold/base/Events.h
@@ -35,7 +35,22 @@
   X(ProcessStopped,         1002, Info,    "process stopped")                           \
   X(ListenFailed,           1003, Error,   "a listening socket could not be opened")    \
   X(ConnectionRejected,     1004, Warning, "a peer sent a malformed frame or message")  \
-  X(EventsDropped,          1005, Warning, "the event queue was full; events were lost")
+  X(EventsDropped,          1005, Warning, "the event queue was full; events were lost") \
+  X(FolderCreated,          1100, Info,    "a data folder was created") \
+  X(FolderRecovered,        1101, Info,    "the content of the data folder was read") \
+  X(TornTailCut,            1102, Warning, "an incomplete record at the end of the log was removed") \
+  X(SnapshotDamaged,        1103, Warning, "a snapshot failed its checksum and was passed over") \
+  X(StorageFailed,          1104, Error,   "the data folder is damaged or a write or sync failed") \
+  X(SnapshotSaved,          1105, Info,    "a snapshot was written and synced") \
+  X(LogReplaced,            1106, Info,    "the log was replaced by a snapshot") \
+  X(RoleChanged,            1200, Info,    "the member changed its role in the replicated group") \
+  X(LeaderChanged,          1201, Info,    "the known leader changed") \
+  X(MembershipChanged,      1202, Info,    "a membership change was committed") \
+  X(QuorumLost,             1203, Warning, "the leader stepped down without contact to a quorum") \
+  X(LogTruncated,           1204, Warning, "uncommitted entries were replaced by those of the leader") \
+  X(SnapshotSending,        1205, Info,    "the leader began to send a snapshot to a member") \
+  X(SnapshotInstalled,      1206, Info,    "a snapshot from the leader replaced the log") \
+  X(SnapshotRejected,       1207, Warning, "a received snapshot could not be decoded")
 // clang-format on
 
 enum class EventId : int
--- /dev/null
+++ b/libs/storage/src/Format.h
@@ -0,0 +1,89 @@
+// Binary format of the files in the data folder. All integers are little
+// endian; every part carries a Hash64 over its content.
+#pragma once
+
+#include "wigeonfold/storage/Storage.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace wigeonfold::storage {
+
+// ---- Names -----------------------------------------------------------------
+
+inline constexpr const char* kIdentityName = "identity";
+inline constexpr const char* kLockName = "lock";
+inline constexpr const char* kTemporarySuffix = ".tmp";
+
+std::string SegmentName(uint64_t aSequence);
+std::optional<uint64_t> ParseSegmentName(std::string_view aName);
+
+struct SnapshotName
+{
+  int64_t m_index = 0;
+  int64_t m_term = 0;
+
+  auto operator<=>(const SnapshotName&) const = default;
+};
+
+std::string ToFileName(const SnapshotName& aName);
+std::optional<SnapshotName> ParseSnapshotName(std::string_view aName);
+
+// ---- Log segments ----------------------------------------------------------
+
+// First part of a segment: the state before its first batch, so that earlier
+// segments may be removed.
+struct SegmentHeader
+{
+  uint64_t m_sequence = 0;
+  // Mixed into the hashes of the segment's batches: bytes inside a record's
+  // data can then never look like a valid batch of this segment.
+  uint64_t m_salt = 0;
+  uint64_t m_firstBatch = 0;
+  int64_t m_baseIndex = 0;
+  int64_t m_baseTerm = 0;
+  HardState m_hardState;
+};
+
+inline constexpr size_t kSegmentHeaderBytes = 10 * 8;
+inline constexpr size_t kBatchHeaderBytes = 4 + 4 + 8 + 8;
+inline constexpr size_t kMaxBatchBytes = size_t{ 1 } << 30;
+
+// A batch as stored. A reset drops all records and starts after a snapshot.
+struct StoredBatch
+{
+  Batch m_batch;
+  bool m_reset = false;
+  int64_t m_resetIndex = 0;
+  int64_t m_resetTerm = 0;
+};
+
+std::string EncodeHeader(const SegmentHeader& aHeader);
+std::optional<SegmentHeader> DecodeHeader(std::string_view aBytes);
+
+std::string EncodeBatch(const SegmentHeader& aHeader,
+                        uint64_t aNumber,
+                        const StoredBatch& aBatch);
+
+// Size in bytes of the valid batch at the start of aBytes; nothing when there
+// is none. aNumber receives its number.
+std::optional<size_t> CheckBatch(const SegmentHeader& aHeader,
+                                 std::string_view aBytes,
+                                 uint64_t& aNumber);
+// Precondition: CheckBatch has found aSize.
+std::optional<StoredBatch> DecodeBatch(std::string_view aBytes, size_t aSize);
+
+// True when any valid batch starts in aBytes.
+bool ContainsBatch(const SegmentHeader& aHeader, std::string_view aBytes);
+
+// ---- Other files -----------------------------------------------------------
+
+std::string EncodeIdentity(const Identity& aIdentity);
+std::optional<Identity> DecodeIdentity(std::string_view aBytes);
+
+std::string EncodeSnapshot(const Snapshot& aSnapshot);
+std::optional<Snapshot> DecodeSnapshot(std::string_view aBytes);
+
+} // namespace wigeonfold::storage
