Add the Raft state machine

Messages that depend on an unsynced term or vote are kept until the sync is reported; acknowledgements carry only the synced part of the log.

--- a/libs/consensus/include/wigeonfold/consensus/Log.h
+++ b/libs/consensus/include/wigeonfold/consensus/Log.h
@@ -56,9 +56,6 @@
   // Drops all entries and starts after the position.
   void Reset(LogPosition aBase);
 
-  // Payload bytes of the entries after aIndex.
-  size_t BytesAfter(int64_t aIndex) const;
-
 private:
   LogPosition m_base;
   std::deque<wire::LogEntry> m_entries;
--- a/libs/consensus/include/wigeonfold/consensus/Raft.h
+++ b/libs/consensus/include/wigeonfold/consensus/Raft.h
@@ -17,6 +17,7 @@
 #include "wigeonfold/consensus/Membership.h"
 #include "wigeonfold/wire/gen/raft_types.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -265,6 +266,11 @@
   };
 
   // Raft.cpp: persistence, messages, commit and application.
+  void Advance(TimePoint aNow) { m_now = std::max(m_now, aNow); }
+  void Dispatch(wire::RaftMessage& aMessage);
+  void Release(uint64_t aSequence);
+  void OnBatchSynced(const PendingBatch& aBatch);
+  void CompactLog();
   void Send(wire::RaftMessage aMessage);
   wire::RaftMessage MakeMessage(wire::RaftMessageKind::type aKind,
                                 MemberId aTo) const;
@@ -277,59 +283,60 @@
   void RequestSnapshot(RaftActions& aActions);
   void AddEvent(EventId aId, std::vector<EventField> aFields);
   bool InMembership() const;
+  int64_t SnapshotIndex() const;
 
   // Election.cpp
-  void ResetElectionTimer(TimePoint aNow);
+  void ResetElectionTimer();
+  void SetRole(Role aRole);
+  void SetLeader(MemberId aLeader);
   void SetTerm(int64_t aTerm);
-  void BecomeFollower(TimePoint aNow, int64_t aTerm, MemberId aLeader);
-  void StartPreVote(TimePoint aNow);
-  void StartElection(TimePoint aNow);
-  void BecomeLeader(TimePoint aNow);
+  void BecomeFollower(int64_t aTerm, MemberId aLeader);
+  void StartPreVote();
+  void StartElection();
+  void BecomeLeader();
   void RequestVotes(wire::RaftMessageKind::type aKind, int64_t aTerm);
-  void CountVotes(TimePoint aNow);
-  bool HeardFromLeader(TimePoint aNow) const;
+  void CountVotes();
+  bool HeardFromLeader() const;
   bool UpToDate(const wire::RaftMessage& aMessage) const;
-  void HandlePreVoteRequest(TimePoint aNow, const wire::RaftMessage& aMessage);
-  void HandlePreVoteReply(TimePoint aNow, const wire::RaftMessage& aMessage);
-  void HandleVoteRequest(TimePoint aNow, const wire::RaftMessage& aMessage);
-  void HandleVoteReply(TimePoint aNow, const wire::RaftMessage& aMessage);
+  void HandlePreVoteRequest(const wire::RaftMessage& aMessage);
+  void HandlePreVoteReply(const wire::RaftMessage& aMessage);
+  void HandleVoteRequest(const wire::RaftMessage& aMessage);
+  void HandleVoteReply(const wire::RaftMessage& aMessage);
 
   // Leader.cpp
   Status CheckLeader(const std::string& aStep) const;
-  LogPosition AppendOwn(TimePoint aNow,
-                        wire::LogEntryKind::type aKind,
-                        std::string aPayload);
+  LogPosition AppendOwn(wire::LogEntryKind::type aKind, std::string aPayload);
   bool CommittedOwnTerm() const;
-  bool CaughtUp(TimePoint aNow, MemberId aId) const;
-  void UpdateProgressSet(TimePoint aNow);
-  void SendHeartbeats(TimePoint aNow);
-  void SendAppends(TimePoint aNow, MemberId aTo, Progress& aProgress);
-  void SendAppend(TimePoint aNow,
-                  MemberId aTo,
-                  Progress& aProgress,
-                  bool aWithEntries);
-  void Broadcast(TimePoint aNow);
+  bool CaughtUp(MemberId aId) const;
+  void UpdateProgressSet();
+  void SendHeartbeats();
+  void SendAppends(MemberId aTo, Progress& aProgress);
+  void SendAppend(MemberId aTo, Progress& aProgress, bool aWithEntries);
+  void Broadcast();
+  void BackUp(MemberId aTo,
+              Progress& aProgress,
+              const wire::RaftMessage& aMessage);
   void ConfirmRound(Progress& aProgress, int64_t aRound);
-  void AdvanceCommit(TimePoint aNow);
-  TimePoint QuorumConfirmedAt(TimePoint aNow) const;
-  Duration QuorumAge(TimePoint aNow) const;
-  void HandleAppendReply(TimePoint aNow, const wire::RaftMessage& aMessage);
+  void AdvanceCommit();
+  // Sending time of the last round that a quorum has answered, TimePoint::min()
+  // when there is none; m_leaderSince counts as answered by all if aGrace.
+  TimePoint QuorumConfirmedAt(TimePoint aNow, bool aGrace) const;
+  int64_t QuorumAgeMs() const;
+  void HandleAppendReply(const wire::RaftMessage& aMessage);
 
   // Follower.cpp
-  void HandleAppendRequest(TimePoint aNow, wire::RaftMessage& aMessage);
+  void HandleAppendRequest(wire::RaftMessage& aMessage);
   bool MergeEntries(wire::RaftMessage& aMessage);
-  void AcceptLeader(TimePoint aNow, const wire::RaftMessage& aMessage);
+  bool AcceptLeader(const wire::RaftMessage& aMessage);
   void RefuseOldTerm(const wire::RaftMessage& aMessage);
+  void Reject(const wire::RaftMessage& aMessage);
   void Acknowledge(int64_t aRound);
 
   // SnapshotTransfer.cpp
-  void StartSnapshot(TimePoint aNow, MemberId aTo, Progress& aProgress);
-  void SendChunk(TimePoint aNow,
-                 MemberId aTo,
-                 Progress& aProgress,
-                 bool aWithData);
-  void HandleSnapshotChunk(TimePoint aNow, const wire::RaftMessage& aMessage);
-  void HandleSnapshotReply(TimePoint aNow, const wire::RaftMessage& aMessage);
+  void StartSnapshot(MemberId aTo, Progress& aProgress);
+  void SendChunk(MemberId aTo, Progress& aProgress, bool aWithData);
+  void HandleSnapshotChunk(const wire::RaftMessage& aMessage);
+  void HandleSnapshotReply(const wire::RaftMessage& aMessage);
   void InstallSnapshot(Incoming aIncoming);
   void LoadMemberships(const std::optional<RaftSnapshot>& aSnapshot);
 
@@ -358,6 +365,7 @@
   bool m_restoreReady = false;
   int64_t m_compactTo = 0;
   int64_t m_snapshotRequested = 0;
+  size_t m_appliedBytes = 0; // since the last snapshot
   std::deque<HeldMessage> m_held;
   std::vector<wire::RaftMessage> m_outbox;
   std::vector<RaftEvent> m_events;
--- /dev/null
+++ b/libs/consensus/src/Leader.cpp
@@ -0,0 +1,374 @@
+// The leader: proposals, replication, commit and lease.
+#include "wigeonfold/consensus/Raft.h"
+
+#include "wigeonfold/wire/Codec.h"
+
+#include <utility>
+
+namespace wigeonfold::consensus {
+
+// ---- Proposals -------------------------------------------------------------
+
+Status Raft::CheckLeader(const std::string& aStep) const
+{
+  if (m_role == Role::Leader) {
+    return Ok();
+  }
+  const auto leader = Leader();
+  return Error{ ErrorCode::Unavailable,
+                aStep,
+                leader ? leader->apiAddress : "",
+                leader ? "not the leader" : "no known leader" };
+}
+
+Result<LogPosition> Raft::Propose(TimePoint aNow, std::string aPayload)
+{
+  Advance(aNow);
+  const Status leading = CheckLeader("propose");
+  if (!leading) {
+    return leading.error();
+  }
+  const int64_t uncommitted = m_log.Last().m_index - m_hard.m_commit;
+  if (static_cast<size_t>(uncommitted) >= m_settings.m_maxUncommitted) {
+    return Error{
+      ErrorCode::Exhausted, "propose", "", "too many uncommitted entries"
+    };
+  }
+  return AppendOwn(wire::LogEntryKind::Command, std::move(aPayload));
+}
+
+Result<LogPosition> Raft::ProposeChange(TimePoint aNow,
+                                        const MembershipChange& aChange)
+{
+  Advance(aNow);
+  const char* const step = "change membership";
+  const Status leading = CheckLeader(step);
+  if (!leading) {
+    return leading.error();
+  }
+  // Without an own committed entry, a change of an earlier leader could still
+  // be pending and two majorities without a common member could exist.
+  if (!CommittedOwnTerm()) {
+    return Error{ ErrorCode::Conflict, step, "", "the leader is too new" };
+  }
+  if (!MembershipCommitted()) {
+    return Error{
+      ErrorCode::Conflict, step, "", "another change is not committed"
+    };
+  }
+  const MemberId id = aChange.m_member.memberId;
+  auto changed = ApplyChange(CurrentMembership(), aChange);
+  if (!changed) {
+    return changed.error();
+  }
+  if (aChange.m_kind == MembershipChangeKind::Promote && !CaughtUp(id)) {
+    return Error{ ErrorCode::Conflict,
+                  step,
+                  "member " + std::to_string(id),
+                  "has not caught up" };
+  }
+  return AppendOwn(wire::LogEntryKind::Membership,
+                   wire::Encode(changed.value()));
+}
+
+LogPosition Raft::AppendOwn(wire::LogEntryKind::type aKind,
+                            std::string aPayload)
+{
+  wire::LogEntry entry;
+  entry.index = m_log.Last().m_index + 1;
+  entry.term = m_hard.m_term;
+  entry.kind = aKind;
+  entry.payload = std::move(aPayload);
+  AppendToLog(std::move(entry));
+  if (aKind == wire::LogEntryKind::Membership) {
+    UpdateProgressSet();
+  }
+  Broadcast();
+  return m_log.Last();
+}
+
+bool Raft::CommittedOwnTerm() const
+{
+  return m_role == Role::Leader && m_hard.m_commit >= m_termStart;
+}
+
+bool Raft::CaughtUp(MemberId aId) const
+{
+  const auto found = m_progress.find(aId);
+  if (found == m_progress.end()) {
+    return false;
+  }
+  const Progress& progress = found->second;
+  return progress.m_state == ProgressState::Replicate &&
+         progress.m_match >= m_hard.m_commit && progress.m_confirmed &&
+         m_now - progress.m_confirmedAt < m_settings.m_electionMin;
+}
+
+std::optional<int64_t> Raft::MatchIndex(MemberId aId) const
+{
+  if (m_role != Role::Leader) {
+    return std::nullopt;
+  }
+  if (aId == m_self) {
+    return m_syncedIndex;
+  }
+  const auto found = m_progress.find(aId);
+  return found == m_progress.end() ? std::nullopt
+                                   : std::make_optional(found->second.m_match);
+}
+
+// ---- Replication -----------------------------------------------------------
+
+// A removed member is served until its removal is committed, so that it
+// usually learns of it.
+void Raft::UpdateProgressSet()
+{
+  for (const wire::Member& member : CurrentMembership().members) {
+    if (member.memberId != m_self && !m_progress.contains(member.memberId)) {
+      m_progress[member.memberId].m_next = m_log.Last().m_index + 1;
+    }
+  }
+  if (!MembershipCommitted()) {
+    return;
+  }
+  std::erase_if(m_progress, [this](const auto& aItem) {
+    return FindMember(CurrentMembership(), aItem.first) == nullptr;
+  });
+}
+
+void Raft::SendHeartbeats()
+{
+  ++m_round;
+  m_rounds.push_back({ m_round, m_now });
+  while (m_now - m_rounds.front().m_sentAt > m_settings.m_electionMax) {
+    m_rounds.pop_front();
+  }
+  m_heartbeatDue = m_now + m_settings.m_heartbeat;
+  for (auto& [id, progress] : m_progress) {
+    if (progress.m_state == ProgressState::Snapshot) {
+      SendChunk(id, progress, false);
+    } else {
+      SendAppend(id, progress, false);
+    }
+  }
+}
+
+void Raft::Broadcast()
+{
+  for (auto& [id, progress] : m_progress) {
+    SendAppends(id, progress);
+  }
+}
+
+// Sends what the follower lacks within the bounds of its state.
+void Raft::SendAppends(MemberId aTo, Progress& aProgress)
+{
+  const int64_t last = m_log.Last().m_index;
+  if (aProgress.m_state == ProgressState::Probe) {
+    if (!aProgress.m_probeSent) {
+      SendAppend(aTo, aProgress, true);
+    }
+    return;
+  }
+  while (aProgress.m_state == ProgressState::Replicate &&
+         aProgress.m_next <= last &&
+         aProgress.m_inflight.size() < m_settings.m_maxInflight) {
+    SendAppend(aTo, aProgress, true);
+  }
+}
+
+void Raft::SendAppend(MemberId aTo, Progress& aProgress, bool aWithEntries)
+{
+  const int64_t previous = aProgress.m_next - 1;
+  const auto term = m_log.TermAt(previous);
+  if (!term) {
+    StartSnapshot(aTo, aProgress);
+    return;
+  }
+  wire::RaftMessage message =
+    MakeMessage(wire::RaftMessageKind::AppendRequest, aTo);
+  message.logIndex = previous;
+  message.logTerm = *term;
+  message.commitIndex = m_hard.m_commit;
+  message.round = m_round;
+  message.quorumAgeMs = QuorumAgeMs();
+  if (aWithEntries) {
+    message.entries = m_log.Slice(
+      aProgress.m_next, m_log.Last().m_index, m_settings.m_maxMessageBytes);
+  }
+  if (aProgress.m_state == ProgressState::Probe) {
+    aProgress.m_probeSent = true;
+  } else if (!message.entries.empty()) {
+    aProgress.m_next = message.entries.back().index + 1;
+    aProgress.m_inflight.push_back(aProgress.m_next - 1);
+  }
+  Send(std::move(message));
+}
+
+void Raft::HandleAppendReply(const wire::RaftMessage& aMessage)
+{
+  if (aMessage.term > m_hard.m_term) {
+    BecomeFollower(aMessage.term, 0);
+    return;
+  }
+  const auto found = m_progress.find(aMessage.fromMember);
+  if (m_role != Role::Leader || aMessage.term != m_hard.m_term ||
+      found == m_progress.end() || aMessage.logIndex > m_log.Last().m_index) {
+    return;
+  }
+  Progress& progress = found->second;
+  ConfirmRound(progress, aMessage.round);
+  if (progress.m_state == ProgressState::Snapshot && !aMessage.granted) {
+    return;
+  }
+  if (!aMessage.granted) {
+    BackUp(aMessage.fromMember, progress, aMessage);
+    return;
+  }
+  progress.m_match = std::max(progress.m_match, aMessage.logIndex);
+  progress.m_next = std::max(progress.m_next, progress.m_match + 1);
+  while (!progress.m_inflight.empty() &&
+         progress.m_inflight.front() <= progress.m_match) {
+    progress.m_inflight.pop_front();
+  }
+  if (progress.m_state == ProgressState::Probe) {
+    progress.m_state = ProgressState::Replicate;
+    progress.m_inflight.clear();
+  }
+  AdvanceCommit();
+  // The commit may have ended the leadership and with it the progress.
+  if (m_role == Role::Leader && m_progress.contains(aMessage.fromMember)) {
+    SendAppends(aMessage.fromMember, m_progress[aMessage.fromMember]);
+  }
+}
+
+// Searches the last common entry: at most one reply per term that differs.
+void Raft::BackUp(MemberId aTo,
+                  Progress& aProgress,
+                  const wire::RaftMessage& aMessage)
+{
+  const int64_t rejected = aMessage.rejectedIndex;
+  const bool stale = rejected <= aProgress.m_match ||
+                     (aProgress.m_state == ProgressState::Probe &&
+                      rejected != aProgress.m_next - 1);
+  if (stale) {
+    return;
+  }
+  const LogPosition hint{ aMessage.logIndex, aMessage.logTerm };
+  const int64_t common = hint.m_index < m_log.Base().m_index
+                           ? hint.m_index
+                           : m_log.FindAtMost(hint).m_index;
+  aProgress.m_next =
+    std::max(aProgress.m_match + 1, std::min(common + 1, rejected));
+  aProgress.m_state = ProgressState::Probe;
+  aProgress.m_probeSent = false;
+  aProgress.m_inflight.clear();
+  SendAppends(aTo, aProgress);
+}
+
+// ---- Commit ----------------------------------------------------------------
+
+void Raft::AdvanceCommit()
+{
+  const wire::Membership& membership = CurrentMembership();
+  std::vector<int64_t> synced;
+  for (const wire::Member& member : membership.members) {
+    if (member.voter) {
+      synced.push_back(MatchIndex(member.memberId).value_or(0));
+    }
+  }
+  std::sort(synced.rbegin(), synced.rend());
+  const int64_t index = synced[QuorumSize(membership) - 1];
+  // An entry of an earlier term on a majority can still be replaced; it is
+  // committed together with the first entry of the own term.
+  if (index <= m_hard.m_commit || m_log.TermAt(index) != m_hard.m_term) {
+    return;
+  }
+  CommitTo(index);
+  if (MembershipCommitted()) {
+    UpdateProgressSet();
+  }
+  for (auto& [id, progress] : m_progress) {
+    if (progress.m_state == ProgressState::Replicate) {
+      SendAppend(id, progress, false);
+    }
+  }
+  if (MembershipCommitted() && !IsVoter(CurrentMembership(), m_self)) {
+    BecomeFollower(m_hard.m_term, 0);
+  }
+}
+
+// ---- Lease -----------------------------------------------------------------
+
+// The reply proves that the follower recognized this leader after the round
+// was sent, so the lease counts from the sending time.
+void Raft::ConfirmRound(Progress& aProgress, int64_t aRound)
+{
+  const auto found =
+    std::find_if(m_rounds.begin(), m_rounds.end(), [aRound](const Round& aR) {
+      return aR.m_number == aRound;
+    });
+  if (found == m_rounds.end()) {
+    return;
+  }
+  if (!aProgress.m_confirmed || aProgress.m_confirmedAt < found->m_sentAt) {
+    aProgress.m_confirmed = true;
+    aProgress.m_confirmedAt = found->m_sentAt;
+  }
+}
+
+TimePoint Raft::QuorumConfirmedAt(TimePoint aNow, bool aGrace) const
+{
+  const wire::Membership& membership = CurrentMembership();
+  const TimePoint never = aGrace ? m_leaderSince : TimePoint::min();
+  std::vector<TimePoint> confirmed;
+  for (const wire::Member& member : membership.members) {
+    if (!member.voter) {
+      continue;
+    }
+    const auto found = m_progress.find(member.memberId);
+    if (member.memberId == m_self) {
+      confirmed.push_back(aNow);
+    } else if (found != m_progress.end() && found->second.m_confirmed) {
+      confirmed.push_back(std::max(never, found->second.m_confirmedAt));
+    } else {
+      confirmed.push_back(never);
+    }
+  }
+  std::sort(confirmed.rbegin(), confirmed.rend());
+  return confirmed[QuorumSize(membership) - 1];
+}
+
+int64_t Raft::QuorumAgeMs() const
+{
+  const TimePoint confirmed = QuorumConfirmedAt(m_now, false);
+  // Rounded up: a follower must not appear fresher than it is.
+  return confirmed == TimePoint::min() ? -1
+                                       : ToMilliseconds(m_now - confirmed) + 1;
+}
+
+bool Raft::HasLease(TimePoint aNow) const
+{
+  if (m_role != Role::Leader) {
+    return false;
+  }
+  const TimePoint confirmed = QuorumConfirmedAt(aNow, false);
+  return confirmed != TimePoint::min() && aNow - confirmed < m_settings.m_lease;
+}
+
+Result<int64_t> Raft::ReadIndex(TimePoint aNow) const
+{
+  const Status leading = CheckLeader("read");
+  if (!leading) {
+    return leading.error();
+  }
+  if (!HasLease(aNow)) {
+    return Error{ ErrorCode::Unavailable, "read", "", "the lease has expired" };
+  }
+  if (!CommittedOwnTerm()) {
+    return Error{ ErrorCode::Unavailable, "read", "", "the leader is too new" };
+  }
+  return m_hard.m_commit;
+}
+
+} // namespace wigeonfold::consensus
--- /dev/null
+++ b/libs/consensus/src/Raft.cpp
@@ -0,0 +1,449 @@
+// Events, persistence and application; the rules of the roles are in
+// Election.cpp, Leader.cpp, Follower.cpp and SnapshotTransfer.cpp.
+#include "wigeonfold/consensus/Raft.h"
+
+#include "wigeonfold/wire/Codec.h"
+
+#include <utility>
+
+namespace wigeonfold::consensus {
+
+const char* ToString(Role aRole)
+{
+  switch (aRole) {
+    case Role::Follower:
+      return "follower";
+    case Role::PreCandidate:
+      return "pre-candidate";
+    case Role::Candidate:
+      return "candidate";
+    case Role::Leader:
+      return "leader";
+  }
+  return "follower";
+}
+
+// ---- Start -----------------------------------------------------------------
+
+Raft::Raft(RaftSettings aSettings,
+           RaftInitialState aInitial,
+           uint64_t aSeed,
+           TimePoint aNow)
+  : m_settings(aSettings)
+  , m_self(aInitial.m_self)
+  , m_random(aSeed)
+  , m_now(aNow)
+  , m_hard(aInitial.m_hardState)
+  , m_log(aInitial.m_base, std::move(aInitial.m_entries))
+  , m_snapshot(std::move(aInitial.m_snapshot))
+  , m_handedHard(m_hard)
+  , m_syncedHard(m_hard)
+  // A restarted member has forgotten whether it has just confirmed a leader's
+  // lease, so it votes only after a whole election timeout.
+  , m_leaderContactAt(aNow)
+{
+  if (m_snapshot && !m_log.Contains(m_snapshot->m_position)) {
+    m_log.Reset(m_snapshot->m_position);
+  }
+  // A snapshot from a newer term may have been synced without the hard state.
+  if (m_log.Last().m_term > m_hard.m_term) {
+    SetTerm(m_log.Last().m_term);
+  }
+  m_hard.m_commit = std::max(m_hard.m_commit, SnapshotIndex());
+  m_hard.m_commit = std::min(m_hard.m_commit, m_log.Last().m_index);
+  m_syncedIndex = m_log.Last().m_index;
+  m_unsavedFrom = m_syncedIndex + 1;
+  LoadMemberships(m_snapshot);
+  if (m_restore) {
+    m_applied = m_restore->m_position.m_index;
+    m_restoreReady = true;
+  }
+  ResetElectionTimer();
+}
+
+Status Raft::Bootstrap(TimePoint aNow, const wire::Membership& aMembership)
+{
+  Advance(aNow);
+  if (m_log.Last().m_index != 0 || m_hard.m_term != 0) {
+    return Error{
+      ErrorCode::Conflict, "bootstrap", "", "the data folder is in use"
+    };
+  }
+  if (!IsVoter(aMembership, m_self) || VoterCount(aMembership) != 1) {
+    return Error{ ErrorCode::InvalidArgument,
+                  "bootstrap",
+                  "",
+                  "this member must be the only voter" };
+  }
+  SetTerm(1);
+  wire::LogEntry entry;
+  entry.index = 1;
+  entry.term = 1;
+  entry.kind = wire::LogEntryKind::Membership;
+  entry.payload = wire::Encode(aMembership);
+  AppendToLog(std::move(entry));
+  return Ok();
+}
+
+// ---- Events ----------------------------------------------------------------
+
+void Raft::Tick(TimePoint aNow)
+{
+  Advance(aNow);
+  if (m_role == Role::Leader) {
+    if (m_now - QuorumConfirmedAt(m_now, true) > m_settings.m_electionMin) {
+      AddEvent(EventId::QuorumLost, {});
+      BecomeFollower(m_hard.m_term, 0);
+    } else if (m_now >= m_heartbeatDue) {
+      SendHeartbeats();
+    }
+    return;
+  }
+  if (m_now < m_electionDeadline) {
+    return;
+  }
+  ResetElectionTimer();
+  SetLeader(0);
+  if (IsVoter(CurrentMembership(), m_self)) {
+    StartPreVote();
+  }
+}
+
+void Raft::Receive(TimePoint aNow, wire::RaftMessage aMessage)
+{
+  Advance(aNow);
+  const bool addressed = aMessage.toMember == m_self && aMessage.term > 0 &&
+                         aMessage.fromMember > 0 &&
+                         aMessage.fromMember != m_self;
+  if (addressed) {
+    Dispatch(aMessage);
+  }
+}
+
+void Raft::Dispatch(wire::RaftMessage& aMessage)
+{
+  switch (aMessage.kind) {
+    case wire::RaftMessageKind::PreVoteRequest:
+      HandlePreVoteRequest(aMessage);
+      break;
+    case wire::RaftMessageKind::PreVoteReply:
+      HandlePreVoteReply(aMessage);
+      break;
+    case wire::RaftMessageKind::VoteRequest:
+      HandleVoteRequest(aMessage);
+      break;
+    case wire::RaftMessageKind::VoteReply:
+      HandleVoteReply(aMessage);
+      break;
+    case wire::RaftMessageKind::AppendRequest:
+      HandleAppendRequest(aMessage);
+      break;
+    case wire::RaftMessageKind::AppendReply:
+      HandleAppendReply(aMessage);
+      break;
+    case wire::RaftMessageKind::SnapshotChunk:
+      HandleSnapshotChunk(aMessage);
+      break;
+    case wire::RaftMessageKind::SnapshotReply:
+      HandleSnapshotReply(aMessage);
+      break;
+  }
+}
+
+void Raft::OnPersisted(TimePoint aNow, uint64_t aSequence)
+{
+  Advance(aNow);
+  while (!m_pending.empty() && m_pending.front().m_sequence <= aSequence) {
+    const PendingBatch batch = std::move(m_pending.front());
+    m_pending.pop_front();
+    OnBatchSynced(batch);
+  }
+  Release(aSequence);
+  if (m_role == Role::Leader) {
+    AdvanceCommit();
+  } else if (m_role == Role::Candidate) {
+    CountVotes();
+  } else if (std::min(m_verified, m_syncedIndex) > m_acknowledged) {
+    Acknowledge(0);
+  }
+}
+
+void Raft::OnBatchSynced(const PendingBatch& aBatch)
+{
+  m_syncedHard.m_term = aBatch.m_term;
+  m_syncedHard.m_vote = aBatch.m_vote;
+  m_syncedIndex = aBatch.m_lastIndex;
+  if (!aBatch.m_snapshot) {
+    return;
+  }
+  m_snapshot = aBatch.m_snapshot;
+  if (m_restore && m_restore->m_position == m_snapshot->m_position) {
+    m_restoreReady = true;
+  }
+  CompactLog();
+}
+
+void Raft::CompactLog()
+{
+  const int64_t limit = SnapshotIndex() - m_settings.m_retainedEntries;
+  if (limit <= m_log.Base().m_index) {
+    return;
+  }
+  m_log.CompactTo(limit);
+  m_compactTo = limit;
+  // The membership in effect at the snapshot stays.
+  while (m_memberships.size() > 1 && m_memberships[1].m_index <= limit) {
+    m_memberships.erase(m_memberships.begin());
+  }
+}
+
+void Raft::OnSnapshotTaken(TimePoint aNow, int64_t aIndex, std::string aState)
+{
+  Advance(aNow);
+  if (aIndex == 0 || aIndex != m_snapshotRequested) {
+    return;
+  }
+  m_snapshotRequested = 0;
+  const auto term = m_log.TermAt(aIndex);
+  if (!term || aIndex <= SnapshotIndex() || m_unsaved) {
+    return;
+  }
+  const auto after =
+    std::find_if(m_memberships.begin(),
+                 m_memberships.end(),
+                 [aIndex](const IndexedMembership& aMembership) {
+                   return aMembership.m_index > aIndex;
+                 });
+  if (after == m_memberships.begin()) {
+    return;
+  }
+  const IndexedMembership& inEffect = *std::prev(after);
+  wire::SnapshotContent content;
+  content.membership = inEffect.m_membership;
+  content.membershipIndex = inEffect.m_index;
+  content.state = std::move(aState);
+  m_unsaved =
+    RaftSnapshot{ { aIndex, *term },
+                  std::make_shared<const std::string>(wire::Encode(content)) };
+  m_appliedBytes = 0;
+}
+
+// ---- Actions ---------------------------------------------------------------
+
+RaftActions Raft::TakeActions()
+{
+  RaftActions actions;
+  CollectPersist(actions);
+  actions.m_compactTo = std::exchange(m_compactTo, 0);
+  CollectApply(actions);
+  RequestSnapshot(actions);
+  actions.m_send.swap(m_outbox);
+  actions.m_events.swap(m_events);
+  return actions;
+}
+
+void Raft::CollectPersist(RaftActions& aActions)
+{
+  const bool hardChanged = m_hard.m_term != m_handedHard.m_term ||
+                           m_hard.m_vote != m_handedHard.m_vote;
+  const int64_t last = m_log.Last().m_index;
+  if (!hardChanged && !m_unsaved && m_truncateFrom == 0 &&
+      m_unsavedFrom > last) {
+    return;
+  }
+  aActions.m_sequence = m_nextSequence++;
+  // The commit hint alone causes no write; it goes along with others.
+  if (m_hard != m_handedHard) {
+    aActions.m_hardState = m_hard;
+    m_handedHard = m_hard;
+  }
+  aActions.m_saveSnapshot = std::exchange(m_unsaved, std::nullopt);
+  aActions.m_truncateFrom = std::exchange(m_truncateFrom, 0);
+  for (; m_unsavedFrom <= last; ++m_unsavedFrom) {
+    aActions.m_append.push_back(m_log.At(m_unsavedFrom));
+  }
+  m_pending.push_back({ aActions.m_sequence,
+                        last,
+                        m_hard.m_term,
+                        m_hard.m_vote,
+                        aActions.m_saveSnapshot });
+}
+
+// Entries are applied once they are committed and synced here.
+void Raft::CollectApply(RaftActions& aActions)
+{
+  if (m_restore) {
+    if (!m_restoreReady) {
+      return;
+    }
+    aActions.m_restore = std::exchange(m_restore, std::nullopt);
+    m_restoreReady = false;
+  }
+  const int64_t limit = std::min(m_hard.m_commit, m_syncedIndex);
+  while (m_applied < limit) {
+    ++m_applied;
+    aActions.m_apply.push_back(m_log.At(m_applied));
+    m_appliedBytes += aActions.m_apply.back().payload.size();
+  }
+}
+
+void Raft::RequestSnapshot(RaftActions& aActions)
+{
+  const bool due =
+    m_applied - SnapshotIndex() >= m_settings.m_snapshotEntries ||
+    m_appliedBytes >= m_settings.m_snapshotBytes;
+  const bool underWay = m_snapshotRequested != 0 || m_unsaved || m_restore ||
+                        std::any_of(m_pending.begin(),
+                                    m_pending.end(),
+                                    [](const PendingBatch& aBatch) {
+                                      return aBatch.m_snapshot.has_value();
+                                    });
+  if (due && !underWay && m_applied > SnapshotIndex()) {
+    m_snapshotRequested = m_applied;
+    aActions.m_takeSnapshot = m_applied;
+  }
+}
+
+// ---- Messages --------------------------------------------------------------
+
+wire::RaftMessage Raft::MakeMessage(wire::RaftMessageKind::type aKind,
+                                    MemberId aTo) const
+{
+  wire::RaftMessage message;
+  message.kind = aKind;
+  message.fromMember = m_self;
+  message.toMember = aTo;
+  message.term = m_hard.m_term;
+  return message;
+}
+
+bool Raft::HardStatePersisted() const
+{
+  return m_hard.m_term == m_syncedHard.m_term &&
+         m_hard.m_vote == m_syncedHard.m_vote;
+}
+
+// Keeps the message back while the term or vote it speaks for is not synced.
+// Log positions in replies are limited to the synced part by the caller.
+void Raft::Send(wire::RaftMessage aMessage)
+{
+  if (HardStatePersisted()) {
+    m_outbox.push_back(std::move(aMessage));
+    return;
+  }
+  const bool handed = m_hard.m_term == m_handedHard.m_term &&
+                      m_hard.m_vote == m_handedHard.m_vote;
+  const uint64_t sequence = handed ? m_nextSequence - 1 : m_nextSequence;
+  m_held.push_back({ sequence, std::move(aMessage) });
+}
+
+void Raft::Release(uint64_t aSequence)
+{
+  while (!m_held.empty() && m_held.front().m_sequence <= aSequence) {
+    m_outbox.push_back(std::move(m_held.front().m_message));
+    m_held.pop_front();
+  }
+}
+
+void Raft::AddEvent(EventId aId, std::vector<EventField> aFields)
+{
+  aFields.push_back({ "term", std::to_string(m_hard.m_term) });
+  m_events.push_back({ aId, std::move(aFields) });
+}
+
+// ---- Log -------------------------------------------------------------------
+
+void Raft::AppendToLog(wire::LogEntry aEntry)
+{
+  if (aEntry.kind == wire::LogEntryKind::Membership) {
+    auto membership =
+      wire::Decode<wire::Membership>(aEntry.payload, "replicated log");
+    if (membership) {
+      m_memberships.push_back({ aEntry.index, std::move(membership.value()) });
+    }
+  }
+  m_log.Append(std::move(aEntry));
+}
+
+// Precondition: aIndex is not committed.
+void Raft::TruncateLog(int64_t aIndex)
+{
+  AddEvent(EventId::LogTruncated, { { "from", std::to_string(aIndex) } });
+  m_log.TruncateFrom(aIndex);
+  while (!m_memberships.empty() && m_memberships.back().m_index >= aIndex) {
+    m_memberships.pop_back();
+  }
+  if (aIndex < m_unsavedFrom) {
+    m_truncateFrom =
+      m_truncateFrom == 0 ? aIndex : std::min(m_truncateFrom, aIndex);
+    m_unsavedFrom = aIndex;
+  }
+  m_syncedIndex = std::min(m_syncedIndex, aIndex - 1);
+  for (PendingBatch& batch : m_pending) {
+    batch.m_lastIndex = std::min(batch.m_lastIndex, aIndex - 1);
+  }
+}
+
+void Raft::CommitTo(int64_t aIndex)
+{
+  const int64_t index = std::min(aIndex, m_log.Last().m_index);
+  if (index <= m_hard.m_commit) {
+    return;
+  }
+  const bool wasCommitted = MembershipCommitted();
+  m_hard.m_commit = index;
+  if (!wasCommitted && MembershipCommitted()) {
+    AddEvent(EventId::MembershipChanged,
+             { { "index", std::to_string(m_memberships.back().m_index) },
+               { "voters", std::to_string(VoterCount(CurrentMembership())) } });
+  }
+}
+
+// ---- Queries ---------------------------------------------------------------
+
+int64_t Raft::SnapshotIndex() const
+{
+  return m_snapshot ? m_snapshot->m_position.m_index : 0;
+}
+
+bool Raft::InMembership() const
+{
+  return FindMember(CurrentMembership(), m_self) != nullptr;
+}
+
+const wire::Membership& Raft::CurrentMembership() const
+{
+  static const wire::Membership none;
+  return m_memberships.empty() ? none : m_memberships.back().m_membership;
+}
+
+bool Raft::MembershipCommitted() const
+{
+  return m_memberships.empty() ||
+         m_memberships.back().m_index <= m_hard.m_commit;
+}
+
+std::optional<wire::Member> Raft::Leader() const
+{
+  const wire::Member* member = FindMember(CurrentMembership(), m_leader);
+  return member == nullptr ? std::nullopt : std::make_optional(*member);
+}
+
+Duration Raft::Age(TimePoint aNow) const
+{
+  if (m_role == Role::Leader) {
+    const TimePoint confirmed = QuorumConfirmedAt(aNow, false);
+    return confirmed == TimePoint::min() ? Duration::max() : aNow - confirmed;
+  }
+  if (m_currentAge == Duration::max()) {
+    return Duration::max();
+  }
+  return aNow - m_currentAt + m_currentAge;
+}
+
+TimePoint Raft::NextDeadline() const
+{
+  return m_role == Role::Leader ? m_heartbeatDue : m_electionDeadline;
+}
+
+} // namespace wigeonfold::consensus
--- /dev/null
+++ b/libs/consensus/src/SnapshotTransfer.cpp
@@ -0,0 +1,194 @@
+// Snapshots sent by the leader in chunks.
+#include "wigeonfold/consensus/Raft.h"
+
+#include "wigeonfold/wire/Codec.h"
+
+#include <utility>
+
+namespace wigeonfold::consensus {
+namespace {
+
+// A settings tree has a few MiB; more than this is a malformed message.
+constexpr int64_t kMaxSnapshotBytes = int64_t{ 1 } << 30;
+
+} // namespace
+
+// ---- Leader ----------------------------------------------------------------
+
+void Raft::StartSnapshot(MemberId aTo, Progress& aProgress)
+{
+  if (!m_snapshot) {
+    return;
+  }
+  aProgress.m_state = ProgressState::Snapshot;
+  aProgress.m_snapshot = *m_snapshot;
+  aProgress.m_offset = 0;
+  aProgress.m_inflight.clear();
+  AddEvent(EventId::SnapshotSending,
+           { { "member", std::to_string(aTo) },
+             { "index", std::to_string(SnapshotIndex()) } });
+  SendChunk(aTo, aProgress, true);
+}
+
+// Without data the message is a heartbeat, answered with the number of bytes
+// received.
+void Raft::SendChunk(MemberId aTo, Progress& aProgress, bool aWithData)
+{
+  const RaftSnapshot& snapshot = aProgress.m_snapshot;
+  wire::RaftMessage message =
+    MakeMessage(wire::RaftMessageKind::SnapshotChunk, aTo);
+  message.logIndex = snapshot.m_position.m_index;
+  message.logTerm = snapshot.m_position.m_term;
+  message.round = m_round;
+  message.quorumAgeMs = QuorumAgeMs();
+  message.snapshotOffset = static_cast<int64_t>(aProgress.m_offset);
+  message.snapshotSize = static_cast<int64_t>(snapshot.m_content->size());
+  if (aWithData) {
+    message.snapshotData =
+      snapshot.m_content->substr(aProgress.m_offset, m_settings.m_chunkBytes);
+    aProgress.m_chunkSentAt = m_now;
+  }
+  Send(std::move(message));
+}
+
+void Raft::HandleSnapshotReply(const wire::RaftMessage& aMessage)
+{
+  if (aMessage.term > m_hard.m_term) {
+    BecomeFollower(aMessage.term, 0);
+    return;
+  }
+  const auto found = m_progress.find(aMessage.fromMember);
+  if (m_role != Role::Leader || aMessage.term != m_hard.m_term ||
+      found == m_progress.end()) {
+    return;
+  }
+  Progress& progress = found->second;
+  ConfirmRound(progress, aMessage.round);
+  const RaftSnapshot& snapshot = progress.m_snapshot;
+  const auto received = static_cast<size_t>(aMessage.snapshotOffset);
+  if (progress.m_state != ProgressState::Snapshot ||
+      aMessage.logIndex != snapshot.m_position.m_index ||
+      received > snapshot.m_content->size()) {
+    return;
+  }
+  if (aMessage.granted) {
+    // The next append asks what is synced.
+    progress.m_state = ProgressState::Probe;
+    progress.m_next = snapshot.m_position.m_index + 1;
+    progress.m_probeSent = false;
+    progress.m_snapshot = {};
+    SendAppends(aMessage.fromMember, progress);
+    return;
+  }
+  const bool retry = m_now - progress.m_chunkSentAt >= m_settings.m_chunkRetry;
+  if (received > progress.m_offset || retry) {
+    progress.m_offset = received;
+    SendChunk(aMessage.fromMember, progress, true);
+  }
+}
+
+// ---- Follower --------------------------------------------------------------
+
+void Raft::HandleSnapshotChunk(const wire::RaftMessage& aMessage)
+{
+  const bool wellFormed = aMessage.logIndex > 0 && aMessage.snapshotSize > 0 &&
+                          aMessage.snapshotSize <= kMaxSnapshotBytes;
+  if (!wellFormed || !AcceptLeader(aMessage)) {
+    return;
+  }
+  wire::RaftMessage reply =
+    MakeMessage(wire::RaftMessageKind::SnapshotReply, aMessage.fromMember);
+  reply.round = aMessage.round;
+  reply.logIndex = aMessage.logIndex;
+  const LogPosition position{ aMessage.logIndex, aMessage.logTerm };
+  if (position.m_index > m_hard.m_commit) {
+    if (!m_incoming || m_incoming->m_position != position) {
+      m_incoming = Incoming{ aMessage.fromMember, position, "" };
+    }
+    std::string& content = m_incoming->m_content;
+    if (static_cast<size_t>(aMessage.snapshotOffset) == content.size()) {
+      content += aMessage.snapshotData;
+    }
+    reply.snapshotOffset = static_cast<int64_t>(content.size());
+    if (reply.snapshotOffset >= aMessage.snapshotSize) {
+      InstallSnapshot(std::move(*m_incoming));
+      m_incoming.reset();
+    }
+  }
+  reply.granted = position.m_index <= m_hard.m_commit;
+  if (!reply.granted && !m_incoming) {
+    reply.snapshotOffset = 0;
+  }
+  Send(std::move(reply));
+}
+
+void Raft::InstallSnapshot(Incoming aIncoming)
+{
+  const LogPosition position = aIncoming.m_position;
+  RaftSnapshot snapshot{ position,
+                         std::make_shared<const std::string>(
+                           std::move(aIncoming.m_content)) };
+  if (!wire::Decode<wire::SnapshotContent>(*snapshot.m_content, "snapshot")) {
+    AddEvent(EventId::SnapshotRejected,
+             { { "from", std::to_string(aIncoming.m_from) },
+               { "index", std::to_string(position.m_index) } });
+    return;
+  }
+  if (!m_log.Contains(position)) {
+    m_log.Reset(position);
+    m_unsavedFrom = position.m_index + 1;
+    // The storage replaces its log, so nothing of it is confirmed until then.
+    m_syncedIndex = 0;
+    for (PendingBatch& batch : m_pending) {
+      batch.m_lastIndex = 0;
+    }
+  }
+  m_unsavedFrom = std::max(m_unsavedFrom, position.m_index + 1);
+  if (m_truncateFrom <= position.m_index) {
+    m_truncateFrom = 0;
+  }
+  m_hard.m_commit = position.m_index;
+  m_applied = position.m_index;
+  m_verified = std::max(m_verified, position.m_index);
+  m_snapshotRequested = 0;
+  m_appliedBytes = 0;
+  m_restoreReady = false;
+  m_unsaved = snapshot;
+  LoadMemberships(snapshot);
+  AddEvent(EventId::SnapshotInstalled,
+           { { "from", std::to_string(aIncoming.m_from) },
+             { "index", std::to_string(position.m_index) } });
+}
+
+// Takes the membership and the state out of the snapshot and adds the
+// memberships of the log after it.
+void Raft::LoadMemberships(const std::optional<RaftSnapshot>& aSnapshot)
+{
+  m_memberships.clear();
+  int64_t covered = 0;
+  if (aSnapshot) {
+    covered = aSnapshot->m_position.m_index;
+    auto content =
+      wire::Decode<wire::SnapshotContent>(*aSnapshot->m_content, "snapshot");
+    if (content) {
+      m_memberships.push_back({ content.value().membershipIndex,
+                                std::move(content.value().membership) });
+      m_restore = RestoreAction{ aSnapshot->m_position,
+                                 std::move(content.value().state) };
+    }
+  }
+  const int64_t from = std::max(covered, m_log.Base().m_index) + 1;
+  for (int64_t index = from; index <= m_log.Last().m_index; ++index) {
+    const wire::LogEntry& entry = m_log.At(index);
+    if (entry.kind != wire::LogEntryKind::Membership) {
+      continue;
+    }
+    auto membership =
+      wire::Decode<wire::Membership>(entry.payload, "replicated log");
+    if (membership) {
+      m_memberships.push_back({ index, std::move(membership.value()) });
+    }
+  }
+}
+
+} // namespace wigeonfold::consensus
