Add the operators' API and tests of the registry

Translates the HTTP/JSON API of docs/operations.md to commands, state and membership steps without network, so that the control process only binds it.

--- a/libs/registry/include/wigeonfold/registry/OperatorApi.h
+++ b/libs/registry/include/wigeonfold/registry/OperatorApi.h
@@ -128,7 +128,8 @@
 MembershipPlan PlanMembership(const wire::Membership& aCurrent,
                               const MemberRequest& aRequest,
                               const std::set<int64_t>& aCaughtUp);
-// 200 done, 202 in progress (send the request again), 409 refused.
+// 200 done, 202 in progress (send the request again), 409 refused. Call it for
+// a Propose plan after the proposed membership has been committed.
 ApiReply FormatMembership(const MembershipPlan& aPlan);
 
 } // namespace wigeonfold::registry
--- /dev/null
+++ b/libs/registry/src/OperatorChange.cpp
@@ -0,0 +1,251 @@
+// Bodies of the operators' API: changes and their answers.
+#include "Json.h"
+
+#include "wigeonfold/base/Settings.h"
+#include "wigeonfold/registry/OperatorApi.h"
+#include "wigeonfold/settings/Schema.h"
+#include "wigeonfold/wire/Codec.h"
+
+#include <algorithm>
+#include <boost/algorithm/string.hpp>
+
+namespace wigeonfold::registry {
+
+namespace {
+
+constexpr size_t kMaxOperations = 10'000;
+constexpr size_t kMaxPathBytes =
+  settings::kMaxLevels * (settings::kMaxSegmentBytes + 1);
+constexpr size_t kMaxKeyBytes = 64;
+constexpr size_t kMaxAuthorBytes = 200;
+constexpr size_t kMaxCommentBytes = 2000;
+
+Error InvalidBody(const std::vector<std::string>& aProblems)
+{
+  return Error{
+    ErrorCode::InvalidArgument, "parse body", "", boost::join(aProblems, "\n")
+  };
+}
+
+bool IsChangeId(const std::string& aText)
+{
+  return !aText.empty() && std::all_of(aText.begin(), aText.end(), [](char c) {
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') ||
+           (c >= 'A' && c <= 'Z') || c == '-';
+  });
+}
+
+wire::Operation ParseOperation(const Json& aJson,
+                               const std::string& aName,
+                               std::vector<std::string>& aProblems)
+{
+  wire::Operation operation;
+  if (!aJson.is_object()) {
+    aProblems.push_back(aName + ": not an object");
+    return operation;
+  }
+  ObjectReader reader(aJson, aName + ".", aProblems);
+  const std::string kind = reader.Text("op", kMaxKeyBytes, true);
+  operation.path = reader.Text("path", kMaxPathBytes, true);
+  if (kind == "set") {
+    operation.kind = wire::OperationKind::Set;
+    operation.key = reader.Text("key", kMaxKeyBytes, true);
+    operation.value = reader.Text("value", settings::kMaxValueBytes, true);
+  } else if (kind == "unset") {
+    operation.kind = wire::OperationKind::Unset;
+    operation.key = reader.Text("key", kMaxKeyBytes, true);
+  } else if (kind == "remove") {
+    operation.kind = wire::OperationKind::RemoveBranch;
+  } else {
+    reader.AddProblem("op", "not set, unset or remove");
+    return operation;
+  }
+  reader.Finish();
+  return operation;
+}
+
+void ParseOperations(const Json* aField,
+                     wire::Change& aChange,
+                     std::vector<std::string>& aProblems)
+{
+  if (aField == nullptr || !aField->is_array()) {
+    aProblems.emplace_back("operations: required, a list");
+    return;
+  }
+  if (aField->empty() || aField->size() > kMaxOperations) {
+    aProblems.push_back("operations: not 1 to " +
+                        std::to_string(kMaxOperations) + " operations");
+    return;
+  }
+  for (size_t i = 0; i < aField->size(); ++i) {
+    aChange.operations.push_back(ParseOperation(
+      (*aField)[i], "operations[" + std::to_string(i) + "]", aProblems));
+  }
+}
+
+} // namespace
+
+Result<wire::Change> ParseAccept(const std::string& aBody)
+{
+  const auto json = ParseObject(aBody);
+  if (!json) {
+    return json.error();
+  }
+  std::vector<std::string> problems;
+  ObjectReader reader(json.value(), "", problems);
+  wire::Change change;
+  change.changeId = reader.Text("changeId", kMaxChangeIdBytes, true);
+  if (!IsChangeId(change.changeId)) {
+    reader.AddProblem("changeId", "not 1 to 64 of A-Z a-z 0-9 -");
+  }
+  const auto base = ParseVersion(reader.Text("base", kMaxKeyBytes, true));
+  if (!base) {
+    reader.AddProblem("base", "not GENERATION.NUMBER");
+  }
+  change.base = wire::ToWire(base.value_or(Version{}));
+  change.author = reader.Text("author", kMaxAuthorBytes, false);
+  change.comment = reader.Text("comment", kMaxCommentBytes, false);
+  ParseOperations(reader.Find("operations"), change, problems);
+  reader.Finish();
+  if (!problems.empty()) {
+    return InvalidBody(problems);
+  }
+  return change;
+}
+
+ApiReply FormatAccept(const wire::AcceptResult& aResult)
+{
+  const std::string version = ToString(wire::FromWire(aResult.version));
+  switch (aResult.outcome) {
+    case wire::AcceptOutcome::Accepted:
+      return { 200,
+               Dump({ { "outcome", "accepted" }, { "version", version } }),
+               "" };
+    case wire::AcceptOutcome::Conflict:
+      return { 409,
+               Dump({ { "outcome", "conflict" },
+                      { "version", version },
+                      { "changed", aResult.changedPaths },
+                      { "changedCount", aResult.changedCount } }),
+               "" };
+    case wire::AcceptOutcome::Invalid:
+      return { 422,
+               Dump({ { "outcome", "invalid" },
+                      { "version", version },
+                      { "problems", aResult.problems } }),
+               "" };
+  }
+  return FormatProblem(500, "unknown outcome");
+}
+
+ApiReply FormatInvalid(const Error& aError)
+{
+  std::vector<std::string> problems;
+  boost::split(
+    problems, aError.m_detail, [](char aByte) { return aByte == '\n'; });
+  return { 422,
+           Dump({ { "outcome", "invalid" }, { "problems", problems } }),
+           "" };
+}
+
+// ---- Common answers --------------------------------------------------------
+
+ApiReply FormatProblem(int aStatus, const std::string& aProblem)
+{
+  return { aStatus, Dump({ { "error", aProblem } }), "" };
+}
+
+ApiReply FormatUnknown(const std::string& aProblem)
+{
+  return { 503, Dump({ { "outcome", "unknown" }, { "error", aProblem } }), "" };
+}
+
+std::optional<ApiReply> RedirectUnlessLeader(const ClusterView& aCluster,
+                                             const std::string& aTarget)
+{
+  if (aCluster.m_leaseHeld) {
+    return std::nullopt;
+  }
+  const bool otherLeads =
+    aCluster.m_leader && *aCluster.m_leader != aCluster.m_self;
+  for (const MemberStatus& status : aCluster.m_members) {
+    const wire::Member& member = status.m_member;
+    if (otherLeads && member.memberId == *aCluster.m_leader &&
+        !member.apiAddress.empty()) {
+      ApiReply reply = FormatProblem(307, "the leader is " + member.name);
+      reply.m_location = "http://" + member.apiAddress + aTarget;
+      return reply;
+    }
+  }
+  return FormatProblem(503, "no leader with a quorum is known");
+}
+
+// ---- Requests for members --------------------------------------------------
+
+namespace {
+
+constexpr size_t kMaxNameBytes = 64;
+
+wire::Member ParseMember(const Json* aJson, std::vector<std::string>& aProblems)
+{
+  wire::Member member;
+  if (aJson == nullptr || !aJson->is_object()) {
+    aProblems.emplace_back("member: required, an object");
+    return member;
+  }
+  ObjectReader reader(*aJson, "member.", aProblems);
+  member.memberId = reader.Id("memberId");
+  member.name = reader.Text("name", kMaxNameBytes, true);
+  member.availabilityZone =
+    reader.Text("availabilityZone", kMaxNameBytes, true);
+  member.peerAddress = reader.Text("peerAddress", kMaxNameBytes, true);
+  member.apiAddress = reader.Text("apiAddress", kMaxNameBytes, true);
+  for (const auto& [field, address] :
+       { std::pair{ "peerAddress", member.peerAddress },
+         std::pair{ "apiAddress", member.apiAddress } }) {
+    if (!address.empty() && !ParseSocketAddress(address)) {
+      reader.AddProblem(field, "'" + address + "' is not IP:PORT");
+    }
+  }
+  reader.Finish();
+  return member;
+}
+
+} // namespace
+
+Result<MemberRequest> ParseMemberRequest(const std::string& aBody)
+{
+  const auto json = ParseObject(aBody);
+  if (!json) {
+    return json.error();
+  }
+  std::vector<std::string> problems;
+  ObjectReader reader(json.value(), "", problems);
+  MemberRequest request;
+  const std::string action = reader.Text("action", kMaxNameBytes, true);
+  const bool add = action == "add";
+  const bool replace = action == "replace";
+  if (add || replace) {
+    request.m_action = add ? MemberAction::Add : MemberAction::Replace;
+    request.m_member = ParseMember(reader.Find("member"), problems);
+  } else if (action == "promote") {
+    request.m_action = MemberAction::Promote;
+  } else if (action == "remove") {
+    request.m_action = MemberAction::Remove;
+  } else {
+    reader.AddProblem("action", "not add, promote, remove or replace");
+  }
+  if (!add) {
+    request.m_memberId = reader.Id("memberId");
+  }
+  if (replace && request.m_memberId == request.m_member.memberId) {
+    reader.AddProblem("memberId", "the new member needs another id");
+  }
+  reader.Finish();
+  if (!problems.empty()) {
+    return InvalidBody(problems);
+  }
+  return request;
+}
+
+} // namespace wigeonfold::registry
--- /dev/null
+++ b/libs/registry/test/Registry_test.cpp
@@ -0,0 +1,245 @@
+// Guards against changes that are applied twice, lost or decided differently
+// by replicas, also across snapshots.
+#include "wigeonfold/registry/Registry.h"
+#include "wigeonfold/wire/Codec.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace wigeonfold::registry {
+namespace {
+
+// Small enough that the generated logs exceed them.
+constexpr RegistryLimits kSmallLimits{ 8, 5, 2000, 3 };
+
+wire::RegistryCommand Bootstrap(int64_t aGeneration)
+{
+  wire::RegistryCommand command;
+  wire::Bootstrap bootstrap;
+  bootstrap.generation = aGeneration;
+  bootstrap.clusterId = "test";
+  command.__set_bootstrap(bootstrap);
+  return command;
+}
+
+wire::Operation Operation(wire::OperationKind::type aKind,
+                          const std::string& aPath,
+                          const std::string& aValue)
+{
+  wire::Operation operation;
+  operation.kind = aKind;
+  operation.path = aPath;
+  operation.key =
+    aKind == wire::OperationKind::RemoveBranch ? "" : "share.weight";
+  operation.value = aValue;
+  return operation;
+}
+
+wire::Change Change(const std::string& aId,
+                    const Version& aBase,
+                    const std::string& aPath,
+                    const std::string& aValue)
+{
+  wire::Change change;
+  change.changeId = aId;
+  change.base = wire::ToWire(aBase);
+  change.operations = { Operation(wire::OperationKind::Set, aPath, aValue) };
+  return change;
+}
+
+wire::AcceptResult Send(Registry& aRegistry, const wire::Change& aChange)
+{
+  wire::RegistryCommand command;
+  command.__set_change(aChange);
+  return aRegistry.Apply(command).value();
+}
+
+Registry Fresh(const RegistryLimits& aLimits = {})
+{
+  Registry registry(aLimits);
+  registry.Apply(Bootstrap(1));
+  return registry;
+}
+
+// ---- Generated logs --------------------------------------------------------
+
+// Bases near the newest version, ids that repeat, valid and invalid values.
+rc::Gen<wire::RegistryCommand> AnyCommand()
+{
+  return rc::gen::apply(
+    [](int aId, int aBase, int aKind, int aValue, const std::string& aPath) {
+      wire::RegistryCommand command;
+      if (aKind == 9) {
+        return Bootstrap(aValue);
+      }
+      wire::Change change = Change(
+        std::to_string(aId), { 1, aBase }, aPath, std::to_string(aValue));
+      const auto kind = aKind < 6   ? wire::OperationKind::Set
+                        : aKind < 8 ? wire::OperationKind::Unset
+                                    : wire::OperationKind::RemoveBranch;
+      change.operations = { Operation(kind, aPath, std::to_string(aValue)) };
+      change.acceptedAtMs = aId + aBase;
+      command.__set_change(change);
+      return command;
+    },
+    rc::gen::inRange(0, 30),
+    rc::gen::inRange(0, 8),
+    rc::gen::inRange(0, 10),
+    rc::gen::inRange(0, 4),
+    rc::gen::element<std::string>("", "offices/a", "offices/a/b", "offices/c"));
+}
+
+std::vector<wire::RegistryCommand> AnyLog()
+{
+  auto log = *rc::gen::resize(
+    60, rc::gen::container<std::vector<wire::RegistryCommand>>(AnyCommand()));
+  log.insert(log.begin(), Bootstrap(1));
+  return log;
+}
+
+// ---- Properties ------------------------------------------------------------
+
+RC_GTEST_PROP(RegistryProperty, EqualLogsGiveEqualBytesAcrossSnapshots, ())
+{
+  const auto log = AnyLog();
+  const auto cut = *rc::gen::inRange<size_t>(0, log.size());
+  Registry straight(kSmallLimits);
+  Registry restored(kSmallLimits);
+  for (size_t i = 0; i < log.size(); ++i) {
+    if (i == cut) {
+      auto copy = Registry::Restore(restored.Snapshot(), kSmallLimits);
+      RC_ASSERT(copy.has_value());
+      restored = std::move(copy.value());
+    }
+    const auto one = straight.Apply(log[i]);
+    const auto two = restored.Apply(wire::Encode(log[i]));
+    RC_ASSERT(two.has_value());
+    RC_ASSERT(one == two.value());
+  }
+  RC_ASSERT(straight.Snapshot() == restored.Snapshot());
+}
+
+RC_GTEST_PROP(RegistryProperty, OneOfTheRacingChangesIsAccepted, ())
+{
+  Registry registry = Fresh();
+  const auto rounds = *rc::gen::inRange(1, 5);
+  for (int round = 0; round < rounds; ++round) {
+    const Version base = registry.At();
+    const auto racers = *rc::gen::inRange(1, 6);
+    int accepted = 0;
+    for (int racer = 0; racer < racers; ++racer) {
+      const std::string id =
+        std::to_string(round) + "-" + std::to_string(racer);
+      // Distinct in all rounds, because an equal value changes no path.
+      const std::string value = std::to_string(round * 10 + racer + 1);
+      const auto result = Send(registry, Change(id, base, "offices/a", value));
+      accepted += result.outcome == wire::AcceptOutcome::Accepted ? 1 : 0;
+      if (racer > 0) {
+        RC_ASSERT(result.outcome == wire::AcceptOutcome::Conflict);
+        RC_ASSERT(result.changedPaths ==
+                  std::vector<std::string>{ "offices/a" });
+      }
+    }
+    RC_ASSERT(accepted == 1);
+    RC_ASSERT(registry.At().m_number == base.m_number + 1);
+  }
+}
+
+RC_GTEST_PROP(RegistryProperty, ResentChangesGetTheirFirstAnswer, ())
+{
+  const auto log = AnyLog();
+  Registry registry;
+  std::map<std::string, std::pair<wire::Change, wire::AcceptResult>> first;
+  for (const auto& command : log) {
+    const Version before = registry.At();
+    const auto result = registry.Apply(command);
+    if (!result) {
+      continue;
+    }
+    first.try_emplace(command.change.changeId,
+                      std::pair{ command.change, *result });
+    const bool accepted = result->outcome == wire::AcceptOutcome::Accepted &&
+                          wire::FromWire(result->version) > before;
+    RC_ASSERT(registry.At().m_number == before.m_number + (accepted ? 1 : 0));
+  }
+  auto restored = Registry::Restore(registry.Snapshot());
+  RC_ASSERT(restored.has_value());
+  const Version newest = registry.At();
+  for (Registry* replica : { &registry, &restored.value() }) {
+    for (auto [id, sent] : first) {
+      sent.first.acceptedAtMs += 1000; // proposed again by a later leader
+      RC_ASSERT(Send(*replica, sent.first) == sent.second);
+    }
+    RC_ASSERT(replica->At() == newest);
+  }
+}
+
+// ---- Examples --------------------------------------------------------------
+
+TEST(RegistryTest, RefusesAnIdReusedForAnotherChange)
+{
+  Registry registry = Fresh();
+  wire::Change change = Change("id", { 1, 0 }, "offices/a", "1");
+  const auto first = Send(registry, change);
+  EXPECT_EQ(first.outcome, wire::AcceptOutcome::Accepted);
+  for (int variant = 0; variant < 3; ++variant) {
+    wire::Change other = change;
+    if (variant == 0) {
+      other.operations[0].value = "2";
+    } else if (variant == 1) {
+      other.base = first.version;
+    } else {
+      other.comment = "another";
+    }
+    EXPECT_EQ(Send(registry, other).outcome, wire::AcceptOutcome::Invalid);
+  }
+  EXPECT_EQ(Send(registry, change), first);
+  EXPECT_EQ(registry.At(), (Version{ 1, 1 }));
+}
+
+TEST(RegistryTest, ForgetsTheOldestIdsOnly)
+{
+  Registry registry = Fresh(kSmallLimits);
+  for (int i = 0; i < 10; ++i) {
+    Send(registry, Change(std::to_string(i), { 1, i }, "offices/a", "1"));
+  }
+  EXPECT_EQ(registry.FindResult("1"), nullptr);
+  EXPECT_NE(registry.FindResult("2"), nullptr);
+  EXPECT_EQ(registry.View().m_history.size(), kSmallLimits.m_history);
+}
+
+TEST(RegistryTest, RecoveryByForceKeepsTheContentUnderAGreaterGeneration)
+{
+  Registry registry = Fresh();
+  Send(registry, Change("a", { 1, 0 }, "offices/a", "7"));
+  registry.Apply(Bootstrap(1)); // not greater
+  EXPECT_EQ(registry.At(), (Version{ 1, 1 }));
+  registry.Apply(Bootstrap(4));
+  EXPECT_EQ(registry.At(), (Version{ 4, 1 }));
+  EXPECT_EQ(registry.Newest()->Integer("offices/a", "share.weight"), 7);
+  EXPECT_EQ(Send(registry, Change("b", { 1, 1 }, "offices/a", "8")).outcome,
+            wire::AcceptOutcome::Conflict);
+}
+
+TEST(RegistryTest, AcceptsNothingBeforeBootstrap)
+{
+  Registry registry;
+  EXPECT_EQ(Send(registry, Change("a", {}, "offices/a", "7")).outcome,
+            wire::AcceptOutcome::Invalid);
+  EXPECT_EQ(registry.FindResult("a"), nullptr);
+}
+
+TEST(RegistryTest, RefusesADamagedSnapshot)
+{
+  Registry registry = Fresh();
+  Send(registry, Change("a", { 1, 0 }, "offices/a", "7"));
+  std::string snapshot = registry.Snapshot();
+  EXPECT_FALSE(Registry::Restore(snapshot.substr(0, 20)).has_value());
+  snapshot[snapshot.find("offices/a") + 8] = 'b';
+  const auto restored = Registry::Restore(snapshot);
+  ASSERT_FALSE(restored.has_value());
+  EXPECT_EQ(restored.error().m_code, ErrorCode::Corrupt);
+}
+
+} // namespace
+} // namespace wigeonfold::registry
