--- /dev/null
+++ b/apps/wigeonfold-node/test/Forwarding_test.cpp
@@ -0,0 +1,181 @@
+// Guards against answers that are cut short or belong to another request,
+// against requests that run twice, and against requests lost in a shutdown.
+#include "TestNodes.h"
+
+namespace wigeonfold::node {
+namespace {
+
+using Forwarding = TestNodes;
+
+// Second request on the same connection gets aFirst's leftovers.
+TEST_F(Forwarding, ConnectionIsReusedAfterAWholeAnswer)
+{
+  TestTarget& target = ServeAtPeer([](int, const std::string&) {
+    return Reaction{ WholeAnswer("x") };
+  });
+  for (int i = 0; i < 5; ++i) {
+    EXPECT_EQ(Call(0, Post("/lots")).m_body, "x");
+  }
+  EXPECT_EQ(target.m_connections, 1);
+}
+
+TEST_F(Forwarding, AnswerCutShortIsUnknown)
+{
+  ServeAtPeer([](int, const std::string&) {
+    return Reaction{ "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort",
+                     true };
+  });
+  ExpectOutcome(Call(0, Post("/lots")), 502, "unknown", "target-lost");
+}
+
+TEST_F(Forwarding, AnswerWithoutALengthIsUnknown)
+{
+  ServeAtPeer([](int, const std::string&) {
+    return Reaction{ "HTTP/1.1 200 OK\r\n\r\nperhaps short", true };
+  });
+  ExpectOutcome(Call(0, Post("/lots")), 502, "unknown", "answer-unusable");
+}
+
+TEST_F(Forwarding, AnswerOverTheLimitIsUnknown)
+{
+  ServeAtPeer([](int, const std::string&) {
+    return Reaction{ WholeAnswer(std::string(net::kMaxBodyBytes + 1, 'x')) };
+  });
+  ExpectOutcome(Call(0, Post("/lots")), 502, "unknown", "answer-unusable");
+}
+
+// The first answer is followed by a second one that nobody asked for.
+TEST_F(Forwarding, LateAnswerIsNotGivenToTheNextRequest)
+{
+  TestTarget& target = ServeAtPeer([](int aNumber, const std::string&) {
+    const std::string mine = std::to_string(aNumber);
+    return Reaction{ WholeAnswer(mine) + WholeAnswer("stale " + mine) };
+  });
+  for (int i = 0; i < 5; ++i) {
+    EXPECT_EQ(Call(0, Post("/lots")).m_body, std::to_string(i));
+  }
+  EXPECT_EQ(target.m_connections, 5);
+}
+
+TEST_F(Forwarding, IdleConnectionClosedByTheTargetIsNotReused)
+{
+  ServeAtPeer([](int, const std::string&) {
+    return Reaction{ WholeAnswer("x"), true };
+  });
+  for (int i = 0; i < 5; ++i) {
+    EXPECT_EQ(Call(0, Post("/lots")).m_status, 200);
+    std::this_thread::sleep_for(20ms); // the close arrives
+  }
+}
+
+TEST_F(Forwarding, OnlyIdempotentRequestsAreRepeatedAfterALoss)
+{
+  Do([&] {
+    m_target = std::make_unique<TestTarget>(
+      m_io, [](int aNumber, const std::string&) {
+        return aNumber % 2 == 0 ? Reaction{ "", true }
+                                : Reaction{ WholeAnswer("x") };
+      });
+  });
+  Announce(0, m_target->Port());
+  Announce(1, m_target->Port());
+  SetView({ EndpointOf(0), EndpointOf(1) });
+  EXPECT_EQ(Call(0, Get("/lots")).m_status, 200);
+  EXPECT_EQ(m_target->m_requests, 2);
+  EXPECT_EQ(Call(0, Post("/lots")).m_status, 502);
+  EXPECT_EQ(m_target->m_requests, 3);
+}
+
+TEST_F(Forwarding, DrainingEndpointIsReplacedByAnother)
+{
+  TestTarget& target = ServeAtPeer([](int, const std::string&) {
+    return Reaction{ WholeAnswer("x") };
+  });
+  Announce(0, target.Port(), 4, true);
+  SetView({ EndpointOf(0), EndpointOf(1) });
+  for (int i = 0; i < 10; ++i) {
+    const auto answer = Call(0, Post("/lots"));
+    EXPECT_EQ(answer.m_status, 200);
+    EXPECT_EQ(FieldOf(answer, kTargetHeader), "n1");
+  }
+}
+
+TEST_F(Forwarding, CancelledCallClosesTheTargetConnectionAndFreesTheSlot)
+{
+  TestTarget& target = ServeAtPeer(
+    [](int aNumber, const std::string&) {
+      return aNumber == 0 ? Reaction{ "", false, 60s }
+                          : Reaction{ WholeAnswer("x") };
+    },
+    1);
+  {
+    asio::io_context io;
+    asio::ip::tcp::socket socket(io);
+    socket.connect(
+      { asio::ip::make_address("127.0.0.1"), m_nodes[0]->CallerPort() });
+    asio::write(socket,
+                asio::buffer(std::string("GET /lots HTTP/1.1\r\n\r\n")));
+    while (target.m_requests == 0) {
+      std::this_thread::yield();
+    }
+  }
+  const auto answer =
+    Call(0, Post("/lots", { { kDeadlineHeader, "1500" } }));
+  EXPECT_EQ(answer.m_status, 200);
+}
+
+TEST_F(Forwarding, TargetGetsMetadataAndNoHopByHopFields)
+{
+  std::string seen;
+  ServeAtPeer([&seen](int, const std::string& aRequest) {
+    seen = aRequest;
+    return Reaction{ WholeAnswer("x") };
+  });
+  Call(0,
+       Post("/lots?a=b",
+            { { "X-Mine", "1" },
+              { "X-Hop", "1" },
+              { "Keep-Alive", "5" },
+              { "TE", "trailers" },
+              { kAccountHeader, "offices/a" },
+              { kDepthHeader, "2" } }));
+  EXPECT_NE(seen.find("POST /lots?a=b HTTP/1.1\r\n"), std::string::npos);
+  EXPECT_NE(seen.find("X-Mine: 1\r\n"), std::string::npos);
+  EXPECT_NE(seen.find("Wigeonfold-Account: offices/a\r\n"), std::string::npos);
+  EXPECT_NE(seen.find("Wigeonfold-Depth: 2\r\n"), std::string::npos);
+  EXPECT_NE(seen.find("Wigeonfold-Deadline-Ms: "), std::string::npos);
+  EXPECT_EQ(seen.find("Keep-Alive"), std::string::npos);
+  EXPECT_EQ(seen.find("TE:"), std::string::npos);
+}
+
+// The view keeps naming the stopping node, as when no control VM is up.
+TEST_F(Forwarding, ShutdownOfANodeCutsNoRequest)
+{
+  TestTarget& target = ServeAtPeer([](int, const std::string&) {
+    return Reaction{ WholeAnswer("x"), false, 5ms };
+  });
+  Announce(0, target.Port());
+  SetView({ EndpointOf(0), EndpointOf(1) });
+  std::atomic<bool> stop{ false };
+  std::atomic<int> wrong{ 0 };
+  std::vector<std::future<void>> callers;
+  for (int i = 0; i < 4; ++i) {
+    callers.push_back(std::async(std::launch::async, [&] {
+      while (!stop) {
+        wrong += Call(0, Post("/lots")).m_status == 200 ? 0 : 1;
+      }
+    }));
+  }
+  std::promise<void> drained;
+  std::this_thread::sleep_for(100ms);
+  Do([&] { m_nodes[1]->Drain([&] { drained.set_value(); }); });
+  drained.get_future().wait();
+  stop = true;
+  for (auto& caller : callers) {
+    caller.wait();
+  }
+  EXPECT_EQ(wrong, 0);
+}
+
+} // namespace
+} // namespace wigeonfold::node
--- a/libs/base/include/wigeonfold/base/Events.h
+++ b/libs/base/include/wigeonfold/base/Events.h
@@ -29,22 +29,37 @@
 // 1100 storage, 1200 consensus, 1300 registry, 1400 discovery, 1500
 // distribution at the control VM, 2000 node configuration, 2100 node data path.
 // clang-format off
-#define WIGEONFOLD_EVENTS(X)                                                            \
-  X(ProcessStarted,         1000, Info,    "process started")                           \
-  X(ProcessStopping,        1001, Info,    "graceful shutdown began")                   \
-  X(ProcessStopped,         1002, Info,    "process stopped")                           \
-  X(ListenFailed,           1003, Error,   "a listening socket could not be opened")    \
-  X(ConnectionRejected,     1004, Warning, "a peer sent a malformed frame or message")  \
-  X(EventsDropped,          1005, Warning, "the event queue was full; events were lost")\
-  X(NodeReady,               2000, Info,    "callers' traffic is accepted")             \
-  X(ConfigApplied,           2001, Info,    "a configuration version is in force")      \
-  X(ConfigRefused,           2002, Error,   "a configuration version was refused")      \
-  X(ServingBelowFloor,       2003, Warning, "no fresh control VM; an older version is in force")\
-  X(ControlSessionOpened,    2004, Info,    "connected to a control VM")                \
-  X(ControlSessionClosed,    2005, Warning, "connection to a control VM failed or ended")\
-  X(TargetStateChanged,      2100, Info,    "the own target's state changed")           \
-  X(DrainCutShort,           2101, Warning, "requests were cut at the end of the drain limit")\
-  X(RingFull,                2102, Warning, "a ring between threads was full")
+#define WIGEONFOLD_EVENTS(X) \
+  X(ProcessStarted,         1000, Info,    "process started") \
+  X(ProcessStopping,        1001, Info,    "graceful shutdown began") \
+  X(ProcessStopped,         1002, Info,    "process stopped") \
+  X(ListenFailed,           1003, Error,   "a listening socket could not be opened") \
+  X(ConnectionRejected,     1004, Warning, "a peer sent a malformed frame or message") \
+  X(EventsDropped,          1005, Warning, "the event queue was full; events were lost") \
+  X(FolderCreated,          1100, Info,    "a data folder was created") \
+  X(FolderRecovered,        1101, Info,    "the content of the data folder was read") \
+  X(TornTailCut,            1102, Warning, "an incomplete record at the end of the log was removed") \
+  X(SnapshotDamaged,        1103, Warning, "a snapshot failed its checksum and was passed over") \
+  X(StorageFailed,          1104, Error,   "the data folder is damaged or a write or sync failed") \
+  X(SnapshotSaved,          1105, Info,    "a snapshot was written and synced") \
+  X(LogReplaced,            1106, Info,    "the log was replaced by a snapshot") \
+  X(RoleChanged,            1200, Info,    "the member changed its role in the replicated group") \
+  X(LeaderChanged,          1201, Info,    "the known leader changed") \
+  X(MembershipChanged,      1202, Info,    "a membership change was committed") \
+  X(QuorumLost,             1203, Warning, "the leader stepped down without contact to a quorum") \
+  X(LogTruncated,           1204, Warning, "uncommitted entries were replaced by those of the leader") \
+  X(SnapshotSending,        1205, Info,    "the leader began to send a snapshot to a member") \
+  X(SnapshotInstalled,      1206, Info,    "a snapshot from the leader replaced the log") \
+  X(SnapshotRejected,       1207, Warning, "a received snapshot could not be decoded") \
+  X(NodeReady,              2000, Info,    "callers' traffic is accepted") \
+  X(ConfigApplied,          2001, Info,    "a configuration version is in force") \
+  X(ConfigRefused,          2002, Error,   "a configuration version was refused") \
+  X(ServingBelowFloor,      2003, Warning, "no fresh control VM; an older version is in force") \
+  X(ControlSessionOpened,   2004, Info,    "connected to a control VM") \
+  X(ControlSessionClosed,   2005, Warning, "connection to a control VM failed or ended") \
+  X(TargetStateChanged,     2100, Info,    "the own target's state changed") \
+  X(DrainCutShort,          2101, Warning, "requests were cut at the end of the drain limit") \
+  X(RingFull,               2102, Warning, "a ring between threads was full")
 // clang-format on
 
 enum class EventId : int
