--- a/apps/wigeonfold-node/CallerSide.cpp
+++ b/apps/wigeonfold-node/CallerSide.cpp
@@ -157,10 +157,8 @@
                              const forwarding::StartAttempt& aStart)
 {
   const AttemptKey key{ aId, aStart.m_attempt };
-  const auto ticket = m_peers.Send(*aStart.m_endpoint,
-                                   aCall.m_request,
-                                   aCall.m_call.Deadline(),
-                                   key);
+  const auto ticket = m_peers.Send(
+    *aStart.m_endpoint, aCall.m_request, aCall.m_call.Deadline(), key);
   if (ticket) {
     aCall.m_attempts.push_back({ aStart.m_attempt, false, 0, *ticket });
   } else {
--- a/apps/wigeonfold-node/DataPlane.cpp
+++ b/apps/wigeonfold-node/DataPlane.cpp
@@ -43,15 +43,14 @@
                  aSettings.m_peerConnectTimeout,
                  SeedOf(aSettings, aNodeEpoch),
                  ClientHandlers())
-  , m_callerSide(
-      aSettings.m_name,
-      routing::Chooser(aSettings.m_availabilityZone,
-                       routing::MakePickStrategy(
-                         aSettings.m_pickStrategy,
-                         SeedOf(aSettings, aNodeEpoch))),
-      m_target,
-      m_peerClient,
-      aMetrics)
+  , m_callerSide(aSettings.m_name,
+                 routing::Chooser(
+                   aSettings.m_availabilityZone,
+                   routing::MakePickStrategy(aSettings.m_pickStrategy,
+                                             SeedOf(aSettings, aNodeEpoch))),
+                 m_target,
+                 m_peerClient,
+                 aMetrics)
   , m_peerServer(aIo,
                  m_identity,
                  SeedOf(aSettings, aNodeEpoch),
--- a/apps/wigeonfold-node/LocalApi.cpp
+++ b/apps/wigeonfold-node/LocalApi.cpp
@@ -27,9 +27,7 @@
 
 Error Invalid(const std::string& aDetail)
 {
-  return Error{
-    ErrorCode::InvalidArgument, "read announcement", "", aDetail
-  };
+  return Error{ ErrorCode::InvalidArgument, "read announcement", "", aDetail };
 }
 
 int Bounded(const nlohmann::json& aJson, const char* aKey, int aMax)
@@ -101,7 +99,8 @@
     { "peers", aReport.m_peers },
     { "target",
       { { "service", target.m_service },
-        { "address", target.m_service.empty() ? "" : ToString(target.m_address) },
+        { "address",
+          target.m_service.empty() ? "" : ToString(target.m_address) },
         { "state", ToString(target.m_state) },
         { "lease-lost", target.m_leaseLost },
         { "slots", target.m_slots },
--- a/apps/wigeonfold-node/Node.cpp
+++ b/apps/wigeonfold-node/Node.cpp
@@ -33,31 +33,31 @@
             [this](const ViewUpdate& aUpdate) { m_data.OnView(aUpdate); });
         });
       })
-  , m_dataToControl(
-      kRingCapacity,
-      [this] {
-        boost::asio::post(m_controlIo, [this] {
-          m_dataToControl.Drain([this](const DataToControl& aMessage) {
-            m_control.OnMessage(aMessage);
-          });
-        });
-      })
-  , m_httpToData(
-      kRingCapacity,
-      [this] {
-        boost::asio::post(m_dataIo, [this] {
-          m_httpToData.Drain(
-            [this](const HttpToData& aMessage) { OnHttpMessage(aMessage); });
-        });
-      })
-  , m_dataToHttp(
-      kRingCapacity,
-      [this] {
-        boost::asio::post(m_httpIo, [this] {
-          m_dataToHttp.Drain(
-            [this](const StatusReport& aReport) { m_http.OnReport(aReport); });
-        });
-      })
+  , m_dataToControl(kRingCapacity,
+                    [this] {
+                      boost::asio::post(m_controlIo, [this] {
+                        m_dataToControl.Drain(
+                          [this](const DataToControl& aMessage) {
+                            m_control.OnMessage(aMessage);
+                          });
+                      });
+                    })
+  , m_httpToData(kRingCapacity,
+                 [this] {
+                   boost::asio::post(m_dataIo, [this] {
+                     m_httpToData.Drain([this](const HttpToData& aMessage) {
+                       OnHttpMessage(aMessage);
+                     });
+                   });
+                 })
+  , m_dataToHttp(kRingCapacity,
+                 [this] {
+                   boost::asio::post(m_httpIo, [this] {
+                     m_dataToHttp.Drain([this](const StatusReport& aReport) {
+                       m_http.OnReport(aReport);
+                     });
+                   });
+                 })
   , m_data(m_dataIo, m_settings, m_epoch, m_metrics, m_log, MakeHooks())
   , m_control(m_controlIo,
               m_settings,
--- a/apps/wigeonfold-node/NodeMetrics.cpp
+++ b/apps/wigeonfold-node/NodeMetrics.cpp
@@ -27,8 +27,8 @@
                              "Requests that occupy a slot of the own target"))
   , m_queued(aMetrics.Gauge("wigeonfold_node_target_queued",
                             "Requests that wait for a slot of the own target"))
-  , m_slots(aMetrics.Gauge("wigeonfold_node_target_slots",
-                           "Slots of the own target"))
+  , m_slots(
+      aMetrics.Gauge("wigeonfold_node_target_slots", "Slots of the own target"))
   , m_controlReceived(aMetrics.Gauge(kControlBytes,
                                      kControlBytesHelp,
                                      { { "direction", "received" } }))
--- a/apps/wigeonfold-node/PeerClient.cpp
+++ b/apps/wigeonfold-node/PeerClient.cpp
@@ -69,9 +69,7 @@
     link.m_lastReceived = now; // silence counts only while calls wait
   }
   link.m_lastUsed = now;
-  Waiting call{
-    link.m_calls.Open(aKey), aKey, std::move(aRequest), aDeadline
-  };
+  Waiting call{ link.m_calls.Open(aKey), aKey, std::move(aRequest), aDeadline };
   const PeerTicket ticket{ id, call.m_callId };
   if (!link.m_connection) {
     link.m_waiting.push_back(std::move(call));
@@ -289,10 +287,10 @@
     link.m_connection->Close();
   }
   for (const forwarding::LostAttempt& lost : link.m_calls.Lose()) {
-    m_handlers.m_onEnded(
-      lost.m_key,
-      lost.m_written ? Outcome::PeerLost : Outcome::PeerNotWritten,
-      {});
+    m_handlers.m_onEnded(lost.m_key,
+                         lost.m_written ? Outcome::PeerLost
+                                        : Outcome::PeerNotWritten,
+                         {});
   }
 }
 
--- a/apps/wigeonfold-node/PeerServer.cpp
+++ b/apps/wigeonfold-node/PeerServer.cpp
@@ -57,16 +57,16 @@
     }
     Drop(aOne.get());
   };
-  auto listener = net::Listen(m_io,
-                              aAddress,
-                              std::move(handlers),
-                              [this](const net::ConnectionPtr& aConnection) {
-                                Peer peer;
-                                peer.m_connection = aConnection;
-                                peer.m_epoch = ++m_lastEpoch;
-                                m_peers.emplace(aConnection.get(),
-                                                std::move(peer));
-                              });
+  auto listener =
+    net::Listen(m_io,
+                aAddress,
+                std::move(handlers),
+                [this](const net::ConnectionPtr& aConnection) {
+                  Peer peer;
+                  peer.m_connection = aConnection;
+                  peer.m_epoch = ++m_lastEpoch;
+                  m_peers.emplace(aConnection.get(), std::move(peer));
+                });
   if (!listener) {
     return listener.error();
   }
@@ -139,8 +139,8 @@
 // The first hello opens the connection; later ones ask for a sign of life.
 bool PeerServer::OnHello(Peer& aPeer, const wire::Frame& aFrame)
 {
-  const auto hello = wire::Decode<wire::PeerHello>(
-    aFrame.m_payload, aPeer.m_connection->Peer());
+  const auto hello =
+    wire::Decode<wire::PeerHello>(aFrame.m_payload, aPeer.m_connection->Peer());
   if (!hello) {
     return false;
   }
--- a/apps/wigeonfold-node/TargetPool.cpp
+++ b/apps/wigeonfold-node/TargetPool.cpp
@@ -52,11 +52,10 @@
           self->m_socket.close(ignored);
         }
       });
-    m_socket.async_connect(aEndpoint,
-                           [self = shared_from_this(), done = std::move(aDone)](
-                             boost::system::error_code aCode) {
-                             self->OnConnected(aCode, done);
-                           });
+    m_socket.async_connect(
+      aEndpoint,
+      [self = shared_from_this(), done = std::move(aDone)](
+        boost::system::error_code aCode) { self->OnConnected(aCode, done); });
   }
 
   void Run(std::shared_ptr<const wire::CallRequest> aRequest,
@@ -91,8 +90,7 @@
   {
     char byte = 0;
     boost::system::error_code code;
-    m_socket.receive(
-      asio::buffer(&byte, 1), tcp::socket::message_peek, code);
+    m_socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, code);
     return code == asio::error::would_block || code == asio::error::try_again;
   }
 
@@ -136,12 +134,29 @@
     m_parser.emplace();
     m_parser->body_limit(net::kMaxBodyBytes);
     m_parser->skip(m_source->method == "HEAD");
-    http::async_read(
+    // Beast 1.74 loses the body limit error of a header that is parsed together
+    // with body bytes, so the header is read on its own.
+    http::async_read_header(
       m_socket,
       m_buffer,
       *m_parser,
       [self = shared_from_this()](beast::error_code aCode, size_t) {
-        self->OnRead(aCode);
+        self->OnHeader(aCode);
+      });
+  }
+
+  void OnHeader(const beast::error_code& aCode)
+  {
+    if (aCode || !m_done || m_parser->is_done()) {
+      OnRead(aCode);
+      return;
+    }
+    http::async_read(
+      m_socket,
+      m_buffer,
+      *m_parser,
+      [self = shared_from_this()](beast::error_code aReadCode, size_t) {
+        self->OnRead(aReadCode);
       });
   }
 
@@ -175,8 +190,8 @@
       Read(); // an interim answer
       return;
     }
-    exchange.m_kind = IsDelimited(status) ? Exchange::Kind::Answer
-                                          : Exchange::Kind::Unusable;
+    exchange.m_kind =
+      IsDelimited(status) ? Exchange::Kind::Answer : Exchange::Kind::Unusable;
     exchange.m_reusable =
       m_written && m_buffer.size() == 0 && m_parser->keep_alive();
     TakeAnswer(exchange);
@@ -291,8 +306,7 @@
       m_idle.begin(), m_idle.end(), [](const auto& aConnection) {
         return aConnection->IsQuiet();
       });
-    std::for_each(
-      dead, m_idle.end(), [](const auto& aOne) { aOne->Close(); });
+    std::for_each(dead, m_idle.end(), [](const auto& aOne) { aOne->Close(); });
     m_idle.erase(dead, m_idle.end());
   }
 
--- a/apps/wigeonfold-node/TargetSide.cpp
+++ b/apps/wigeonfold-node/TargetSide.cpp
@@ -83,10 +83,10 @@
   m_target = aAnnouncement;
   m_leaseEnd = aNow + m_options.m_announceLease;
   m_leaseLost = false;
-  const bool otherInstance =
-    !before || before->m_instance != m_target->m_instance ||
-    !(before->m_address == m_target->m_address) ||
-    before->m_connections != m_target->m_connections;
+  const bool otherInstance = !before ||
+                             before->m_instance != m_target->m_instance ||
+                             !(before->m_address == m_target->m_address) ||
+                             before->m_connections != m_target->m_connections;
   if (otherInstance) {
     m_pool->SetTarget(m_target->m_address,
                       static_cast<size_t>(m_target->m_connections));
@@ -321,8 +321,7 @@
     std::max<int64_t>(1, ToMilliseconds(aCall.m_deadline - aNow));
   std::vector<wire::HeaderField> extra;
   extra.push_back(Field(kDeadlineHeader, std::to_string(left)));
-  extra.push_back(
-    Field(kDepthHeader, std::to_string(aCall.m_request->depth)));
+  extra.push_back(Field(kDepthHeader, std::to_string(aCall.m_request->depth)));
   if (!aCall.m_request->office.empty()) {
     extra.push_back(Field(kAccountHeader, aCall.m_request->office));
   }
--- a/apps/wigeonfold-node/Translate.cpp
+++ b/apps/wigeonfold-node/Translate.cpp
@@ -18,10 +18,17 @@
 constexpr int64_t kMaxDeadlineMs = 3'600'000;
 
 constexpr std::array kHopByHop{
-  "connection",       "keep-alive",          "proxy-connection",
-  "te",               "trailer",             "transfer-encoding",
-  "upgrade",          "content-length",      "expect",
-  "proxy-authenticate", "proxy-authorization",
+  "connection",
+  "keep-alive",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+  "content-length",
+  "expect",
+  "proxy-authenticate",
+  "proxy-authorization",
 };
 
 bool IsOneOf(const std::string& aName, const std::vector<std::string>& aNames)
--- a/apps/wigeonfold-node/test/Forwarding_test.cpp
+++ b/apps/wigeonfold-node/test/Forwarding_test.cpp
@@ -10,9 +10,8 @@
 // Second request on the same connection gets aFirst's leftovers.
 TEST_F(Forwarding, ConnectionIsReusedAfterAWholeAnswer)
 {
-  TestTarget& target = ServeAtPeer([](int, const std::string&) {
-    return Reaction{ WholeAnswer("x") };
-  });
+  TestTarget& target = ServeAtPeer(
+    [](int, const std::string&) { return Reaction{ WholeAnswer("x") }; });
   for (int i = 0; i < 5; ++i) {
     EXPECT_EQ(Call(0, Post("/lots")).m_body, "x");
   }
@@ -71,8 +70,8 @@
 TEST_F(Forwarding, OnlyIdempotentRequestsAreRepeatedAfterALoss)
 {
   Do([&] {
-    m_target = std::make_unique<TestTarget>(
-      m_io, [](int aNumber, const std::string&) {
+    m_target =
+      std::make_unique<TestTarget>(m_io, [](int aNumber, const std::string&) {
         return aNumber % 2 == 0 ? Reaction{ "", true }
                                 : Reaction{ WholeAnswer("x") };
       });
@@ -88,9 +87,8 @@
 
 TEST_F(Forwarding, DrainingEndpointIsReplacedByAnother)
 {
-  TestTarget& target = ServeAtPeer([](int, const std::string&) {
-    return Reaction{ WholeAnswer("x") };
-  });
+  TestTarget& target = ServeAtPeer(
+    [](int, const std::string&) { return Reaction{ WholeAnswer("x") }; });
   Announce(0, target.Port(), 4, true);
   SetView({ EndpointOf(0), EndpointOf(1) });
   for (int i = 0; i < 10; ++i) {
@@ -119,8 +117,7 @@
       std::this_thread::yield();
     }
   }
-  const auto answer =
-    Call(0, Post("/lots", { { kDeadlineHeader, "1500" } }));
+  const auto answer = Call(0, Post("/lots", { { kDeadlineHeader, "1500" } }));
   EXPECT_EQ(answer.m_status, 200);
 }
 
--- a/apps/wigeonfold-node/test/Outcomes_test.cpp
+++ b/apps/wigeonfold-node/test/Outcomes_test.cpp
@@ -57,8 +57,8 @@
                 "depth-exceeded");
   net::HttpRequest large = Post("/lots");
   large.m_body = std::string(net::kMaxBodyBytes + 1, 'x');
-  const auto answer = net::HttpCall(
-    { "127.0.0.1", m_nodes[0]->CallerPort() }, large, 20s);
+  const auto answer =
+    net::HttpCall({ "127.0.0.1", m_nodes[0]->CallerPort() }, large, 20s);
   if (answer) { // the connection may be reset before the answer is read
     ExpectOutcome(answer.value(), 413, "not-run", "");
   }
@@ -75,8 +75,7 @@
 {
   TestTarget& target =
     ServeAtPeer(Hold, 1, { { "services/lots", "queue.limit", "0" } });
-  auto first = CallLater(
-    0, Get("/lots", { { kDeadlineHeader, "500" } }));
+  auto first = CallLater(0, Get("/lots", { { kDeadlineHeader, "500" } }));
   while (target.m_requests == 0) {
     std::this_thread::yield();
   }
@@ -93,9 +92,8 @@
                 1,
                 { { "services/lots", "queue.limit", "10" },
                   { "offices/a", "share.queue-percent", "10" } });
-  const auto request =
-    Get("/lots",
-        { { kAccountHeader, "offices/a" }, { kDeadlineHeader, "1000" } });
+  const auto request = Get(
+    "/lots", { { kAccountHeader, "offices/a" }, { kDeadlineHeader, "1000" } });
   auto running = CallLater(0, request);
   while (target.m_requests == 0) {
     std::this_thread::yield();
--- a/apps/wigeonfold-node/test/TestNodes.h
+++ b/apps/wigeonfold-node/test/TestNodes.h
@@ -84,18 +84,18 @@
 
   void Read(const PeerPtr& aPeer)
   {
-    asio::async_read_until(
-      aPeer->m_socket,
-      asio::dynamic_buffer(aPeer->m_in),
-      "\r\n\r\n",
-      [this, aPeer](auto aCode, size_t aBytes) {
-        if (aCode) {
-          return;
-        }
-        const std::string request = aPeer->m_in.substr(0, aBytes);
-        aPeer->m_in.erase(0, aBytes);
-        React(aPeer, m_script(m_requests++, request));
-      });
+    asio::async_read_until(aPeer->m_socket,
+                           asio::dynamic_buffer(aPeer->m_in),
+                           "\r\n\r\n",
+                           [this, aPeer](auto aCode, size_t aBytes) {
+                             if (aCode) {
+                               return;
+                             }
+                             const std::string request =
+                               aPeer->m_in.substr(0, aBytes);
+                             aPeer->m_in.erase(0, aBytes);
+                             React(aPeer, m_script(m_requests++, request));
+                           });
   }
 
   void React(const PeerPtr& aPeer, const Reaction& aReaction)
@@ -229,12 +229,8 @@
                 bool aDraining = false)
   {
     Do([&] {
-      m_nodes[aNode]->OnAnnouncement({ "lots",
-                                       { "127.0.0.1", aTargetPort },
-                                       aSlots,
-                                       10,
-                                       aDraining,
-                                       "i" });
+      m_nodes[aNode]->OnAnnouncement(
+        { "lots", { "127.0.0.1", aTargetPort }, aSlots, 10, aDraining, "i" });
     });
   }
 
--- a/libs/forwarding/include/wigeonfold/forwarding/Outcome.h
+++ b/libs/forwarding/include/wigeonfold/forwarding/Outcome.h
@@ -17,7 +17,7 @@
   // The target gave an answer.
   Answered,
   Shed, // 503 with "Wigeonfold-Run: not-run" from the target
-  // Rejected at the caller's node.
+        // Rejected at the caller's node.
   NoConfiguration,
   NoRoute,
   Malformed,
@@ -39,7 +39,7 @@
   TargetRefused,  // no byte reached the target
   TargetLost,     // target connection lost after a byte was written
   AnswerUnusable, // too large, or not delimited, so that it may be cut short
-  // The caller went away; nobody sees these.
+                  // The caller went away; nobody sees these.
   CancelledBeforeWrite,
   CancelledAfterWrite,
 };
--- a/libs/forwarding/src/CallTable.cpp
+++ b/libs/forwarding/src/CallTable.cpp
@@ -45,11 +45,10 @@
   std::vector<std::pair<int64_t, Entry>> entries(m_calls.begin(),
                                                  m_calls.end());
   m_calls.clear();
-  std::sort(entries.begin(),
-            entries.end(),
-            [](const auto& aLeft, const auto& aRight) {
-              return aLeft.first < aRight.first;
-            });
+  std::sort(
+    entries.begin(), entries.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.first < aRight.first;
+    });
   std::vector<LostAttempt> lost;
   lost.reserve(entries.size());
   for (const auto& [id, entry] : entries) {
--- a/libs/forwarding/src/Outcome.cpp
+++ b/libs/forwarding/src/Outcome.cpp
@@ -55,8 +55,8 @@
     return Outcome::Answered;
   }
   const auto& table = OutcomeTable();
-  const auto row = std::find_if(
-    table.begin(), table.end(), [&](const OutcomeInfo& aInfo) {
+  const auto row =
+    std::find_if(table.begin(), table.end(), [&](const OutcomeInfo& aInfo) {
       return aInfo.m_reason == aReason && aInfo.m_run == aRun;
     });
   if (row != table.end()) {
--- a/libs/forwarding/src/TargetCall.cpp
+++ b/libs/forwarding/src/TargetCall.cpp
@@ -106,8 +106,7 @@
     return {};
   }
   const State state = m_state;
-  TargetStep step =
-    End(state == State::Written ? aAfterWrite : aBeforeWrite);
+  TargetStep step = End(state == State::Written ? aAfterWrite : aBeforeWrite);
   step.m_unqueue = state == State::Waiting;
   step.m_close = state != State::Waiting;
   return step;
