--- a/libs/consensus/include/wigeonfold/consensus/Raft.h
+++ b/libs/consensus/include/wigeonfold/consensus/Raft.h
@@ -291,6 +291,7 @@
   void SetLeader(MemberId aLeader);
   void SetTerm(int64_t aTerm);
   void BecomeFollower(int64_t aTerm, MemberId aLeader);
+  bool MayCampaign() const;
   void StartPreVote();
   void StartElection();
   void BecomeLeader();
--- a/libs/consensus/src/Raft.cpp
+++ b/libs/consensus/src/Raft.cpp
@@ -104,7 +104,7 @@
   }
   ResetElectionTimer();
   SetLeader(0);
-  if (IsVoter(CurrentMembership(), m_self)) {
+  if (MayCampaign()) {
     StartPreVote();
   }
 }
