--- /dev/null
+++ b/apps/wigeonfold-target/Target.cpp
@@ -0,0 +1,398 @@
+#include "Target.h"
+
+#include "wigeonfold/net/Echo.h"
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/uuid/random_generator.hpp>
+#include <boost/uuid/uuid_io.hpp>
+#include <nlohmann/json.hpp>
+
+namespace wigeonfold::target {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration kAnnouncePeriod = 1s;
+constexpr size_t kMaxInternalConnections = 64;
+constexpr Duration kInternalTimeout = 30s;
+constexpr int kServiceUnavailable = 503;
+
+std::optional<TimePoint> DeadlineOf(const net::HttpRequest& aRequest,
+                                    TimePoint aNow)
+{
+  if (net::FindField(aRequest.m_fields, net::kDeadlineField) == nullptr) {
+    return std::nullopt;
+  }
+  return aNow + std::chrono::milliseconds(
+                  net::NumberField(aRequest.m_fields, net::kDeadlineField, 0));
+}
+
+std::string FieldOr(const net::HttpRequest& aRequest,
+                    const char* aName,
+                    const std::string& aDefault)
+{
+  const std::string* value = net::FindField(aRequest.m_fields, aName);
+  return value == nullptr ? aDefault : *value;
+}
+
+// The call to the next service of X-Depth-Chain, one level deeper.
+net::HttpRequest InternalRequest(const net::HttpRequest& aOuter,
+                                 const std::optional<TimePoint>& aDeadline,
+                                 TimePoint aNow)
+{
+  const std::string chain = FieldOr(aOuter, net::kDepthChainField, "");
+  const size_t comma = chain.find(',');
+  const std::string service = chain.substr(0, comma);
+  net::HttpRequest inner;
+  inner.m_method = aOuter.m_method;
+  inner.m_target = "/" + service + "/internal";
+  inner.m_body = aOuter.m_body;
+  inner.m_fields = {
+    { net::kRequestIdField, FieldOr(aOuter, net::kRequestIdField, "") + "/i" },
+    { net::kDepthField,
+      std::to_string(net::NumberField(aOuter.m_fields, net::kDepthField, 0) +
+                     1) },
+  };
+  if (comma != std::string::npos) {
+    inner.m_fields.push_back(
+      { net::kDepthChainField, chain.substr(comma + 1) });
+  }
+  if (aDeadline) {
+    const auto left = std::max<int64_t>(0, ToMilliseconds(*aDeadline - aNow));
+    inner.m_fields.push_back({ net::kDeadlineField, std::to_string(left) });
+  }
+  for (const char* name :
+       { net::kAccountField, net::kIdempotentField, net::kWorkField }) {
+    if (const std::string* value = net::FindField(aOuter.m_fields, name)) {
+      inner.m_fields.push_back({ name, *value });
+    }
+  }
+  return inner;
+}
+
+} // namespace
+
+Target::Target(boost::asio::io_context& aIo,
+               const TargetSettings& aSettings,
+               EventLog& aLog,
+               Executed aExecuted)
+  : m_io(aIo)
+  , m_settings(aSettings)
+  , m_instance(to_string(boost::uuids::random_generator()()))
+  , m_log(aLog)
+  , m_announceTimer(aIo)
+  , m_slots(aSettings.m_slots, aSettings.m_shedAbove)
+  , m_times(aSettings.m_times, Clock::now())
+  , m_executed(std::move(aExecuted))
+  , m_reportRandom(aSettings.m_times.m_seed)
+{
+}
+
+Status Target::Start()
+{
+  auto server = net::ServeHttp(
+    m_io,
+    m_settings.m_listen,
+    [this](net::HttpRequest aRequest,
+           net::HttpRespond aRespond,
+           const net::HttpOnAbandon& aOnAbandon) {
+      Handle(std::move(aRequest), std::move(aRespond), aOnAbandon);
+    },
+    { { net::kRunField, "not-run" } },
+    { static_cast<size_t>(m_settings.m_connections),
+      m_settings.m_connectionCost + 2 * m_settings.m_oneWayDelay });
+  if (!server) {
+    return server.error();
+  }
+  m_server = std::move(server.value());
+  if (m_settings.m_nodeCallers) {
+    m_internal = net::MakeHttpPool(
+      m_io, *m_settings.m_nodeCallers, kMaxInternalConnections);
+  }
+  if (m_settings.m_nodeAnnounce) {
+    m_announcer = net::MakeHttpPool(m_io, *m_settings.m_nodeAnnounce, 1);
+    Announce();
+  }
+  Sample();
+  return Ok();
+}
+
+void Target::Drain(std::function<void()> aDone)
+{
+  m_draining = true;
+  if (m_announcer) {
+    Announce();
+  }
+  m_server->Drain(m_settings.m_drainLinger, [this, aDone] {
+    m_announceTimer.cancel();
+    aDone();
+  });
+}
+
+// ---- Announcements ---------------------------------------------------------
+
+void Target::Announce()
+{
+  const nlohmann::json announcement{
+    { "service", m_settings.m_service },
+    { "address", ToString(m_settings.m_announceAddress) },
+    { "slots", m_settings.m_slots },
+    { "connections", m_settings.m_connections },
+    { "state", m_draining ? "draining" : "ready" },
+    { "instance", m_instance },
+  };
+  const net::HttpRequest request{ "PUT",
+                                  "/wigeonfold/announce",
+                                  { { "Content-Type", "application/json" } },
+                                  announcement.dump() };
+  // A failed announcement needs no handling: the next one follows at once.
+  m_announcer->Call(request, kAnnouncePeriod, [](const net::HttpOutcome&) {});
+  m_announceTimer.expires_after(kAnnouncePeriod);
+  m_announceTimer.async_wait([this](boost::system::error_code aCode) {
+    if (!aCode) {
+      Announce();
+    }
+  });
+}
+
+// ---- Requests --------------------------------------------------------------
+
+void Target::Handle(net::HttpRequest aRequest,
+                    net::HttpRespond aRespond,
+                    const net::HttpOnAbandon& aOnAbandon)
+{
+  if (aRequest.m_target == "/health") {
+    aRespond(Health());
+    return;
+  }
+  if (aRequest.m_target == "/load") {
+    aRespond(Load());
+    return;
+  }
+  if (aRequest.m_target == "/executed") {
+    aRespond({ 200, {}, m_executed.ToJsonLines() });
+    return;
+  }
+  const JobId job = m_nextJob++;
+  const TimePoint now = Clock::now();
+  m_jobs[job] = Job{ std::move(aRequest), std::move(aRespond), now };
+  aOnAbandon([this, job] { Abandon(job); });
+  After(m_settings.m_oneWayDelay, [this, job] { Arrive(job); });
+}
+
+void Target::Arrive(JobId aJob)
+{
+  Job& job = m_jobs.at(aJob);
+  const TimePoint now = Clock::now();
+  job.m_deadline = DeadlineOf(job.m_request, now);
+  if (job.m_abandoned) {
+    m_jobs.erase(aJob);
+    return;
+  }
+  switch (m_slots.Arrive(aJob, job.m_deadline, now)) {
+    case Admission::Started:
+      Run(aJob);
+      break;
+    case Admission::Waiting:
+      Sample();
+      break;
+    case Admission::Shed:
+      AnswerNotRun(aJob, "shed");
+      break;
+    case Admission::Expired:
+      AnswerNotRun(aJob, "deadline exceeded");
+      break;
+  }
+}
+
+void Target::Run(JobId aJob)
+{
+  Sample();
+  const Job& job = m_jobs.at(aJob);
+  m_executed.Add(FieldOr(job.m_request, net::kRequestIdField, ""),
+                 job.m_request.m_method);
+  std::optional<Duration> work;
+  if (net::FindField(job.m_request.m_fields, net::kWorkField) != nullptr) {
+    work = std::chrono::milliseconds(std::max<int64_t>(
+      0, net::NumberField(job.m_request.m_fields, net::kWorkField, 0)));
+  }
+  After(m_times.Draw(work, Clock::now()), [this, aJob] { CallNext(aJob); });
+}
+
+void Target::CallNext(JobId aJob)
+{
+  Job& job = m_jobs.at(aJob);
+  const bool wanted =
+    !FieldOr(job.m_request, net::kDepthChainField, "").empty();
+  if (!wanted || !m_internal || job.m_abandoned) {
+    job.m_chainResult = wanted ? "failed" : "";
+    Finish(aJob);
+    return;
+  }
+  const TimePoint now = Clock::now();
+  const net::HttpRequest inner =
+    InternalRequest(job.m_request, job.m_deadline, now);
+  const Duration timeout = job.m_deadline
+                             ? std::max<Duration>(*job.m_deadline - now, 1ms)
+                             : kInternalTimeout;
+  m_internal->Call(
+    inner, timeout, [this, aJob, inner](const net::HttpOutcome& aOutcome) {
+      OnInternalAnswer(aJob, inner, aOutcome);
+    });
+}
+
+void Target::OnInternalAnswer(JobId aJob,
+                              const net::HttpRequest& aInner,
+                              const net::HttpOutcome& aOutcome)
+{
+  Job& job = m_jobs.at(aJob);
+  job.m_chainResult = "failed";
+  if (aOutcome.m_response && aOutcome.m_response->m_status == 200) {
+    const bool right =
+      net::CheckEcho(aInner, *aOutcome.m_response) == net::EchoCheck::Right;
+    const std::string* deeper =
+      net::FindField(aOutcome.m_response->m_fields, net::kChainField);
+    job.m_chainResult = !right ? "wrong" : deeper == nullptr ? "ok" : *deeper;
+  }
+  Finish(aJob);
+}
+
+void Target::Finish(JobId aJob)
+{
+  const Job& job = m_jobs.at(aJob);
+  const std::string id = FieldOr(job.m_request, net::kRequestIdField, "");
+  const int64_t wanted =
+    net::NumberField(job.m_request.m_fields,
+                     net::kAnswerBytesField,
+                     static_cast<int64_t>(net::kDefaultAnswerBytes));
+  const auto length = static_cast<size_t>(
+    std::clamp<int64_t>(wanted, 0, static_cast<int64_t>(net::kMaxBodyBytes)));
+  const auto held = Clock::now() - job.m_arrived;
+  net::HttpResponse response;
+  response.m_fields = {
+    { net::kRequestIdField, id },
+    { net::kTargetField, m_settings.m_name },
+    { net::kTargetMicrosField, std::to_string(ToMicroseconds(held)) },
+  };
+  if (!job.m_chainResult.empty()) {
+    response.m_fields.push_back({ net::kChainField, job.m_chainResult });
+  }
+  response.m_body = net::EchoBody(id, job.m_request.m_body, length);
+  Respond(aJob, std::move(response));
+
+  const SlotChanges changes = m_slots.Finish(Clock::now());
+  Sample();
+  for (const JobId expired : changes.m_expired) {
+    AnswerNotRun(expired, "deadline exceeded");
+  }
+  for (const JobId started : changes.m_started) {
+    Run(started);
+  }
+}
+
+// A waiting request is dropped; one that runs keeps its slot to the end, as
+// the work of a real target can't be undone.
+void Target::Abandon(JobId aJob)
+{
+  const auto job = m_jobs.find(aJob);
+  if (job == m_jobs.end()) {
+    return;
+  }
+  job->second.m_abandoned = true;
+  if (m_slots.Cancel(aJob)) {
+    m_jobs.erase(job);
+    Sample();
+  }
+}
+
+void Target::AnswerNotRun(JobId aJob, const char* aReason)
+{
+  Respond(aJob,
+          { kServiceUnavailable,
+            { { net::kRunField, "not-run" } },
+            std::string(aReason) + "\n" });
+}
+
+void Target::Respond(JobId aJob, net::HttpResponse aResponse)
+{
+  const auto job = m_jobs.find(aJob);
+  net::HttpRespond respond = std::move(job->second.m_respond);
+  m_jobs.erase(job);
+  After(m_settings.m_oneWayDelay,
+        [respond = std::move(respond), response = std::move(aResponse)] {
+          respond(response);
+        });
+}
+
+void Target::After(Duration aDelay, std::function<void()> aAction)
+{
+  if (aDelay <= Duration::zero()) {
+    boost::asio::post(m_io, std::move(aAction));
+    return;
+  }
+  auto timer = std::make_shared<boost::asio::steady_timer>(m_io, aDelay);
+  timer->async_wait(
+    [timer, action = std::move(aAction)](boost::system::error_code aCode) {
+      if (!aCode) {
+        action();
+      }
+    });
+}
+
+// ---- Reports ---------------------------------------------------------------
+
+void Target::Sample()
+{
+  const TimePoint now = Clock::now();
+  m_samples.push_back(
+    { now, m_slots.Busy(), m_slots.Waiting(), m_times.IsSlow(now) });
+  // Keeps one sample that is old enough for the lag.
+  while (m_samples.size() > 1 &&
+         m_samples[1].m_time <= now - m_settings.m_reportLag) {
+    m_samples.pop_front();
+  }
+}
+
+Target::LoadSample Target::Reported() const
+{
+  const TimePoint limit = Clock::now() - m_settings.m_reportLag;
+  LoadSample reported = m_samples.front();
+  for (const LoadSample& sample : m_samples) {
+    if (sample.m_time <= limit) {
+      reported = sample;
+    }
+  }
+  return reported;
+}
+
+net::HttpResponse Target::Health()
+{
+  bool healthy = !m_draining && !Reported().m_slow;
+  if (m_settings.m_healthMode == ReportMode::AlwaysGood) {
+    healthy = true;
+  } else if (m_settings.m_healthMode == ReportMode::Random) {
+    healthy = m_reportRandom() % 2 == 0;
+  }
+  const nlohmann::json body{ { "healthy", healthy } };
+  return { healthy ? 200 : kServiceUnavailable, {}, body.dump() + "\n" };
+}
+
+net::HttpResponse Target::Load()
+{
+  LoadSample sample = Reported();
+  if (m_settings.m_loadMode == ReportMode::AlwaysGood) {
+    sample = {};
+  } else if (m_settings.m_loadMode == ReportMode::Random) {
+    sample.m_busy = static_cast<int>(
+      m_reportRandom() % static_cast<uint64_t>(m_settings.m_slots + 1));
+    sample.m_waiting = static_cast<int>(m_reportRandom() % 100);
+  }
+  const nlohmann::json body{ { "slots", m_settings.m_slots },
+                             { "busy", sample.m_busy },
+                             { "waiting", sample.m_waiting } };
+  return { 200, {}, body.dump() + "\n" };
+}
+
+} // namespace wigeonfold::target
--- /dev/null
+++ b/apps/wigeonfold-target/main.cpp
@@ -0,0 +1,81 @@
+// wigeonfold-target: HTTP target stand-in for tests.
+#include "Target.h"
+
+#include "wigeonfold/base/CommandLine.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <glog/logging.h>
+#include <iostream>
+
+namespace {
+
+using namespace wigeonfold;
+
+constexpr size_t kEventsKept = 1000;
+
+int Exit(ExitStatus aStatus)
+{
+  return static_cast<int>(aStatus);
+}
+
+ExitStatus Run(const target::TargetSettings& aSettings)
+{
+  EventLog log("target " + aSettings.m_name, kEventsKept);
+  auto executed = target::Executed::Open(aSettings.m_executedFile);
+  if (!executed) {
+    std::cerr << executed.error().ToString() << '\n';
+    return ExitStatus::Failed;
+  }
+  boost::asio::io_context io(1);
+  target::Target stand(io, aSettings, log, std::move(executed.value()));
+  const auto started = stand.Start();
+  if (!started) {
+    log.Record(EventId::ListenFailed,
+               { { "error", started.error().ToString() } });
+    return ExitStatus::Failed;
+  }
+  log.Record(
+    EventId::ProcessStarted,
+    { { "name", aSettings.m_name }, { "service", aSettings.m_service } });
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([&](boost::system::error_code aCode, int) {
+    if (!aCode) {
+      log.Record(EventId::ProcessStopping, { { "name", aSettings.m_name } });
+      stand.Drain([&io] { io.stop(); });
+    }
+  });
+  io.run();
+  log.Record(EventId::ProcessStopped, { { "name", aSettings.m_name } });
+  return ExitStatus::Success;
+}
+
+} // namespace
+
+int main(int aCount, char** aArguments)
+{
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging(aArguments[0]);
+  ExitStatus status = ExitStatus::Success;
+  const auto arguments = ParseDaemonArguments("wigeonfold-target",
+                                              "HTTP target stand-in for tests",
+                                              aCount,
+                                              aArguments,
+                                              status);
+  if (!arguments) {
+    return Exit(status);
+  }
+  auto file = SettingsFile::Load(arguments->m_configPath);
+  if (!file) {
+    std::cerr << file.error().ToString() << '\n';
+    return Exit(ExitStatus::InvalidSettings);
+  }
+  const auto settings = target::ReadTargetSettings(file.value());
+  if (!ReportProblems(file.value().Finish())) {
+    return Exit(ExitStatus::InvalidSettings);
+  }
+  if (arguments->m_checkOnly) {
+    return Exit(ExitStatus::Success);
+  }
+  return Exit(Run(settings));
+}
--- a/libs/net/include/wigeonfold/net/Http.h
+++ b/libs/net/include/wigeonfold/net/Http.h
@@ -71,13 +71,21 @@
   virtual size_t Connections() const = 0;
 };
 
+// Bounds on connections, for servers that stand for a limited target.
+struct HttpLimits
+{
+  size_t m_connections = 0; // further ones are closed at once; 0: no limit
+  Duration m_connectionCost = Duration::zero(); // delay before the first read
+};
+
 // Fails with Io when the address can't be bound. aRejectFields are added to
 // the answers the server gives by itself (400 malformed, 413 body too large).
 Result<std::unique_ptr<HttpServer>> ServeHttp(
   boost::asio::io_context& aIo,
   const SocketAddress& aAddress,
   HttpHandler aHandler,
-  std::vector<HttpField> aRejectFields = {});
+  std::vector<HttpField> aRejectFields = {},
+  HttpLimits aLimits = {});
 
 // Sends one request on a connection of its own and waits for the answer.
 // Blocks; for command line tools. Thread safe.
--- a/libs/net/src/Http.cpp
+++ b/libs/net/src/Http.cpp
@@ -64,6 +64,7 @@
   // Closes the connection if no request is under way or has begun to arrive.
   void CloseIfIdle();
   void Detach() { m_server = nullptr; }
+  bool IsAttached() const { return m_server != nullptr; }
 
 private:
   void OnRead(beast::error_code aCode);
@@ -93,9 +94,11 @@
 public:
   Server(tcp::acceptor aAcceptor,
          HttpHandler aHandler,
-         std::vector<HttpField> aRejectFields)
+         std::vector<HttpField> aRejectFields,
+         HttpLimits aLimits)
     : m_handler(std::move(aHandler))
     , m_rejectFields(std::move(aRejectFields))
+    , m_limits(aLimits)
     , m_acceptor(std::move(aAcceptor))
     , m_timer(m_acceptor.get_executor())
     , m_alive(std::make_shared<bool>(true))
@@ -158,6 +161,7 @@
 
   const HttpHandler m_handler;
   const std::vector<HttpField> m_rejectFields;
+  const HttpLimits m_limits;
 
 private:
   void Accept()
@@ -172,13 +176,32 @@
           AcceptLater();
           return;
         }
-        auto session = std::make_shared<Session>(std::move(aSocket), *this);
-        m_sessions.insert(session);
-        session->Read();
+        Open(std::move(aSocket));
         Accept();
       });
   }
 
+  void Open(tcp::socket aSocket)
+  {
+    if (m_limits.m_connections > 0 &&
+        m_sessions.size() >= m_limits.m_connections) {
+      return;
+    }
+    auto session = std::make_shared<Session>(std::move(aSocket), *this);
+    m_sessions.insert(session);
+    if (m_limits.m_connectionCost == Duration::zero()) {
+      session->Read();
+      return;
+    }
+    auto timer = std::make_shared<asio::steady_timer>(
+      m_acceptor.get_executor(), m_limits.m_connectionCost);
+    timer->async_wait([timer, session](boost::system::error_code) {
+      if (session->IsAttached()) {
+        session->Read();
+      }
+    });
+  }
+
   // Errors such as a lack of file descriptors pass; the socket stays usable.
   void AcceptLater()
   {
@@ -393,14 +416,18 @@
   asio::io_context& aIo,
   const SocketAddress& aAddress,
   HttpHandler aHandler,
-  std::vector<HttpField> aRejectFields)
+  std::vector<HttpField> aRejectFields,
+  HttpLimits aLimits)
 {
   try {
     const tcp::endpoint endpoint(asio::ip::make_address(aAddress.m_host),
                                  aAddress.m_port);
     tcp::acceptor acceptor(aIo, endpoint);
-    return std::unique_ptr<HttpServer>(std::make_unique<Server>(
-      std::move(acceptor), std::move(aHandler), std::move(aRejectFields)));
+    return std::unique_ptr<HttpServer>(
+      std::make_unique<Server>(std::move(acceptor),
+                               std::move(aHandler),
+                               std::move(aRejectFields),
+                               aLimits));
   } catch (const boost::system::system_error& error) {
     return Error{
       ErrorCode::Io, "listen", ToString(aAddress), error.code().message()
--- /dev/null
+++ b/libs/net/src/HttpPool.cpp
@@ -0,0 +1,358 @@
+#include "wigeonfold/net/HttpPool.h"
+
+#include <utility>
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <deque>
+#include <set>
+
+namespace wigeonfold::net {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+using PlainRequest = http::request<http::string_body>;
+
+struct PendingCall
+{
+  HttpRequest m_request;
+  TimePoint m_expires;
+  HttpOnOutcome m_onOutcome;
+};
+
+PlainRequest ToBeast(const HttpRequest& aRequest, const std::string& aHost)
+{
+  PlainRequest request;
+  request.method_string(aRequest.m_method);
+  request.target(aRequest.m_target);
+  request.version(11);
+  request.set(http::field::host, aHost);
+  for (const HttpField& field : aRequest.m_fields) {
+    request.set(field.m_name, field.m_value);
+  }
+  request.body() = aRequest.m_body;
+  request.prepare_payload();
+  return request;
+}
+
+HttpResponse ToPlain(http::response<http::string_body>&& aResponse)
+{
+  HttpResponse response;
+  response.m_status = static_cast<int>(aResponse.result_int());
+  for (const auto& field : aResponse) {
+    response.m_fields.push_back(
+      { std::string(field.name_string()), std::string(field.value()) });
+  }
+  response.m_body = std::move(aResponse.body());
+  return response;
+}
+
+class Pool;
+
+// ---- One connection --------------------------------------------------------
+
+class PoolConnection : public std::enable_shared_from_this<PoolConnection>
+{
+public:
+  PoolConnection(asio::io_context& aIo, Pool& aPool)
+    : m_stream(aIo)
+    , m_pool(&aPool)
+  {
+  }
+
+  void Start(PendingCall aCall);
+  // Closes the connection; an outcome that is due is not reported.
+  void Drop();
+
+private:
+  void Connect();
+  void Write();
+  void Read();
+  void Finish();
+  void Fail(const char* aStep, beast::error_code aCode);
+  void WatchWhileIdle();
+
+  beast::tcp_stream m_stream;
+  Pool* m_pool; // null once dropped
+  beast::flat_buffer m_buffer;
+  std::optional<http::response_parser<http::string_body>> m_parser;
+  PendingCall m_call;
+  PlainRequest m_request;
+  bool m_busy = false;
+  bool m_sent = false;
+  bool m_watching = false;
+};
+
+// ---- Pool ------------------------------------------------------------------
+
+class Pool : public HttpPool
+{
+public:
+  Pool(asio::io_context& aIo, const SocketAddress& aAddress, size_t aMax)
+    : m_address(ToString(aAddress))
+    , m_io(aIo)
+    , m_max(aMax)
+    , m_timer(aIo)
+    , m_alive(std::make_shared<bool>(true))
+  {
+    boost::system::error_code ignored;
+    m_endpoint = tcp::endpoint(asio::ip::make_address(aAddress.m_host, ignored),
+                               aAddress.m_port);
+  }
+
+  ~Pool() override
+  {
+    *m_alive = false;
+    const auto all = std::move(m_all);
+    for (const auto& connection : all) {
+      connection->Drop();
+    }
+  }
+
+  void Call(HttpRequest aRequest,
+            Duration aTimeout,
+            HttpOnOutcome aOnOutcome) override
+  {
+    m_waiting.push_back(
+      { std::move(aRequest), Clock::now() + aTimeout, std::move(aOnOutcome) });
+    Assign();
+    if (!m_waiting.empty() && !m_expiring) {
+      ExpireLater();
+    }
+  }
+
+  size_t Waiting() const override { return m_waiting.size(); }
+  size_t Connections() const override { return m_all.size(); }
+
+  void Release(const std::shared_ptr<PoolConnection>& aConnection)
+  {
+    m_idle.insert(aConnection);
+    Assign();
+  }
+
+  void Remove(const std::shared_ptr<PoolConnection>& aConnection)
+  {
+    m_idle.erase(aConnection);
+    m_all.erase(aConnection);
+    // Posted, so that a run of failures does not grow the stack.
+    asio::post(m_io, [this, alive = m_alive] {
+      if (*alive) {
+        Assign();
+      }
+    });
+  }
+
+  const std::string m_address;
+  tcp::endpoint m_endpoint;
+
+private:
+  void Assign()
+  {
+    while (!m_waiting.empty()) {
+      std::shared_ptr<PoolConnection> connection;
+      if (!m_idle.empty()) {
+        connection = *m_idle.begin();
+        m_idle.erase(m_idle.begin());
+      } else if (m_all.size() < m_max) {
+        connection = std::make_shared<PoolConnection>(m_io, *this);
+        m_all.insert(connection);
+      } else {
+        return;
+      }
+      PendingCall call = std::move(m_waiting.front());
+      m_waiting.pop_front();
+      connection->Start(std::move(call));
+    }
+  }
+
+  void ExpireLater()
+  {
+    constexpr std::chrono::milliseconds kExpiryCheck{ 20 };
+    m_expiring = true;
+    m_timer.expires_after(kExpiryCheck);
+    m_timer.async_wait(
+      [this, alive = m_alive](boost::system::error_code aCode) {
+        if (!aCode && *alive) {
+          Expire();
+        }
+      });
+  }
+
+  void Expire()
+  {
+    m_expiring = false;
+    const TimePoint now = Clock::now();
+    std::deque<PendingCall> expired;
+    for (PendingCall& call : std::exchange(m_waiting, {})) {
+      (call.m_expires <= now ? expired : m_waiting).push_back(std::move(call));
+    }
+    if (!m_waiting.empty()) {
+      ExpireLater();
+    }
+    for (PendingCall& call : expired) {
+      const Error error{
+        ErrorCode::Timeout, "wait for a connection", m_address, "timed out"
+      };
+      asio::post(m_io, [outcome = std::move(call.m_onOutcome), error] {
+        outcome({ std::nullopt, false, error });
+      });
+    }
+  }
+
+  asio::io_context& m_io;
+  const size_t m_max;
+  asio::steady_timer m_timer;
+  std::deque<PendingCall> m_waiting;
+  std::set<std::shared_ptr<PoolConnection>> m_all;
+  std::set<std::shared_ptr<PoolConnection>> m_idle;
+  bool m_expiring = false;
+  std::shared_ptr<bool> m_alive; // false once the pool is destroyed
+};
+
+void PoolConnection::Start(PendingCall aCall)
+{
+  m_call = std::move(aCall);
+  m_request = ToBeast(m_call.m_request, m_pool->m_address);
+  m_busy = true;
+  m_sent = false;
+  m_stream.expires_at(m_call.m_expires);
+  if (m_stream.socket().is_open()) {
+    Write();
+  } else {
+    Connect();
+  }
+}
+
+void PoolConnection::Connect()
+{
+  m_stream.async_connect(
+    m_pool->m_endpoint, [self = shared_from_this()](beast::error_code aCode) {
+      if (aCode) {
+        self->Fail("connect", aCode);
+        return;
+      }
+      boost::system::error_code ignored;
+      self->m_stream.socket().set_option(tcp::no_delay(true), ignored);
+      self->Write();
+    });
+}
+
+void PoolConnection::Write()
+{
+  m_sent = true;
+  http::async_write(
+    m_stream,
+    m_request,
+    [self = shared_from_this()](beast::error_code aCode, size_t) {
+      if (aCode) {
+        self->Fail("send request", aCode);
+        return;
+      }
+      self->Read();
+    });
+}
+
+void PoolConnection::Read()
+{
+  m_parser.emplace();
+  m_parser->body_limit(kMaxBodyBytes * 64);
+  m_parser->skip(m_request.method() == http::verb::head);
+  http::async_read(
+    m_stream,
+    m_buffer,
+    *m_parser,
+    [self = shared_from_this()](beast::error_code aCode, size_t) {
+      if (aCode) {
+        self->Fail("read answer", aCode);
+        return;
+      }
+      self->Finish();
+    });
+}
+
+void PoolConnection::Finish()
+{
+  m_stream.expires_never();
+  m_busy = false;
+  if (m_pool == nullptr) {
+    return;
+  }
+  const bool keep = m_parser->get().keep_alive() && m_buffer.size() == 0;
+  HttpOutcome outcome{ ToPlain(m_parser->release()), true, {} };
+  const auto onOutcome = std::exchange(m_call.m_onOutcome, nullptr);
+  const auto self = shared_from_this();
+  if (keep) {
+    WatchWhileIdle();
+    m_pool->Release(self);
+  } else {
+    boost::system::error_code ignored;
+    m_stream.socket().close(ignored);
+    m_pool->Remove(self);
+  }
+  onOutcome(std::move(outcome));
+}
+
+void PoolConnection::Fail(const char* aStep, beast::error_code aCode)
+{
+  m_busy = false;
+  if (m_pool == nullptr) {
+    return;
+  }
+  const auto self = shared_from_this();
+  boost::system::error_code ignored;
+  m_stream.socket().close(ignored);
+  const auto onOutcome = std::exchange(m_call.m_onOutcome, nullptr);
+  const bool timeout = aCode == beast::error::timeout;
+  const Error error{ timeout ? ErrorCode::Timeout : ErrorCode::Unavailable,
+                     aStep,
+                     m_pool->m_address,
+                     aCode.message() };
+  m_pool->Remove(self);
+  onOutcome({ std::nullopt, m_sent, error });
+}
+
+// A connection that the server closes while it is idle must not be given to a
+// call, which would fail although the server is well.
+void PoolConnection::WatchWhileIdle()
+{
+  if (m_watching) {
+    return;
+  }
+  m_watching = true;
+  m_stream.socket().async_wait(
+    tcp::socket::wait_read,
+    [self = shared_from_this()](boost::system::error_code aCode) {
+      self->m_watching = false;
+      if (aCode || self->m_busy || self->m_pool == nullptr) {
+        return;
+      }
+      boost::system::error_code ignored;
+      self->m_stream.socket().close(ignored);
+      self->m_pool->Remove(self);
+    });
+}
+
+void PoolConnection::Drop()
+{
+  m_pool = nullptr;
+  m_call.m_onOutcome = nullptr;
+  boost::system::error_code ignored;
+  m_stream.socket().close(ignored);
+}
+
+} // namespace
+
+std::unique_ptr<HttpPool> MakeHttpPool(asio::io_context& aIo,
+                                       const SocketAddress& aAddress,
+                                       size_t aMaxConnections)
+{
+  return std::make_unique<Pool>(aIo, aAddress, aMaxConnections);
+}
+
+} // namespace wigeonfold::net
