--- /dev/null
+++ b/apps/wigeonfold-load/Experiment.cpp
@@ -0,0 +1,186 @@
+#include "Experiment.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/algorithm/string/predicate.hpp>
+
+namespace wigeonfold::load {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int64_t kMaxRate = 1'000'000;
+constexpr int64_t kMaxPercent = 100'000;
+constexpr int64_t kMaxBody = int64_t{ 1 } << 20;
+
+// Sections "<kind> <name>" in the order of their names.
+std::vector<std::string> NamesOf(const SettingsFile& aFile,
+                                 const std::string& aKind)
+{
+  std::vector<std::string> names;
+  for (const std::string& section : aFile.Sections()) {
+    if (boost::starts_with(section, aKind + " ")) {
+      names.push_back(section.substr(aKind.size() + 1));
+    }
+  }
+  return names;
+}
+
+Phase ReadPhase(SettingsFile& aFile, const std::string& aName)
+{
+  const std::string section = "phase " + aName;
+  Phase phase;
+  phase.m_name = aName;
+  phase.m_length = aFile.Time(section, "length", 10s, 1ms, 86400s);
+  phase.m_ratePercent = static_cast<int>(
+    aFile.Integer(section, "rate-percent", 100, 0, kMaxPercent));
+  phase.m_surgeOffice = aFile.String(section, "surge-office", "");
+  phase.m_surgePercent = static_cast<int>(
+    aFile.Integer(section, "surge-percent", 100, 0, kMaxPercent));
+  return phase;
+}
+
+// Methods that RFC 9110 defines as idempotent.
+bool IsIdempotentMethod(const std::string& aMethod)
+{
+  constexpr std::array<const char*, 5> kMethods{
+    "GET", "HEAD", "PUT", "DELETE", "OPTIONS"
+  };
+  return std::find(kMethods.begin(), kMethods.end(), aMethod) != kMethods.end();
+}
+
+std::optional<Duration> OptionalTime(SettingsFile& aFile,
+                                     const std::string& aSection,
+                                     const std::string& aKey)
+{
+  constexpr Duration kAbsent = -1ms;
+  const Duration time = aFile.Time(aSection, aKey, kAbsent, 0ms, 600s);
+  return time == kAbsent ? std::nullopt : std::optional(time);
+}
+
+RequestClass ReadClass(SettingsFile& aFile, const std::string& aName)
+{
+  const std::string section = "class " + aName;
+  RequestClass kind;
+  kind.m_name = aName;
+  kind.m_service = aFile.RequiredString(section, "service");
+  kind.m_path =
+    aFile.String(section, "path", "/" + kind.m_service + "/" + aName);
+  kind.m_method = aFile.String(section, "method", "GET");
+  const auto keys = aFile.Keys(section);
+  kind.m_sendIdempotent =
+    std::find(keys.begin(), keys.end(), "idempotent") != keys.end();
+  kind.m_idempotent =
+    aFile.Boolean(section, "idempotent", IsIdempotentMethod(kind.m_method));
+  kind.m_work = OptionalTime(aFile, section, "work");
+  kind.m_bodyBytes =
+    static_cast<size_t>(aFile.Integer(section, "body-bytes", 0, 0, kMaxBody));
+  kind.m_answerBytes = static_cast<size_t>(
+    aFile.Integer(section, "answer-bytes", 64, 0, kMaxBody));
+  kind.m_weight =
+    static_cast<int>(aFile.Integer(section, "weight", 1, 0, kMaxPercent));
+  kind.m_deadline = OptionalTime(aFile, section, "deadline");
+  kind.m_chain = aFile.String(section, "chain", "");
+  if (!boost::starts_with(kind.m_path, "/")) {
+    aFile.AddProblem(section, "path", "does not begin with /");
+  }
+  return kind;
+}
+
+void ReadCallers(SettingsFile& aFile, Experiment& aExperiment)
+{
+  aExperiment.m_nodes = aFile.Addresses("callers", "nodes");
+  aExperiment.m_connections =
+    static_cast<size_t>(aFile.Integer("callers", "connections", 32, 1, 10'000));
+  aExperiment.m_nodesMayBreak =
+    aFile.Boolean("callers", "nodes-may-break", true);
+  aExperiment.m_answerTimeout =
+    aFile.Time("callers", "answer-timeout", 10s, 1ms, 600s);
+  aExperiment.m_answerGrace =
+    aFile.Time("callers", "answer-grace", 2s, 0ms, 600s);
+  aExperiment.m_callerAttempts =
+    static_cast<int>(aFile.Integer("callers", "attempts", 3, 1, 100));
+}
+
+// Checks what a single key can't show.
+void CheckWhole(SettingsFile& aFile, const Experiment& aExperiment)
+{
+  if (aExperiment.m_nodes.empty() && aExperiment.m_direct.empty()) {
+    aFile.AddProblem("callers", "nodes", "required without [direct]");
+  }
+  if (aExperiment.m_phases.empty()) {
+    aFile.AddProblem("phase", "length", "no section [phase NAME]");
+  }
+  int weights = 0;
+  for (const RequestClass& kind : aExperiment.m_classes) {
+    weights += kind.m_weight;
+  }
+  if (weights == 0) {
+    aFile.AddProblem("class", "weight", "no class with a weight above 0");
+  }
+  int shares = 0;
+  for (const Office& office : aExperiment.m_offices) {
+    shares += office.m_share;
+  }
+  if (shares == 0) {
+    aFile.AddProblem("offices", "share", "no office with a share above 0");
+  }
+  for (const Phase& phase : aExperiment.m_phases) {
+    const bool known =
+      phase.m_surgeOffice.empty() ||
+      std::any_of(aExperiment.m_offices.begin(),
+                  aExperiment.m_offices.end(),
+                  [&phase](const Office& aOffice) {
+                    return aOffice.m_account == phase.m_surgeOffice;
+                  });
+    if (!known) {
+      aFile.AddProblem(
+        "phase " + phase.m_name, "surge-office", "not listed in [offices]");
+    }
+  }
+}
+
+} // namespace
+
+Experiment ReadExperiment(SettingsFile& aFile)
+{
+  Experiment experiment;
+  experiment.m_run = aFile.String("load", "run", "run");
+  experiment.m_seed =
+    static_cast<uint64_t>(aFile.Integer("load", "seed", 1, 0, INT64_MAX));
+  experiment.m_rate =
+    static_cast<double>(aFile.Integer("load", "rate", 100, 1, kMaxRate));
+  ReadCallers(aFile, experiment);
+  for (const std::string& name : NamesOf(aFile, "phase")) {
+    experiment.m_phases.push_back(ReadPhase(aFile, name));
+  }
+  for (const std::string& account : aFile.Keys("offices")) {
+    experiment.m_offices.push_back(
+      { account,
+        static_cast<int>(
+          aFile.Integer("offices", account, 1, 0, kMaxPercent)) });
+  }
+  for (const std::string& name : NamesOf(aFile, "class")) {
+    experiment.m_classes.push_back(ReadClass(aFile, name));
+  }
+  for (const std::string& service : aFile.Keys("direct")) {
+    experiment.m_direct.push_back(
+      { service, aFile.Addresses("direct", service) });
+  }
+  CheckWhole(aFile, experiment);
+  return experiment;
+}
+
+std::vector<SocketAddress> DirectTargets(const Experiment& aExperiment,
+                                         const std::string& aService)
+{
+  for (const DirectService& direct : aExperiment.m_direct) {
+    if (direct.m_service == aService) {
+      return direct.m_targets;
+    }
+  }
+  return {};
+}
+
+} // namespace wigeonfold::load
--- /dev/null
+++ b/apps/wigeonfold-load/Schedule.cpp
@@ -0,0 +1,75 @@
+#include "Schedule.h"
+
+namespace wigeonfold::load {
+
+namespace {
+
+constexpr double kPercent = 100.0;
+
+std::vector<double> OfficeWeights(const Experiment& aExperiment,
+                                  const Phase& aPhase)
+{
+  std::vector<double> weights;
+  for (const Office& office : aExperiment.m_offices) {
+    const bool surges = office.m_account == aPhase.m_surgeOffice;
+    weights.push_back(office.m_share *
+                      (surges ? aPhase.m_surgePercent / kPercent : 1.0));
+  }
+  return weights;
+}
+
+double Sum(const std::vector<double>& aValues)
+{
+  double sum = 0;
+  for (const double value : aValues) {
+    sum += value;
+  }
+  return sum;
+}
+
+} // namespace
+
+Schedule::Schedule(const Experiment& aExperiment)
+  : m_random(aExperiment.m_seed)
+{
+  const double usual = Sum(OfficeWeights(aExperiment, Phase{}));
+  Duration end = Duration::zero();
+  for (const Phase& phase : aExperiment.m_phases) {
+    const auto weights = OfficeWeights(aExperiment, phase);
+    end += phase.m_length;
+    const double surge = Sum(weights) / usual;
+    m_plans.push_back(
+      { end,
+        aExperiment.m_rate * phase.m_ratePercent / kPercent * surge,
+        std::discrete_distribution<size_t>(weights.begin(), weights.end()) });
+  }
+  std::vector<double> classes;
+  for (const RequestClass& kind : aExperiment.m_classes) {
+    classes.push_back(kind.m_weight);
+  }
+  m_classes =
+    std::discrete_distribution<size_t>(classes.begin(), classes.end());
+}
+
+std::optional<Arrival> Schedule::Next()
+{
+  while (m_phase < m_plans.size()) {
+    PhasePlan& plan = m_plans[m_phase];
+    if (plan.m_rate > 0) {
+      std::exponential_distribution<double> gap(plan.m_rate);
+      m_now += std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(gap(m_random)));
+      if (m_now < plan.m_end) {
+        const size_t office = plan.m_offices(m_random);
+        const size_t kind = m_classes(m_random);
+        return Arrival{ m_now, m_phase, office, kind, m_random() };
+      }
+    }
+    // Poisson arrivals have no memory, so the next phase draws afresh.
+    m_now = plan.m_end;
+    ++m_phase;
+  }
+  return std::nullopt;
+}
+
+} // namespace wigeonfold::load
--- /dev/null
+++ b/apps/wigeonfold-load/Schedule.h
@@ -0,0 +1,47 @@
+// Seeded schedule of arrivals.
+#pragma once
+
+#include "Experiment.h"
+
+#include <optional>
+#include <random>
+
+namespace wigeonfold::load {
+
+struct Arrival
+{
+  Duration m_at = Duration::zero(); // since the start of the run
+  size_t m_phase = 0;
+  size_t m_office = 0; // index in Experiment::m_offices
+  size_t m_class = 0;  // index in Experiment::m_classes
+  uint64_t m_pick = 0; // selects the node or the target
+
+  bool operator==(const Arrival&) const = default;
+};
+
+// Poisson arrivals whose rate follows the phases. The schedule depends on the
+// experiment only, not on answers. Not thread safe.
+class Schedule
+{
+public:
+  explicit Schedule(const Experiment& aExperiment);
+
+  // Nothing after the last phase.
+  std::optional<Arrival> Next();
+
+private:
+  struct PhasePlan
+  {
+    Duration m_end = Duration::zero();
+    double m_rate = 0; // per second
+    std::discrete_distribution<size_t> m_offices;
+  };
+
+  std::vector<PhasePlan> m_plans;
+  std::discrete_distribution<size_t> m_classes;
+  std::mt19937_64 m_random;
+  size_t m_phase = 0;
+  Duration m_now = Duration::zero();
+};
+
+} // namespace wigeonfold::load
