--- a/apps/wigeonfold-target/test/Target_test.cpp
+++ b/apps/wigeonfold-target/test/Target_test.cpp
@@ -16,7 +16,7 @@
 {
   SettingsFile file = SettingsFile::Parse(
     "t.ini", "[target]\nlisten = 127.0.0.1:0\nservice = lots\n" + aText);
-  const TargetSettings settings = ReadTargetSettings(file);
+  TargetSettings settings = ReadTargetSettings(file);
   const std::vector<std::string> problems = file.Finish();
   EXPECT_TRUE(problems.empty()) << problems.front();
   return settings;
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -51,10 +51,14 @@
 peer-listen = $(fleet_address control-peer "$i")
 node-listen = $(fleet_address control-node "$i")
 api-listen = $(fleet_address control-api "$i")
-bootstrap = $([ "$i" -eq 0 ] && echo true || echo false)
-initial-voters = $fleet_controls
 seeds = $(fleet_addresses control-peer)
 INI
+  if [ "$i" -eq 0 ]; then
+    cat >>"$ini" <<INI
+bootstrap = true
+initial-voters = $(seq -s , -f control-%g 0 $((fleet_controls - 1)))
+INI
+  fi
   mkdir -p "$wf_work/data-$i"
   wf_start "control-$i" "$wf_bin/wigeonfold-control" --config "$ini"
 }
@@ -155,27 +159,25 @@
 
 # ---- Operators' view --------------------------------------------------------
 
-fleet_client_options() {
-  echo "--control $(fleet_addresses control-api) --draft $wf_work/draft"
-}
-
+# fleet_client COMMAND...: runs the operators' client.
 fleet_client() {
-  # shellcheck disable=SC2046
-  "$wf_bin/wigeonfold" $(fleet_client_options) "$@"
+  "$wf_bin/wigeonfold" "$@" --control "$(fleet_addresses control-api)"
 }
 
-fleet_status() { fleet_client status --json; }
+# fleet_set PATH KEY VALUE: into the draft that fleet_accept sends.
+fleet_set() { fleet_client branch set "$@" --draft "$wf_work/draft.json"; }
 
-fleet_has_leader() { fleet_leader >/dev/null; }
+fleet_accept() { fleet_client accept "$@" --draft "$wf_work/draft.json"; }
 
-# Index of the leader among the control VMs; fails when there is none.
+# Index of the control VM that holds the leader's lease; fails without one.
 fleet_leader() {
-  fleet_status | python3 -c '
+  fleet_client status --json | python3 -c '
 import json, sys
-status = json.load(sys.stdin)
-leader = status["leader"]
-names = [m["name"] for m in status["members"] if m["id"] == leader]
-print(names[0].rsplit("-", 1)[1])'
+for control in json.load(sys.stdin)["control"]:
+    if control["reached"] and control["status"]["leaseHeld"]:
+        print(control["name"].rsplit("-", 1)[1])
+        sys.exit(0)
+sys.exit(1)'
 }
 
 # fleet_is_complete COUNT: every node knows COUNT endpoints.
