--- a/libs/storage/include/wigeonfold/storage/Storage.h
+++ b/libs/storage/include/wigeonfold/storage/Storage.h
@@ -111,7 +111,8 @@
   virtual Status SetClusterId(int64_t aClusterId) = 0;
 
   // Writes and syncs the batch as a whole: after a crash either all of it or
-  // none is there. Records must follow the last index without a gap.
+  // none is there. Records must follow the last index without a gap, and none
+  // that the newest snapshot covers may be truncated (InvalidArgument).
   virtual Status Persist(const Batch& aBatch) = 0;
 
   // Writes, syncs and renames the snapshot. When the log holds no record with
--- a/libs/storage/src/Format.cpp
+++ b/libs/storage/src/Format.cpp
@@ -328,16 +328,18 @@
 
 // ---- Other files -----------------------------------------------------------
 
-std::string EncodeIdentity(const Identity& aIdentity)
+std::string EncodeFolderState(const FolderState& aState)
 {
   Writer writer;
   writer.U64(kIdentityMagic);
-  writer.I64(aIdentity.m_memberId);
-  writer.I64(aIdentity.m_clusterId);
+  writer.I64(aState.m_identity.m_memberId);
+  writer.I64(aState.m_identity.m_clusterId);
+  writer.U64(aState.m_firstSegment);
+  writer.U64(aState.m_lastSegment);
   return Seal(writer);
 }
 
-std::optional<Identity> DecodeIdentity(std::string_view aBytes)
+std::optional<FolderState> DecodeFolderState(std::string_view aBytes)
 {
   const auto content = Unseal(aBytes);
   if (!content) {
@@ -345,13 +347,17 @@
   }
   Reader reader(*content);
   const uint64_t magic = reader.U64();
-  Identity identity;
-  identity.m_memberId = reader.I64();
-  identity.m_clusterId = reader.I64();
-  if (magic != kIdentityMagic || !reader.AtEnd()) {
+  FolderState state;
+  state.m_identity.m_memberId = reader.I64();
+  state.m_identity.m_clusterId = reader.I64();
+  state.m_firstSegment = reader.U64();
+  state.m_lastSegment = reader.U64();
+  if (magic != kIdentityMagic || !reader.AtEnd() ||
+      state.m_identity.m_memberId <= 0 ||
+      state.m_firstSegment > state.m_lastSegment) {
     return std::nullopt;
   }
-  return identity;
+  return state;
 }
 
 std::string EncodeSnapshot(const Snapshot& aSnapshot)
--- a/libs/storage/src/Format.h
+++ b/libs/storage/src/Format.h
@@ -80,8 +80,17 @@
 
 // ---- Other files -----------------------------------------------------------
 
-std::string EncodeIdentity(const Identity& aIdentity);
-std::optional<Identity> DecodeIdentity(std::string_view aBytes);
+// The identity file: replaced atomically, also when a segment is added or
+// segments are removed, so that a missing segment is always noticed.
+struct FolderState
+{
+  Identity m_identity;
+  uint64_t m_firstSegment = 1;
+  uint64_t m_lastSegment = 1;
+};
+
+std::string EncodeFolderState(const FolderState& aState);
+std::optional<FolderState> DecodeFolderState(std::string_view aBytes);
 
 std::string EncodeSnapshot(const Snapshot& aSnapshot);
 std::optional<Snapshot> DecodeSnapshot(std::string_view aBytes);
--- a/libs/storage/src/Recovery.cpp
+++ b/libs/storage/src/Recovery.cpp
@@ -11,18 +11,6 @@
   return Error{ ErrorCode::Corrupt, "read data folder", aFile, aDetail };
 }
 
-std::vector<uint64_t> SegmentSequences(const std::vector<std::string>& aNames)
-{
-  std::vector<uint64_t> sequences;
-  for (const std::string& name : aNames) {
-    if (const auto sequence = ParseSegmentName(name)) {
-      sequences.push_back(*sequence);
-    }
-  }
-  std::sort(sequences.begin(), sequences.end());
-  return sequences;
-}
-
 // Applies one batch; false when it does not fit the state before it.
 bool Replay(LoadedLog& aLog, StoredBatch&& aStored)
 {
@@ -40,6 +28,7 @@
         batch.m_truncateFrom > aLog.LastIndex() + 1) {
       return false;
     }
+    MarkTruncated(aLog.m_segments, batch.m_truncateFrom);
     aLog.m_records.resize(
       static_cast<size_t>(batch.m_truncateFrom - aLog.m_baseIndex - 1));
   }
@@ -117,49 +106,48 @@
            aTerm;
 }
 
+void MarkTruncated(std::vector<SegmentReference>& aSegments,
+                   int64_t aTruncateFrom)
+{
+  for (SegmentReference& segment : aSegments) {
+    segment.m_mayBeFirst =
+      segment.m_mayBeFirst && segment.m_baseIndex < aTruncateFrom;
+  }
+}
+
 Result<LoadedLog> LoadLog(FileSystem& aFileSystem,
                           const std::string& aFolder,
-                          const std::vector<std::string>& aNames)
+                          const FolderState& aState)
 {
   LoadedLog log;
-  const std::vector<uint64_t> sequences = SegmentSequences(aNames);
-  for (size_t i = 0; i < sequences.size(); ++i) {
-    const std::string name = SegmentName(sequences[i]);
-    const bool last = i + 1 == sequences.size();
+  for (uint64_t sequence = aState.m_firstSegment;
+       sequence <= aState.m_lastSegment;
+       ++sequence) {
+    const std::string name = SegmentName(sequence);
     const auto bytes = aFileSystem.Read(aFolder + "/" + name);
+    if (!bytes && bytes.error().m_code == ErrorCode::NotFound) {
+      return Corrupt(name, "the segment is missing");
+    }
     if (!bytes) {
       return bytes.error();
     }
     const auto header = DecodeHeader(bytes.value());
-    if (!header) {
-      // A header is synced before the segment is used, so a short last
-      // segment was never used.
-      if (last && i > 0 && bytes.value().size() <= kSegmentHeaderBytes) {
-        log.m_incomplete = name;
-        break;
-      }
+    if (!header || header->m_sequence != sequence) {
       return Corrupt(name, "bad segment header");
     }
-    if (i == 0) {
+    if (log.m_segments.empty()) {
       StartFrom(log, *header);
-    } else if (sequences[i] != sequences[i - 1] + 1) {
-      return Corrupt(name, "the segment before it is missing");
     } else if (!Follows(log, *header)) {
       return Corrupt(name, "the segment does not continue the log");
     }
-    if (header->m_sequence != sequences[i]) {
-      return Corrupt(name, "the segment belongs to another place");
-    }
+    log.m_segments.push_back({ sequence, header->m_baseIndex });
+    log.m_lastHeader = *header;
+    const bool last = sequence == aState.m_lastSegment;
     const Status replayed =
       ReplayBatches(log, *header, name, bytes.value(), last);
     if (!replayed) {
       return replayed.error();
     }
-    log.m_segments.push_back({ header->m_sequence, header->m_baseIndex });
-    log.m_lastHeader = *header;
-  }
-  if (log.m_segments.empty()) {
-    return Corrupt(aFolder, "the log is missing");
   }
   return log;
 }
--- a/libs/storage/src/Recovery.h
+++ b/libs/storage/src/Recovery.h
@@ -13,8 +13,15 @@
 {
   uint64_t m_sequence = 0;
   int64_t m_baseIndex = 0; // last log index before the segment
+  // False once records before the segment have been truncated: the replay can
+  // then not start here.
+  bool m_mayBeFirst = true;
 };
 
+// Notes a truncation in the references of the segments written before it.
+void MarkTruncated(std::vector<SegmentReference>& aSegments,
+                   int64_t aTruncateFrom);
+
 // The log after the replay of all segments.
 struct LoadedLog
 {
@@ -27,8 +34,6 @@
   SegmentHeader m_lastHeader;
   size_t m_lastSize = 0; // valid bytes of the last segment
   size_t m_tornBytes = 0;
-  // A segment whose creation was interrupted; empty for none.
-  std::string m_incomplete;
 
   int64_t LastIndex() const
   {
@@ -42,11 +47,11 @@
   bool Contains(int64_t aIndex, int64_t aTerm) const;
 };
 
-// Changes nothing on disk. aNames are the files of the folder. Fails with
+// Reads the segments that the state names; changes nothing on disk. Fails with
 // Corrupt on damage before the tail, a missing segment or impossible content.
 Result<LoadedLog> LoadLog(FileSystem& aFileSystem,
                           const std::string& aFolder,
-                          const std::vector<std::string>& aNames);
+                          const FolderState& aState);
 
 struct LoadedSnapshot
 {
--- a/libs/storage/src/Storage.cpp
+++ b/libs/storage/src/Storage.cpp
@@ -39,7 +39,7 @@
   Status Start();
 
   Recovered TakeRecovered() override { return std::move(m_recovered); }
-  Identity GetIdentity() const override { return m_identity; }
+  Identity GetIdentity() const override { return m_state.m_identity; }
   Status SetClusterId(int64_t aClusterId) override;
   Status Persist(const Batch& aBatch) override;
   Status SaveSnapshot(const Snapshot& aSnapshot) override;
@@ -54,8 +54,7 @@
   Status OpenFolder();
   Status Create();
   Status Load();
-  Status RemoveTemporaries();
-  Status LoadIdentity(const std::string& aBytes);
+  Status RemoveUnused();
   Status CheckReach(const LoadedLog& aLog, const LoadedSnapshot& aLoaded);
   Status CutTail(const LoadedLog& aLog);
   void Adopt(LoadedLog& aLog, LoadedSnapshot& aLoaded);
@@ -90,7 +89,7 @@
 
   std::unique_ptr<File> m_lock;
   Recovered m_recovered;
-  Identity m_identity;
+  FolderState m_state;
   HardState m_hardState;
 
   // Positions of the stored log; the data itself stays on disk.
@@ -125,26 +124,38 @@
   if (!identity && identity.error().m_code != ErrorCode::NotFound) {
     return identity.error();
   }
-  BOOST_OUTCOME_TRYV(RemoveTemporaries());
   if (!identity) {
     return Create();
   }
-  BOOST_OUTCOME_TRYV(LoadIdentity(identity.value()));
+  const auto state = DecodeFolderState(identity.value());
+  if (!state) {
+    return Error{
+      ErrorCode::Corrupt, "read identity", PathOf(kIdentityName), "bad checksum"
+    };
+  }
+  m_state = *state;
+  BOOST_OUTCOME_TRYV(RemoveUnused());
   return Load();
 }
 
-Status FolderStorage::RemoveTemporaries()
+// Removes temporary files, and segments whose creation or removal was
+// interrupted.
+Status FolderStorage::RemoveUnused()
 {
   const auto names = m_fileSystem.List(m_settings.m_folder);
   if (!names) {
     return names.error();
   }
   for (const std::string& name : names.value()) {
-    if (name.ends_with(kTemporarySuffix)) {
+    const auto sequence = ParseSegmentName(name);
+    const bool unused = name.ends_with(kTemporarySuffix) ||
+                        (sequence && (*sequence < m_state.m_firstSegment ||
+                                      *sequence > m_state.m_lastSegment));
+    if (unused) {
       BOOST_OUTCOME_TRYV(m_fileSystem.Remove(PathOf(name)));
     }
   }
-  return Ok();
+  return m_fileSystem.SyncFolder(m_settings.m_folder);
 }
 
 // The identity is written last, so a folder without one holds at most an
@@ -163,8 +174,9 @@
     if (!bytes) {
       return bytes.error();
     }
-    const bool unused = ParseSegmentName(name) == uint64_t{ 1 } &&
-                        bytes.value().size() <= kSegmentHeaderBytes;
+    const bool unused = name.ends_with(kTemporarySuffix) ||
+                        (ParseSegmentName(name) == uint64_t{ 1 } &&
+                         bytes.value().size() <= kSegmentHeaderBytes);
     if (!unused) {
       return Error{ ErrorCode::Corrupt,
                     "create data folder",
@@ -176,25 +188,13 @@
   BOOST_OUTCOME_TRYV(StartSegment());
   std::uniform_int_distribution<int64_t> ids(
     1, std::numeric_limits<int64_t>::max());
-  m_identity.m_memberId = ids(m_random);
+  m_state.m_identity.m_memberId = ids(m_random);
   BOOST_OUTCOME_TRYV(
-    WriteAtomically(kIdentityName, EncodeIdentity(m_identity)));
-  m_recovered.m_identity = m_identity;
+    WriteAtomically(kIdentityName, EncodeFolderState(m_state)));
+  m_recovered.m_identity = m_state.m_identity;
   m_events(EventId::FolderCreated,
            { { "folder", m_settings.m_folder },
-             { "member", std::to_string(m_identity.m_memberId) } });
-  return Ok();
-}
-
-Status FolderStorage::LoadIdentity(const std::string& aBytes)
-{
-  const auto identity = DecodeIdentity(aBytes);
-  if (!identity || identity->m_memberId <= 0) {
-    return Error{
-      ErrorCode::Corrupt, "read identity", PathOf(kIdentityName), "bad checksum"
-    };
-  }
-  m_identity = *identity;
+             { "member", std::to_string(m_state.m_identity.m_memberId) } });
   return Ok();
 }
 
@@ -212,7 +212,7 @@
   for (const SnapshotName& name : snapshot.value().m_damaged) {
     m_events(EventId::SnapshotDamaged, { { "file", ToFileName(name) } });
   }
-  auto log = LoadLog(m_fileSystem, m_settings.m_folder, names.value());
+  auto log = LoadLog(m_fileSystem, m_settings.m_folder, m_state);
   if (!log) {
     return log.error();
   }
@@ -240,7 +240,7 @@
   }
   m_events(EventId::FolderRecovered,
            { { "folder", m_settings.m_folder },
-             { "member", std::to_string(m_identity.m_memberId) },
+             { "member", std::to_string(m_state.m_identity.m_memberId) },
              { "snapshot", std::to_string(restored ? restored->m_index : 0) },
              { "last", std::to_string(LastIndex()) } });
   return Ok();
@@ -265,10 +265,6 @@
 
 Status FolderStorage::CutTail(const LoadedLog& aLog)
 {
-  if (!aLog.m_incomplete.empty()) {
-    BOOST_OUTCOME_TRYV(m_fileSystem.Remove(PathOf(aLog.m_incomplete)));
-    BOOST_OUTCOME_TRYV(m_fileSystem.SyncFolder(m_settings.m_folder));
-  }
   auto file =
     m_fileSystem.Open(PathOf(SegmentName(aLog.m_lastHeader.m_sequence)));
   if (!file) {
@@ -301,7 +297,7 @@
     const auto& damaged = aLoaded.m_damaged;
     return std::find(damaged.begin(), damaged.end(), aName) != damaged.end();
   });
-  m_recovered.m_identity = m_identity;
+  m_recovered.m_identity = m_state.m_identity;
   m_recovered.m_hardState = m_hardState;
   m_recovered.m_snapshot = std::move(aLoaded.m_snapshot);
   m_recovered.m_baseIndex = m_baseIndex;
@@ -317,14 +313,14 @@
   if (m_failure) {
     return *m_failure;
   }
-  if (aClusterId == m_identity.m_clusterId) {
+  if (aClusterId == m_state.m_identity.m_clusterId) {
     return Ok();
   }
-  if (m_identity.m_clusterId != 0 || aClusterId == 0) {
+  if (m_state.m_identity.m_clusterId != 0 || aClusterId == 0) {
     return Invalid("set cluster id", "the folder belongs to another cluster");
   }
-  m_identity.m_clusterId = aClusterId;
-  return Guard(WriteAtomically(kIdentityName, EncodeIdentity(m_identity)));
+  m_state.m_identity.m_clusterId = aClusterId;
+  return Guard(WriteAtomically(kIdentityName, EncodeFolderState(m_state)));
 }
 
 Status FolderStorage::Persist(const Batch& aBatch)
@@ -341,7 +337,9 @@
 {
   int64_t last = LastIndex();
   if (aBatch.m_truncateFrom != 0) {
-    if (aBatch.m_truncateFrom <= m_baseIndex ||
+    const int64_t covered =
+      m_snapshots.empty() ? 0 : m_snapshots.back().m_index;
+    if (aBatch.m_truncateFrom <= std::max(m_baseIndex, covered) ||
         aBatch.m_truncateFrom > last + 1) {
       return Invalid("persist batch", "truncation outside of the log");
     }
@@ -378,6 +376,7 @@
     m_baseTerm = aBatch.m_resetTerm;
   }
   if (batch.m_truncateFrom != 0) {
+    MarkTruncated(m_segments, batch.m_truncateFrom);
     m_terms.resize(static_cast<size_t>(batch.m_truncateFrom - m_baseIndex - 1));
   }
   for (const LogRecord& record : batch.m_append) {
@@ -391,7 +390,9 @@
   if (m_segmentSize < m_settings.m_segmentBytes) {
     return Ok();
   }
-  return StartSegment();
+  BOOST_OUTCOME_TRYV(StartSegment());
+  m_state.m_lastSegment = m_header.m_sequence;
+  return WriteAtomically(kIdentityName, EncodeFolderState(m_state));
 }
 
 Status FolderStorage::StartSegment()
@@ -479,15 +480,26 @@
   if (m_snapshots.empty() || aIndex > m_snapshots.back().m_index) {
     return Invalid("compact log", "no snapshot covers the records");
   }
-  // Removed from the oldest on, so that an interruption leaves no gap.
-  while (m_segments.size() > 1 && m_segments[1].m_baseIndex <= aIndex) {
+  const auto first = std::find_if(m_segments.rbegin(),
+                                  m_segments.rend(),
+                                  [aIndex](const SegmentReference& aSegment) {
+                                    return aSegment.m_mayBeFirst &&
+                                           aSegment.m_baseIndex <= aIndex;
+                                  });
+  if (first == m_segments.rend() ||
+      first->m_sequence == m_state.m_firstSegment) {
+    return Ok();
+  }
+  m_state.m_firstSegment = first->m_sequence;
+  TrimTo(first->m_baseIndex);
+  BOOST_OUTCOME_TRYV(
+    Guard(WriteAtomically(kIdentityName, EncodeFolderState(m_state))));
+  while (m_segments.front().m_sequence < m_state.m_firstSegment) {
     BOOST_OUTCOME_TRYV(Guard(
       m_fileSystem.Remove(PathOf(SegmentName(m_segments.front().m_sequence)))));
-    BOOST_OUTCOME_TRYV(Guard(m_fileSystem.SyncFolder(m_settings.m_folder)));
     m_segments.erase(m_segments.begin());
-    TrimTo(m_segments.front().m_baseIndex);
   }
-  return Ok();
+  return Guard(m_fileSystem.SyncFolder(m_settings.m_folder));
 }
 
 void FolderStorage::TrimTo(int64_t aIndex)
