Add the operators' command line client

Edits a local draft and sends it with a change id drawn once. The draft says that it was sent before it is, so that its content stays fixed until an answer is seen; a lost answer is resolved by sending the same change again.

--- /dev/null
+++ b/apps/wigeonfold/Arguments.h
@@ -0,0 +1,86 @@
+// Command line of the operators' client.
+#pragma once
+
+#include "wigeonfold/base/CommandLine.h"
+#include "wigeonfold/base/Settings.h"
+#include "wigeonfold/base/Time.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace wigeonfold::client {
+
+enum class Command
+{
+  CheckConfig,
+  BranchGet,
+  BranchSet,
+  BranchUnset,
+  BranchRemove,
+  BranchShow,
+  Diff,
+  Accept,
+  Discard,
+  History,
+  Status,
+  MembersList,
+  MembersAdd,
+  MembersRemove,
+  MembersPromote,
+  MembersReplace,
+  Drain,
+};
+
+struct Arguments
+{
+  Command m_command = Command::CheckConfig;
+
+  // ---- Operands; empty where a command has none ----
+  std::string m_path;
+  std::string m_key;
+  std::string m_value;
+  std::string m_node;
+  std::string m_member; // id or name of a present member
+  std::string m_newId;  // of a new member
+  std::string m_name;
+  std::string m_zone;
+  std::string m_peerAddress;
+  std::string m_apiAddress;
+
+  // ---- Options ----
+  bool m_effective = false;
+  bool m_wait = false;
+  bool m_rebase = false;
+  bool m_undo = false;
+  bool m_force = false;
+  bool m_json = false;
+  std::string m_since;
+  std::string m_author;
+  std::string m_comment;
+  std::string m_limit;
+  std::string m_config;
+  std::string m_control;
+  std::string m_draft;
+};
+
+// Where the control VMs are and how long to try.
+struct ClientSettings
+{
+  std::vector<SocketAddress> m_control;
+  Duration m_timeout{};     // of one command's request, retries included
+  Duration m_waitTimeout{}; // of --wait
+};
+
+// Prints help, version or the usage error itself and then returns nothing,
+// with the exit status in aStatus.
+std::optional<Arguments> ParseArguments(int aCount,
+                                        const char* const* aArguments,
+                                        ExitStatus& aStatus);
+
+// Settings from --config and --control, which wins. Prints all problems and
+// returns nothing, with the exit status in aStatus, when they are no use.
+std::optional<ClientSettings> LoadSettings(const Arguments& aArguments,
+                                           ExitStatus& aStatus);
+
+} // namespace wigeonfold::client
--- /dev/null
+++ b/apps/wigeonfold/ClusterCommands.cpp
@@ -0,0 +1,250 @@
+// Commands that show the cluster and change its members.
+#include "Commands.h"
+
+#include "wigeonfold/registry/OperatorApi.h"
+#include "wigeonfold/settings/Schema.h"
+
+#include <algorithm>
+#include <ostream>
+
+namespace wigeonfold::client {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// A learner needs time to receive a snapshot before it can be promoted.
+constexpr Duration kStepPoll = 500ms;
+
+void PrintMember(Session& aSession, const Json& aMember)
+{
+  const auto age = aMember.find("freshnessAgeMs");
+  const bool known = age != aMember.end() && age->is_number();
+  aSession.m_out << "  " << TextOf(aMember, "name") << "  "
+                 << TextOf(aMember, "memberId") << "  "
+                 << TextOf(aMember, "availabilityZone") << "  "
+                 << (aMember.value("voter", false) ? "voter" : "learner")
+                 << (aMember.value("leader", false) ? ", leader" : "") << "  "
+                 << TextOf(aMember, "apiAddress") << "  "
+                 << (known ? "confirmed " + age->dump() + " ms ago"
+                           : "freshness not known")
+                 << '\n';
+}
+
+// ---- Status ----------------------------------------------------------------
+
+void PrintNode(Session& aSession,
+               const Json& aNode,
+               const std::string& aControl)
+{
+  const std::string inForce = TextOf(aNode, "inForce");
+  const std::string refusal = TextOf(aNode, "refusal");
+  const auto lag = aNode.find("lag");
+  const bool behind =
+    lag != aNode.end() && lag->is_number() && lag->get<int64_t>() > 0;
+  aSession.m_out << "  " << TextOf(aNode, "name") << "  "
+                 << TextOf(aNode, "availabilityZone") << "  " << aControl
+                 << "  " << (inForce.empty() ? "nothing in force" : inForce)
+                 << (behind ? ", " + lag->dump() + " changes behind" : "");
+  if (!refusal.empty()) {
+    aSession.m_out << ", refused " << TextOf(aNode, "refused") << ": "
+                   << refusal;
+  }
+  aSession.m_out << '\n';
+}
+
+void PrintStatus(Session& aSession, const std::vector<ControlStatus>& aStatuses)
+{
+  for (const ControlStatus& status : aStatuses) {
+    aSession.m_out << status.m_name << "  " << status.m_apiAddress << "  ";
+    if (!status.m_status) {
+      aSession.m_out << "not reached\n";
+      continue;
+    }
+    const Json& json = *status.m_status;
+    aSession.m_out << "version " << TextOf(json, "version") << ", term "
+                   << json.value("term", int64_t{ 0 })
+                   << (json.value("leaseHeld", false) ? ", leader" : "") << ", "
+                   << json.value("nodeCount", size_t{ 0 }) << " nodes\n";
+    for (const Json& member : json.value("members", Json::array())) {
+      if (member.value("self", false)) {
+        PrintMember(aSession, member);
+      }
+    }
+  }
+  aSession.m_out << "nodes:\n";
+  for (const ControlStatus& status : aStatuses) {
+    const Json json = status.m_status.value_or(Json::object());
+    for (const Json& node : json.value("nodes", Json::array())) {
+      PrintNode(aSession, node, status.m_name);
+    }
+  }
+}
+
+Json StatusToJson(const std::vector<ControlStatus>& aStatuses)
+{
+  Json control = Json::array();
+  for (const ControlStatus& status : aStatuses) {
+    control.push_back({ { "name", status.m_name },
+                        { "apiAddress", status.m_apiAddress },
+                        { "reached", status.m_status.has_value() },
+                        { "status", status.m_status.value_or(Json()) } });
+  }
+  return { { "control", std::move(control) } };
+}
+
+// ---- Members ---------------------------------------------------------------
+
+// Id of the member with that id or name.
+Result<int64_t> FindMember(Session& aSession, const std::string& aMember)
+{
+  const auto members = Read(aSession, "/v1/members");
+  if (!members) {
+    return members.error();
+  }
+  for (const Json& member : members.value().value("members", Json::array())) {
+    const std::string id = TextOf(member, "memberId");
+    if (id == aMember || TextOf(member, "name") == aMember) {
+      return settings::ParseInteger(id).value_or(0);
+    }
+  }
+  return Error{
+    ErrorCode::NotFound, "find member", "", "no member " + aMember
+  };
+}
+
+Result<registry::MemberRequest> ToRequest(Session& aSession)
+{
+  const Arguments& arguments = aSession.m_arguments;
+  registry::MemberRequest request;
+  request.m_action = arguments.m_command == Command::MembersAdd
+                       ? registry::MemberAction::Add
+                     : arguments.m_command == Command::MembersRemove
+                       ? registry::MemberAction::Remove
+                     : arguments.m_command == Command::MembersPromote
+                       ? registry::MemberAction::Promote
+                       : registry::MemberAction::Replace;
+  if (!arguments.m_member.empty()) {
+    const auto id = FindMember(aSession, arguments.m_member);
+    if (!id) {
+      return id.error();
+    }
+    request.m_memberId = id.value();
+  }
+  request.m_member.memberId =
+    settings::ParseInteger(arguments.m_newId).value_or(0);
+  request.m_member.name = arguments.m_name;
+  request.m_member.availabilityZone = arguments.m_zone;
+  request.m_member.peerAddress = arguments.m_peerAddress;
+  request.m_member.apiAddress = arguments.m_apiAddress;
+  return registry::ParseMemberRequest(registry::FormatMemberRequest(request));
+}
+
+// Repeats the request until all its steps are done.
+ExitStatus RunSteps(Session& aSession, const std::string& aBody)
+{
+  const TimePoint deadline =
+    aSession.m_environment.m_now() + aSession.m_settings.m_waitTimeout;
+  std::string shown;
+  while (true) {
+    const auto answer = aSession.m_client.Send("POST", "/v1/members", aBody);
+    if (!answer) {
+      return Fail(aSession.m_err, answer.error());
+    }
+    const int status = answer.value().m_status;
+    const std::string step = TextOf(answer.value().m_json, "step");
+    if (status != 200 && status != 202) {
+      return Refuse(aSession, ProblemOf(answer.value()));
+    }
+    if (status == 200) {
+      aSession.m_out << (aSession.m_arguments.m_json
+                           ? answer.value().m_json.dump(2)
+                           : "done: " + step)
+                     << '\n';
+      return ExitStatus::Success;
+    }
+    if (step != shown) {
+      shown = step;
+      aSession.m_err << step << '\n';
+    }
+    if (aSession.m_environment.m_now() >= deadline) {
+      return Refuse(aSession, "not done in time; run the command again");
+    }
+    aSession.m_environment.m_sleep(kStepPoll);
+  }
+}
+
+} // namespace
+
+// ---- Commands --------------------------------------------------------------
+
+ExitStatus RunStatus(Session& aSession)
+{
+  const auto statuses = AskEveryControl(aSession, "/v1/status");
+  if (!statuses) {
+    return Fail(aSession.m_err, statuses.error());
+  }
+  if (aSession.m_arguments.m_json) {
+    aSession.m_out << StatusToJson(statuses.value()).dump(2) << '\n';
+  } else {
+    PrintStatus(aSession, statuses.value());
+  }
+  const bool complete = std::all_of(
+    statuses.value().begin(),
+    statuses.value().end(),
+    [](const ControlStatus& aStatus) { return aStatus.m_status.has_value(); });
+  return complete ? ExitStatus::Success : ExitStatus::Failed;
+}
+
+ExitStatus RunHistory(Session& aSession)
+{
+  const auto history =
+    Read(aSession, "/v1/history?limit=" + Escape(aSession.m_arguments.m_limit));
+  if (!history) {
+    return Fail(aSession.m_err, history.error());
+  }
+  if (aSession.m_arguments.m_json) {
+    aSession.m_out << history.value().dump(2) << '\n';
+    return ExitStatus::Success;
+  }
+  for (const Json& entry : history.value().value("entries", Json::array())) {
+    aSession.m_out << TextOf(entry, "version") << "  "
+                   << TextOf(entry, "author") << "  "
+                   << TextOf(entry, "comment") << '\n';
+    for (const Json& operation : entry.value("operations", Json::array())) {
+      const std::string value = TextOf(operation, "value");
+      aSession.m_out << "    " << TextOf(operation, "op") << ' '
+                     << ShowPath(TextOf(operation, "path")) << ' '
+                     << TextOf(operation, "key")
+                     << (value.empty() ? "" : " = " + value) << '\n';
+    }
+  }
+  return ExitStatus::Success;
+}
+
+ExitStatus RunMembersList(Session& aSession)
+{
+  const auto members = Read(aSession, "/v1/members");
+  if (!members) {
+    return Fail(aSession.m_err, members.error());
+  }
+  if (aSession.m_arguments.m_json) {
+    aSession.m_out << members.value().dump(2) << '\n';
+    return ExitStatus::Success;
+  }
+  for (const Json& member : members.value().value("members", Json::array())) {
+    PrintMember(aSession, member);
+  }
+  return ExitStatus::Success;
+}
+
+ExitStatus RunMembersChange(Session& aSession)
+{
+  const auto request = ToRequest(aSession);
+  if (!request) {
+    return Fail(aSession.m_err, request.error());
+  }
+  return RunSteps(aSession, registry::FormatMemberRequest(request.value()));
+}
+
+} // namespace wigeonfold::client
--- a/libs/registry/include/wigeonfold/registry/OperatorApi.h
+++ b/libs/registry/include/wigeonfold/registry/OperatorApi.h
@@ -16,6 +16,9 @@
 
 namespace wigeonfold::registry {
 
+// "generation.number"; nothing for another form.
+std::optional<Version> ParseVersion(const std::string& aText);
+
 // ---- State of the cluster as one control VM sees it ------------------------
 
 struct MemberStatus
@@ -81,6 +84,8 @@
 // The body of POST /v1/accept; acceptedAtMs stays 0, the leader sets it. Fails
 // with InvalidArgument and all problems, one a line, in the detail.
 Result<wire::Change> ParseAccept(const std::string& aBody);
+// The inverse of ParseAccept, for clients. acceptedAtMs is left out.
+std::string FormatChange(const wire::Change& aChange);
 // 200, 409 or 422.
 ApiReply FormatAccept(const wire::AcceptResult& aResult);
 // 422 for the error of ParseAccept.
@@ -128,6 +133,8 @@
 MembershipPlan PlanMembership(const wire::Membership& aCurrent,
                               const MemberRequest& aRequest,
                               const std::set<int64_t>& aCaughtUp);
+// The inverse of ParseMemberRequest, for clients.
+std::string FormatMemberRequest(const MemberRequest& aRequest);
 // 200 done, 202 in progress (send the request again), 409 refused. Call it for
 // a Propose plan after the proposed membership has been committed.
 ApiReply FormatMembership(const MembershipPlan& aPlan);
--- a/libs/registry/src/Json.cpp
+++ b/libs/registry/src/Json.cpp
@@ -1,5 +1,6 @@
 #include "Json.h"
 
+#include "wigeonfold/registry/OperatorApi.h"
 #include "wigeonfold/settings/Schema.h"
 
 namespace wigeonfold::registry {
--- a/libs/registry/src/Json.h
+++ b/libs/registry/src/Json.h
@@ -19,9 +19,6 @@
 // Text of a JSON value; bytes that are not UTF-8 are replaced.
 std::string Dump(const Json& aJson);
 
-// "generation.number"; nothing for another form.
-std::optional<Version> ParseVersion(const std::string& aText);
-
 Json OperationToJson(const wire::Operation& aOperation);
 Json EditToJson(const wire::Edit& aEdit);
 
--- a/libs/registry/src/OperatorChange.cpp
+++ b/libs/registry/src/OperatorChange.cpp
@@ -113,6 +113,19 @@
   return change;
 }
 
+std::string FormatChange(const wire::Change& aChange)
+{
+  Json operations = Json::array();
+  for (const wire::Operation& operation : aChange.operations) {
+    operations.push_back(OperationToJson(operation));
+  }
+  return Dump({ { "changeId", aChange.changeId },
+                { "base", ToString(wire::FromWire(aChange.base)) },
+                { "operations", std::move(operations) },
+                { "author", aChange.author },
+                { "comment", aChange.comment } });
+}
+
 ApiReply FormatAccept(const wire::AcceptResult& aResult)
 {
   const std::string version = ToString(wire::FromWire(aResult.version));
@@ -248,4 +261,28 @@
   return request;
 }
 
+std::string FormatMemberRequest(const MemberRequest& aRequest)
+{
+  const wire::Member& member = aRequest.m_member;
+  const Json added{ { "memberId", std::to_string(member.memberId) },
+                    { "name", member.name },
+                    { "availabilityZone", member.availabilityZone },
+                    { "peerAddress", member.peerAddress },
+                    { "apiAddress", member.apiAddress } };
+  const std::string present = std::to_string(aRequest.m_memberId);
+  switch (aRequest.m_action) {
+    case MemberAction::Add:
+      return Dump({ { "action", "add" }, { "member", added } });
+    case MemberAction::Promote:
+      return Dump({ { "action", "promote" }, { "memberId", present } });
+    case MemberAction::Remove:
+      return Dump({ { "action", "remove" }, { "memberId", present } });
+    case MemberAction::Replace:
+      return Dump({ { "action", "replace" },
+                    { "memberId", present },
+                    { "member", added } });
+  }
+  return "{}";
+}
+
 } // namespace wigeonfold::registry
