--- /dev/null
+++ b/apps/wigeonfold-control/Api.cpp
@@ -0,0 +1,346 @@
+#include "Api.h"
+
+#include "wigeonfold/observe/Timeline.h"
+
+#include <nlohmann/json.hpp>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+
+namespace wigeonfold::control {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Longer than the core's own limit, so that its answer normally comes first.
+constexpr Duration kCallTimeout = 7s;
+constexpr Duration kTick = 500ms;
+// Draining clients learn from "Connection: close" to go elsewhere.
+constexpr Duration kDrainLinger = 200ms;
+// Summaries come every 100 ms; a core silent for this long is stalled.
+constexpr Duration kStalled = 2s;
+constexpr const char* kJson = "application/json";
+
+net::HttpResponse ToResponse(const registry::ApiReply& aReply)
+{
+  net::HttpResponse response;
+  response.m_status = aReply.m_status;
+  response.m_body = aReply.m_body;
+  response.m_fields.push_back({ "Content-Type", kJson });
+  if (!aReply.m_location.empty()) {
+    response.m_fields.push_back({ "Location", aReply.m_location });
+  }
+  return response;
+}
+
+net::HttpResponse Text(int aStatus, const char* aType, std::string aBody)
+{
+  return { aStatus, { { "Content-Type", aType } }, std::move(aBody) };
+}
+
+registry::NodeReport ToReport(const distribution::NodeInfo& aNode,
+                              TimePoint aNow)
+{
+  registry::NodeReport report;
+  report.m_name = aNode.m_nodeName;
+  report.m_availabilityZone = aNode.m_availabilityZone;
+  report.m_inForce = aNode.m_inForce;
+  report.m_refused = aNode.m_refused;
+  report.m_refusal = aNode.m_refusal;
+  report.m_reportAge = aNow - aNode.m_reportedAt;
+  return report;
+}
+
+std::string PathOf(const std::string& aTarget)
+{
+  return aTarget.substr(0, aTarget.find('?'));
+}
+
+} // namespace
+
+Api::Api(boost::asio::io_context& aIo,
+         const ControlSettings& aSettings,
+         Channels& aChannels,
+         EventLog& aLog)
+  : m_io(aIo)
+  , m_timer(aIo)
+  , m_settings(aSettings)
+  , m_channels(aChannels)
+  , m_log(aLog)
+{
+}
+
+Status Api::Start()
+{
+  auto server = net::ServeHttp(m_io,
+                               m_settings.m_apiListen,
+                               [this](const net::HttpRequest& aRequest,
+                                      net::HttpRespond aRespond,
+                                      const net::HttpOnAbandon&) {
+                                 Serve(aRequest, std::move(aRespond));
+                               });
+  if (!server) {
+    return server.error();
+  }
+  m_server = std::move(server.value());
+  Schedule();
+  return Ok();
+}
+
+void Api::Drain(std::function<void()> aDone)
+{
+  m_server->Drain(kDrainLinger, std::move(aDone));
+}
+
+void Api::Close()
+{
+  m_timer.cancel();
+  if (m_server) {
+    m_server->Close();
+  }
+}
+
+void Api::Schedule()
+{
+  m_timer.expires_after(kTick);
+  m_timer.async_wait([this](boost::system::error_code aCode) {
+    if (!aCode) {
+      ExpireWaiting();
+      Schedule();
+    }
+  });
+}
+
+// ---- Requests --------------------------------------------------------------
+
+void Api::Serve(const net::HttpRequest& aRequest, net::HttpRespond aRespond)
+{
+  const std::string path = PathOf(aRequest.m_target);
+  const bool isGet = aRequest.m_method == "GET";
+  if (isGet && path == "/healthz") {
+    aRespond(Health());
+  } else if (isGet && path == "/metrics") {
+    aRespond(MetricsText());
+  } else if (isGet && path == "/timeline") {
+    aRespond(Timeline());
+  } else if (isGet) {
+    const Ticket ticket = ++m_lastTicket;
+    Call(ReadCall{ ticket }, ticket, aRequest.m_target, std::move(aRespond));
+  } else if (aRequest.m_method == "POST" && path == "/v1/accept") {
+    Accept(aRequest, std::move(aRespond));
+  } else if (aRequest.m_method == "POST" && path == "/v1/members") {
+    Members(aRequest, std::move(aRespond));
+  } else {
+    aRespond(ToResponse(registry::FormatProblem(404, "no such path")));
+  }
+}
+
+void Api::Accept(const net::HttpRequest& aRequest, net::HttpRespond aRespond)
+{
+  auto change = registry::ParseAccept(aRequest.m_body);
+  if (!change) {
+    aRespond(ToResponse(registry::FormatInvalid(change.error())));
+    return;
+  }
+  const Ticket ticket = ++m_lastTicket;
+  Call(AcceptCall{ ticket, aRequest.m_target, std::move(change.value()) },
+       ticket,
+       aRequest.m_target,
+       std::move(aRespond));
+}
+
+void Api::Members(const net::HttpRequest& aRequest, net::HttpRespond aRespond)
+{
+  auto request = registry::ParseMemberRequest(aRequest.m_body);
+  if (!request) {
+    aRespond(ToResponse(registry::FormatInvalid(request.error())));
+    return;
+  }
+  const Ticket ticket = ++m_lastTicket;
+  Call(MemberCall{ ticket, aRequest.m_target, std::move(request.value()) },
+       ticket,
+       aRequest.m_target,
+       std::move(aRespond));
+}
+
+void Api::Call(ApiCall aCall,
+               Ticket aTicket,
+               std::string aTarget,
+               net::HttpRespond aRespond)
+{
+  if (!m_channels.m_httpToCore.TryPush(std::move(aCall))) {
+    aRespond(ToResponse(registry::FormatProblem(503, "too many calls")));
+    return;
+  }
+  m_waiting[aTicket] = Waiting{ std::move(aTarget),
+                                std::move(aRespond),
+                                Clock::now() + kCallTimeout };
+}
+
+void Api::ExpireWaiting()
+{
+  const TimePoint now = Clock::now();
+  // Tickets grow with time, so the oldest call comes first.
+  while (!m_waiting.empty() && m_waiting.begin()->second.m_deadline <= now) {
+    Answer(m_waiting.begin()->first,
+           registry::FormatUnknown("the core does not answer"));
+  }
+}
+
+// ---- Answers ---------------------------------------------------------------
+
+void Api::Answer(Ticket aTicket, const registry::ApiReply& aReply)
+{
+  const auto found = m_waiting.find(aTicket);
+  if (found == m_waiting.end()) {
+    return;
+  }
+  const net::HttpRespond respond = std::move(found->second.m_respond);
+  m_waiting.erase(found);
+  respond(ToResponse(aReply));
+}
+
+void Api::Answer(ReadAnswer& aAnswer)
+{
+  const auto found = m_waiting.find(aAnswer.m_ticket);
+  if (found == m_waiting.end()) {
+    return;
+  }
+  const TimePoint now = Clock::now();
+  if (m_net.m_nodes) {
+    for (const distribution::NodeInfo& node : *m_net.m_nodes) {
+      aAnswer.m_cluster.m_nodes.push_back(ToReport(node, now));
+    }
+  }
+  Answer(aAnswer.m_ticket,
+         registry::HandleRead(
+           *aAnswer.m_registry, aAnswer.m_cluster, found->second.m_target));
+}
+
+void Api::Handle(HttpOrder aOrder)
+{
+  if (auto* read = std::get_if<ReadAnswer>(&aOrder)) {
+    Answer(*read);
+  } else if (auto* call = std::get_if<CallAnswer>(&aOrder)) {
+    Answer(call->m_ticket, call->m_reply);
+  } else if (auto* summary = std::get_if<CoreSummary>(&aOrder)) {
+    m_core = *summary;
+  }
+}
+
+void Api::Handle(NetSummary aSummary)
+{
+  m_net = std::move(aSummary);
+}
+
+// ---- Health, time line, metrics --------------------------------------------
+
+net::HttpResponse Api::Health() const
+{
+  const TimePoint now = Clock::now();
+  const bool running = now - m_core.m_at < kStalled;
+  const bool fresh =
+    m_core.m_age <= distribution::kMaxFreshnessAge && m_core.m_version;
+  nlohmann::json body;
+  body["name"] = m_settings.m_name;
+  body["role"] = consensus::ToString(m_core.m_role);
+  body["running"] = running;
+  body["fresh"] = fresh;
+  body["version"] = m_core.m_version ? ToString(*m_core.m_version) : "";
+  return Text(running && fresh ? 200 : 503, kJson, body.dump() + "\n");
+}
+
+net::HttpResponse Api::Timeline() const
+{
+  const observe::ProcessTimeline timeline{ m_log.Process(), m_log.Since(0) };
+  return Text(200, kJson, observe::ToJson(timeline));
+}
+
+void Api::SetGauge(const char* aName, const char* aHelp, double aValue)
+{
+  m_metrics.Gauge(aName, aHelp).Set(aValue);
+}
+
+void Api::SetTotal(const char* aName, const char* aHelp, uint64_t aValue)
+{
+  auto& counter = m_metrics.Counter(aName, aHelp);
+  counter.Increment(static_cast<double>(aValue) - counter.Value());
+}
+
+net::HttpResponse Api::MetricsText()
+{
+  const bool leads = m_core.m_role == consensus::Role::Leader;
+  const bool known = m_core.m_age != Duration::max();
+  SetGauge("wigeonfold_control_leader", "1 when this VM leads", leads ? 1 : 0);
+  SetGauge("wigeonfold_control_term", "Raft term", m_core.m_term);
+  SetGauge("wigeonfold_control_commit_index",
+           "Last committed log index",
+           static_cast<double>(m_core.m_commitIndex));
+  SetGauge("wigeonfold_control_applied_index",
+           "Last applied log index",
+           static_cast<double>(m_core.m_appliedIndex));
+  SetGauge("wigeonfold_control_version_number",
+           "Number of the newest committed version",
+           m_core.m_version ? static_cast<double>(m_core.m_version->m_number)
+                            : 0);
+  SetGauge("wigeonfold_control_freshness_age_seconds",
+           "Time since this VM was last confirmed as current, -1 for never",
+           known ? std::chrono::duration<double>(m_core.m_age).count() : -1);
+  SetGauge("wigeonfold_control_members",
+           "Members of the replicated group",
+           static_cast<double>(m_core.m_members));
+  SetTotal("wigeonfold_control_accepted_total",
+           "Accepted changes applied since the start",
+           m_core.m_accepted);
+  SetTotal("wigeonfold_control_conflicts_total",
+           "Changes that lost against another one",
+           m_core.m_conflicts);
+  UpdateNodeMetrics();
+  return Text(200, "text/plain; version=0.0.4", m_metrics.Text());
+}
+
+void Api::UpdateNodeMetrics()
+{
+  const distribution::NodeSessionsCounters& counters = m_net.m_counters;
+  SetGauge("wigeonfold_control_node_sessions",
+           "Nodes with a session",
+           m_net.m_nodes ? static_cast<double>(m_net.m_nodes->size()) : 0);
+  SetGauge("wigeonfold_control_nodes_current",
+           "Nodes that reported the newest version in force",
+           static_cast<double>(m_net.m_currentNodes));
+  SetGauge("wigeonfold_control_endpoints",
+           "Records in the endpoint table",
+           static_cast<double>(m_net.m_endpoints));
+  SetGauge("wigeonfold_control_peers",
+           "Connected control VMs",
+           static_cast<double>(m_net.m_peers));
+  SetTotal("wigeonfold_control_hellos_total",
+           "Hellos of nodes, probes included",
+           counters.m_hellos);
+  SetTotal("wigeonfold_control_shed_total",
+           "Hellos answered with RetryLater",
+           counters.m_shedHellos);
+  SetTotal("wigeonfold_control_config_deltas_total",
+           "Configuration updates sent as a delta",
+           counters.m_configDeltas);
+  SetTotal("wigeonfold_control_config_fulls_total",
+           "Configuration updates sent as a whole tree",
+           counters.m_configFulls);
+  SetTotal("wigeonfold_control_endpoint_deltas_total",
+           "Endpoint updates sent as a delta",
+           counters.m_endpointDeltas);
+  SetTotal("wigeonfold_control_endpoint_fulls_total",
+           "Endpoint updates sent as a whole table",
+           counters.m_endpointFulls);
+  SetTotal("wigeonfold_control_refusals_total",
+           "Versions refused by nodes",
+           counters.m_refusals);
+  SetTotal("wigeonfold_control_node_sent_bytes_total",
+           "Frame bytes sent to nodes",
+           counters.m_bytesSent);
+  SetTotal("wigeonfold_control_node_received_bytes_total",
+           "Frame bytes received from nodes",
+           counters.m_bytesReceived);
+}
+
+} // namespace wigeonfold::control
--- a/apps/wigeonfold-control/Channel.h
+++ b/apps/wigeonfold-control/Channel.h
@@ -37,10 +37,7 @@
 
   // Returns false, and drops the value, when the ring is full. For messages
   // that are repeated by their protocol and for calls that can be refused.
-  bool TryPush(T aValue)
-  {
-    return Flush() && m_ring.Push(std::move(aValue));
-  }
+  bool TryPush(T aValue) { return Flush() && m_ring.Push(std::move(aValue)); }
 
   // Keeps the value on the producer's side while the ring is full. For values
   // whose number is bounded by the producer; call Flush from a timer.
--- a/apps/wigeonfold-control/ControlSettings.cpp
+++ b/apps/wigeonfold-control/ControlSettings.cpp
@@ -51,12 +51,8 @@
   raft.m_electionMax =
     aFile.Time(kTiming, "election-max", raft.m_electionMax, 20ms, 120s);
   raft.m_lease = aFile.Time(kTiming, "lease", raft.m_lease, 10ms, 60s);
-  aSettings.m_endpoints.m_sessionLease =
-    aFile.Time(kTiming,
-               "session-lease",
-               aSettings.m_endpoints.m_sessionLease,
-               100ms,
-               60s);
+  aSettings.m_endpoints.m_sessionLease = aFile.Time(
+    kTiming, "session-lease", aSettings.m_endpoints.m_sessionLease, 100ms, 60s);
   aSettings.m_endpoints.m_ownerLease = aFile.Time(
     kTiming, "owner-lease", aSettings.m_endpoints.m_ownerLease, 1s, 600s);
   if (raft.m_electionMax <= raft.m_electionMin) {
@@ -77,24 +73,24 @@
 void ReadLimits(SettingsFile& aFile, ControlSettings& aSettings)
 {
   distribution::NodeSessionsOptions& nodes = aSettings.m_nodes;
-  nodes.m_maxSessions = static_cast<size_t>(
-    aFile.Integer(kLimits,
-                  "node-sessions",
-                  static_cast<int64_t>(nodes.m_maxSessions),
-                  1,
-                  100'000));
+  nodes.m_maxSessions =
+    static_cast<size_t>(aFile.Integer(kLimits,
+                                      "node-sessions",
+                                      static_cast<int64_t>(nodes.m_maxSessions),
+                                      1,
+                                      100'000));
   nodes.m_maxFullTransfers = static_cast<size_t>(
     aFile.Integer(kLimits,
                   "full-transfers",
                   static_cast<int64_t>(nodes.m_maxFullTransfers),
                   1,
                   1000));
-  nodes.m_helloRate = static_cast<double>(
-    aFile.Integer(kLimits,
-                  "hellos-per-second",
-                  static_cast<int64_t>(nodes.m_helloRate),
-                  1,
-                  100'000));
+  nodes.m_helloRate =
+    static_cast<double>(aFile.Integer(kLimits,
+                                      "hellos-per-second",
+                                      static_cast<int64_t>(nodes.m_helloRate),
+                                      1,
+                                      100'000));
 }
 
 } // namespace
--- /dev/null
+++ b/apps/wigeonfold-control/Core.cpp
@@ -0,0 +1,276 @@
+// Event loop, Raft's actions and publication; the operators' calls are in
+// CoreCalls.cpp, the formation of the group in CoreFormation.cpp.
+#include "Core.h"
+
+#include "wigeonfold/base/Hash.h"
+
+#include <algorithm>
+
+namespace wigeonfold::control {
+
+namespace {
+
+// Period of publication and of the checks that need no precise time.
+constexpr std::chrono::milliseconds kHousekeeping{ 100 };
+
+// The identity file holds a number; 0 means none.
+int64_t ClusterNumber(const std::string& aClusterId)
+{
+  const auto hash = static_cast<int64_t>(Hash64(aClusterId) >> 1U);
+  return std::max<int64_t>(hash, 1);
+}
+
+bool IsEmpty(const consensus::RaftInitialState& aInitial)
+{
+  return aInitial.m_hardState.m_term == 0 && !aInitial.m_snapshot &&
+         aInitial.m_entries.empty();
+}
+
+} // namespace
+
+Core::Core(boost::asio::io_context& aIo,
+           const ControlSettings& aSettings,
+           consensus::RaftInitialState aInitial,
+           uint64_t aSeed,
+           Channels& aChannels,
+           EventLog& aLog,
+           std::function<void(const Error&)> aOnFailure)
+  : m_timer(aIo)
+  , m_settings(aSettings)
+  , m_channels(aChannels)
+  , m_log(aLog)
+  , m_onFailure(std::move(aOnFailure))
+  , m_emptyFolder(IsEmpty(aInitial))
+  , m_raft(aSettings.m_raft, std::move(aInitial), aSeed, Clock::now())
+{
+}
+
+// ---- Event loop ------------------------------------------------------------
+
+void Core::Start()
+{
+  m_started = Clock::now();
+  m_nextHousekeeping = m_started;
+  Pump(m_started);
+  PublishTree();
+  Schedule();
+}
+
+void Core::Stop()
+{
+  m_stopped = true;
+  m_timer.cancel();
+}
+
+void Core::Schedule()
+{
+  m_timer.expires_at(std::min(m_raft.NextDeadline(), m_nextHousekeeping));
+  m_timer.async_wait([this](boost::system::error_code aCode) {
+    if (!aCode && !m_stopped) {
+      OnTimer();
+      Schedule();
+    }
+  });
+}
+
+void Core::OnTimer()
+{
+  const TimePoint now = Clock::now();
+  m_raft.Tick(now);
+  if (now >= m_nextHousekeeping) {
+    m_nextHousekeeping = now + kHousekeeping;
+    Housekeep(now);
+  }
+  Pump(now);
+}
+
+void Core::Housekeep(TimePoint aNow)
+{
+  MaybeBootstrap(aNow);
+  MaybeProposeCluster(aNow);
+  FormGroup(aNow);
+  ExpireCalls(aNow);
+  m_channels.m_coreToNet.TryPush(SetFreshness{ m_raft.Age(aNow), aNow });
+  PublishSummary(aNow);
+  m_channels.m_coreToStorage.Flush();
+  m_channels.m_coreToHttp.Flush();
+  m_channels.m_coreToNet.Flush();
+}
+
+void Core::Handle(CoreOrder aOrder)
+{
+  const TimePoint now = Clock::now();
+  if (auto* arrived = std::get_if<RaftArrived>(&aOrder)) {
+    m_raft.Receive(now, std::move(arrived->m_message));
+    Pump(now);
+  } else if (auto* seen = std::get_if<PeerSeen>(&aOrder)) {
+    m_peers[seen->m_hello.memberId] = std::move(seen->m_hello);
+  }
+}
+
+void Core::Handle(StorageReport aReport)
+{
+  const TimePoint now = Clock::now();
+  m_raft.OnPersisted(now, aReport.m_sequence);
+  Pump(now);
+}
+
+// ---- Raft ------------------------------------------------------------------
+
+void Core::Pump(TimePoint aNow)
+{
+  int64_t snapshotIndex = 0;
+  do {
+    consensus::RaftActions actions = m_raft.TakeActions();
+    Persist(actions);
+    for (wire::RaftMessage& message : actions.m_send) {
+      m_channels.m_coreToNet.TryPush(SendRaft{ std::move(message) });
+    }
+    if (actions.m_restore) {
+      Restore(*actions.m_restore);
+    }
+    const Version before = m_registry.At();
+    for (const wire::LogEntry& entry : actions.m_apply) {
+      Apply(entry);
+    }
+    if (m_registry.At() != before || actions.m_restore) {
+      PublishTree();
+    }
+    for (consensus::RaftEvent& event : actions.m_events) {
+      m_log.Record(event.m_id, std::move(event.m_fields));
+    }
+    snapshotIndex = actions.m_takeSnapshot;
+    if (snapshotIndex != 0) {
+      m_raft.OnSnapshotTaken(aNow, snapshotIndex, m_registry.Snapshot());
+    }
+  } while (snapshotIndex != 0);
+  PublishMembership();
+}
+
+void Core::Persist(consensus::RaftActions& aActions)
+{
+  if (!aActions.NeedsPersistence() && aActions.m_compactTo == 0) {
+    return;
+  }
+  StorageJob job;
+  job.m_sequence = aActions.m_sequence;
+  job.m_snapshot = aActions.m_saveSnapshot;
+  job.m_hardState = aActions.m_hardState;
+  job.m_truncateFrom = aActions.m_truncateFrom;
+  job.m_append = std::move(aActions.m_append);
+  job.m_compactTo = aActions.m_compactTo;
+  m_channels.m_coreToStorage.Push(std::move(job));
+}
+
+void Core::Restore(const consensus::RestoreAction& aRestore)
+{
+  auto restored = registry::Registry::Restore(aRestore.m_state);
+  if (!restored) {
+    m_onFailure(restored.error());
+    return;
+  }
+  m_registry = std::move(restored.value());
+  m_view.reset();
+  // Whether these calls are part of the snapshot is not known here.
+  while (!m_pending.empty() &&
+         m_pending.begin()->first <= aRestore.m_position.m_index) {
+    Answer(m_pending.begin()->second.m_ticket,
+           registry::FormatUnknown("the leader has changed"));
+    m_pending.erase(m_pending.begin());
+  }
+}
+
+void Core::Apply(const wire::LogEntry& aEntry)
+{
+  std::optional<wire::AcceptResult> result;
+  if (aEntry.kind == wire::LogEntryKind::Command) {
+    result = ApplyCommand(aEntry);
+  }
+  AnswerApplied(aEntry, result);
+}
+
+std::optional<wire::AcceptResult> Core::ApplyCommand(
+  const wire::LogEntry& aEntry)
+{
+  auto applied = m_registry.Apply(aEntry.payload);
+  m_view.reset();
+  if (!applied) {
+    m_onFailure(applied.error());
+    return std::nullopt;
+  }
+  const auto& result = applied.value();
+  if (result && result->outcome == wire::AcceptOutcome::Accepted) {
+    ++m_accepted;
+  } else if (result && result->outcome == wire::AcceptOutcome::Conflict) {
+    ++m_conflicts;
+  }
+  return result;
+}
+
+void Core::AnswerApplied(const wire::LogEntry& aEntry,
+                         const std::optional<wire::AcceptResult>& aResult)
+{
+  const auto found = m_pending.find(aEntry.index);
+  if (found == m_pending.end()) {
+    return;
+  }
+  const PendingCall call = std::move(found->second);
+  m_pending.erase(found);
+  if (call.m_term != aEntry.term) {
+    Answer(call.m_ticket, registry::FormatUnknown("the leader has changed"));
+  } else if (call.m_plan) {
+    Answer(call.m_ticket, registry::FormatMembership(*call.m_plan));
+  } else if (aResult) {
+    Answer(call.m_ticket, registry::FormatAccept(*aResult));
+  }
+}
+
+// ---- Publication -----------------------------------------------------------
+
+void Core::PublishTree()
+{
+  if (!m_registry.IsBootstrapped()) {
+    return;
+  }
+  m_log.Record(EventId::VersionDistributed,
+               { { "version", ToString(m_registry.At()) } });
+  m_channels.m_coreToNet.Push(DistributeTree{ m_registry.Newest() });
+}
+
+void Core::PublishMembership()
+{
+  const wire::Membership& membership = m_raft.CurrentMembership();
+  const std::string& cluster = m_registry.ClusterId();
+  if (membership == m_published && cluster == m_publishedCluster) {
+    return;
+  }
+  if (cluster != m_publishedCluster) {
+    StorageJob job;
+    job.m_clusterId = ClusterNumber(cluster);
+    m_channels.m_coreToStorage.Push(std::move(job));
+  }
+  m_published = membership;
+  m_publishedCluster = cluster;
+  m_channels.m_coreToNet.Push(SetPeers{ membership, cluster });
+}
+
+void Core::PublishSummary(TimePoint aNow)
+{
+  CoreSummary summary;
+  summary.m_at = aNow;
+  summary.m_role = m_raft.GetRole();
+  summary.m_term = m_raft.Term();
+  summary.m_commitIndex = m_raft.CommitIndex();
+  summary.m_appliedIndex = m_raft.AppliedIndex();
+  summary.m_age = m_raft.Age(aNow);
+  if (m_registry.IsBootstrapped()) {
+    summary.m_version = m_registry.At();
+  }
+  summary.m_leaseHeld = m_raft.HasLease(aNow);
+  summary.m_members = m_raft.CurrentMembership().members.size();
+  summary.m_accepted = m_accepted;
+  summary.m_conflicts = m_conflicts;
+  m_channels.m_coreToHttp.TryPush(summary);
+}
+
+} // namespace wigeonfold::control
--- /dev/null
+++ b/apps/wigeonfold-control/CoreCalls.cpp
@@ -0,0 +1,198 @@
+// The operators' calls that need the core.
+#include "Core.h"
+
+#include "wigeonfold/wire/Codec.h"
+
+namespace wigeonfold::control {
+
+namespace {
+
+// A call whose entry is not applied in this time has an unknown outcome; the
+// client sends it again. Longer than an election.
+constexpr std::chrono::seconds kCallTimeout{ 5 };
+
+} // namespace
+
+void Core::Handle(ApiCall aCall)
+{
+  const TimePoint now = Clock::now();
+  std::visit([this, now](auto& aTyped) { Carry(aTyped, now); }, aCall);
+  Pump(now);
+}
+
+void Core::Answer(Ticket aTicket, registry::ApiReply aReply)
+{
+  m_channels.m_coreToHttp.Push(CallAnswer{ aTicket, std::move(aReply) });
+}
+
+// ---- Reads -----------------------------------------------------------------
+
+RegistryViewPtr Core::RegistryState()
+{
+  if (!m_view) {
+    m_view = std::make_shared<const registry::RegistryView>(m_registry.View());
+  }
+  return m_view;
+}
+
+std::set<int64_t> Core::CaughtUp() const
+{
+  std::set<int64_t> ids;
+  for (const wire::Member& member : m_raft.CurrentMembership().members) {
+    const auto match = m_raft.MatchIndex(member.memberId);
+    const bool self = member.memberId == m_raft.Self() &&
+                      m_raft.GetRole() == consensus::Role::Leader;
+    if (self || (match && *match >= m_raft.CommitIndex())) {
+      ids.insert(member.memberId);
+    }
+  }
+  return ids;
+}
+
+registry::ClusterView Core::View(TimePoint aNow) const
+{
+  registry::ClusterView view;
+  view.m_self = m_raft.Self();
+  if (m_raft.LeaderId() != 0) {
+    view.m_leader = m_raft.LeaderId();
+  }
+  const auto readable = m_raft.ReadIndex(aNow);
+  view.m_leaseHeld = readable && m_raft.AppliedIndex() >= readable.value();
+  view.m_term = m_raft.Term();
+  const std::set<int64_t> caughtUp = CaughtUp();
+  for (const wire::Member& member : m_raft.CurrentMembership().members) {
+    registry::MemberStatus status;
+    status.m_member = member;
+    status.m_caughtUp = caughtUp.count(member.memberId) > 0;
+    const Duration age = m_raft.Age(aNow);
+    if (member.memberId == m_raft.Self() && age != Duration::max()) {
+      status.m_freshnessAge = age;
+    }
+    view.m_members.push_back(std::move(status));
+  }
+  return view;
+}
+
+void Core::Carry(const ReadCall& aCall, TimePoint aNow)
+{
+  m_channels.m_coreToHttp.Push(
+    ReadAnswer{ aCall.m_ticket, RegistryState(), View(aNow) });
+}
+
+// ---- Changes ---------------------------------------------------------------
+
+bool Core::Redirect(Ticket aTicket, const std::string& aTarget, TimePoint aNow)
+{
+  auto redirect = registry::RedirectUnlessLeader(View(aNow), aTarget);
+  if (redirect) {
+    Answer(aTicket, std::move(*redirect));
+  }
+  return redirect.has_value();
+}
+
+void Core::Carry(AcceptCall& aCall, TimePoint aNow)
+{
+  if (Redirect(aCall.m_ticket, aCall.m_target, aNow)) {
+    return;
+  }
+  wire::RegistryCommand command;
+  aCall.m_change.acceptedAtMs =
+    std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch())
+      .count();
+  command.__set_change(std::move(aCall.m_change));
+  const auto position = m_raft.Propose(aNow, wire::Encode(command));
+  if (!position) {
+    Answer(aCall.m_ticket,
+           registry::FormatUnknown(position.error().ToString()));
+    return;
+  }
+  m_pending[position.value().m_index] = PendingCall{
+    position.value().m_term, aCall.m_ticket, aNow + kCallTimeout, std::nullopt
+  };
+}
+
+void Core::ExpireCalls(TimePoint aNow)
+{
+  for (auto at = m_pending.begin(); at != m_pending.end();) {
+    if (at->second.m_deadline > aNow) {
+      ++at;
+      continue;
+    }
+    Answer(at->second.m_ticket,
+           registry::FormatUnknown("not committed in time"));
+    at = m_pending.erase(at);
+  }
+}
+
+// ---- Members ---------------------------------------------------------------
+
+void Core::Carry(MemberCall& aCall, TimePoint aNow)
+{
+  if (Redirect(aCall.m_ticket, aCall.m_target, aNow)) {
+    return;
+  }
+  registry::MembershipPlan plan = registry::PlanMembership(
+    m_raft.CurrentMembership(), aCall.m_request, CaughtUp());
+  if (plan.m_kind == registry::PlanKind::Propose) {
+    ProposeStep(aCall.m_ticket, plan, aNow);
+    return;
+  }
+  if (plan.m_kind == registry::PlanKind::Done &&
+      !m_raft.MembershipCommitted()) {
+    plan.m_kind = registry::PlanKind::Wait;
+    plan.m_text = "the last step is not committed yet";
+  }
+  Answer(aCall.m_ticket, registry::FormatMembership(plan));
+}
+
+void Core::ProposeStep(Ticket aTicket,
+                       const registry::MembershipPlan& aPlan,
+                       TimePoint aNow)
+{
+  const auto change = ChangeBetween(m_raft.CurrentMembership(), aPlan.m_next);
+  if (!change) {
+    Answer(aTicket, registry::FormatProblem(500, "not a single step"));
+    return;
+  }
+  const auto position = m_raft.ProposeChange(aNow, *change);
+  if (position) {
+    m_pending[position.value().m_index] = PendingCall{
+      position.value().m_term, aTicket, aNow + kCallTimeout, aPlan
+    };
+    return;
+  }
+  if (position.error().m_code == ErrorCode::Conflict) {
+    registry::MembershipPlan wait;
+    wait.m_kind = registry::PlanKind::Wait;
+    wait.m_text = position.error().m_detail;
+    Answer(aTicket, registry::FormatMembership(wait));
+    return;
+  }
+  Answer(aTicket, registry::FormatUnknown(position.error().ToString()));
+}
+
+std::optional<consensus::MembershipChange> ChangeBetween(
+  const wire::Membership& aFrom,
+  const wire::Membership& aTo)
+{
+  using Kind = consensus::MembershipChangeKind;
+  std::vector<consensus::MembershipChange> changes;
+  for (const wire::Member& member : aTo.members) {
+    const wire::Member* old = consensus::FindMember(aFrom, member.memberId);
+    if (!old) {
+      changes.push_back({ Kind::AddLearner, member });
+    } else if (old->voter != member.voter) {
+      changes.push_back(
+        { member.voter ? Kind::Promote : Kind::Demote, member });
+    }
+  }
+  for (const wire::Member& member : aFrom.members) {
+    if (!consensus::FindMember(aTo, member.memberId)) {
+      changes.push_back({ Kind::Remove, member });
+    }
+  }
+  return changes.size() == 1 ? std::optional(changes.front()) : std::nullopt;
+}
+
+} // namespace wigeonfold::control
--- /dev/null
+++ b/apps/wigeonfold-control/CoreFormation.cpp
@@ -0,0 +1,159 @@
+// Formation of the first group.
+#include "Core.h"
+
+#include "wigeonfold/wire/Codec.h"
+
+#include <algorithm>
+#include <boost/uuid/random_generator.hpp>
+#include <boost/uuid/uuid_io.hpp>
+
+namespace wigeonfold::control {
+
+namespace {
+
+// A bootstrapping VM with seeds but without initial voters waits this long for
+// a control VM that already belongs to a cluster.
+constexpr std::chrono::seconds kBootstrapWait{ 1 };
+
+// Greater than the generation of every earlier cluster, provided that the wall
+// clock is not set back by more than the time between the two.
+int64_t NewGeneration()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
+} // namespace
+
+wire::Member Core::Self() const
+{
+  wire::Member self;
+  self.memberId = m_raft.Self();
+  self.name = m_settings.m_name;
+  self.availabilityZone = m_settings.m_availabilityZone;
+  self.peerAddress = ToString(m_settings.m_peerAddress);
+  self.apiAddress = ToString(m_settings.m_apiAddress);
+  self.voter = true;
+  return self;
+}
+
+// A VM that lost its disk may still have bootstrap = true. It must not create a
+// second cluster, whose greater generation would replace every node's settings
+// with an empty tree. So the initial voters have to be present and must not
+// belong to a cluster.
+bool Core::MayBootstrap(TimePoint aNow)
+{
+  std::set<std::string> missing = m_settings.m_initialVoters;
+  missing.erase(m_settings.m_name);
+  for (const auto& [id, peer] : m_peers) {
+    if (!peer.clusterId.empty()) {
+      m_bootstrapSettled = true;
+      m_log.Record(EventId::BootstrapRefused,
+                   { { "peer", peer.name }, { "cluster", peer.clusterId } });
+      return false;
+    }
+    missing.erase(peer.name);
+  }
+  const bool alone =
+    m_settings.m_initialVoters.empty() && !m_settings.m_seeds.empty();
+  return missing.empty() && (!alone || aNow - m_started >= kBootstrapWait);
+}
+
+void Core::MaybeBootstrap(TimePoint aNow)
+{
+  if (m_bootstrapSettled) {
+    return;
+  }
+  if (!m_settings.m_bootstrap || !m_emptyFolder ||
+      m_raft.LastPosition().m_index != 0 || m_raft.LeaderId() != 0) {
+    m_bootstrapSettled = true;
+    return;
+  }
+  if (!MayBootstrap(aNow)) {
+    return;
+  }
+  m_bootstrapSettled = true;
+  wire::Membership membership;
+  membership.members.push_back(Self());
+  const Status done = m_raft.Bootstrap(aNow, membership);
+  m_forming = static_cast<bool>(done);
+  m_formed[m_settings.m_name] = m_raft.Self();
+}
+
+void Core::MaybeProposeCluster(TimePoint aNow)
+{
+  const bool ready = m_raft.GetRole() == consensus::Role::Leader &&
+                     m_raft.AppliedIndex() == m_raft.LastPosition().m_index;
+  if (!ready || m_registry.IsBootstrapped() ||
+      m_clusterProposedTerm == m_raft.Term()) {
+    return;
+  }
+  wire::Bootstrap bootstrap;
+  bootstrap.generation = NewGeneration();
+  bootstrap.clusterId =
+    boost::uuids::to_string(boost::uuids::random_generator()());
+  wire::RegistryCommand command;
+  command.__set_bootstrap(bootstrap);
+  if (m_raft.Propose(aNow, wire::Encode(command))) {
+    m_clusterProposedTerm = m_raft.Term();
+    m_log.Record(EventId::ClusterCreated,
+                 { { "cluster", bootstrap.clusterId },
+                   { "generation", std::to_string(bootstrap.generation) } });
+  }
+}
+
+// Adds and promotes the initial voters one at a time. Only the run that created
+// the group does this; later members are added by the operators.
+void Core::FormGroup(TimePoint aNow)
+{
+  if (!m_forming || m_raft.GetRole() != consensus::Role::Leader ||
+      !m_registry.IsBootstrapped() || !m_raft.MembershipCommitted()) {
+    return;
+  }
+  for (const auto& [id, peer] : m_peers) {
+    const bool wanted = m_settings.m_initialVoters.count(peer.name) > 0;
+    if (wanted && FormWith(peer, aNow)) {
+      return;
+    }
+  }
+  const auto& members = m_raft.CurrentMembership().members;
+  const auto voters = static_cast<size_t>(std::count_if(
+    members.begin(), members.end(), [this](const wire::Member& aMember) {
+      return aMember.voter &&
+             m_settings.m_initialVoters.count(aMember.name) > 0;
+    }));
+  m_forming = voters < m_settings.m_initialVoters.size();
+}
+
+// Returns true when a step was proposed.
+bool Core::FormWith(const wire::ControlHello& aPeer, TimePoint aNow)
+{
+  const auto known = m_formed.emplace(aPeer.name, aPeer.memberId);
+  if (known.first->second != aPeer.memberId) {
+    return false; // the name was a member under another id: a lost disk
+  }
+  consensus::MembershipChange change;
+  change.m_member.memberId = aPeer.memberId;
+  change.m_member.name = aPeer.name;
+  change.m_member.availabilityZone = aPeer.availabilityZone;
+  change.m_member.peerAddress = aPeer.peerAddress;
+  change.m_member.apiAddress = aPeer.apiAddress;
+  change.m_member.voter = false;
+  const wire::Member* member =
+    consensus::FindMember(m_raft.CurrentMembership(), aPeer.memberId);
+  if (member && member->voter) {
+    return false;
+  }
+  change.m_kind = member ? consensus::MembershipChangeKind::Promote
+                         : consensus::MembershipChangeKind::AddLearner;
+  if (!m_raft.ProposeChange(aNow, change)) {
+    return false; // not caught up yet; tried again at the next tick
+  }
+  m_log.Record(
+    EventId::InitialVoterStep,
+    { { "name", aPeer.name }, { "step", member ? "promoted" : "added" } });
+  return true;
+}
+
+} // namespace wigeonfold::control
--- a/apps/wigeonfold-control/Messages.h
+++ b/apps/wigeonfold-control/Messages.h
@@ -55,8 +55,7 @@
   TimePoint m_at;
 };
 
-using NetOrder =
-  std::variant<SendRaft, SetPeers, DistributeTree, SetFreshness>;
+using NetOrder = std::variant<SendRaft, SetPeers, DistributeTree, SetFreshness>;
 
 // ---- core to storage and back ----------------------------------------------
 
--- /dev/null
+++ b/apps/wigeonfold-control/Network.cpp
@@ -0,0 +1,283 @@
+#include "Network.h"
+
+namespace wigeonfold::control {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration kTick = 50ms;
+constexpr Duration kPublish = 500ms;
+// A sync without changes tells the others that this VM is alive.
+constexpr Duration kSyncPeriod = 1s;
+// After this time nodes receive endpoints even though not all other control
+// VMs were reached: some may be down for long.
+constexpr Duration kCompleteWait = 2s;
+// Nodes leave a stopping VM spread over this time.
+constexpr Duration kAwaySpread = 500ms;
+
+} // namespace
+
+Network::Network(boost::asio::io_context& aIo,
+                 const ControlSettings& aSettings,
+                 int64_t aMemberId,
+                 int64_t aIncarnation,
+                 uint64_t aSeed,
+                 Channels& aChannels,
+                 EventLog& aLog)
+  : m_io(aIo)
+  , m_timer(aIo)
+  , m_settings(aSettings)
+  , m_channels(aChannels)
+  , m_log(aLog)
+  , m_table(aMemberId, aIncarnation, aSettings.m_endpoints)
+  , m_sessions(
+      [&] {
+        auto options = aSettings.m_nodes;
+        options.m_memberId = aMemberId;
+        return options;
+      }(),
+      m_table,
+      aSeed)
+  , m_peers(
+      aIo,
+      aSettings,
+      aMemberId,
+      aSeed + 1,
+      aLog,
+      PeerHandlers{ [this](const wire::ControlHello& aHello) {
+                     m_channels.m_netToCore.Push(PeerSeen{ aHello });
+                   },
+                    [this](wire::RaftMessage aMessage) {
+                      m_channels.m_netToCore.TryPush(
+                        RaftArrived{ std::move(aMessage) });
+                    },
+                    [this](const wire::EndpointSync& aSync,
+                           const net::ConnectionPtr& aConnection) {
+                      const auto answer = m_table.OnSync(aSync, Clock::now());
+                      if (!answer) {
+                        return;
+                      }
+                      if (answer->request) {
+                        m_log.Record(EventId::EndpointResync,
+                                     { { "peer", aConnection->Peer() } });
+                      }
+                      aConnection->Send(wire::FrameType::EndpointSync, *answer);
+                    } })
+{
+  m_sessions.SetEndpointsComplete(false);
+}
+
+Status Network::Start()
+{
+  m_started = Clock::now();
+  BOOST_OUTCOME_TRYV(m_peers.Start());
+  BOOST_OUTCOME_TRYV(ListenForNodes());
+  Schedule();
+  return Ok();
+}
+
+void Network::Stop()
+{
+  m_stopped = true;
+  m_timer.cancel();
+  if (m_listener) {
+    m_listener->Stop();
+  }
+  Carry(m_sessions.SendAway(kAwaySpread));
+  m_peers.Stop();
+}
+
+void Network::Schedule()
+{
+  m_timer.expires_after(kTick);
+  m_timer.async_wait([this](boost::system::error_code aCode) {
+    if (!aCode && !m_stopped) {
+      Tick(Clock::now());
+      Schedule();
+    }
+  });
+}
+
+void Network::Tick(TimePoint aNow)
+{
+  m_peers.Tick(aNow);
+  m_table.Tick(aNow);
+  SyncEndpoints(aNow);
+  CheckComplete(aNow);
+  Carry(m_sessions.OnTick(aNow));
+  if (aNow >= m_nextPublish) {
+    m_nextPublish = aNow + kPublish;
+    Publish(aNow);
+    ReportShed();
+  }
+  m_channels.m_netToCore.Flush();
+}
+
+void Network::Handle(NetOrder aOrder)
+{
+  if (auto* raft = std::get_if<SendRaft>(&aOrder)) {
+    m_peers.SendRaft(raft->m_message);
+  } else if (auto* peers = std::get_if<SetPeers>(&aOrder)) {
+    m_peers.SetMembership(peers->m_membership);
+    m_peers.SetClusterId(peers->m_clusterId);
+  } else if (auto* tree = std::get_if<DistributeTree>(&aOrder)) {
+    Carry(m_sessions.SetTree(*tree->m_tree, Clock::now()));
+  } else if (auto* age = std::get_if<SetFreshness>(&aOrder)) {
+    m_sessions.SetFreshness(age->m_age, age->m_at);
+  }
+}
+
+// ---- Endpoint exchange -----------------------------------------------------
+
+void Network::StartSync(int64_t aMember, const net::ConnectionPtr& aConnection)
+{
+  for (const wire::EndpointSync& sync : m_table.FullSyncFor(aMember)) {
+    aConnection->Send(wire::FrameType::EndpointSync, sync);
+  }
+}
+
+void Network::SyncEndpoints(TimePoint aNow)
+{
+  const auto members = m_peers.Members();
+  std::erase_if(m_syncs, [&members](const auto& aSync) {
+    return members.count(aSync.first) == 0;
+  });
+  for (const auto& [member, connection] : members) {
+    SyncState& state = m_syncs[member];
+    if (state.m_connection != connection.get()) {
+      state.m_connection = connection.get();
+      StartSync(member, connection);
+    } else if (state.m_cursor != m_table.SyncCursor() || aNow >= state.m_next) {
+      connection->Send(wire::FrameType::EndpointSync,
+                       m_table.SyncSince(state.m_cursor));
+    } else {
+      continue;
+    }
+    state.m_cursor = m_table.SyncCursor();
+    state.m_next = aNow + kSyncPeriod;
+  }
+}
+
+void Network::CheckComplete(TimePoint aNow)
+{
+  // The records of a peer arrive right after its hello; one more period gives
+  // them time.
+  const bool waited = aNow - m_started >= kCompleteWait;
+  const bool reached = aNow - m_started >= kPublish && m_peers.AllConnected();
+  if (!m_complete && (waited || reached)) {
+    m_complete = true;
+    m_sessions.SetEndpointsComplete(true);
+  }
+}
+
+void Network::Publish(TimePoint aNow)
+{
+  NetSummary summary;
+  summary.m_at = aNow;
+  summary.m_nodes = std::make_shared<const std::vector<distribution::NodeInfo>>(
+    m_sessions.Nodes());
+  summary.m_counters = m_sessions.Counters();
+  summary.m_currentNodes = m_sessions.CurrentNodes();
+  summary.m_endpoints = m_table.Size();
+  summary.m_peers = m_peers.Members().size();
+  m_channels.m_netToHttp.TryPush(std::move(summary));
+}
+
+void Network::ReportShed()
+{
+  const uint64_t shed = m_sessions.Counters().m_shedHellos;
+  if (shed != m_reportedShed) {
+    m_log.Record(EventId::NodesShed,
+                 { { "count", std::to_string(shed - m_reportedShed) } });
+    m_reportedShed = shed;
+  }
+}
+
+// ---- Nodes -----------------------------------------------------------------
+
+Status Network::ListenForNodes()
+{
+  auto listener = net::Listen(m_io,
+                              m_settings.m_nodeListen,
+                              NodeHandlers(),
+                              [this](const net::ConnectionPtr& aConnection) {
+                                const auto id = ++m_lastNode;
+                                m_nodes[id] = aConnection;
+                                m_nodeIds[aConnection.get()] = id;
+                                m_sessions.OnOpened(id, Clock::now());
+                              });
+  if (!listener) {
+    return listener.error();
+  }
+  m_listener = std::move(listener.value());
+  return Ok();
+}
+
+distribution::NodeSessionId Network::IdOf(
+  const net::Connection* aConnection) const
+{
+  const auto found = m_nodeIds.find(aConnection);
+  return found == m_nodeIds.end() ? 0 : found->second;
+}
+
+net::ConnectionHandlers Network::NodeHandlers()
+{
+  net::ConnectionHandlers handlers;
+  handlers.m_onFrame = [this](const net::ConnectionPtr& aConnection,
+                              const wire::Frame& aFrame) {
+    Carry(m_sessions.OnFrame(IdOf(aConnection.get()), aFrame, Clock::now()));
+  };
+  handlers.m_onClose = [this](const net::ConnectionPtr& aConnection,
+                              const Error& aError) {
+    const auto id = IdOf(aConnection.get());
+    if (aError.m_code == ErrorCode::Protocol) {
+      m_log.Record(EventId::ConnectionRejected,
+                   { { "error", aError.ToString() } });
+    }
+    m_sessions.OnClosed(id, Clock::now());
+    m_nodes.erase(id);
+    m_nodeIds.erase(aConnection.get());
+  };
+  return handlers;
+}
+
+void Network::Carry(const distribution::NodeActions& aActions)
+{
+  for (const auto& action : aActions) {
+    std::visit([this](const auto& aTyped) { Carry(aTyped); }, action);
+  }
+}
+
+void Network::Carry(const distribution::SendToNode& aAction)
+{
+  const auto found = m_nodes.find(aAction.m_session);
+  if (found != m_nodes.end()) {
+    // A connection that takes no more is closed when it falls silent.
+    found->second->SendFrame(aAction.m_type, *aAction.m_payload);
+  }
+}
+
+void Network::Carry(const distribution::CloseNode& aAction)
+{
+  const auto found = m_nodes.find(aAction.m_session);
+  if (found != m_nodes.end()) {
+    m_nodeIds.erase(found->second.get());
+    if (aAction.m_afterWrites) {
+      found->second->CloseAfterWrites();
+    } else {
+      found->second->Close();
+    }
+    m_nodes.erase(found);
+  }
+}
+
+void Network::Carry(const distribution::NodeRefused& aAction)
+{
+  m_log.Record(EventId::NodeRefusedVersion,
+               { { "node", aAction.m_nodeName },
+                 { "version", ToString(aAction.m_version) },
+                 { "reason", aAction.m_reason } });
+}
+
+} // namespace wigeonfold::control
--- /dev/null
+++ b/apps/wigeonfold-control/Network.h
@@ -0,0 +1,87 @@
+// Net thread: peers, endpoint exchange and node sessions.
+#pragma once
+
+#include "ControlSettings.h"
+#include "Messages.h"
+#include "PeerLinks.h"
+
+#include "wigeonfold/base/Events.h"
+#include "wigeonfold/discovery/EndpointTable.h"
+#include "wigeonfold/distribution/NodeSessions.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+namespace wigeonfold::control {
+
+// All methods run on the thread of the io_context.
+class Network
+{
+public:
+  // aIncarnation grows with each start of the process.
+  Network(boost::asio::io_context& aIo,
+          const ControlSettings& aSettings,
+          int64_t aMemberId,
+          int64_t aIncarnation,
+          uint64_t aSeed,
+          Channels& aChannels,
+          EventLog& aLog);
+
+  // Fails with Io when an address can't be bound.
+  Status Start();
+  // Graceful shutdown: sends the nodes away and closes all connections after
+  // what is queued has been written.
+  void Stop();
+
+  void Handle(NetOrder aOrder);
+
+private:
+  // Position of the endpoint exchange on one connection.
+  struct SyncState
+  {
+    net::Connection* m_connection = nullptr;
+    int64_t m_cursor = 0;
+    TimePoint m_next;
+  };
+
+  void Schedule();
+  void Tick(TimePoint aNow);
+  void SyncEndpoints(TimePoint aNow);
+  void StartSync(int64_t aMember, const net::ConnectionPtr& aConnection);
+  void CheckComplete(TimePoint aNow);
+  void Publish(TimePoint aNow);
+  void ReportShed();
+
+  Status ListenForNodes();
+  net::ConnectionHandlers NodeHandlers();
+  distribution::NodeSessionId IdOf(const net::Connection* aConnection) const;
+  void Carry(const distribution::NodeActions& aActions);
+  void Carry(const distribution::SendToNode& aAction);
+  void Carry(const distribution::CloseNode& aAction);
+  void Carry(const distribution::NodeRefused& aAction);
+
+  boost::asio::io_context& m_io;
+  boost::asio::steady_timer m_timer;
+  const ControlSettings& m_settings;
+  Channels& m_channels;
+  EventLog& m_log;
+  discovery::EndpointTable m_table;
+  distribution::NodeSessions m_sessions;
+  PeerLinks m_peers;
+  std::unique_ptr<net::Listener> m_listener;
+  std::map<distribution::NodeSessionId, net::ConnectionPtr> m_nodes;
+  std::unordered_map<const net::Connection*, distribution::NodeSessionId>
+    m_nodeIds;
+  distribution::NodeSessionId m_lastNode = 0;
+  std::map<int64_t, SyncState> m_syncs; // by member
+  TimePoint m_started;
+  TimePoint m_nextPublish;
+  bool m_complete = false;
+  uint64_t m_reportedShed = 0;
+  bool m_stopped = false;
+};
+
+} // namespace wigeonfold::control
--- /dev/null
+++ b/apps/wigeonfold-control/PeerLinks.cpp
@@ -0,0 +1,316 @@
+#include "PeerLinks.h"
+
+namespace wigeonfold::control {
+
+namespace {
+
+using namespace std::chrono_literals;
+using wire::FrameType;
+
+constexpr Duration kConnectTimeout = 1s;
+constexpr Duration kBackoffBase = 50ms;
+// Short enough that a returned VM takes part again within an election timeout.
+constexpr Duration kBackoffMax = 1s;
+// Raft messages are dropped beyond this backlog: 8 appends of 256 KiB.
+constexpr size_t kCongestedBytes = size_t{ 4 } << 20;
+
+} // namespace
+
+PeerLinks::PeerLinks(boost::asio::io_context& aIo,
+                     const ControlSettings& aSettings,
+                     int64_t aMemberId,
+                     uint64_t aSeed,
+                     EventLog& aLog,
+                     PeerHandlers aHandlers)
+  : m_io(aIo)
+  , m_settings(aSettings)
+  , m_memberId(aMemberId)
+  , m_seed(aSeed)
+  , m_log(aLog)
+  , m_handlers(std::move(aHandlers))
+{
+  for (const SocketAddress& seed : m_settings.m_seeds) {
+    AddDial(seed);
+  }
+}
+
+Status PeerLinks::Start()
+{
+  auto listener = net::Listen(m_io,
+                              m_settings.m_peerListen,
+                              Handlers(),
+                              [this](const net::ConnectionPtr& aConnection) {
+                                Link link;
+                                link.m_connection = aConnection;
+                                m_links[aConnection.get()] = link;
+                                SendHello(aConnection);
+                              });
+  if (!listener) {
+    return listener.error();
+  }
+  m_listener = std::move(listener.value());
+  return Ok();
+}
+
+void PeerLinks::Stop()
+{
+  m_stopped = true;
+  if (m_listener) {
+    m_listener->Stop();
+  }
+  for (auto& [key, link] : m_links) {
+    link.m_connection->CloseAfterWrites();
+  }
+  m_links.clear();
+}
+
+// ---- Addresses -------------------------------------------------------------
+
+void PeerLinks::AddDial(const SocketAddress& aAddress)
+{
+  const std::string key = ToString(aAddress);
+  if (m_dials.count(key) == 0) {
+    m_dials.emplace(
+      key, Dial{ aAddress, Backoff(kBackoffBase, kBackoffMax, m_seed++), {} });
+  }
+}
+
+void PeerLinks::SetMembership(const wire::Membership& aMembership)
+{
+  for (const wire::Member& member : aMembership.members) {
+    const auto address = ParseSocketAddress(member.peerAddress);
+    if (member.memberId != m_memberId && address) {
+      AddDial(address.value());
+    }
+  }
+}
+
+void PeerLinks::SetClusterId(const std::string& aClusterId)
+{
+  if (aClusterId == m_clusterId) {
+    return;
+  }
+  m_clusterId = aClusterId;
+  for (const auto& [key, link] : m_links) {
+    SendHello(link.m_connection);
+  }
+}
+
+// ---- Outgoing connections --------------------------------------------------
+
+void PeerLinks::Tick(TimePoint aNow)
+{
+  for (auto& [key, dial] : m_dials) {
+    if (!dial.m_busy && !dial.m_self && aNow >= dial.m_next && !m_stopped) {
+      Open(dial);
+    }
+  }
+}
+
+void PeerLinks::Open(Dial& aDial)
+{
+  aDial.m_busy = true;
+  const std::string key = ToString(aDial.m_address);
+  net::Connect(m_io,
+               aDial.m_address,
+               kConnectTimeout,
+               Handlers(),
+               [this, key](Result<net::ConnectionPtr> aResult) {
+                 OnOpened(key, std::move(aResult));
+               });
+}
+
+void PeerLinks::OnOpened(const std::string& aKey,
+                         Result<net::ConnectionPtr> aResult)
+{
+  Dial& dial = m_dials.at(aKey);
+  if (!aResult || m_stopped) {
+    if (aResult) {
+      aResult.value()->Close();
+    }
+    Retry(dial);
+    return;
+  }
+  Link link;
+  link.m_connection = aResult.value();
+  link.m_outgoing = true;
+  dial.m_connection = link.m_connection.get();
+  m_links[link.m_connection.get()] = link;
+  SendHello(link.m_connection);
+}
+
+void PeerLinks::Retry(Dial& aDial)
+{
+  aDial.m_busy = false;
+  aDial.m_connection = nullptr;
+  aDial.m_next = Clock::now() + aDial.m_backoff.Next();
+}
+
+PeerLinks::Dial* PeerLinks::DialOf(const net::Connection* aConnection)
+{
+  for (auto& [key, dial] : m_dials) {
+    if (dial.m_connection == aConnection) {
+      return &dial;
+    }
+  }
+  return nullptr;
+}
+
+// ---- Frames ----------------------------------------------------------------
+
+net::ConnectionHandlers PeerLinks::Handlers()
+{
+  net::ConnectionHandlers handlers;
+  handlers.m_onFrame = [this](const net::ConnectionPtr& aConnection,
+                              const wire::Frame& aFrame) {
+    OnFrame(aConnection, aFrame);
+  };
+  handlers.m_onClose = [this](const net::ConnectionPtr& aConnection,
+                              const Error&) { OnClosed(aConnection); };
+  return handlers;
+}
+
+void PeerLinks::SendHello(const net::ConnectionPtr& aConnection)
+{
+  wire::ControlHello hello;
+  hello.memberId = m_memberId;
+  hello.name = m_settings.m_name;
+  hello.clusterId = m_clusterId;
+  hello.availabilityZone = m_settings.m_availabilityZone;
+  hello.peerAddress = ToString(m_settings.m_peerAddress);
+  hello.apiAddress = ToString(m_settings.m_apiAddress);
+  aConnection->Send(FrameType::ControlHello, hello);
+}
+
+void PeerLinks::OnFrame(const net::ConnectionPtr& aConnection,
+                        const wire::Frame& aFrame)
+{
+  const auto found = m_links.find(aConnection.get());
+  if (found == m_links.end()) {
+    return;
+  }
+  const std::string& peer = aConnection->Peer();
+  const bool known = found->second.m_memberId != 0;
+  bool good = false;
+  if (aFrame.m_type == FrameType::ControlHello) {
+    const auto hello = wire::Decode<wire::ControlHello>(aFrame.m_payload, peer);
+    good = static_cast<bool>(hello);
+    if (good) {
+      OnHello(aConnection, hello.value());
+    }
+  } else if (aFrame.m_type == FrameType::Raft && known) {
+    auto message = wire::Decode<wire::RaftMessage>(aFrame.m_payload, peer);
+    good = static_cast<bool>(message);
+    if (good) {
+      m_handlers.m_onRaft(std::move(message.value()));
+    }
+  } else if (aFrame.m_type == FrameType::EndpointSync && known) {
+    const auto sync = wire::Decode<wire::EndpointSync>(aFrame.m_payload, peer);
+    good = static_cast<bool>(sync);
+    if (good) {
+      m_handlers.m_onSync(sync.value(), aConnection);
+    }
+  }
+  if (!good) {
+    m_log.Record(EventId::ConnectionRejected, { { "peer", peer } });
+    Drop(aConnection);
+  }
+}
+
+void PeerLinks::OnHello(const net::ConnectionPtr& aConnection,
+                        const wire::ControlHello& aHello)
+{
+  Dial* dial = DialOf(aConnection.get());
+  if (aHello.memberId == m_memberId) {
+    if (dial) {
+      dial->m_self = true;
+    }
+    Drop(aConnection);
+    return;
+  }
+  const bool otherCluster = !aHello.clusterId.empty() && !m_clusterId.empty() &&
+                            aHello.clusterId != m_clusterId;
+  if (otherCluster || aHello.memberId == 0) {
+    m_log.Record(EventId::PeerRejected,
+                 { { "peer", aConnection->Peer() },
+                   { "name", aHello.name },
+                   { "cluster", aHello.clusterId } });
+    Drop(aConnection);
+    return;
+  }
+  Link& link = m_links.at(aConnection.get());
+  if (link.m_memberId == 0) {
+    m_log.Record(EventId::PeerConnected,
+                 { { "name", aHello.name },
+                   { "member", std::to_string(aHello.memberId) },
+                   { "peer", aConnection->Peer() } });
+  }
+  link.m_memberId = aHello.memberId;
+  link.m_name = aHello.name;
+  if (dial) {
+    dial->m_backoff.Reset();
+  }
+  m_handlers.m_onHello(aHello);
+}
+
+void PeerLinks::Drop(const net::ConnectionPtr& aConnection)
+{
+  aConnection->Close();
+  OnClosed(aConnection);
+}
+
+void PeerLinks::OnClosed(const net::ConnectionPtr& aConnection)
+{
+  if (Dial* dial = DialOf(aConnection.get())) {
+    Retry(*dial);
+  }
+  const auto found = m_links.find(aConnection.get());
+  if (found == m_links.end()) {
+    return;
+  }
+  if (found->second.m_memberId != 0) {
+    m_log.Record(
+      EventId::PeerLost,
+      { { "name", found->second.m_name }, { "peer", aConnection->Peer() } });
+  }
+  m_links.erase(found);
+}
+
+// ---- Messages --------------------------------------------------------------
+
+std::map<int64_t, net::ConnectionPtr> PeerLinks::Members() const
+{
+  std::map<int64_t, net::ConnectionPtr> members;
+  for (const auto& [key, link] : m_links) {
+    if (link.m_memberId != 0 &&
+        (link.m_outgoing || members.count(link.m_memberId) == 0)) {
+      members[link.m_memberId] = link.m_connection;
+    }
+  }
+  return members;
+}
+
+void PeerLinks::SendRaft(const wire::RaftMessage& aMessage)
+{
+  const auto members = Members();
+  const auto found = members.find(aMessage.toMember);
+  if (found != members.end() &&
+      found->second->QueuedBytes() < kCongestedBytes) {
+    found->second->Send(FrameType::Raft, aMessage);
+  }
+}
+
+bool PeerLinks::AllConnected() const
+{
+  for (const auto& [key, dial] : m_dials) {
+    const auto link =
+      dial.m_connection ? m_links.find(dial.m_connection) : m_links.end();
+    if (!dial.m_self &&
+        (link == m_links.end() || link->second.m_memberId == 0)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+} // namespace wigeonfold::control
--- /dev/null
+++ b/apps/wigeonfold-control/PeerLinks.h
@@ -0,0 +1,111 @@
+// Connections with the other control VMs.
+#pragma once
+
+#include "ControlSettings.h"
+
+#include "wigeonfold/base/Backoff.h"
+#include "wigeonfold/base/Events.h"
+#include "wigeonfold/net/Connection.h"
+#include "wigeonfold/wire/gen/control_types.h"
+#include "wigeonfold/wire/gen/raft_types.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace wigeonfold::control {
+
+struct PeerHandlers
+{
+  std::function<void(const wire::ControlHello&)> m_onHello;
+  std::function<void(wire::RaftMessage)> m_onRaft;
+  // The message and the connection on which an answer is sent.
+  std::function<void(const wire::EndpointSync&, const net::ConnectionPtr&)>
+    m_onSync;
+};
+
+// A connection may be opened by either side, and by both. Each side says
+// ControlHello first; messages to a member use the connection that this VM
+// opened if there is one. All methods run on the thread of the io_context.
+class PeerLinks
+{
+public:
+  PeerLinks(boost::asio::io_context& aIo,
+            const ControlSettings& aSettings,
+            int64_t aMemberId,
+            uint64_t aSeed,
+            EventLog& aLog,
+            PeerHandlers aHandlers);
+
+  // Fails with Io when the address can't be bound.
+  Status Start();
+  // Writes what is queued and closes all connections.
+  void Stop();
+
+  // Members to connect to, beside the seeds.
+  void SetMembership(const wire::Membership& aMembership);
+  void SetClusterId(const std::string& aClusterId);
+
+  // Opens connections that are due. Call every 50 ms.
+  void Tick(TimePoint aNow);
+
+  // Drops the message when there is no connection or it is congested; Raft
+  // repeats what is lost.
+  void SendRaft(const wire::RaftMessage& aMessage);
+
+  // The connection to use for each connected member.
+  std::map<int64_t, net::ConnectionPtr> Members() const;
+  // True when every known address is connected and identified.
+  bool AllConnected() const;
+
+private:
+  // A connection whose other side is known once it said hello.
+  struct Link
+  {
+    net::ConnectionPtr m_connection;
+    int64_t m_memberId = 0;
+    std::string m_name;
+    bool m_outgoing = false;
+  };
+  // An address that this VM connects to.
+  struct Dial
+  {
+    SocketAddress m_address;
+    Backoff m_backoff;
+    TimePoint m_next;
+    bool m_busy = false; // attempt in progress or connected
+    bool m_self = false; // the address is this VM's own
+    net::Connection* m_connection = nullptr;
+  };
+
+  void AddDial(const SocketAddress& aAddress);
+  void Open(Dial& aDial);
+  void OnOpened(const std::string& aKey, Result<net::ConnectionPtr> aResult);
+  void Retry(Dial& aDial);
+  net::ConnectionHandlers Handlers();
+  void SendHello(const net::ConnectionPtr& aConnection);
+  void OnFrame(const net::ConnectionPtr& aConnection,
+               const wire::Frame& aFrame);
+  void OnHello(const net::ConnectionPtr& aConnection,
+               const wire::ControlHello& aHello);
+  void OnClosed(const net::ConnectionPtr& aConnection);
+  void Drop(const net::ConnectionPtr& aConnection);
+  Dial* DialOf(const net::Connection* aConnection);
+
+  boost::asio::io_context& m_io;
+  const ControlSettings& m_settings;
+  const int64_t m_memberId;
+  uint64_t m_seed;
+  EventLog& m_log;
+  const PeerHandlers m_handlers;
+  std::string m_clusterId;
+  std::unique_ptr<net::Listener> m_listener;
+  std::map<std::string, Dial> m_dials; // by address
+  std::map<net::Connection*, Link> m_links;
+  bool m_stopped = false;
+};
+
+} // namespace wigeonfold::control
--- /dev/null
+++ b/apps/wigeonfold-control/Process.h
@@ -0,0 +1,13 @@
+// Threads of the control process and their graceful shutdown.
+#pragma once
+
+#include "ControlSettings.h"
+
+#include "wigeonfold/base/CommandLine.h"
+
+namespace wigeonfold::control {
+
+// Runs until SIGTERM or SIGINT, or until the data folder fails. Blocks.
+ExitStatus RunControl(const ControlSettings& aSettings);
+
+} // namespace wigeonfold::control
--- a/libs/base/include/wigeonfold/base/Events.h
+++ b/libs/base/include/wigeonfold/base/Events.h
@@ -50,7 +50,17 @@
   X(LogTruncated,           1204, Warning, "uncommitted entries were replaced by those of the leader") \
   X(SnapshotSending,        1205, Info,    "the leader began to send a snapshot to a member") \
   X(SnapshotInstalled,      1206, Info,    "a snapshot from the leader replaced the log") \
-  X(SnapshotRejected,       1207, Warning, "a received snapshot could not be decoded")
+  X(SnapshotRejected,       1207, Warning, "a received snapshot could not be decoded") \
+  X(EndpointResync,         1400, Info,    "a control VM missed endpoint changes and asked for a full transfer") \
+  X(VersionDistributed,     1500, Info,    "a committed version is distributed to the nodes") \
+  X(NodeRefusedVersion,     1501, Warning, "a node refused a version") \
+  X(NodesShed,              1502, Warning, "nodes were told to come back later") \
+  X(PeerConnected,          1510, Info,    "a connection with another control VM was identified") \
+  X(PeerLost,               1511, Warning, "a connection with another control VM ended") \
+  X(PeerRejected,           1512, Warning, "a control VM of another cluster was turned away") \
+  X(BootstrapRefused,       1520, Warning, "no cluster was created because another control VM belongs to one") \
+  X(ClusterCreated,         1521, Info,    "a new cluster was created") \
+  X(InitialVoterStep,       1522, Info,    "an initial voter was added or promoted")
 // clang-format on
 
 enum class EventId : int
--- a/libs/distribution/include/wigeonfold/distribution/NodeSessions.h
+++ b/libs/distribution/include/wigeonfold/distribution/NodeSessions.h
@@ -23,6 +23,9 @@
 
 // ---- Options ---------------------------------------------------------------
 
+// A control VM with a greater freshness age is not current.
+inline constexpr std::chrono::seconds kMaxFreshnessAge{ 3 };
+
 struct NodeSessionsOptions
 {
   int64_t m_memberId = 0;
@@ -57,10 +60,11 @@
   std::shared_ptr<const std::string> m_payload; // shared by many sessions
 };
 
-// Write what is queued, then close; no OnClosed follows.
+// Close the connection; no OnClosed follows.
 struct CloseNode
 {
   NodeSessionId m_session = 0;
+  bool m_afterWrites = false; // a farewell is queued
   std::string m_reason;
 };
 
@@ -89,6 +93,7 @@
   int64_t m_bytesSent = 0;
   bool m_belowFloor = false;
   bool m_updateInFlight = false;
+  TimePoint m_reportedAt;
 };
 
 struct NodeSessionsCounters
@@ -227,7 +232,10 @@
   void EndConfig(Session& aSession);
   void EndEndpoints(Session& aSession);
   void Send(NodeSessionId aSession, wire::FrameType aType, Payload aPayload);
-  void Close(NodeSessionId aSession, std::string aReason, TimePoint aNow);
+  void Close(NodeSessionId aSession,
+             bool aAfterWrites,
+             std::string aReason,
+             TimePoint aNow);
   void Forget(std::map<NodeSessionId, Session>::iterator aAt, TimePoint aNow);
   NodeActions Take();
 
--- a/libs/distribution/src/NodeSessions.cpp
+++ b/libs/distribution/src/NodeSessions.cpp
@@ -97,10 +97,12 @@
 }
 
 void NodeSessions::Close(NodeSessionId aSession,
+                         bool aAfterWrites,
                          std::string aReason,
                          TimePoint aNow)
 {
-  m_actions.emplace_back(CloseNode{ aSession, std::move(aReason) });
+  m_actions.emplace_back(
+    CloseNode{ aSession, aAfterWrites, std::move(aReason) });
   OnClosed(aSession, aNow);
 }
 
@@ -114,7 +116,7 @@
   if (found != m_sessions.end()) {
     found->second.m_lastFrame = aNow;
     if (!Dispatch(found->second, aFrame, aNow)) {
-      Close(aSession, "malformed or unexpected frame", aNow);
+      Close(aSession, false, "malformed or unexpected frame", aNow);
     }
   }
   return Take();
@@ -188,7 +190,7 @@
   ++m_counters.m_shedHellos;
   const NodeSessionId id = aSession.m_id;
   SendRetryLater(id, *wait);
-  Close(id, "no capacity", aNow);
+  Close(id, true, "no capacity", aNow);
   return false;
 }
 
@@ -207,7 +209,7 @@
     return;
   }
   const auto old = m_sessions.find(named->second);
-  m_actions.emplace_back(CloseNode{ named->second, "superseded" });
+  m_actions.emplace_back(CloseNode{ named->second, false, "superseded" });
   EndConfig(old->second);
   EndEndpoints(old->second);
   m_sessions.erase(old);
@@ -224,6 +226,7 @@
   aSession.m_greeted = true;
   aSession.m_info = NodeInfo();
   aSession.m_info.m_nodeName = aHello.nodeName;
+  aSession.m_info.m_reportedAt = aNow;
   aSession.m_info.m_availabilityZone = aHello.availabilityZone;
   aSession.m_confirmed = ToVersion(aHello.__isset.held, aHello.held);
   aSession.m_info.m_inForce = aSession.m_confirmed;
@@ -282,6 +285,7 @@
   NodeInfo& info = aSession.m_info;
   info.m_bytesReceived = aStatus.controlBytesReceived;
   info.m_bytesSent = aStatus.controlBytesSent;
+  info.m_reportedAt = aNow;
   info.m_belowFloor = aStatus.belowFloor;
   info.m_inForce = ToVersion(aStatus.__isset.inForce, aStatus.inForce);
   NoteRefusal(aSession, aStatus);
@@ -501,7 +505,7 @@
     SendUpdates(session, aNow);
   }
   for (const NodeSessionId id : silent) {
-    Close(id, "silent", aNow);
+    Close(id, false, "silent", aNow);
   }
   return Take();
 }
@@ -539,7 +543,7 @@
   for (const auto& [id, session] : m_sessions) {
     const auto wait = static_cast<int64_t>(m_random() % spread);
     SendRetryLater(id, std::chrono::milliseconds(wait));
-    m_actions.emplace_back(CloseNode{ id, "shutdown" });
+    m_actions.emplace_back(CloseNode{ id, true, "shutdown" });
   }
   m_sessions.clear();
   m_byName.clear();
