Test discovery and distribution by properties

Convergence of endpoint tables under loss, duplication, reordering, restarts and silent owners; a node joined to two control VMs by faulty sessions; a herd of 1,000 hellos; a slow node; damaged updates.

--- a/libs/distribution/include/wigeonfold/distribution/Subscriber.h
+++ b/libs/distribution/include/wigeonfold/distribution/Subscriber.h
@@ -176,6 +176,7 @@
     TimePoint m_lastFrame;
     Duration m_freshnessAge{};
     std::optional<TimePoint> m_lastResync;
+    std::optional<TimePoint> m_lastFullResync;
   };
   struct Candidate
   {
@@ -238,10 +239,6 @@
   int64_t m_endpointCursor = 0;
   std::optional<Version> m_refused;
   std::string m_refusal;
-  // Version for which a whole tree was asked after a delta failed.
-  std::optional<Version> m_askedFullFor;
-  bool m_askedFull = false;
-
   std::optional<wire::EndpointRecord> m_announced;
   int64_t m_sequence = 0;
 
--- a/libs/distribution/src/Subscriber.cpp
+++ b/libs/distribution/src/Subscriber.cpp
@@ -334,7 +334,7 @@
     SendStatus(); // a duplicate; confirms once more
     return;
   }
-  if (m_refused == target && !m_askedFull) {
+  if (m_refused == target) {
     SendStatus();
     return;
   }
@@ -363,27 +363,22 @@
   }
   m_refused.reset();
   m_refusal.clear();
-  m_askedFull = false;
   Apply(std::move(next));
   SendStatus();
   CheckReady(aNow);
 }
 
 // A digest that differs after a delta may be the fault of the base, so the
-// whole tree is asked for once before the version is refused.
+// whole tree is asked for before the version is refused.
 void Subscriber::RefuseDelta(const wire::ConfigUpdate& aUpdate,
                              const Error& aError,
                              TimePoint aNow)
 {
-  const Version target = wire::FromWire(aUpdate.target);
-  if (!aUpdate.full && m_askedFullFor != target) {
-    m_askedFullFor = target;
-    m_askedFull = true;
+  if (!aUpdate.full) {
     AskResync(true, aNow);
     return;
   }
-  m_askedFull = false;
-  Refuse(target, aError.ToString());
+  Refuse(wire::FromWire(aUpdate.target), aError.ToString());
 }
 
 void Subscriber::Refuse(const Version& aVersion, const std::string& aReason)
@@ -504,14 +499,15 @@
   }
 }
 
+// Requests are spaced, so that a control VM that can't help is not asked in a
+// loop.
 void Subscriber::AskResync(bool aFull, TimePoint aNow)
 {
-  const auto& last = m_main->m_lastResync;
-  if (!HasSession() ||
-      (!aFull && last && aNow - *last < m_options.m_resyncPause)) {
+  auto& last = aFull ? m_main->m_lastFullResync : m_main->m_lastResync;
+  if (!HasSession() || (last && aNow - *last < m_options.m_resyncPause)) {
     return;
   }
-  m_main->m_lastResync = aNow;
+  last = aNow;
   wire::NodeStatus status = MakeStatus();
   status.resync = true;
   status.resyncFull = aFull;
--- /dev/null
+++ b/libs/distribution/test/NodeSessions_test.cpp
@@ -0,0 +1,241 @@
+// Guards against herds that overload a control VM and slow nodes that fill its
+// queues.
+#include "TestWorld.h"
+
+#include <queue>
+
+namespace wigeonfold::distribution {
+namespace {
+
+wire::NodeHello Hello(const std::string& aName)
+{
+  wire::NodeHello hello;
+  hello.nodeName = aName;
+  hello.nodeEpoch = 1;
+  hello.availabilityZone = "a";
+  hello.endpointSource = 0;
+  hello.endpointCursor = 0;
+  hello.probe = false;
+  return hello;
+}
+
+wire::NodeStatus StatusOf(const Version& aInForce)
+{
+  wire::NodeStatus status;
+  status.__set_inForce(wire::ToWire(aInForce));
+  return status;
+}
+
+// A thousand nodes that say hello at once and confirm after a round trip.
+class Herd
+{
+public:
+  Herd(int aNodes, uint64_t aSeed)
+    : m_table(1, 1)
+    , m_sessions(NodeSessionsOptions(), m_table, aSeed)
+    , m_tree(MakeTrees(3).back())
+  {
+    m_sessions.SetTree(m_tree, m_now);
+    m_sessions.SetFreshness(0ms, m_now);
+    for (int node = 0; node < aNodes; ++node) {
+      m_hellos.emplace(m_now, node);
+    }
+  }
+
+  void Run(Duration aTime)
+  {
+    const TimePoint end = m_now + aTime;
+    while (m_now < end) {
+      m_now += 10ms;
+      while (!m_hellos.empty() && m_hellos.top().first <= m_now) {
+        const int node = m_hellos.top().second;
+        m_hellos.pop();
+        SayHello(node);
+      }
+      while (!m_confirms.empty() && m_confirms.top().first <= m_now) {
+        const NodeSessionId session = m_confirms.top().second;
+        m_confirms.pop();
+        Confirm(session);
+      }
+      Carry(m_sessions.OnTick(m_now));
+    }
+  }
+
+  discovery::EndpointTable m_table;
+  NodeSessions m_sessions;
+
+private:
+  template<class T>
+  using Timed = std::priority_queue<std::pair<TimePoint, T>,
+                                    std::vector<std::pair<TimePoint, T>>,
+                                    std::greater<>>;
+
+  void SayHello(int aNode)
+  {
+    const NodeSessionId session = ++m_lastSession;
+    m_nodeOf[session] = aNode;
+    m_sessions.OnOpened(session, m_now);
+    Carry(m_sessions.OnFrame(
+      session,
+      MakeFrame(wire::FrameType::NodeHello, Hello(std::to_string(aNode))),
+      m_now));
+  }
+
+  void Confirm(NodeSessionId aSession)
+  {
+    wire::NodeStatus status = StatusOf(m_tree.At());
+    status.endpointSource = m_table.Source();
+    status.endpointCursor = m_table.Cursor();
+    Carry(m_sessions.OnFrame(
+      aSession, MakeFrame(wire::FrameType::NodeStatus, status), m_now));
+  }
+
+  void Carry(const NodeActions& aActions)
+  {
+    for (const NodeAction& action : aActions) {
+      const auto* send = std::get_if<SendToNode>(&action);
+      if (!send) {
+        continue;
+      }
+      if (send->m_type == wire::FrameType::RetryLater) {
+        const auto retry =
+          wire::Decode<wire::RetryLater>(*send->m_payload, "").value();
+        m_hellos.emplace(m_now + std::chrono::milliseconds(retry.afterMs),
+                         m_nodeOf[send->m_session]);
+      } else if (send->m_type != wire::FrameType::HelloReply) {
+        m_confirms.emplace(m_now + 50ms, send->m_session);
+      }
+    }
+  }
+
+  settings::Tree m_tree;
+  TimePoint m_now = TimePoint() + 1h;
+  Timed<int> m_hellos;
+  Timed<NodeSessionId> m_confirms;
+  std::map<NodeSessionId, int> m_nodeOf;
+  NodeSessionId m_lastSession = 0;
+};
+
+class HerdTest : public testing::TestWithParam<uint64_t>
+{};
+
+TEST_P(HerdTest, IsShedWithinBoundsAndServedInTheEnd)
+{
+  Herd herd(1000, GetParam());
+  herd.Run(10ms);
+  const NodeSessionsOptions options;
+  EXPECT_LE(herd.m_sessions.Count(),
+            static_cast<size_t>(options.m_helloBurst) + 10);
+  herd.Run(30s);
+  EXPECT_EQ(herd.m_sessions.Count(), 1000U);
+  EXPECT_EQ(herd.m_sessions.CurrentNodes(), 1000U);
+  const auto& counters = herd.m_sessions.Counters();
+  EXPECT_LE(counters.m_peakFullTransfers, options.m_maxFullTransfers);
+  // Shedding must not turn into a storm of repeated hellos.
+  EXPECT_LE(counters.m_hellos, 10'000U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, HerdTest, testing::Range<uint64_t>(1, 4));
+
+class OneNode : public testing::Test
+{
+protected:
+  OneNode()
+    : m_table(1, 1)
+    , m_sessions(NodeSessionsOptions(), m_table, 1)
+    , m_trees(MakeTrees(30))
+  {
+    m_sessions.SetFreshness(0ms, m_now);
+    m_sessions.SetTree(m_trees[0], m_now);
+    Greet(1);
+  }
+
+  void Greet(NodeSessionId aSession)
+  {
+    m_sessions.OnOpened(aSession, m_now);
+    Carry(m_sessions.OnFrame(
+      aSession, MakeFrame(wire::FrameType::NodeHello, Hello("n")), m_now));
+  }
+
+  void Status(const wire::NodeStatus& aStatus)
+  {
+    Carry(m_sessions.OnFrame(
+      1, MakeFrame(wire::FrameType::NodeStatus, aStatus), m_now));
+  }
+
+  void Carry(const NodeActions& aActions)
+  {
+    for (const NodeAction& action : aActions) {
+      const auto* send = std::get_if<SendToNode>(&action);
+      if (send && send->m_type == wire::FrameType::ConfigUpdate) {
+        m_updates.push_back(
+          wire::Decode<wire::ConfigUpdate>(*send->m_payload, "").value());
+      } else if (send && send->m_type == wire::FrameType::HelloReply) {
+        m_reply = wire::Decode<wire::HelloReply>(*send->m_payload, "").value();
+      }
+    }
+  }
+
+  discovery::EndpointTable m_table;
+  NodeSessions m_sessions;
+  std::vector<settings::Tree> m_trees;
+  TimePoint m_now = TimePoint() + 1h;
+  std::vector<wire::ConfigUpdate> m_updates;
+  wire::HelloReply m_reply;
+};
+
+TEST_F(OneNode, SlowNodeGetsTheNewestStateAndNotAQueue)
+{
+  for (size_t version = 1; version < 30; ++version) {
+    Carry(m_sessions.SetTree(m_trees[version], m_now));
+    Carry(m_sessions.OnTick(m_now));
+  }
+  ASSERT_EQ(m_updates.size(), 1U);
+  Status(StatusOf({ 1, 0 }));
+  ASSERT_EQ(m_updates.size(), 2U);
+  EXPECT_EQ(wire::FromWire(m_updates[1].base), Version({ 1, 0 }));
+  EXPECT_EQ(wire::FromWire(m_updates[1].target), Version({ 1, 29 }));
+  EXPECT_FALSE(m_updates[1].full);
+}
+
+TEST_F(OneNode, RefusedVersionIsNotSentAgain)
+{
+  Status(StatusOf({ 1, 0 }));
+  Carry(m_sessions.SetTree(m_trees[1], m_now));
+  ASSERT_EQ(m_updates.size(), 2U);
+  auto status = StatusOf({ 1, 0 });
+  status.__set_refused(wire::ToWire({ 1, 1 }));
+  for (int repeat = 0; repeat < 100; ++repeat) {
+    m_now += 1s;
+    Status(status);
+    Carry(m_sessions.OnTick(m_now));
+  }
+  EXPECT_EQ(m_updates.size(), 2U);
+  Carry(m_sessions.SetTree(m_trees[2], m_now));
+  ASSERT_EQ(m_updates.size(), 3U);
+  EXPECT_EQ(wire::FromWire(m_updates[2].target), Version({ 1, 2 }));
+}
+
+TEST_F(OneNode, HelloReplyCarriesTheFloorOfAnEarlierRun)
+{
+  Status(StatusOf({ 1, 17 }));
+  m_sessions.OnClosed(1, m_now);
+  Greet(2);
+  ASSERT_TRUE(m_reply.__isset.floor);
+  EXPECT_EQ(wire::FromWire(m_reply.floor), Version({ 1, 17 }));
+}
+
+TEST(Floors, ForgetTheOldestNameBeyondTheBound)
+{
+  Floors floors(2);
+  floors.Raise("a", { 1, 5 });
+  floors.Raise("b", { 1, 1 });
+  floors.Raise("a", { 1, 3 });
+  floors.Raise("c", { 1, 2 });
+  EXPECT_EQ(floors.Of("a"), Version({ 1, 5 }));
+  EXPECT_FALSE(floors.Of("b"));
+  EXPECT_EQ(floors.Size(), 2U);
+}
+
+} // namespace
+} // namespace wigeonfold::distribution
--- /dev/null
+++ b/libs/distribution/test/Sessions_test.cpp
@@ -0,0 +1,154 @@
+// Guards against a node that goes back to an older version, applies a part of
+// one, or stays behind for ever, whatever its sessions lose, repeat or reorder.
+#include "TestWorld.h"
+
+namespace wigeonfold::distribution {
+namespace {
+
+void DeliverWithFault(TestWorld& aWorld)
+{
+  if (aWorld.m_bag.empty()) {
+    return;
+  }
+  const auto index = *rc::gen::inRange<size_t>(0, aWorld.m_bag.size());
+  switch (*rc::gen::inRange(0, 8)) {
+    case 0:
+      aWorld.Lose(index);
+      break;
+    case 1:
+      aWorld.Deliver(index, true);
+      break;
+    case 2:
+      aWorld.Deliver(index);
+      break;
+    default:
+      aWorld.Deliver(0);
+      break;
+  }
+}
+
+void Step(TestWorld& aWorld)
+{
+  const auto control = *rc::gen::inRange<size_t>(0, TestWorld::kControls);
+  switch (*rc::gen::inRange(0, 16)) {
+    case 0: {
+      // Control VMs learn of versions at different times.
+      const int last = std::min(aWorld.m_newest + 3, TestWorld::kVersions - 1);
+      aWorld.Commit(control, *rc::gen::inRange(0, last + 1));
+      break;
+    }
+    case 1:
+      if (!aWorld.m_open.empty()) {
+        aWorld.Cut(aWorld.m_open.begin()->first);
+      }
+      break;
+    case 2:
+      aWorld.Tick(*rc::gen::element<Duration>(1s, 4500ms));
+      break;
+    case 3:
+      aWorld.m_controls[control]->m_fresh = *rc::gen::arbitrary<bool>();
+      break;
+    case 4:
+      if (*rc::gen::inRange(0, 8) == 0) {
+        aWorld.StartNode();
+      }
+      break;
+    case 5:
+    case 6:
+      aWorld.Tick(100ms);
+      break;
+    default:
+      DeliverWithFault(aWorld);
+      break;
+  }
+}
+
+RC_GTEST_PROP(Sessions, NeverBackAndAlwaysNewestInTheEnd, ())
+{
+  TestWorld world;
+  world.Commit(0, 0);
+  const int steps = *rc::gen::inRange(0, 300);
+  for (int step = 0; step < steps; ++step) {
+    Step(world);
+  }
+  world.Settle();
+  const Version newest{ 1, world.m_newest };
+  RC_ASSERT(world.m_node->InForce() == newest);
+  RC_ASSERT(world.m_node->IsReady());
+  // The endpoints are those of the control VM that holds the session.
+  RC_ASSERT(world.m_open.size() == 1U);
+  const auto& table = world.m_controls[world.m_open.begin()->second]->m_table;
+  const auto& endpoints = world.m_node->State()->m_endpoints;
+  RC_ASSERT(endpoints.Size() == table.Size());
+  for (const auto& record : table.Records()) {
+    RC_ASSERT(*endpoints.Find(record.nodeName) == record);
+  }
+}
+
+RC_GTEST_PROP(Sessions, RestartedNodeServesOnlyFromItsFloor, ())
+{
+  TestWorld world;
+  const int before = *rc::gen::inRange(1, TestWorld::kVersions);
+  world.Commit(0, before);
+  world.Commit(1, before);
+  world.Settle();
+  RC_ASSERT(world.m_node->IsReady());
+  const size_t home = world.m_open.begin()->second;
+  // The other control VM is replaced by one that lags behind, yet believes
+  // itself current.
+  const int lag = *rc::gen::inRange(0, before);
+  world.m_controls[1 - home] = std::make_unique<TestControl>(9);
+  world.Commit(1 - home, lag);
+  world.StartNode();
+  world.m_node->OnPeerVersion({ 1, before }, world.m_now);
+  for (int step = 0; step < 100; ++step) {
+    while (!world.m_bag.empty()) {
+      world.Deliver(0);
+    }
+    world.Tick(100ms);
+    RC_ASSERT(!world.m_node->IsReady() ||
+              world.m_node->InForce() == Version({ 1, before }));
+  }
+  world.Settle();
+  RC_ASSERT(world.m_node->IsReady());
+}
+
+TEST(Sessions, NodeMovesFromAStaleControlVmToAFresherOne)
+{
+  TestWorld world;
+  world.Commit(0, 1);
+  world.Commit(1, 1);
+  world.Settle();
+  const size_t home = world.m_open.begin()->second;
+  world.m_controls[home]->m_fresh = false;
+  for (int step = 0; step < 100; ++step) {
+    while (!world.m_bag.empty()) {
+      world.Deliver(0);
+    }
+    world.Tick(100ms);
+  }
+  ASSERT_EQ(world.m_open.size(), 1U);
+  EXPECT_EQ(world.m_open.begin()->second, 1 - home);
+}
+
+TEST(Sessions, NodeKeepsItsSessionWhenAllControlVmsAreStale)
+{
+  TestWorld world;
+  world.Commit(0, 1);
+  world.Commit(1, 1);
+  world.Settle();
+  const SessionId session = world.m_open.begin()->first;
+  world.m_controls[0]->m_fresh = false;
+  world.m_controls[1]->m_fresh = false;
+  for (int step = 0; step < 300; ++step) {
+    while (!world.m_bag.empty()) {
+      world.Deliver(0);
+    }
+    world.Tick(100ms);
+  }
+  EXPECT_EQ(world.m_open.count(session), 1U);
+  EXPECT_EQ(world.m_node->InForce(), Version({ 1, 1 }));
+}
+
+} // namespace
+} // namespace wigeonfold::distribution
--- /dev/null
+++ b/libs/distribution/test/Subscriber_test.cpp
@@ -0,0 +1,176 @@
+// Guards against damaged or invalid versions that are applied or asked for in
+// a loop.
+#include "TestWorld.h"
+
+namespace wigeonfold::distribution {
+namespace {
+
+// A node with an established session and version 1.1 in force.
+class Fixture
+{
+public:
+  explicit Fixture(StateCheck aCheck = [](const NodeState&) { return Ok(); })
+    : m_node(
+        [] {
+          SubscriberOptions options;
+          options.m_nodeName = "n";
+          options.m_controlVms.push_back({ { "127.0.0.1", 1 }, "a" });
+          return options;
+        }(),
+        std::move(aCheck),
+        1)
+    , m_trees(MakeTrees(10))
+  {
+    m_session = std::get<ConnectTo>(m_node.Start(m_now)[0]).m_session;
+    m_node.OnConnected(m_session, m_now);
+    Feed(wire::FrameType::HelloReply, wire::HelloReply());
+    Feed(wire::FrameType::ConfigUpdate, Update(std::nullopt, 1));
+  }
+
+  template<class T>
+  SubscriberActions Feed(wire::FrameType aType, const T& aMessage)
+  {
+    m_now += 10ms;
+    return m_node.OnFrame(m_session, MakeFrame(aType, aMessage), m_now);
+  }
+
+  wire::ConfigUpdate Update(std::optional<Version> aBase, size_t aTarget) const
+  {
+    const auto delta = m_trees[aTarget].DeltaFrom(aBase);
+    wire::ConfigUpdate update;
+    update.full = delta.m_full;
+    update.base = wire::ToWire(delta.m_base);
+    update.target = wire::ToWire(delta.m_target);
+    update.branches = delta.m_branches;
+    update.digest = static_cast<int64_t>(delta.m_digest);
+    return update;
+  }
+
+  Subscriber m_node;
+  std::vector<settings::Tree> m_trees;
+  TimePoint m_now = TimePoint() + 1h;
+  SessionId m_session = 0;
+};
+
+// The last status in the actions.
+std::optional<wire::NodeStatus> StatusIn(const SubscriberActions& aActions)
+{
+  std::optional<wire::NodeStatus> status;
+  for (const auto& action : aActions) {
+    const auto* send = std::get_if<SendFrame>(&action);
+    if (send && send->m_type == wire::FrameType::NodeStatus) {
+      status = wire::Decode<wire::NodeStatus>(send->m_payload, "").value();
+    }
+  }
+  return status;
+}
+
+template<class T>
+size_t CountOf(const SubscriberActions& aActions)
+{
+  size_t count = 0;
+  for (const auto& action : aActions) {
+    count += std::holds_alternative<T>(action) ? 1 : 0;
+  }
+  return count;
+}
+
+RC_GTEST_PROP(Subscriber, DamagedUpdateIsNeverApplied, ())
+{
+  Fixture fixture;
+  const auto target = *rc::gen::inRange<size_t>(2, 10);
+  const bool full = *rc::gen::arbitrary<bool>();
+  auto update = fixture.Update(
+    full ? std::nullopt : std::optional<Version>(Version{ 1, 1 }), target);
+  auto& branch =
+    update.branches[*rc::gen::inRange<size_t>(0, update.branches.size())];
+  switch (*rc::gen::inRange(0, 4)) {
+    case 0:
+      branch.settings["route.prefix"] += "x";
+      break;
+    case 1:
+      branch.path += "x";
+      break;
+    case 2:
+      branch.settings["queue.limit"] = "7";
+      break;
+    default:
+      branch.removed = !branch.removed;
+      break;
+  }
+  const auto before = fixture.m_node.State();
+  for (int repeat = 0; repeat < 3; ++repeat) {
+    const auto actions = fixture.Feed(wire::FrameType::ConfigUpdate, update);
+    RC_ASSERT(CountOf<ApplyState>(actions) == 0U);
+  }
+  RC_ASSERT(fixture.m_node.State() == before);
+  // A good copy of the whole tree puts the version in force after a damaged
+  // delta; a damaged whole tree is refused by name.
+  if (full) {
+    RC_ASSERT(fixture.m_node.Refused() ==
+              Version({ 1, static_cast<int64_t>(target) }));
+  } else {
+    fixture.Feed(wire::FrameType::ConfigUpdate,
+                 fixture.Update(std::nullopt, target));
+    RC_ASSERT(fixture.m_node.InForce()->m_number ==
+              static_cast<int64_t>(target));
+  }
+}
+
+TEST(Subscriber, VersionThatFailsItsCheckIsRefusedOnceAndLeftByTheNext)
+{
+  Fixture fixture([](const NodeState& aState) -> Status {
+    if (aState.m_tree.At().m_number == 2) {
+      return Error{ ErrorCode::InvalidArgument, "check", "", "no good" };
+    }
+    return Ok();
+  });
+  const auto bad = fixture.Update(Version{ 1, 1 }, 2);
+  const auto first = fixture.Feed(wire::FrameType::ConfigUpdate, bad);
+  EXPECT_EQ(CountOf<ReportRefusal>(first), 1U);
+  const auto second = fixture.Feed(wire::FrameType::ConfigUpdate, bad);
+  EXPECT_EQ(CountOf<ReportRefusal>(second), 0U);
+  EXPECT_EQ(StatusIn(second)->refusal, "no good");
+  EXPECT_FALSE(StatusIn(second)->resync);
+  fixture.Feed(wire::FrameType::ConfigUpdate,
+               fixture.Update(Version{ 1, 1 }, 3));
+  EXPECT_EQ(fixture.m_node.InForce(), Version({ 1, 3 }));
+  EXPECT_FALSE(fixture.m_node.Refused());
+}
+
+TEST(Subscriber, WrongBaseAndLowerVersionAskForAResyncNotInALoop)
+{
+  Fixture fixture;
+  const auto wrong = fixture.Update(Version{ 1, 4 }, 5);
+  EXPECT_TRUE(
+    StatusIn(fixture.Feed(wire::FrameType::ConfigUpdate, wrong))->resync);
+  EXPECT_FALSE(StatusIn(fixture.Feed(wire::FrameType::ConfigUpdate, wrong)));
+  fixture.m_now += 2s;
+  const auto lower = fixture.Update(std::nullopt, 0);
+  EXPECT_TRUE(
+    StatusIn(fixture.Feed(wire::FrameType::ConfigUpdate, lower))->resync);
+  EXPECT_EQ(fixture.m_node.InForce(), Version({ 1, 1 }));
+}
+
+TEST(Subscriber, BacksOffWithFullJitterWhileNoControlVmAnswers)
+{
+  SubscriberOptions options;
+  options.m_controlVms.push_back({ { "127.0.0.1", 1 }, "a" });
+  std::set<Duration> delays;
+  for (uint64_t seed = 0; seed < 50; ++seed) {
+    Subscriber node(
+      options, [](const NodeState&) { return Ok(); }, seed);
+    const TimePoint now;
+    auto actions = node.Start(now);
+    for (int attempt = 0; attempt < 12; ++attempt) {
+      const auto connect = std::get<ConnectTo>(actions.at(0));
+      EXPECT_LE(connect.m_at - now, 5s);
+      delays.insert(connect.m_at - now);
+      actions = node.OnClosed(connect.m_session, now);
+    }
+  }
+  EXPECT_GT(delays.size(), 400U);
+}
+
+} // namespace
+} // namespace wigeonfold::distribution
