--- a/libs/base/include/wigeonfold/base/Events.h
+++ b/libs/base/include/wigeonfold/base/Events.h
@@ -29,12 +29,12 @@
 // 1100 storage, 1200 consensus, 1300 registry, 1400 discovery, 1500
 // distribution at the control VM, 2000 node configuration, 2100 node data path.
 // clang-format off
-#define WIGEONFOLD_EVENTS(X)                                                            \
-  X(ProcessStarted,         1000, Info,    "process started")                           \
-  X(ProcessStopping,        1001, Info,    "graceful shutdown began")                   \
-  X(ProcessStopped,         1002, Info,    "process stopped")                           \
-  X(ListenFailed,           1003, Error,   "a listening socket could not be opened")    \
-  X(ConnectionRejected,     1004, Warning, "a peer sent a malformed frame or message")  \
+#define WIGEONFOLD_EVENTS(X) \
+  X(ProcessStarted,         1000, Info,    "process started") \
+  X(ProcessStopping,        1001, Info,    "graceful shutdown began") \
+  X(ProcessStopped,         1002, Info,    "process stopped") \
+  X(ListenFailed,           1003, Error,   "a listening socket could not be opened") \
+  X(ConnectionRejected,     1004, Warning, "a peer sent a malformed frame or message") \
   X(EventsDropped,          1005, Warning, "the event queue was full; events were lost") \
   X(FolderCreated,          1100, Info,    "a data folder was created") \
   X(FolderRecovered,        1101, Info,    "the content of the data folder was read") \
@@ -60,7 +60,16 @@
   X(PeerRejected,           1512, Warning, "a control VM of another cluster was turned away") \
   X(BootstrapRefused,       1520, Warning, "no cluster was created because another control VM belongs to one") \
   X(ClusterCreated,         1521, Info,    "a new cluster was created") \
-  X(InitialVoterStep,       1522, Info,    "an initial voter was added or promoted")
+  X(InitialVoterStep,       1522, Info,    "an initial voter was added or promoted") \
+  X(NodeReady,              2000, Info,    "callers' traffic is accepted") \
+  X(ConfigApplied,          2001, Info,    "a configuration version is in force") \
+  X(ConfigRefused,          2002, Error,   "a configuration version was refused") \
+  X(ServingBelowFloor,      2003, Warning, "no fresh control VM; an older version is in force") \
+  X(ControlSessionOpened,   2004, Info,    "connected to a control VM") \
+  X(ControlSessionClosed,   2005, Warning, "connection to a control VM failed or ended") \
+  X(TargetStateChanged,     2100, Info,    "the own target's state changed") \
+  X(DrainCutShort,          2101, Warning, "requests were cut at the end of the drain limit") \
+  X(RingFull,               2102, Warning, "a ring between threads was full")
 // clang-format on
 
 enum class EventId : int
