Let a member with an uncommitted removal vote

Two members that had each appended the other's or their own removal refused one another's votes for ever, so no leader could be elected.

--- a/libs/consensus/include/wigeonfold/consensus/Raft.h
+++ b/libs/consensus/include/wigeonfold/consensus/Raft.h
@@ -283,6 +283,7 @@
   void RequestSnapshot(RaftActions& aActions);
   void AddEvent(EventId aId, std::vector<EventField> aFields);
   bool InMembership() const;
+  const wire::Membership& PreviousMembership() const;
   int64_t SnapshotIndex() const;
 
   // Election.cpp
--- a/libs/consensus/src/Election.cpp
+++ b/libs/consensus/src/Election.cpp
@@ -63,12 +63,8 @@
 // that entry; if it did not campaign, no one could be elected.
 bool Raft::MayCampaign() const
 {
-  if (IsVoter(CurrentMembership(), m_self)) {
-    return true;
-  }
-  const size_t count = m_memberships.size();
-  return !MembershipCommitted() && count > 1 &&
-         IsVoter(m_memberships[count - 2].m_membership, m_self);
+  return IsVoter(CurrentMembership(), m_self) ||
+         IsVoter(PreviousMembership(), m_self);
 }
 
 // Asks whether an election could be won before it raises the term, so that a
--- a/libs/consensus/src/Raft.cpp
+++ b/libs/consensus/src/Raft.cpp
@@ -406,9 +406,21 @@
   return m_snapshot ? m_snapshot->m_position.m_index : 0;
 }
 
+// A member whose own removal is not committed may still be needed to elect a
+// leader that replaces that entry.
 bool Raft::InMembership() const
 {
-  return FindMember(CurrentMembership(), m_self) != nullptr;
+  return FindMember(CurrentMembership(), m_self) != nullptr ||
+         FindMember(PreviousMembership(), m_self) != nullptr;
+}
+
+// The membership in effect should the newest one turn out not to be committed.
+const wire::Membership& Raft::PreviousMembership() const
+{
+  const size_t count = m_memberships.size();
+  return MembershipCommitted() || count < 2
+           ? CurrentMembership()
+           : m_memberships[count - 2].m_membership;
 }
 
 const wire::Membership& Raft::CurrentMembership() const
