Add the timeline command to the operators' client

Cause: following one change or one request over several processes needs their events in one order.

Change: wigeonfold timeline merges the events of all control VMs and of given processes, as text, JSON or Chrome trace.

--- a/apps/wigeonfold/Arguments.cpp
+++ b/apps/wigeonfold/Arguments.cpp
@@ -38,13 +38,15 @@
   wigeonfold members replace MEMBER ID NAME ZONE PEER_ADDRESS API_ADDRESS )" WIGEONFOLD_CONTROL
   R"(
   wigeonfold drain NODE [--undo] [--wait] )" WIGEONFOLD_CONTROL R"(
+  wigeonfold timeline [--chrome] [ADDRESS...] )" WIGEONFOLD_CONTROL R"(
   wigeonfold --check-config --config FILE
   wigeonfold --help
   wigeonfold --version
 
 branch set, unset and remove edit a local draft; accept sends it. PATH is a
 path such as services/lots; the root is written /. MEMBER is the id or the name
-of a present member.
+of a present member. timeline merges the events of all control VMs and of the
+processes at the given HTTP addresses, such as the nodes' local-listen.
 
 Options:
   --effective          Show for each key the value in effect and its branch.
@@ -57,6 +59,7 @@
   --force              Discard also a draft whose outcome is not known.
   --limit N            Number of changes to show [default: 20].
   --undo               Take the target back into service.
+  --chrome             Print the time line in Chrome's trace format.
   --json               Print JSON.
   --draft FILE         Draft file [default: ./wigeonfold.draft.json].
   --control ADDRESSES  API addresses of control VMs, separated by commas.
@@ -81,7 +84,7 @@
   Command m_command;
 };
 
-constexpr std::array<CommandWords, 17> kCommands{ {
+constexpr std::array<CommandWords, 18> kCommands{ {
   { nullptr, "--check-config", Command::CheckConfig },
   { "branch", "get", Command::BranchGet },
   { "branch", "set", Command::BranchSet },
@@ -99,6 +102,7 @@
   { "members", "promote", Command::MembersPromote },
   { "members", "replace", Command::MembersReplace },
   { nullptr, "drain", Command::Drain },
+  { nullptr, "timeline", Command::Timeline },
 } };
 
 bool Flag(const Parsed& aParsed, const std::string& aName)
@@ -146,12 +150,17 @@
   arguments.m_zone = Text(aParsed, "ZONE");
   arguments.m_peerAddress = Text(aParsed, "PEER_ADDRESS");
   arguments.m_apiAddress = Text(aParsed, "API_ADDRESS");
+  const auto addresses = aParsed.find("ADDRESS");
+  if (addresses != aParsed.end() && addresses->second.isStringList()) {
+    arguments.m_addresses = addresses->second.asStringList();
+  }
   arguments.m_effective = Flag(aParsed, "--effective");
   arguments.m_wait = Flag(aParsed, "--wait");
   arguments.m_rebase = Flag(aParsed, "--rebase");
   arguments.m_undo = Flag(aParsed, "--undo");
   arguments.m_force = Flag(aParsed, "--force");
   arguments.m_json = Flag(aParsed, "--json");
+  arguments.m_chrome = Flag(aParsed, "--chrome");
   arguments.m_since = Text(aParsed, "--since");
   arguments.m_author = Text(aParsed, "--author");
   arguments.m_comment = Text(aParsed, "--comment");
--- a/apps/wigeonfold/Arguments.h
+++ b/apps/wigeonfold/Arguments.h
@@ -30,6 +30,7 @@
   MembersPromote,
   MembersReplace,
   Drain,
+  Timeline,
 };
 
 struct Arguments
@@ -47,6 +48,7 @@
   std::string m_zone;
   std::string m_peerAddress;
   std::string m_apiAddress;
+  std::vector<std::string> m_addresses; // of processes
 
   // ---- Options ----
   bool m_effective = false;
@@ -55,6 +57,7 @@
   bool m_undo = false;
   bool m_force = false;
   bool m_json = false;
+  bool m_chrome = false;
   std::string m_since;
   std::string m_author;
   std::string m_comment;
--- a/apps/wigeonfold/Commands.cpp
+++ b/apps/wigeonfold/Commands.cpp
@@ -13,7 +13,7 @@
   ExitStatus (*m_run)(Session&);
 };
 
-constexpr std::array<CommandFunction, 15> kFunctions{ {
+constexpr std::array<CommandFunction, 16> kFunctions{ {
   { Command::BranchGet, RunBranchGet },
   { Command::BranchShow, RunBranchShow },
   { Command::BranchSet, RunBranchEdit },
@@ -29,6 +29,7 @@
   { Command::MembersPromote, RunMembersChange },
   { Command::MembersReplace, RunMembersChange },
   { Command::Drain, RunDrain },
+  { Command::Timeline, RunTimeline },
 } };
 
 } // namespace
--- a/apps/wigeonfold/Commands.h
+++ b/apps/wigeonfold/Commands.h
@@ -69,6 +69,7 @@
 ExitStatus RunDrain(Session& aSession);
 ExitStatus RunHistory(Session& aSession);
 ExitStatus RunStatus(Session& aSession);
+ExitStatus RunTimeline(Session& aSession);
 ExitStatus RunMembersList(Session& aSession);
 ExitStatus RunMembersChange(Session& aSession); // add, remove, promote, replace
 
--- a/libs/observe/include/wigeonfold/observe/Timeline.h
+++ b/libs/observe/include/wigeonfold/observe/Timeline.h
@@ -35,6 +35,7 @@
 
 // One line per event.
 std::string ToText(const std::vector<TimelineEntry>& aEntries);
+std::string ToJson(const std::vector<TimelineEntry>& aEntries);
 // Chrome trace format: one instant event per entry, one row per process.
 std::string ToChromeTrace(const std::vector<TimelineEntry>& aEntries);
 
--- a/libs/observe/src/Timeline.cpp
+++ b/libs/observe/src/Timeline.cpp
@@ -40,16 +40,21 @@
   return fields;
 }
 
+Json EventToJson(const Event& aEvent)
+{
+  return { { "time", aEvent.m_time },
+           { "event", static_cast<int>(aEvent.m_id) },
+           { "name", InfoOf(aEvent.m_id).m_name },
+           { "fields", FieldsToJson(aEvent) } };
+}
+
 } // namespace
 
 std::string ToJson(const ProcessTimeline& aTimeline)
 {
   Json events = Json::array();
   for (const Event& event : aTimeline.m_events) {
-    events.push_back({ { "time", event.m_time },
-                       { "event", static_cast<int>(event.m_id) },
-                       { "name", InfoOf(event.m_id).m_name },
-                       { "fields", FieldsToJson(event) } });
+    events.push_back(EventToJson(event));
   }
   return Json{ { "process", aTimeline.m_process }, { "events", events } }.dump(
     -1, ' ', false, Json::error_handler_t::replace);
@@ -103,6 +108,17 @@
   return text;
 }
 
+std::string ToJson(const std::vector<TimelineEntry>& aEntries)
+{
+  Json events = Json::array();
+  for (const TimelineEntry& entry : aEntries) {
+    Json event = EventToJson(entry.m_event);
+    event["process"] = entry.m_process;
+    events.push_back(std::move(event));
+  }
+  return events.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
 std::string ToChromeTrace(const std::vector<TimelineEntry>& aEntries)
 {
   std::map<std::string, int> rows;
