--- a/libs/discovery/test/EndpointTable_test.cpp
+++ b/libs/discovery/test/EndpointTable_test.cpp
@@ -32,6 +32,14 @@
   return record;
 }
 
+// A number below aCount, whatever the size of the case: RapidCheck's ranges
+// stay near their start in early cases.
+size_t Pick(size_t aCount)
+{
+  return *rc::gen::resize(rc::kNominalSize,
+                          rc::gen::inRange<size_t>(0, aCount));
+}
+
 struct Message
 {
   size_t m_to = 0;
@@ -53,24 +61,29 @@
   // Any fault may hit a message: delay, duplication, loss.
   void Step()
   {
-    const auto table = *rc::gen::inRange<size_t>(0, kTables);
-    switch (*rc::gen::inRange(0, 9)) {
+    const size_t table = Pick(kTables);
+    switch (Pick(11)) {
       case 0:
       case 1:
-        Move(*rc::gen::inRange(0, kNodes), table);
+        Move(static_cast<int>(Pick(kNodes)), table);
         break;
       case 2:
-        m_tables[table].LoseSession(Name(*rc::gen::inRange(0, kNodes)), m_now);
+        Leave(static_cast<int>(Pick(kNodes)));
         break;
       case 3:
         m_now += *rc::gen::element(100ms, 1000ms, 3100ms, 16000ms);
         TickAll();
         break;
       case 4:
-        Restart(table);
+        if (Pick(3) == 0) {
+          Restart(table);
+        } else {
+          Reconnect(table);
+        }
         break;
       case 5:
-        Publish(table, false);
+      case 6:
+        Publish(table);
         break;
       default:
         DeliverOne();
@@ -79,18 +92,13 @@
     CheckNeverOlder();
   }
 
-  // Sessions come back, messages arrive, and everybody hears everybody.
+  // Messages arrive again and everybody hears everybody.
   void Settle()
   {
     m_bag.clear();
-    for (int node = 0; node < kNodes; ++node) {
-      if (m_home[node] >= 0) {
-        Move(node, static_cast<size_t>(m_home[node]));
-      }
-    }
     for (int round = 0; round < 90; ++round) {
       for (size_t table = 0; table < kTables; ++table) {
-        Publish(table, false);
+        Publish(table);
       }
       while (!m_bag.empty()) {
         Deliver(0);
@@ -109,11 +117,13 @@
     for (int node = 0; node < kNodes; ++node) {
       const auto* record = m_tables[0].Find(Name(node));
       if (m_home[node] >= 0) {
-        RC_ASSERT(record != nullptr);
+        const bool shown = record != nullptr;
+        RC_ASSERT(shown);
         RC_ASSERT(record->sequence == m_sequences[node]);
         RC_ASSERT(record->owner == m_home[node] + 1);
       } else {
-        RC_ASSERT(record == nullptr);
+        const bool hidden = record == nullptr;
+        RC_ASSERT(hidden);
       }
     }
   }
@@ -132,6 +142,16 @@
     m_sequences[aNode] = m_sequence;
   }
 
+  // The node has died.
+  void Leave(int aNode)
+  {
+    if (m_home[aNode] >= 0) {
+      m_tables[static_cast<size_t>(m_home[aNode])].LoseSession(Name(aNode),
+                                                               m_now);
+      m_home[aNode] = -1;
+    }
+  }
+
   void Restart(size_t aTable)
   {
     const auto member = static_cast<int64_t>(aTable) + 1;
@@ -141,6 +161,12 @@
     for (int& home : m_home) {
       home = home == static_cast<int>(aTable) ? -1 : home;
     }
+    Reconnect(aTable);
+  }
+
+  void Reconnect(size_t aTable)
+  {
+    const auto member = static_cast<int64_t>(aTable) + 1;
     for (size_t peer = 0; peer < kTables; ++peer) {
       if (peer != aTable) {
         for (auto& sync : m_tables[peer].FullSyncFor(member)) {
@@ -150,10 +176,9 @@
     }
   }
 
-  void Publish(size_t aTable, bool aFull)
+  void Publish(size_t aTable)
   {
-    const auto sync =
-      m_tables[aTable].SyncSince(aFull ? int64_t{ -1 } : m_sent[aTable]);
+    const auto sync = m_tables[aTable].SyncSince(m_sent[aTable]);
     m_sent[aTable] = m_tables[aTable].SyncCursor();
     for (size_t peer = 0; peer < kTables; ++peer) {
       if (peer != aTable) {
@@ -167,8 +192,8 @@
     if (m_bag.empty()) {
       return;
     }
-    const auto index = *rc::gen::inRange<size_t>(0, m_bag.size());
-    const int fault = *rc::gen::inRange(0, 4);
+    const size_t index = Pick(m_bag.size());
+    const size_t fault = Pick(4);
     if (fault == 0) {
       m_bag.erase(m_bag.begin() + static_cast<long>(index));
     } else if (fault == 1) {
@@ -228,8 +253,8 @@
 RC_GTEST_PROP(EndpointTable, ConvergesWhateverHappenedBefore, ())
 {
   World world;
-  const int steps = *rc::gen::inRange(0, 120);
-  for (int step = 0; step < steps; ++step) {
+  const size_t steps = Pick(150);
+  for (size_t step = 0; step < steps; ++step) {
     world.Step();
   }
   world.Settle();
@@ -245,8 +270,8 @@
   TimePoint now = TimePoint() + 1h;
   const int steps = *rc::gen::inRange(1, 60);
   for (int step = 1; step <= steps; ++step) {
-    const std::string node = "n" + std::to_string(*rc::gen::inRange(0, 3));
-    switch (*rc::gen::inRange(0, 4)) {
+    const std::string node = "n" + std::to_string(Pick(3));
+    switch (Pick(4)) {
       case 0:
         table.LoseSession(node, now);
         break;
@@ -258,7 +283,7 @@
         table.Announce(MakeRecord(node, 1, step), now);
         break;
     }
-    if (*rc::gen::inRange(0, 3) == 0) {
+    if (Pick(3) == 0) {
       const auto update = table.ChangesSince(source, cursor);
       reader = reader.With(update);
       source = update.source;
@@ -301,6 +326,20 @@
   EXPECT_EQ(here.Find("moved")->owner, 2);
 }
 
+TEST(EndpointTable, DelayedSyncDoesNotBringARemovedRecordBack)
+{
+  EndpointTable owner(1, 1);
+  EndpointTable peer(2, 1);
+  const TimePoint start;
+  owner.Announce(MakeRecord("n", 1, 1), start);
+  const auto early = owner.SyncSince(-1);
+  owner.LoseSession("n", start);
+  owner.Tick(start + 63s);
+  peer.OnSync(owner.SyncSince(-1), start + 63s);
+  peer.OnSync(early, start + 63s);
+  EXPECT_EQ(peer.Find("n"), nullptr);
+}
+
 TEST(EndpointTable, RestartedOwnerDoesNotHideItsNodes)
 {
   EndpointTable peer(2, 1);
--- a/libs/distribution/include/wigeonfold/distribution/Subscriber.h
+++ b/libs/distribution/include/wigeonfold/distribution/Subscriber.h
@@ -59,6 +59,8 @@
   Duration m_floorGiveUp = std::chrono::seconds(10);
   // A session without a frame for this long is closed.
   Duration m_silence = std::chrono::seconds(4);
+  // Time after which an announcement must have come back with the endpoints.
+  Duration m_announceCheck = std::chrono::seconds(5);
   // Pause between two resync requests in one session.
   Duration m_resyncPause = std::chrono::seconds(1);
 };
@@ -190,7 +192,8 @@
   wire::NodeStatus MakeStatus() const;
   void SendStatus();
   void AskResync(bool aFull, TimePoint aNow);
-  void SendAnnouncement();
+  void SendAnnouncement(TimePoint aNow);
+  void CheckAnnouncement(TimePoint aNow);
 
   size_t ChooseVm(std::optional<size_t> aExcept);
   void ConnectMain(Duration aDelay, TimePoint aNow);
@@ -241,6 +244,7 @@
   std::string m_refusal;
   std::optional<wire::EndpointRecord> m_announced;
   int64_t m_sequence = 0;
+  TimePoint m_nextAnnouncementCheck;
 
   std::optional<Version> m_floor;
   std::optional<TimePoint> m_floorEnd;
--- a/libs/distribution/src/Subscriber.cpp
+++ b/libs/distribution/src/Subscriber.cpp
@@ -199,6 +199,7 @@
   if (m_probe && aNow - m_probe->m_lastFrame > m_options.m_silence) {
     DropProbe(aNow);
   }
+  CheckAnnouncement(aNow);
   CheckFreshness(aNow);
   CheckReady(aNow);
   return Take();
@@ -294,7 +295,7 @@
   }
   NoteFreshness(aNow);
   ++m_sequence;
-  SendAnnouncement();
+  SendAnnouncement(aNow);
   CheckReady(aNow);
 }
 
@@ -419,7 +420,7 @@
 }
 
 SubscriberActions Subscriber::Announce(wire::EndpointRecord aEndpoint,
-                                       TimePoint /*aNow*/)
+                                       TimePoint aNow)
 {
   aEndpoint.nodeName = m_options.m_nodeName;
   aEndpoint.nodeEpoch = 0;
@@ -428,16 +429,17 @@
   if (m_announced != aEndpoint) {
     m_announced = std::move(aEndpoint);
     ++m_sequence;
-    SendAnnouncement();
+    SendAnnouncement(aNow);
   }
   return Take();
 }
 
-void Subscriber::SendAnnouncement()
+void Subscriber::SendAnnouncement(TimePoint aNow)
 {
   if (!m_announced || !HasSession()) {
     return;
   }
+  m_nextAnnouncementCheck = aNow + m_options.m_announceCheck;
   wire::Announce announce;
   announce.endpoint = *m_announced;
   announce.endpoint.nodeEpoch = m_nodeEpoch;
@@ -445,6 +447,30 @@
   Send(*m_main, FrameType::Announce, announce);
 }
 
+// The control VM sends the node's own record back with the others. When it is
+// still another one some time after the announcement, the announcement was lost
+// or an older run of this node is known with a greater epoch.
+void Subscriber::CheckAnnouncement(TimePoint aNow)
+{
+  if (!m_announced || !HasSession() || aNow < m_nextAnnouncementCheck) {
+    return;
+  }
+  const auto& endpoints = m_state ? m_state->m_endpoints : m_earlyEndpoints;
+  const auto* held = endpoints.Find(m_options.m_nodeName);
+  const auto own = std::make_pair(m_nodeEpoch, m_sequence);
+  const auto shown =
+    held ? std::make_pair(held->nodeEpoch, held->sequence) : decltype(own)();
+  if (shown == own && held->state == m_announced->state) {
+    return;
+  }
+  if (shown.first > own.first) {
+    m_nodeEpoch = shown.first + 1;
+  } else if (shown >= own) {
+    m_sequence = shown.second + 1;
+  }
+  SendAnnouncement(aNow);
+}
+
 // ---- Outgoing messages -----------------------------------------------------
 
 template<class T>
--- a/libs/distribution/test/NodeSessions_test.cpp
+++ b/libs/distribution/test/NodeSessions_test.cpp
@@ -225,6 +225,21 @@
   EXPECT_EQ(wire::FromWire(m_reply.floor), Version({ 1, 17 }));
 }
 
+TEST(HelloLimit, TakesABurstAndSpreadsTheRestByTheRate)
+{
+  HelloLimit limit(100, 50);
+  const TimePoint now = TimePoint() + 1h;
+  std::set<Duration> waits;
+  for (int hello = 0; hello < 1000; ++hello) {
+    if (const auto wait = limit.Check(now)) {
+      waits.insert(*wait);
+    }
+  }
+  EXPECT_EQ(waits.size(), 950U);
+  EXPECT_GE(*waits.rbegin(), 9s);
+  EXPECT_LE(*waits.rbegin(), 10s);
+}
+
 TEST(Floors, ForgetTheOldestNameBeyondTheBound)
 {
   Floors floors(2);
--- a/libs/distribution/test/Sessions_test.cpp
+++ b/libs/distribution/test/Sessions_test.cpp
@@ -10,13 +10,13 @@
   if (aWorld.m_bag.empty()) {
     return;
   }
-  const auto index = *rc::gen::inRange<size_t>(0, aWorld.m_bag.size());
-  switch (*rc::gen::inRange(0, 8)) {
+  const size_t index = Pick(aWorld.m_bag.size());
+  switch (Pick(8)) {
     case 0:
       aWorld.Lose(index);
       break;
     case 1:
-      aWorld.Deliver(index, true);
+      aWorld.Repeat(index);
       break;
     case 2:
       aWorld.Deliver(index);
@@ -29,12 +29,13 @@
 
 void Step(TestWorld& aWorld)
 {
-  const auto control = *rc::gen::inRange<size_t>(0, TestWorld::kControls);
-  switch (*rc::gen::inRange(0, 16)) {
+  const size_t control = Pick(TestWorld::kControls);
+  switch (Pick(16)) {
     case 0: {
       // Control VMs learn of versions at different times.
       const int last = std::min(aWorld.m_newest + 3, TestWorld::kVersions - 1);
-      aWorld.Commit(control, *rc::gen::inRange(0, last + 1));
+      aWorld.Commit(control,
+                    static_cast<int>(Pick(static_cast<size_t>(last) + 1)));
       break;
     }
     case 1:
@@ -46,10 +47,10 @@
       aWorld.Tick(*rc::gen::element<Duration>(1s, 4500ms));
       break;
     case 3:
-      aWorld.m_controls[control]->m_fresh = *rc::gen::arbitrary<bool>();
+      aWorld.m_controls[control]->m_fresh = Pick(2) == 0;
       break;
     case 4:
-      if (*rc::gen::inRange(0, 8) == 0) {
+      if (Pick(4) == 0) {
         aWorld.StartNode();
       }
       break;
@@ -67,8 +68,8 @@
 {
   TestWorld world;
   world.Commit(0, 0);
-  const int steps = *rc::gen::inRange(0, 300);
-  for (int step = 0; step < steps; ++step) {
+  const size_t steps = Pick(400);
+  for (size_t step = 0; step < steps; ++step) {
     Step(world);
   }
   world.Settle();
@@ -88,7 +89,7 @@
 RC_GTEST_PROP(Sessions, RestartedNodeServesOnlyFromItsFloor, ())
 {
   TestWorld world;
-  const int before = *rc::gen::inRange(1, TestWorld::kVersions);
+  const int before = 1 + static_cast<int>(Pick(TestWorld::kVersions - 1));
   world.Commit(0, before);
   world.Commit(1, before);
   world.Settle();
@@ -96,7 +97,7 @@
   const size_t home = world.m_open.begin()->second;
   // The other control VM is replaced by one that lags behind, yet believes
   // itself current.
-  const int lag = *rc::gen::inRange(0, before);
+  const int lag = static_cast<int>(Pick(static_cast<size_t>(before)));
   world.m_controls[1 - home] = std::make_unique<TestControl>(9);
   world.Commit(1 - home, lag);
   world.StartNode();
--- a/libs/distribution/test/Subscriber_test.cpp
+++ b/libs/distribution/test/Subscriber_test.cpp
@@ -152,6 +152,23 @@
   EXPECT_EQ(fixture.m_node.InForce(), Version({ 1, 1 }));
 }
 
+TEST(Subscriber, EndpointUpdateAfterAGapIsNotApplied)
+{
+  Fixture fixture;
+  wire::EndpointUpdate update;
+  update.source = 7;
+  update.full = true;
+  update.cursor = 10;
+  fixture.Feed(wire::FrameType::EndpointUpdate, update);
+  update.full = false;
+  update.baseCursor = 12;
+  update.cursor = 13;
+  const auto actions = fixture.Feed(wire::FrameType::EndpointUpdate, update);
+  EXPECT_EQ(CountOf<ApplyState>(actions), 0U);
+  EXPECT_TRUE(StatusIn(actions)->resync);
+  EXPECT_EQ(StatusIn(actions)->endpointCursor, 10);
+}
+
 TEST(Subscriber, BacksOffWithFullJitterWhileNoControlVmAnswers)
 {
   SubscriberOptions options;
--- a/libs/distribution/test/TestWorld.h
+++ b/libs/distribution/test/TestWorld.h
@@ -13,6 +13,14 @@
 
 using namespace std::chrono_literals;
 
+// A number below aCount, whatever the size of the case: RapidCheck's ranges
+// stay near their start in early cases.
+inline size_t Pick(size_t aCount)
+{
+  return *rc::gen::resize(rc::kNominalSize,
+                          rc::gen::inRange<size_t>(0, aCount));
+}
+
 inline wire::Operation SetPrefix(int aNumber)
 {
   wire::Operation operation;
@@ -156,12 +164,17 @@
     }
   }
 
-  void Deliver(size_t aIndex, bool aKeep = false)
+  // Delivers a frame and keeps a copy that arrives much later.
+  void Repeat(size_t aIndex)
+  {
+    m_bag.push_back(m_bag[aIndex]);
+    Deliver(aIndex);
+  }
+
+  void Deliver(size_t aIndex)
   {
     const TestMessage message = m_bag[aIndex];
-    if (!aKeep) {
-      Lose(aIndex);
-    }
+    Lose(aIndex);
     const auto found = m_open.find(message.m_session);
     if (found == m_open.end()) {
       return;
