--- /dev/null
+++ b/apps/wigeonfold-node/test/TestNodes.h
@@ -0,0 +1,305 @@
+// Nodes in one process with a fixed view, and a target that does as told.
+#pragma once
+
+#include "DataPlane.h"
+#include "Translate.h"
+
+#include <boost/asio.hpp>
+#include <future>
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace wigeonfold::node {
+
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+// What the test target does with a request.
+struct Reaction
+{
+  std::string m_bytes; // written at once
+  bool m_close = false;
+  Duration m_delay{}; // before anything is written
+};
+
+inline std::string WholeAnswer(const std::string& aBody)
+{
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(aBody.size()) +
+         "\r\n\r\n" + aBody;
+}
+
+// Reads requests without a body and reacts to the n-th of all connections
+// together. Runs on the thread of the io_context.
+class TestTarget
+{
+public:
+  using Script =
+    std::function<Reaction(int aNumber, const std::string& aRequest)>;
+
+  TestTarget(asio::io_context& aIo, Script aScript)
+    : m_acceptor(aIo, { asio::ip::make_address("127.0.0.1"), 0 })
+    , m_script(std::move(aScript))
+  {
+    Accept();
+  }
+
+  uint16_t Port() const { return m_acceptor.local_endpoint().port(); }
+  void Stop()
+  {
+    m_acceptor.close();
+    for (const auto& peer : m_peers) {
+      peer->m_socket.close();
+    }
+  }
+
+  std::atomic<int> m_requests{ 0 };
+  std::atomic<int> m_connections{ 0 };
+
+private:
+  struct Peer
+  {
+    explicit Peer(asio::ip::tcp::socket aSocket)
+      : m_socket(std::move(aSocket))
+      , m_timer(m_socket.get_executor())
+    {
+    }
+    asio::ip::tcp::socket m_socket;
+    asio::steady_timer m_timer;
+    std::string m_in;
+    std::string m_out;
+  };
+  using PeerPtr = std::shared_ptr<Peer>;
+
+  void Accept()
+  {
+    m_acceptor.async_accept([this](auto aCode, asio::ip::tcp::socket aSocket) {
+      if (!aCode) {
+        ++m_connections;
+        m_peers.push_back(std::make_shared<Peer>(std::move(aSocket)));
+        Read(m_peers.back());
+        Accept();
+      }
+    });
+  }
+
+  void Read(const PeerPtr& aPeer)
+  {
+    asio::async_read_until(aPeer->m_socket,
+                           asio::dynamic_buffer(aPeer->m_in),
+                           "\r\n\r\n",
+                           [this, aPeer](auto aCode, size_t aBytes) {
+                             if (aCode) {
+                               return;
+                             }
+                             const std::string request =
+                               aPeer->m_in.substr(0, aBytes);
+                             aPeer->m_in.erase(0, aBytes);
+                             React(aPeer, m_script(m_requests++, request));
+                           });
+  }
+
+  void React(const PeerPtr& aPeer, const Reaction& aReaction)
+  {
+    aPeer->m_timer.expires_after(aReaction.m_delay);
+    aPeer->m_timer.async_wait([this, aPeer, aReaction](auto) {
+      aPeer->m_out = aReaction.m_bytes;
+      asio::async_write(aPeer->m_socket,
+                        asio::buffer(aPeer->m_out),
+                        [this, aPeer, aReaction](auto, size_t) {
+                          if (aReaction.m_close) {
+                            aPeer->m_socket.close();
+                          } else {
+                            Read(aPeer);
+                          }
+                        });
+    });
+  }
+
+  asio::ip::tcp::acceptor m_acceptor;
+  Script m_script;
+  std::vector<PeerPtr> m_peers;
+};
+
+// Two nodes, n0 and n1. The service "lots" has the prefix /lots; requests go to
+// the endpoints given to SetView().
+class TestNodes : public testing::Test
+{
+protected:
+  TestNodes()
+    : m_guard(m_io.get_executor())
+    , m_log("test", 100)
+    , m_metrics(m_registry)
+  {
+    for (const char* name : { "n0", "n1" }) {
+      NodeSettings settings;
+      settings.m_name = name;
+      settings.m_availabilityZone = "z";
+      settings.m_callerListen = { "127.0.0.1", 0 };
+      settings.m_peerListen = { "127.0.0.1", 0 };
+      settings.m_pickStrategy = "round-robin";
+      settings.m_queue = "fair";
+      settings.m_peerConnectTimeout = 250ms;
+      settings.m_targetConnectTimeout = 250ms;
+      settings.m_announceLease = 60s;
+      settings.m_drainLinger = 100ms;
+      settings.m_drainLimit = 10s;
+      m_nodes.push_back(std::make_unique<DataPlane>(
+        m_io,
+        settings,
+        1,
+        m_metrics,
+        m_log,
+        DataPlane::Hooks{ [](const wire::EndpointRecord&) { return true; },
+                          [](const Version&) {} }));
+      EXPECT_TRUE(m_nodes.back()->Start());
+    }
+    m_thread = std::thread([this] { m_io.run(); });
+  }
+
+  ~TestNodes() override
+  {
+    m_io.stop();
+    m_thread.join();
+    m_nodes.clear();
+  }
+
+  // Runs aAction on the io thread and waits for it.
+  void Do(const std::function<void()>& aAction)
+  {
+    std::promise<void> done;
+    asio::post(m_io, [&] {
+      aAction();
+      done.set_value();
+    });
+    done.get_future().wait();
+  }
+
+  wire::EndpointRecord EndpointOf(size_t aNode)
+  {
+    return Endpoint("n" + std::to_string(aNode), m_nodes[aNode]->PeerPort());
+  }
+
+  static wire::EndpointRecord Endpoint(const std::string& aName, uint16_t aPort)
+  {
+    wire::EndpointRecord record;
+    record.nodeName = aName;
+    record.nodeEpoch = 1;
+    record.serviceName = "lots";
+    record.availabilityZone = "z";
+    record.nodeAddress = ToString(SocketAddress{ "127.0.0.1", aPort });
+    record.slots = 4;
+    record.state = wire::EndpointState::Ready;
+    return record;
+  }
+
+  struct Setting
+  {
+    std::string m_path;
+    std::string m_key;
+    std::string m_value;
+  };
+
+  void SetView(const std::vector<wire::EndpointRecord>& aEndpoints,
+               std::vector<Setting> aSettings = {})
+  {
+    aSettings.push_back({ "services/lots", "route.prefix", "/lots" });
+    std::vector<wire::Operation> operations;
+    for (const Setting& setting : aSettings) {
+      wire::Operation operation;
+      operation.kind = wire::OperationKind::Set;
+      operation.path = setting.m_path;
+      operation.key = setting.m_key;
+      operation.value = setting.m_value;
+      operations.push_back(operation);
+    }
+    const auto tree = settings::Tree().Apply(operations, Version{ 1, 1 });
+    ASSERT_TRUE(tree) << tree.error().ToString();
+    const auto view = routing::View::Build(tree.value(), aEndpoints);
+    ASSERT_TRUE(view);
+    Do([&] {
+      for (const auto& node : m_nodes) {
+        node->OnView({ view.value(), tree.value().Digest(), true });
+      }
+    });
+  }
+
+  void Announce(size_t aNode,
+                uint16_t aTargetPort,
+                int aSlots = 4,
+                bool aDraining = false)
+  {
+    Do([&] {
+      m_nodes[aNode]->OnAnnouncement(
+        { "lots", { "127.0.0.1", aTargetPort }, aSlots, 10, aDraining, "i" });
+    });
+  }
+
+  // A target behind node n1, reached through node n0.
+  TestTarget& ServeAtPeer(TestTarget::Script aScript,
+                          int aSlots = 4,
+                          const std::vector<Setting>& aSettings = {})
+  {
+    Do([&] {
+      m_target = std::make_unique<TestTarget>(m_io, std::move(aScript));
+    });
+    Announce(1, m_target->Port(), aSlots);
+    SetView({ EndpointOf(1) }, aSettings);
+    return *m_target;
+  }
+
+  net::HttpResponse Call(size_t aNode, const net::HttpRequest& aRequest)
+  {
+    const auto answer = net::HttpCall(
+      { "127.0.0.1", m_nodes[aNode]->CallerPort() }, aRequest, 20s);
+    EXPECT_TRUE(answer);
+    return answer ? answer.value() : net::HttpResponse{ 0, {}, "" };
+  }
+
+  std::future<net::HttpResponse> CallLater(size_t aNode,
+                                           const net::HttpRequest& aRequest)
+  {
+    return std::async(std::launch::async,
+                      [=, this] { return Call(aNode, aRequest); });
+  }
+
+  static std::string FieldOf(const net::HttpResponse& aAnswer,
+                             const std::string& aName)
+  {
+    const std::string* value = net::FindField(aAnswer.m_fields, aName);
+    return value == nullptr ? "" : *value;
+  }
+
+  static void ExpectOutcome(const net::HttpResponse& aAnswer,
+                            int aStatus,
+                            const std::string& aRun,
+                            const std::string& aReason)
+  {
+    EXPECT_EQ(aAnswer.m_status, aStatus);
+    EXPECT_EQ(FieldOf(aAnswer, kRunHeader), aRun);
+    EXPECT_EQ(FieldOf(aAnswer, kReasonHeader), aReason);
+    EXPECT_NE(FieldOf(aAnswer, kTargetHeader), "");
+  }
+
+  asio::io_context m_io{ 1 };
+  asio::executor_work_guard<asio::io_context::executor_type> m_guard;
+  EventLog m_log;
+  observe::Metrics m_registry;
+  NodeMetrics m_metrics;
+  std::vector<std::unique_ptr<DataPlane>> m_nodes;
+  std::unique_ptr<TestTarget> m_target;
+  std::thread m_thread;
+};
+
+inline net::HttpRequest Get(const std::string& aTarget,
+                            std::vector<net::HttpField> aFields = {})
+{
+  return { "GET", aTarget, std::move(aFields), "" };
+}
+
+inline net::HttpRequest Post(const std::string& aTarget,
+                             std::vector<net::HttpField> aFields = {})
+{
+  return { "POST", aTarget, std::move(aFields), "" };
+}
+
+} // namespace wigeonfold::node
--- a/libs/consensus/include/wigeonfold/consensus/Raft.h
+++ b/libs/consensus/include/wigeonfold/consensus/Raft.h
@@ -283,6 +283,7 @@
   void RequestSnapshot(RaftActions& aActions);
   void AddEvent(EventId aId, std::vector<EventField> aFields);
   bool InMembership() const;
+  const wire::Membership& PreviousMembership() const;
   int64_t SnapshotIndex() const;
 
   // Election.cpp
@@ -291,6 +292,7 @@
   void SetLeader(MemberId aLeader);
   void SetTerm(int64_t aTerm);
   void BecomeFollower(int64_t aTerm, MemberId aLeader);
+  bool MayCampaign() const;
   void StartPreVote();
   void StartElection();
   void BecomeLeader();
--- a/libs/consensus/src/Election.cpp
+++ b/libs/consensus/src/Election.cpp
@@ -59,6 +59,14 @@
 
 // ---- Campaign --------------------------------------------------------------
 
+// A voter whose removal or demotion is not committed may be the only one with
+// that entry; if it did not campaign, no one could be elected.
+bool Raft::MayCampaign() const
+{
+  return IsVoter(CurrentMembership(), m_self) ||
+         IsVoter(PreviousMembership(), m_self);
+}
+
 // Asks whether an election could be won before it raises the term, so that a
 // member that returns from a partition deposes no working leader.
 void Raft::StartPreVote()
