Test that the digest keeps keys and values apart

Removing the length prefix of the digest left all tests green: the generated trees hold no value that ends like a key. The new example does.

Ran on a scratch copy: the new test fails without the prefix, passes with it.

--- a/libs/registry/src/OperatorChange.cpp
+++ b/libs/registry/src/OperatorChange.cpp
@@ -29,10 +29,12 @@
 
 bool IsChangeId(const std::string& aText)
 {
-  return !aText.empty() && std::all_of(aText.begin(), aText.end(), [](char c) {
-    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') ||
-           (c >= 'A' && c <= 'Z') || c == '-';
-  });
+  return !aText.empty() &&
+         std::all_of(aText.begin(), aText.end(), [](char aByte) {
+           return (aByte >= '0' && aByte <= '9') ||
+                  (aByte >= 'a' && aByte <= 'z') ||
+                  (aByte >= 'A' && aByte <= 'Z') || aByte == '-';
+         });
 }
 
 wire::Operation ParseOperation(const Json& aJson,
--- a/libs/settings/test/Tree_test.cpp
+++ b/libs/settings/test/Tree_test.cpp
@@ -288,6 +288,16 @@
   RC_ASSERT(same == (one.value().Digest() == two.value().Digest()));
 }
 
+TEST(TreeTest, DigestKeepsKeysAndValuesApart)
+{
+  const Tree one = Applied(Tree(),
+                           { Set("services/a", "route.prefix", "/a"),
+                             Set("services/a", "zone.spill-percent", "5") });
+  const Tree two = Applied(
+    Tree(), { Set("services/a", "route.prefix", "/azone.spill-percent5") });
+  EXPECT_NE(one.Digest(), two.Digest());
+}
+
 RC_GTEST_PROP(TreeProperty, DigestIgnoresTheOrderOfBranches, ())
 {
   const Tree tree = AnyHistory().back();
