Let processes read injected link rules from their settings

Cause: runs with real processes need cuts between availability zones.

Change: [fault-injection] link-rules = FILE in the settings of the control process and the node installs the link policy on their connections and binds outgoing ones to the process's own address. Without the key nothing changes.

--- a/apps/wigeonfold-control/ControlSettings.cpp
+++ b/apps/wigeonfold-control/ControlSettings.cpp
@@ -108,6 +108,8 @@
     Names(aFile.String(kControl, "initial-voters", ""));
   ReadTiming(aFile, settings);
   ReadLimits(aFile, settings);
+  settings.m_linkFaults =
+    net::ReadLinkFaults(aFile, settings.m_peerListen.m_host);
   const auto& voters = settings.m_initialVoters;
   if (!voters.empty() && !settings.m_bootstrap) {
     aFile.AddProblem(kControl, "initial-voters", "needs bootstrap = true");
--- a/apps/wigeonfold-control/ControlSettings.h
+++ b/apps/wigeonfold-control/ControlSettings.h
@@ -5,6 +5,7 @@
 #include "wigeonfold/consensus/Raft.h"
 #include "wigeonfold/discovery/EndpointTable.h"
 #include "wigeonfold/distribution/NodeSessions.h"
+#include "wigeonfold/net/LinkPolicy.h"
 
 #include <set>
 #include <string>
@@ -31,6 +32,7 @@
   // Names of the first voters; the bootstrapping VM waits for all of them and
   // adds them by itself, once.
   std::set<std::string> m_initialVoters;
+  net::LinkFaults m_linkFaults; // for tests of whole processes
 
   consensus::RaftSettings m_raft;
   discovery::EndpointTableOptions m_endpoints;
--- a/apps/wigeonfold-control/Network.cpp
+++ b/apps/wigeonfold-control/Network.cpp
@@ -71,6 +71,7 @@
 Status Network::Start()
 {
   m_started = Clock::now();
+  net::UseLinkFaults(m_io, m_settings.m_linkFaults);
   BOOST_OUTCOME_TRYV(m_peers.Start());
   BOOST_OUTCOME_TRYV(ListenForNodes());
   Schedule();
--- a/apps/wigeonfold-node/ControlLink.cpp
+++ b/apps/wigeonfold-node/ControlLink.cpp
@@ -76,6 +76,7 @@
 
 void ControlLink::Start()
 {
+  net::UseLinkFaults(m_io, m_settings.m_linkFaults);
   Execute(m_subscriber.Start(Clock::now()));
   Tick();
 }
--- a/apps/wigeonfold-node/DataPlane.cpp
+++ b/apps/wigeonfold-node/DataPlane.cpp
@@ -86,6 +86,7 @@
 
 Status DataPlane::Start()
 {
+  net::UseLinkFaults(m_io, m_settings.m_linkFaults);
   if (auto status = m_peerServer.Listen(m_settings.m_peerListen); !status) {
     return status;
   }
--- a/apps/wigeonfold-node/NodeSettings.cpp
+++ b/apps/wigeonfold-node/NodeSettings.cpp
@@ -60,6 +60,8 @@
   settings.m_localListen = aFile.RequiredAddress("node", "local-listen");
   ReadControlVms(aFile, settings);
   ReadCalls(aFile, settings);
+  settings.m_linkFaults =
+    net::ReadLinkFaults(aFile, settings.m_peerListen.m_host);
   settings.m_drainLinger = aFile.Time("drain", "linger", 1s, 0ms, 60s);
   settings.m_drainLimit = aFile.Time("drain", "limit", 30s, 0ms, 600s);
   if (settings.m_drainLimit < settings.m_drainLinger) {
--- a/apps/wigeonfold-node/NodeSettings.h
+++ b/apps/wigeonfold-node/NodeSettings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "wigeonfold/base/Settings.h"
+#include "wigeonfold/net/LinkPolicy.h"
 
 #include <string>
 #include <vector>
@@ -31,8 +32,9 @@
   Duration m_targetConnectTimeout{};
   Duration m_announceLease{};
   // [drain]
-  Duration m_drainLinger{}; // new requests are still accepted this long
-  Duration m_drainLimit{};  // requests under way are cut after this
+  net::LinkFaults m_linkFaults; // for tests of whole processes
+  Duration m_drainLinger{};     // new requests are still accepted this long
+  Duration m_drainLimit{};      // requests under way are cut after this
 };
 
 // Reads every key; problems are listed by aFile.Finish().
--- a/libs/net/include/wigeonfold/net/LinkPolicy.h
+++ b/libs/net/include/wigeonfold/net/LinkPolicy.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "wigeonfold/base/Error.h"
+#include "wigeonfold/base/Settings.h"
 #include "wigeonfold/base/Time.h"
 
 #include <memory>
@@ -61,4 +62,18 @@
                     Duration aPeriod,
                     std::shared_ptr<LinkPolicy> aPolicy);
 
+// Faults to inject into the links of a process; none when the file is empty.
+struct LinkFaults
+{
+  std::string m_rulesFile;
+  std::string m_localHost; // address by which peers know this process
+};
+
+// [fault-injection] link-rules = FILE.
+LinkFaults ReadLinkFaults(SettingsFile& aFile, const std::string& aLocalHost);
+
+// Installs policy and local address on aIo and watches the file. Call before
+// the first connection; without a file it does nothing.
+void UseLinkFaults(boost::asio::io_context& aIo, const LinkFaults& aFaults);
+
 } // namespace wigeonfold::net
--- a/libs/net/src/LinkPolicy.cpp
+++ b/libs/net/src/LinkPolicy.cpp
@@ -111,4 +111,21 @@
     aIo, std::move(aFile), aPeriod, std::move(aPolicy)));
 }
 
+LinkFaults ReadLinkFaults(SettingsFile& aFile, const std::string& aLocalHost)
+{
+  return { aFile.String("fault-injection", "link-rules", ""), aLocalHost };
+}
+
+void UseLinkFaults(asio::io_context& aIo, const LinkFaults& aFaults)
+{
+  if (aFaults.m_rulesFile.empty()) {
+    return;
+  }
+  constexpr std::chrono::milliseconds kReadPeriod{ 50 };
+  auto policy = std::make_shared<LinkPolicy>();
+  InstallLinkPolicy(aIo, policy);
+  InstallLocalHost(aIo, aFaults.m_localHost);
+  WatchLinkRules(aIo, aFaults.m_rulesFile, kReadPeriod, std::move(policy));
+}
+
 } // namespace wigeonfold::net
