--- a/apps/wigeonfold-load/Results.cpp
+++ b/apps/wigeonfold-load/Results.cpp
@@ -205,7 +205,8 @@
   for (size_t i = 0; i < m_byClass.size(); ++i) {
     AppendRow(out, "class " + m_experiment.m_classes[i].m_name, m_byClass[i]);
   }
-  out << "caller retries " << m_callerRetries << ", overhead p50 "
+  out << "caller retries " << m_callerRetries << ", internal calls failed "
+      << m_internalFailures << ", overhead p50 "
       << Milliseconds(m_all.m_overhead.Percentile(50)) << " ms, p99 "
       << Milliseconds(m_all.m_overhead.Percentile(99)) << " ms\n";
   for (const std::string& fault : m_faults) {
@@ -220,6 +221,7 @@
   json["total"] = Total();
   json["all"] = TallyJson(m_all);
   json["caller-retries"] = m_callerRetries;
+  json["internal-failures"] = m_internalFailures;
   json["faults"] = m_faults;
   for (size_t i = 0; i < m_byPhase.size(); ++i) {
     json["phases"][m_experiment.m_phases[i].m_name] = TallyJson(m_byPhase[i]);
--- a/apps/wigeonfold-load/Results.h
+++ b/apps/wigeonfold-load/Results.h
@@ -72,6 +72,8 @@
   // Keeps the first reasons only.
   void NoteFault(const std::string& aText);
   void NoteCallerRetry() { ++m_callerRetries; }
+  // An answered request whose internal calls had no answer.
+  void NoteInternalFailure() { ++m_internalFailures; }
 
   uint64_t Count(Outcome aOutcome) const;
   uint64_t Total() const;
@@ -86,6 +88,7 @@
   std::vector<Tally> m_byOffice;
   std::vector<Tally> m_byClass;
   uint64_t m_callerRetries = 0;
+  uint64_t m_internalFailures = 0;
   std::vector<std::string> m_faults;
 };
 
--- a/apps/wigeonfold-load/Runner.cpp
+++ b/apps/wigeonfold-load/Runner.cpp
@@ -193,6 +193,11 @@
     if (micros >= 0) {
       inTarget = std::chrono::microseconds(micros);
     }
+    const std::string* chain =
+      net::FindField(aOutcome.m_response->m_fields, net::kChainField);
+    if (chain != nullptr && *chain == "failed") {
+      m_results.NoteInternalFailure();
+    }
   }
   m_entries[aSent.m_index].m_outcome = aVerdict.m_outcome;
   m_results.Add(aSent.m_arrival.m_phase,
