--- a/apps/wigeonfold-node/ControlLink.cpp
+++ b/apps/wigeonfold-node/ControlLink.cpp
@@ -256,7 +256,9 @@
   }
   if (newVersion) {
     m_builtVersion = version;
-    m_log.Record(EventId::ConfigApplied, { { "version", ToString(version) } });
+    m_log.Record(EventId::ConfigApplied,
+                 { { "version", ToString(version) },
+                   { "digest", std::to_string(state->m_tree.Digest()) } });
   }
   m_unpublished =
     ViewUpdate{ std::move(view.value()), state->m_tree.Digest(), m_ready };
