--- a/libs/consensus/test/Raft_test.cpp
+++ b/libs/consensus/test/Raft_test.cpp
@@ -127,7 +127,7 @@
 void SafetyHolds(size_t aVoters)
 {
   const auto seed = *rc::gen::arbitrary<uint64_t>();
-  const auto incidents = *Incidents();
+  const auto incidents = *rc::gen::scale(2.0, Incidents());
   Cluster cluster(aVoters, seed);
   cluster.Run(2500);
   for (const Incident& incident : incidents) {
