Make copies of the tree cheap and check each branch once

A change copied the map of all branches several times and a node checked the whole tree by the schema at each change. Trees now share their map, and a branch keeps its own problems.

--- a/libs/registry/src/OperatorRead.cpp
+++ b/libs/registry/src/OperatorRead.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 
-using settings::Branch;
 using settings::KeyInfo;
 using settings::Scope;
 using settings::Tree;
--- a/libs/settings/include/wigeonfold/settings/Tree.h
+++ b/libs/settings/include/wigeonfold/settings/Tree.h
@@ -17,8 +17,9 @@
 struct Branch
 {
   std::map<std::string, std::string> m_settings;
-  Version m_modified;  // version that last changed this branch
-  uint64_t m_hash = 0; // of path, settings and m_modified
+  Version m_modified;                  // version that last changed this branch
+  uint64_t m_hash = 0;                 // of path, settings and m_modified
+  std::vector<std::string> m_problems; // of path and settings by the schema
 
   bool operator==(const Branch&) const = default;
 };
@@ -46,9 +47,10 @@
   uint64_t m_digest = 0; // of the resulting tree
 };
 
-// An immutable state of the tree at one version. Copies are cheap: branches
-// are shared. The root is the empty path; a path is segments joined by '/'.
-// All methods are thread safe.
+// An immutable state of the tree at one version. Copies share all branches and
+// cost the same for any size; a change copies the map of branches once. The
+// root is the empty path; a path is segments joined by '/'. All methods are
+// thread safe.
 class Tree
 {
 public:
@@ -58,7 +60,7 @@
   const Version& At() const { return m_version; }
   const std::map<std::string, std::shared_ptr<const Branch>>& Branches() const
   {
-    return m_branches;
+    return m_state->m_branches;
   }
 
   // True for the root, for a branch and for each ancestor of a branch.
@@ -130,6 +132,14 @@
                               const std::vector<wire::BranchState>& aBranches);
 
 private:
+  struct State
+  {
+    std::map<std::string, std::shared_ptr<const Branch>> m_branches;
+    std::map<std::string, Version> m_tombstones;
+  };
+
+  // A state of its own to write to, before the tree is handed out.
+  void Detach() { m_state = std::make_shared<State>(*m_state); }
   void Put(const std::string& aPath, Branch aBranch);
   void Erase(const std::string& aPath);
   // Merges the settings of working branches; an absent value removes.
@@ -144,8 +154,7 @@
   // Sums over the branches, so that a change costs only its own branches.
   uint64_t m_hashSum = 0;
   size_t m_bytes = 0;
-  std::map<std::string, std::shared_ptr<const Branch>> m_branches;
-  std::map<std::string, Version> m_tombstones;
+  std::shared_ptr<State> m_state = std::make_shared<State>();
 };
 
 } // namespace wigeonfold::settings
--- a/libs/settings/src/Tree.cpp
+++ b/libs/settings/src/Tree.cpp
@@ -204,6 +204,23 @@
   };
 }
 
+// Found once for each branch, so that a node does not check the whole tree by
+// the schema again at each change.
+std::vector<std::string> ProblemsOf(const std::string& aPath,
+                                    const SettingsMap& aSettings)
+{
+  if (auto problem = PathProblem(aPath)) {
+    return { *problem };
+  }
+  std::vector<std::string> problems;
+  for (const auto& [key, value] : aSettings) {
+    if (auto problem = SettingProblem(aPath, key, value)) {
+      problems.push_back(*problem);
+    }
+  }
+  return problems;
+}
+
 // Problems that no single branch shows.
 void CheckCombinations(const Tree& aTree, std::vector<std::string>& aProblems)
 {
@@ -236,19 +253,20 @@
 
 bool Tree::Has(const std::string& aPath) const
 {
-  if (aPath.empty() || m_branches.count(aPath) > 0) {
+  if (aPath.empty() || m_state->m_branches.count(aPath) > 0) {
     return true;
   }
-  const auto below = m_branches.lower_bound(aPath + "/");
-  return below != m_branches.end() && IsBelow(below->first, aPath);
+  const auto below = m_state->m_branches.lower_bound(aPath + "/");
+  return below != m_state->m_branches.end() && IsBelow(below->first, aPath);
 }
 
 std::vector<std::string> Tree::Children(const std::string& aPath) const
 {
   const std::string prefix = aPath.empty() ? "" : aPath + "/";
   std::set<std::string> names;
-  for (auto place = m_branches.lower_bound(prefix);
-       place != m_branches.end() && boost::starts_with(place->first, prefix);
+  for (auto place = m_state->m_branches.lower_bound(prefix);
+       place != m_state->m_branches.end() &&
+       boost::starts_with(place->first, prefix);
        ++place) {
     const std::string rest = place->first.substr(prefix.size());
     if (!rest.empty()) {
@@ -263,8 +281,8 @@
 {
   std::string path = aPath;
   while (true) {
-    const auto branch = m_branches.find(path);
-    if (branch != m_branches.end()) {
+    const auto branch = m_state->m_branches.find(path);
+    if (branch != m_state->m_branches.end()) {
       const auto value = branch->second->m_settings.find(aKey);
       if (value != branch->second->m_settings.end()) {
         return { value->second, path, false };
@@ -309,7 +327,7 @@
 {
   std::string bytes;
   AppendVersion(bytes, m_version);
-  AppendNumber(bytes, m_branches.size());
+  AppendNumber(bytes, m_state->m_branches.size());
   AppendNumber(bytes, m_hashSum);
   return Hash64(bytes);
 }
@@ -317,16 +335,9 @@
 std::vector<std::string> Tree::Problems() const
 {
   std::vector<std::string> problems;
-  for (const auto& [path, branch] : m_branches) {
-    if (auto problem = PathProblem(path)) {
-      problems.push_back(*problem);
-      continue;
-    }
-    for (const auto& [key, value] : branch->m_settings) {
-      if (auto problem = SettingProblem(path, key, value)) {
-        problems.push_back(*problem);
-      }
-    }
+  for (const auto& [path, branch] : m_state->m_branches) {
+    problems.insert(
+      problems.end(), branch->m_problems.begin(), branch->m_problems.end());
   }
   CheckCombinations(*this, problems);
   return problems;
@@ -338,19 +349,21 @@
 {
   Erase(aPath);
   aBranch.m_hash = HashOf(aPath, aBranch);
+  aBranch.m_problems = ProblemsOf(aPath, aBranch.m_settings);
   m_hashSum += aBranch.m_hash;
   m_bytes += BytesOf(aPath, aBranch);
-  m_branches[aPath] = std::make_shared<const Branch>(std::move(aBranch));
-  m_tombstones.erase(aPath);
+  m_state->m_branches[aPath] =
+    std::make_shared<const Branch>(std::move(aBranch));
+  m_state->m_tombstones.erase(aPath);
 }
 
 void Tree::Erase(const std::string& aPath)
 {
-  const auto place = m_branches.find(aPath);
-  if (place != m_branches.end()) {
+  const auto place = m_state->m_branches.find(aPath);
+  if (place != m_state->m_branches.end()) {
     m_hashSum -= place->second->m_hash;
     m_bytes -= BytesOf(aPath, *place->second);
-    m_branches.erase(place);
+    m_state->m_branches.erase(place);
   }
 }
 
@@ -358,13 +371,13 @@
 {
   m_version = aNext;
   for (const auto& [path, settings] : aWorking) {
-    const auto old = m_branches.find(path);
+    const auto old = m_state->m_branches.find(path);
     if (!settings) {
-      if (old != m_branches.end()) {
+      if (old != m_state->m_branches.end()) {
         Erase(path);
-        m_tombstones[path] = aNext;
+        m_state->m_tombstones[path] = aNext;
       }
-    } else if (old == m_branches.end() ||
+    } else if (old == m_state->m_branches.end() ||
                old->second->m_settings != *settings) {
       Put(path, Branch{ *settings, aNext });
     }
@@ -382,6 +395,7 @@
     run.Run(operation);
   }
   Tree next = *this;
+  next.Detach();
   next.Commit(run.Working(), aNext);
   CheckCombinations(next, run.Problems());
   if (!run.Problems().empty()) {
@@ -400,12 +414,12 @@
   delta.m_full = !aBase || aBase->m_generation != m_version.m_generation ||
                  *aBase > m_version || *aBase < m_horizon;
   delta.m_base = delta.m_full ? Version{} : *aBase;
-  for (const auto& [path, branch] : m_branches) {
+  for (const auto& [path, branch] : m_state->m_branches) {
     if (delta.m_full || branch->m_modified > delta.m_base) {
       delta.m_branches.push_back(ToState(path, *branch));
     }
   }
-  for (const auto& [path, removedAt] : m_tombstones) {
+  for (const auto& [path, removedAt] : m_state->m_tombstones) {
     if (!delta.m_full && removedAt > delta.m_base) {
       delta.m_branches.push_back(ToTombstone(path, removedAt));
     }
@@ -418,7 +432,7 @@
   const Version modified = wire::FromWire(aBranch.modified);
   if (aBranch.removed) {
     Erase(aBranch.path);
-    m_tombstones[aBranch.path] = modified;
+    m_state->m_tombstones[aBranch.path] = modified;
   } else {
     Put(aBranch.path, Branch{ aBranch.settings, modified });
   }
@@ -436,9 +450,10 @@
                     ToString(m_version) };
   }
   Tree next = aDelta.m_full ? Tree() : *this;
+  next.Detach();
   next.m_version = aDelta.m_target;
   next.m_horizon = aDelta.m_full ? aDelta.m_target : aDelta.m_base;
-  next.m_tombstones.clear();
+  next.m_state->m_tombstones.clear();
   for (const wire::BranchState& branch : aDelta.m_branches) {
     next.Take(branch);
   }
@@ -455,12 +470,12 @@
 std::vector<std::string> Tree::ChangedSince(const Version& aBase) const
 {
   std::set<std::string> paths;
-  for (const auto& [path, branch] : m_branches) {
+  for (const auto& [path, branch] : m_state->m_branches) {
     if (branch->m_modified > aBase) {
       paths.insert(path);
     }
   }
-  for (const auto& [path, removedAt] : m_tombstones) {
+  for (const auto& [path, removedAt] : m_state->m_tombstones) {
     if (removedAt > aBase) {
       paths.insert(path);
     }
@@ -473,20 +488,22 @@
   Tree next = *this;
   if (aHorizon > m_horizon) {
     next.m_horizon = aHorizon;
-    std::erase_if(next.m_tombstones, [&aHorizon](const auto& aTombstone) {
-      return aTombstone.second <= aHorizon;
-    });
+    next.Detach();
+    std::erase_if(next.m_state->m_tombstones,
+                  [&aHorizon](const auto& aTombstone) {
+                    return aTombstone.second <= aHorizon;
+                  });
   }
   return next;
 }
 
 Tree Tree::WithTombstoneLimit(size_t aLimit) const
 {
-  if (m_tombstones.size() <= aLimit) {
+  if (m_state->m_tombstones.size() <= aLimit) {
     return *this;
   }
   std::vector<Version> removals;
-  for (const auto& [path, removedAt] : m_tombstones) {
+  for (const auto& [path, removedAt] : m_state->m_tombstones) {
     removals.push_back(removedAt);
   }
   std::sort(removals.begin(), removals.end());
@@ -506,10 +523,10 @@
 std::vector<wire::BranchState> Tree::Export() const
 {
   std::vector<wire::BranchState> states;
-  for (const auto& [path, branch] : m_branches) {
+  for (const auto& [path, branch] : m_state->m_branches) {
     states.push_back(ToState(path, *branch));
   }
-  for (const auto& [path, removedAt] : m_tombstones) {
+  for (const auto& [path, removedAt] : m_state->m_tombstones) {
     states.push_back(ToTombstone(path, removedAt));
   }
   return states;
--- a/libs/settings/test/Tree_test.cpp
+++ b/libs/settings/test/Tree_test.cpp
@@ -266,6 +266,21 @@
   RC_ASSERT(patched.error().m_code == ErrorCode::Corrupt);
 }
 
+TEST(TreeTest, PatchedTreeShowsItsProblems)
+{
+  // A control VM of a later release may know keys that this node does not.
+  wire::BranchState unknown;
+  unknown.path = "services/a";
+  unknown.settings = { { "queue.depth", "1" } };
+  const auto newer = Tree::Restore({ 1, 1 }, { 1, 0 }, { unknown });
+  ASSERT_TRUE(newer.has_value());
+  const auto patched = Tree().Patch(newer.value().DeltaFrom(std::nullopt));
+  ASSERT_TRUE(patched.has_value());
+  EXPECT_EQ(
+    patched.value().Problems(),
+    std::vector<std::string>{ "services/a: unknown key 'queue.depth'" });
+}
+
 TEST(TreeTest, PatchRefusesAnotherBaseAndAnOlderVersion)
 {
   const Tree one = Applied(Tree(), { Set("", "share.weight", "1") });
@@ -319,6 +334,9 @@
   const Tree recovered = one.WithGeneration(2);
   EXPECT_TRUE(recovered.DeltaFrom(one.At()).m_full);
   EXPECT_TRUE(recovered.DeltaFrom(Version{ 2, 9 }).m_full);
+  // Without a horizon too, the generation alone decides.
+  const auto other = one.Apply({ Set("", "share.weight", "2") }, { 2, 1 });
+  EXPECT_TRUE(other.value().DeltaFrom(one.At()).m_full);
   const auto patched = one.Patch(recovered.DeltaFrom(one.At()));
   ASSERT_TRUE(patched.has_value());
   EXPECT_EQ(patched.value().At(), (Version{ 2, 1 }));
