--- a/apps/wigeonfold-control/Channel.h
+++ b/apps/wigeonfold-control/Channel.h
@@ -43,9 +43,8 @@
   // whose number is bounded by the producer; call Flush from a timer.
   void Push(T aValue)
   {
-    if (!Flush() || !m_ring.Push(std::move(aValue))) {
-      m_waiting.push_back(std::move(aValue));
-    }
+    m_waiting.push_back(std::move(aValue));
+    Flush();
   }
 
   // True when nothing waits on the producer's side any more.
--- a/apps/wigeonfold-control/CoreCalls.cpp
+++ b/apps/wigeonfold-control/CoreCalls.cpp
@@ -100,7 +100,7 @@
     std::chrono::duration_cast<std::chrono::milliseconds>(
       std::chrono::system_clock::now().time_since_epoch())
       .count();
-  command.__set_change(std::move(aCall.m_change));
+  command.__set_change(aCall.m_change);
   const auto position = m_raft.Propose(aNow, wire::Encode(command));
   if (!position) {
     Answer(aCall.m_ticket,
