--- a/apps/wigeonfold-node/DataPlane.cpp
+++ b/apps/wigeonfold-node/DataPlane.cpp
@@ -13,6 +13,7 @@
 // Bounds how late deadlines and queue timeouts are noticed.
 constexpr Duration kTick = 10ms;
 constexpr int kTicksPerSecond = 100;
+constexpr Duration kPeerCloseWait = 2s;
 
 uint64_t SeedOf(const NodeSettings& aSettings, int64_t aNodeEpoch)
 {
@@ -176,7 +177,9 @@
 
 void DataPlane::OnPeerVersion(const Version& aVersion)
 {
-  if (!m_identity.m_inForce || aVersion > *m_identity.m_inForce) {
+  const bool isNewer = !m_identity.m_inForce ||
+                       std::less<Version>()(*m_identity.m_inForce, aVersion);
+  if (isNewer) {
     m_hooks.m_onPeerVersion(aVersion);
   }
 }
@@ -239,6 +242,7 @@
 void DataPlane::OnLingerOver()
 {
   m_lingerOver = true;
+  m_lingerEnd = Clock::now();
   m_target.RejectNew();
   m_peerServer.StopListening();
   m_peerServer.SendGoaway();
@@ -249,9 +253,14 @@
   if (!m_onDrained) {
     return;
   }
+  // Peers close their connections after the goaway; one that does not is not
+  // waited for.
+  const bool peersDone =
+    m_peerServer.Connections() == 0 ||
+    (m_peerServer.Calls() == 0 && aNow >= m_lingerEnd + kPeerCloseWait);
   const bool finished = m_lingerOver && m_callersDone &&
                         m_callerSide.Active() == 0 && m_target.Active() == 0 &&
-                        m_peerServer.Connections() == 0;
+                        peersDone;
   if (!finished && aNow < m_drainEnd) {
     return;
   }
--- a/apps/wigeonfold-node/DataPlane.h
+++ b/apps/wigeonfold-node/DataPlane.h
@@ -80,6 +80,7 @@
   std::function<void()> m_onDrained;
   boost::asio::steady_timer m_linger;
   TimePoint m_drainEnd{};
+  TimePoint m_lingerEnd{};
   bool m_stopping = false;
   bool m_lingerOver = false;
   bool m_callersDone = false;
--- a/libs/routing/include/wigeonfold/routing/Chooser.h
+++ b/libs/routing/include/wigeonfold/routing/Chooser.h
@@ -43,8 +43,9 @@
   // Endpoint for the next attempt, or nullptr when every endpoint was tried.
   // Prefers endpoints that are not avoided, then those of the own zone unless
   // their load exceeds the service's spill limit. When more than half of the
-  // endpoints are avoided, avoidance is ignored: ejecting most of a service
-  // moves its whole load onto the rest. aTried holds node names.
+  // endpoints that are not draining are ejected, ejection is ignored: ejecting
+  // most of a service moves its whole load onto the rest. aTried holds node
+  // names.
   const Endpoint* Choose(const ServiceRoute& aRoute,
                          const std::vector<std::string>& aTried,
                          const Tracker& aTracker,
--- a/libs/routing/include/wigeonfold/routing/Tracker.h
+++ b/libs/routing/include/wigeonfold/routing/Tracker.h
@@ -39,6 +39,8 @@
   double LoadOf(const Endpoint& aEndpoint, TimePoint aNow) const;
   // Ejected after failures, or known to drain.
   bool IsAvoided(const Endpoint& aEndpoint, TimePoint aNow) const;
+  // Avoided because it said itself that it takes no calls.
+  bool IsDraining(const Endpoint& aEndpoint, TimePoint aNow) const;
   int InFlight(const Endpoint& aEndpoint) const;
 
   // Drops what is known of nodes that are not in the view.
@@ -54,6 +56,7 @@
     int m_failures = 0;
     int m_ejections = 0; // in a row; each lasts longer
     TimePoint m_avoidUntil{};
+    TimePoint m_drainingUntil{};
   };
 
   const State* FindState(const Endpoint& aEndpoint) const;
--- a/libs/routing/src/Chooser.cpp
+++ b/libs/routing/src/Chooser.cpp
@@ -134,22 +134,32 @@
   TimePoint aNow) const
 {
   CandidateList untried;
+  CandidateList staying; // untried and not draining
   CandidateList preferred;
-  size_t avoided = 0;
+  size_t draining = 0;
+  size_t ejected = 0;
   for (const Endpoint& endpoint : aRoute.m_endpoints) {
+    const bool isDraining = aTracker.IsDraining(endpoint, aNow);
     const bool isAvoided = aTracker.IsAvoided(endpoint, aNow);
-    avoided += isAvoided ? 1 : 0;
+    draining += isDraining ? 1 : 0;
+    ejected += isAvoided && !isDraining ? 1 : 0;
     if (std::find(aTried.begin(), aTried.end(), endpoint.m_nodeName) !=
         aTried.end()) {
       continue;
     }
     untried.push_back(&endpoint);
+    if (!isDraining) {
+      staying.push_back(&endpoint);
+    }
     if (!isAvoided) {
       preferred.push_back(&endpoint);
     }
   }
-  const bool mostAvoided = avoided * 2 > aRoute.m_endpoints.size();
-  return mostAvoided || preferred.empty() ? untried : preferred;
+  const bool mostEjected = ejected * 2 > aRoute.m_endpoints.size() - draining;
+  if (!preferred.empty() && !mostEjected) {
+    return preferred;
+  }
+  return staying.empty() ? untried : staying;
 }
 
 const Endpoint* Chooser::Choose(const ServiceRoute& aRoute,
--- a/libs/routing/src/Tracker.cpp
+++ b/libs/routing/src/Tracker.cpp
@@ -68,7 +68,7 @@
     case AttemptResult::Refused:
       break;
     case AttemptResult::Draining:
-      state.m_avoidUntil = aNow + kDrainAvoidance;
+      state.m_drainingUntil = aNow + kDrainAvoidance;
       break;
     case AttemptResult::Failed:
       if (++state.m_failures >= aRoute.m_ejectFailures) {
@@ -94,7 +94,14 @@
 bool Tracker::IsAvoided(const Endpoint& aEndpoint, TimePoint aNow) const
 {
   const State* state = FindState(aEndpoint);
-  return state != nullptr && aNow < state->m_avoidUntil;
+  return state != nullptr &&
+         (aNow < state->m_avoidUntil || aNow < state->m_drainingUntil);
+}
+
+bool Tracker::IsDraining(const Endpoint& aEndpoint, TimePoint aNow) const
+{
+  const State* state = FindState(aEndpoint);
+  return state != nullptr && aNow < state->m_drainingUntil;
 }
 
 int Tracker::InFlight(const Endpoint& aEndpoint) const
--- a/libs/routing/test/Chooser_test.cpp
+++ b/libs/routing/test/Chooser_test.cpp
@@ -68,6 +68,22 @@
   EXPECT_EQ(chosen.size(), 3U);
 }
 
+// One endpoint drains and one is gone: the third one takes every call, although
+// two of three are avoided.
+TEST(ChooserTest, DrainingEndpointsDoNotCountAsEjected)
+{
+  const ServiceRoute route = MakeRoute({ "a", "a", "a" });
+  Tracker tracker;
+  Chooser chooser("a", MakeRoundRobin());
+  Fail(tracker, route, 0, 2);
+  tracker.OnSent(route.m_endpoints[1]);
+  tracker.OnEnded(
+    route, route.m_endpoints[1], AttemptResult::Draining, nullptr, kStart);
+  for (int i = 0; i < 6; ++i) {
+    EXPECT_EQ(chooser.Choose(route, {}, tracker, kStart)->m_nodeName, "node-2");
+  }
+}
+
 TEST(ChooserTest, SpillsOverByLoadAndNotBefore)
 {
   const ServiceRoute route = MakeRoute({ "a", "b" });
