--- a/apps/wigeonfold-node/CallerSide.cpp
+++ b/apps/wigeonfold-node/CallerSide.cpp
@@ -48,6 +48,10 @@
     Reject(Outcome::NoConfiguration, aRespond);
     return;
   }
+  if (m_bytes + aRequest.m_body.size() > kMaxRequestBytes) {
+    Reject(Outcome::Overloaded, aRespond);
+    return;
+  }
   const TimePoint now = Clock::now();
   ParsedCall parsed;
   if (const auto outcome =
@@ -69,8 +73,11 @@
                 std::move(aRespond),
                 now,
                 parsed.m_deadline + kVerdictGrace,
+                0,
                 kNoTarget });
   ActiveCall& call = added.first->second;
+  call.m_bytes = call.m_request->body.size();
+  m_bytes += call.m_bytes;
   m_deadlines.Add(call.m_timeout, id);
   aOnAbandon([this, id] { Abandon(id); });
   Execute(id, call.m_call.Start(now));
@@ -233,6 +240,7 @@
   auto node = m_calls.extract(aId);
   ActiveCall& call = node.mapped();
   m_deadlines.Remove(call.m_timeout, aId);
+  m_bytes -= call.m_bytes;
   m_metrics.CountOutcome(aOutcome);
   m_metrics.ObserveLatency(Clock::now() - call.m_arrived);
   if (!call.m_respond) {
--- a/apps/wigeonfold-node/CallerSide.h
+++ b/apps/wigeonfold-node/CallerSide.h
@@ -62,6 +62,7 @@
     net::HttpRespond m_respond;
     TimePoint m_arrived{};
     TimePoint m_timeout{};
+    size_t m_bytes = 0;
     std::string m_lastTarget;
     std::vector<Attempt> m_attempts;
     wire::CallResponse m_response; // of the attempt that ended last
@@ -92,6 +93,7 @@
   std::unordered_map<std::string, forwarding::RetryBudget> m_budgets;
   std::unordered_map<uint64_t, ActiveCall> m_calls;
   uint64_t m_lastId = 0;
+  size_t m_bytes = 0; // of request bodies in memory
   Deadlines m_deadlines;
 };
 
--- a/apps/wigeonfold-node/Messages.h
+++ b/apps/wigeonfold-node/Messages.h
@@ -79,6 +79,10 @@
 // its version.
 using DataToControl = std::variant<wire::EndpointRecord, Version>;
 
+// Bound on the bodies of requests that callers, or that peers, have under way
+// here. The node has to stay below 32 MB with both.
+inline constexpr size_t kMaxRequestBytes = size_t{ 8 } << 20;
+
 // Enough for bursts; a full ring is reported by the producer.
 inline constexpr size_t kRingCapacity = 256;
 
--- a/apps/wigeonfold-node/PeerClient.cpp
+++ b/apps/wigeonfold-node/PeerClient.cpp
@@ -19,6 +19,8 @@
 // as lost: a VM that vanished sends no reset.
 constexpr Duration kSilenceLimit = 3s;
 constexpr Duration kIdleLimit = 60s;
+// A peer that reads more slowly than this is not given further calls.
+constexpr size_t kMaxQueuedBytes = size_t{ 4 } << 20;
 
 } // namespace
 
@@ -71,6 +73,10 @@
   link.m_lastUsed = now;
   Waiting call{ link.m_calls.Open(aKey), aKey, std::move(aRequest), aDeadline };
   const PeerTicket ticket{ id, call.m_callId };
+  if (link.m_connection && link.m_connection->QueuedBytes() > kMaxQueuedBytes) {
+    link.m_calls.Cancel(ticket.m_callId);
+    return std::nullopt;
+  }
   if (!link.m_connection) {
     link.m_waiting.push_back(std::move(call));
     return ticket;
--- a/apps/wigeonfold-node/TargetSide.cpp
+++ b/apps/wigeonfold-node/TargetSide.cpp
@@ -170,7 +170,7 @@
     TargetReply reply;
     reply.m_outcome = *outcome;
     Exchange none;
-    FillResponse(reply, none);
+    FillResponse(reply, none, false);
     aReply(std::move(reply));
     return id;
   }
@@ -181,6 +181,7 @@
   request.m_deadline = aDeadline;
   request.m_arrived = aNow;
   ServedCall call{ forwarding::TargetCall(aDeadline) };
+  m_bytes += aRequest->body.size();
   call.m_request = std::move(aRequest);
   call.m_deadline = aDeadline;
   call.m_reply = std::move(aReply);
@@ -203,6 +204,9 @@
   if (m_rejectNew) {
     return Outcome::Draining;
   }
+  if (m_bytes + aRequest.body.size() > kMaxRequestBytes) {
+    return Outcome::QueueFull;
+  }
   return std::nullopt;
 }
 
@@ -363,6 +367,7 @@
   auto node = m_calls.extract(aId);
   ServedCall& call = node.mapped();
   m_deadlines.Remove(call.m_deadline, aId);
+  m_bytes -= call.m_request->body.size();
   if (aStep.m_unqueue) {
     m_admission.Cancel(aId);
   }
@@ -378,13 +383,15 @@
   if (call.m_reply) {
     TargetReply reply;
     reply.m_outcome = *aStep.m_end;
-    FillResponse(reply, call.m_exchange);
+    FillResponse(reply, call.m_exchange, call.m_request->method == "HEAD");
     call.m_reply(std::move(reply));
   }
   Apply(std::move(next), aNow);
 }
 
-void TargetSide::FillResponse(TargetReply& aReply, Exchange& aExchange)
+void TargetSide::FillResponse(TargetReply& aReply,
+                              Exchange& aExchange,
+                              bool aIsHead)
 {
   const forwarding::OutcomeInfo& info = InfoOf(aReply.m_outcome);
   wire::CallResponse& response = aReply.m_response;
@@ -396,7 +403,7 @@
     response.status = aExchange.m_status;
     response.headers = std::move(aExchange.m_headers);
     response.body = std::move(aExchange.m_body);
-    StripHopByHop(response.headers);
+    StripHopByHop(response.headers, aIsHead);
   }
   if (!answered) {
     response.reason = info.m_reason;
--- a/apps/wigeonfold-node/TargetSide.h
+++ b/apps/wigeonfold-node/TargetSide.h
@@ -89,7 +89,7 @@
   void End(uint64_t aId, const forwarding::TargetStep& aStep, TimePoint aNow);
   void UpdateLimits(TimePoint aNow);
   void UpdateDraining(TimePoint aNow);
-  void FillResponse(TargetReply& aReply, Exchange& aExchange);
+  void FillResponse(TargetReply& aReply, Exchange& aExchange, bool aIsHead);
   wire::TargetLoad Load() const;
 
   const TargetSideOptions m_options;
@@ -105,6 +105,7 @@
   bool m_rejectNew = false;
   std::unordered_map<uint64_t, ServedCall> m_calls;
   uint64_t m_lastId = 0;
+  size_t m_bytes = 0; // of request bodies in memory
   Deadlines m_deadlines;
   std::deque<admission::Decision> m_decisions;
   bool m_applying = false;
--- a/apps/wigeonfold-node/Translate.cpp
+++ b/apps/wigeonfold-node/Translate.cpp
@@ -151,12 +151,14 @@
 
 } // namespace
 
-void StripHopByHop(std::vector<wire::HeaderField>& aFields)
+void StripHopByHop(std::vector<wire::HeaderField>& aFields, bool aKeepLength)
 {
   const std::vector<std::string> named = ConnectionNames(aFields);
   const auto end = std::remove_if(
-    aFields.begin(), aFields.end(), [&named](const wire::HeaderField& aField) {
-      return IsHopByHop(aField.name) || IsOneOf(aField.name, named);
+    aFields.begin(), aFields.end(), [&](const wire::HeaderField& aField) {
+      const bool kept =
+        aKeepLength && boost::iequals(aField.name, "content-length");
+      return !kept && (IsHopByHop(aField.name) || IsOneOf(aField.name, named));
     });
   aFields.erase(end, aFields.end());
 }
--- a/apps/wigeonfold-node/Translate.h
+++ b/apps/wigeonfold-node/Translate.h
@@ -49,7 +49,9 @@
 std::vector<net::HttpField> RejectFields();
 
 // Removes fields that concern one connection only and those that frame the
-// message, which is framed anew.
-void StripHopByHop(std::vector<wire::HeaderField>& aFields);
+// message, which is framed anew. An answer to HEAD keeps its Content-Length: it
+// describes a body that is not sent.
+void StripHopByHop(std::vector<wire::HeaderField>& aFields,
+                   bool aKeepLength = false);
 
 } // namespace wigeonfold::node
--- a/libs/forwarding/include/wigeonfold/forwarding/Outcome.h
+++ b/libs/forwarding/include/wigeonfold/forwarding/Outcome.h
@@ -19,6 +19,7 @@
   Shed, // 503 with "Wigeonfold-Run: not-run" from the target
         // Rejected at the caller's node.
   NoConfiguration,
+  Overloaded, // too many bytes of requests in memory
   NoRoute,
   Malformed,
   BodyTooLarge,
--- a/libs/forwarding/src/Outcome.cpp
+++ b/libs/forwarding/src/Outcome.cpp
@@ -19,6 +19,7 @@
     { Outcome::Answered,             "answered",              RunState::Run,     0,   false, false, Result::Answered },
     { Outcome::Shed,                 "shed",                  RunState::NotRun,  503, false, true,  Result::Refused },
     { Outcome::NoConfiguration,      "no-configuration",      RunState::NotRun,  503, true,  true,  Result::Draining },
+    { Outcome::Overloaded,           "node-overloaded",       RunState::NotRun,  503, true,  true,  Result::Refused },
     { Outcome::NoRoute,              "no-route",              RunState::NotRun,  404, false, false, Result::Refused },
     { Outcome::Malformed,            "malformed",             RunState::NotRun,  400, false, false, Result::Refused },
     { Outcome::BodyTooLarge,         "body-too-large",        RunState::NotRun,  413, false, false, Result::Refused },
--- a/libs/net/src/Http.cpp
+++ b/libs/net/src/Http.cpp
@@ -72,6 +72,7 @@
   void WatchForClose();
   void Reject(http::status aStatus);
   void Respond(HttpResponse aResponse);
+  void SetBody(HttpResponse aResponse);
   void OnWritten(beast::error_code aCode);
 
   beast::tcp_stream m_stream;
@@ -351,10 +352,7 @@
     }
   }
   m_response->keep_alive(m_keepAlive);
-  m_response->content_length(aResponse.m_body.size());
-  if (!m_head) {
-    m_response->body() = std::move(aResponse.m_body);
-  }
+  SetBody(std::move(aResponse));
   http::async_write(
     m_stream,
     *m_response,
@@ -363,6 +361,27 @@
     });
 }
 
+// An answer to HEAD keeps the length that the handler gave, if any; 204 and
+// 304 have neither body nor length (RFC 9110, 6.4.1 and 8.6).
+void Session::SetBody(HttpResponse aResponse)
+{
+  const auto status = m_response->result();
+  if (status == http::status::no_content ||
+      status == http::status::not_modified) {
+    return;
+  }
+  const std::string* length =
+    m_head ? FindField(aResponse.m_fields, "content-length") : nullptr;
+  if (length != nullptr) {
+    m_response->set(http::field::content_length, *length);
+  } else {
+    m_response->content_length(aResponse.m_body.size());
+  }
+  if (!m_head) {
+    m_response->body() = std::move(aResponse.m_body);
+  }
+}
+
 void Session::OnWritten(beast::error_code aCode)
 {
   if (aCode || !m_keepAlive) {
