--- a/apps/wigeonfold-node/NodeSettings.h
+++ b/apps/wigeonfold-node/NodeSettings.h
@@ -31,10 +31,10 @@
   Duration m_peerConnectTimeout{};
   Duration m_targetConnectTimeout{};
   Duration m_announceLease{};
-  // [drain]
   net::LinkFaults m_linkFaults; // for tests of whole processes
-  Duration m_drainLinger{};     // new requests are still accepted this long
-  Duration m_drainLimit{};      // requests under way are cut after this
+  // [drain]
+  Duration m_drainLinger{}; // new requests are still accepted this long
+  Duration m_drainLimit{};  // requests under way are cut after this
 };
 
 // Reads every key; problems are listed by aFile.Finish().
