--- a/libs/storage/src/Format.h
+++ b/libs/storage/src/Format.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace wigeonfold::storage {
 
@@ -25,7 +26,11 @@
   int64_t m_index = 0;
   int64_t m_term = 0;
 
-  auto operator<=>(const SnapshotName&) const = default;
+  bool operator==(const SnapshotName&) const = default;
+  bool operator<(const SnapshotName& aOther) const
+  {
+    return std::tie(m_index, m_term) < std::tie(aOther.m_index, aOther.m_term);
+  }
 };
 
 std::string ToFileName(const SnapshotName& aName);
