--- a/libs/base/include/wigeonfold/base/Version.h
+++ b/libs/base/include/wigeonfold/base/Version.h
@@ -15,6 +15,7 @@
   int64_t m_generation = 0;
   int64_t m_number = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads it.
   auto operator<=>(const Version&) const = default;
 };
 
--- a/libs/discovery/include/wigeonfold/discovery/EndpointTable.h
+++ b/libs/discovery/include/wigeonfold/discovery/EndpointTable.h
@@ -87,6 +87,7 @@
   {
     int64_t m_owner = 0;
     int64_t m_incarnation = 0;
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads it.
     auto operator<=>(const SourceId&) const = default;
   };
   struct KnownSource
@@ -99,6 +100,7 @@
   {
     int64_t m_epoch = 0;
     int64_t m_sequence = 0;
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads it.
     auto operator<=>(const Rank&) const = default;
   };
   struct Entry
