--- a/libs/base/include/wigeonfold/base/Version.h
+++ b/libs/base/include/wigeonfold/base/Version.h
@@ -15,8 +15,14 @@
   int64_t m_generation = 0;
   int64_t m_number = 0;
 
-  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads it.
-  auto operator<=>(const Version&) const = default;
+  bool operator==(const Version&) const = default;
+  // Not defaulted: clang-tidy 14 takes the comparison with 0 in the defaulted
+  // one for a null pointer and reports it in every file that compares versions.
+  std::strong_ordering operator<=>(const Version& aOther) const
+  {
+    const auto order = m_generation <=> aOther.m_generation;
+    return std::is_neq(order) ? order : m_number <=> aOther.m_number;
+  }
 };
 
 // "generation.number".
