--- a/apps/wigeonfold/Arguments.cpp
+++ b/apps/wigeonfold/Arguments.cpp
@@ -31,11 +31,11 @@
   wigeonfold history [--limit N] )" WIGEONFOLD_CONTROL R"(
   wigeonfold status )" WIGEONFOLD_CONTROL R"(
   wigeonfold members list )" WIGEONFOLD_CONTROL R"(
-  wigeonfold members add ID NAME ZONE PEER_ADDRESS API_ADDRESS )" WIGEONFOLD_CONTROL
+  wigeonfold members add ID NAME ZONE PEER API )" WIGEONFOLD_CONTROL
   R"(
   wigeonfold members remove MEMBER )" WIGEONFOLD_CONTROL R"(
   wigeonfold members promote MEMBER )" WIGEONFOLD_CONTROL R"(
-  wigeonfold members replace MEMBER ID NAME ZONE PEER_ADDRESS API_ADDRESS )" WIGEONFOLD_CONTROL
+  wigeonfold members replace MEMBER ID NAME ZONE PEER API )" WIGEONFOLD_CONTROL
   R"(
   wigeonfold drain NODE [--undo] [--wait] )" WIGEONFOLD_CONTROL R"(
   wigeonfold timeline [--chrome] [ADDRESS...] )" WIGEONFOLD_CONTROL R"(
@@ -45,8 +45,9 @@
 
 branch set, unset and remove edit a local draft; accept sends it. PATH is a
 path such as services/lots; the root is written /. MEMBER is the id or the name
-of a present member. timeline merges the events of all control VMs and of the
-processes at the given HTTP addresses, such as the nodes' local-listen.
+of a present member; PEER and API are the addresses of a new one. timeline
+merges the events of all control VMs and of the processes at the given HTTP
+addresses, such as the nodes' local-listen.
 
 Options:
   --effective          Show for each key the value in effect and its branch.
@@ -148,8 +149,8 @@
   arguments.m_newId = Text(aParsed, "ID");
   arguments.m_name = Text(aParsed, "NAME");
   arguments.m_zone = Text(aParsed, "ZONE");
-  arguments.m_peerAddress = Text(aParsed, "PEER_ADDRESS");
-  arguments.m_apiAddress = Text(aParsed, "API_ADDRESS");
+  arguments.m_peerAddress = Text(aParsed, "PEER");
+  arguments.m_apiAddress = Text(aParsed, "API");
   const auto addresses = aParsed.find("ADDRESS");
   if (addresses != aParsed.end() && addresses->second.isStringList()) {
     arguments.m_addresses = addresses->second.asStringList();
--- /dev/null
+++ b/apps/wigeonfold/test/Arguments_test.cpp
@@ -0,0 +1,73 @@
+// Guards against commands of the usage text that the command line rejects.
+#include "Arguments.h"
+
+#include <gtest/gtest.h>
+
+namespace wigeonfold::client {
+namespace {
+
+std::optional<Arguments> Parse(std::vector<const char*> aWords)
+{
+  aWords.insert(aWords.begin(), "wigeonfold");
+  ExitStatus status = ExitStatus::Success;
+  return ParseArguments(static_cast<int>(aWords.size()), aWords.data(), status);
+}
+
+struct Case
+{
+  std::vector<const char*> m_words;
+  Command m_command;
+};
+
+TEST(ArgumentsTest, EveryCommandIsRecognised)
+{
+  const std::vector<Case> cases{
+    { { "branch", "get", "services/lots", "queue.limit" }, Command::BranchGet },
+    { { "branch", "show", "/", "--effective" }, Command::BranchShow },
+    { { "branch", "set", "a", "b", "c" }, Command::BranchSet },
+    { { "branch", "unset", "a", "b" }, Command::BranchUnset },
+    { { "branch", "remove", "a" }, Command::BranchRemove },
+    { { "diff", "--since", "1.2" }, Command::Diff },
+    { { "accept", "--wait", "--rebase" }, Command::Accept },
+    { { "discard", "--force" }, Command::Discard },
+    { { "history", "--limit", "3" }, Command::History },
+    { { "status", "--json" }, Command::Status },
+    { { "members", "list" }, Command::MembersList },
+    { { "members", "add", "7", "c", "z", "p", "a" }, Command::MembersAdd },
+    { { "members", "remove", "c" }, Command::MembersRemove },
+    { { "members", "promote", "7" }, Command::MembersPromote },
+    { { "members", "replace", "c", "7", "d", "z", "p", "a" },
+      Command::MembersReplace },
+    { { "drain", "node-1", "--undo" }, Command::Drain },
+    { { "timeline", "--chrome", "127.0.0.1:1", "127.0.0.1:2" },
+      Command::Timeline },
+  };
+  for (const Case& one : cases) {
+    const auto arguments = Parse(one.m_words);
+    ASSERT_TRUE(arguments) << one.m_words[0] << ' ' << one.m_words[1];
+    EXPECT_EQ(arguments->m_command, one.m_command) << one.m_words[0];
+  }
+}
+
+TEST(ArgumentsTest, OperandsOfANewMemberAreRead)
+{
+  const auto arguments =
+    Parse({ "members", "replace", "old", "7", "new", "zone", "peer", "api" });
+  ASSERT_TRUE(arguments);
+  EXPECT_EQ(arguments->m_member, "old");
+  EXPECT_EQ(arguments->m_newId, "7");
+  EXPECT_EQ(arguments->m_name, "new");
+  EXPECT_EQ(arguments->m_zone, "zone");
+  EXPECT_EQ(arguments->m_peerAddress, "peer");
+  EXPECT_EQ(arguments->m_apiAddress, "api");
+}
+
+TEST(ArgumentsTest, TimelineTakesSeveralAddresses)
+{
+  const auto arguments = Parse({ "timeline", "127.0.0.1:1", "127.0.0.1:2" });
+  ASSERT_TRUE(arguments);
+  EXPECT_EQ(arguments->m_addresses.size(), 2U);
+}
+
+} // namespace
+} // namespace wigeonfold::client
