--- a/apps/wigeonfold-load/Results.cpp
+++ b/apps/wigeonfold-load/Results.cpp
@@ -146,6 +146,10 @@
   , m_byOffice(aExperiment.m_offices.size())
   , m_byClass(aExperiment.m_classes.size())
 {
+  for (size_t phase = 0; phase < m_byPhase.size(); ++phase) {
+    m_byPhaseOffice.emplace_back(m_byOffice.size());
+    m_byPhaseClass.emplace_back(m_byClass.size());
+  }
 }
 
 void Results::Add(size_t aPhase,
@@ -158,7 +162,9 @@
   for (Tally* tally : { &m_all,
                         &m_byPhase.at(aPhase),
                         &m_byOffice.at(aOffice),
-                        &m_byClass.at(aClass) }) {
+                        &m_byClass.at(aClass),
+                        &m_byPhaseOffice.at(aPhase).at(aOffice),
+                        &m_byPhaseClass.at(aPhase).at(aClass) }) {
     ++tally->m_counts.at(static_cast<size_t>(aOutcome));
     if (aOutcome != Outcome::Answered) {
       continue;
@@ -170,6 +176,15 @@
   }
 }
 
+void Results::NoteAnswered(Duration aAt)
+{
+  const auto step = static_cast<size_t>(aAt / kAnsweredStep);
+  if (m_answeredPerStep.size() <= step) {
+    m_answeredPerStep.resize(step + 1);
+  }
+  ++m_answeredPerStep[step];
+}
+
 void Results::NoteFault(const std::string& aText)
 {
   if (m_faults.size() < kMaxFaults) {
@@ -223,8 +238,18 @@
   json["caller-retries"] = m_callerRetries;
   json["internal-failures"] = m_internalFailures;
   json["faults"] = m_faults;
+  json["answered-per-100ms"] = m_answeredPerStep;
   for (size_t i = 0; i < m_byPhase.size(); ++i) {
-    json["phases"][m_experiment.m_phases[i].m_name] = TallyJson(m_byPhase[i]);
+    nlohmann::json phase = TallyJson(m_byPhase[i]);
+    for (size_t j = 0; j < m_byOffice.size(); ++j) {
+      phase["offices"][m_experiment.m_offices[j].m_account] =
+        TallyJson(m_byPhaseOffice[i][j]);
+    }
+    for (size_t j = 0; j < m_byClass.size(); ++j) {
+      phase["classes"][m_experiment.m_classes[j].m_name] =
+        TallyJson(m_byPhaseClass[i][j]);
+    }
+    json["phases"][m_experiment.m_phases[i].m_name] = phase;
   }
   for (size_t i = 0; i < m_byOffice.size(); ++i) {
     json["offices"][m_experiment.m_offices[i].m_account] =
--- a/apps/wigeonfold-load/Results.h
+++ b/apps/wigeonfold-load/Results.h
@@ -51,6 +51,9 @@
   LatencyHistogram m_overhead; // the same without the time in the target
 };
 
+// Resolution of the answers' time series.
+inline constexpr Duration kAnsweredStep = std::chrono::milliseconds(100);
+
 // One entry per request, in the order of the schedule.
 struct RequestEntry
 {
@@ -69,6 +72,8 @@
            Outcome aOutcome,
            Duration aLatency,
            std::optional<Duration> aInTarget);
+  // Time since the start of the run at which a request was answered.
+  void NoteAnswered(Duration aAt);
   // Keeps the first reasons only.
   void NoteFault(const std::string& aText);
   void NoteCallerRetry() { ++m_callerRetries; }
@@ -87,6 +92,10 @@
   std::vector<Tally> m_byPhase;
   std::vector<Tally> m_byOffice;
   std::vector<Tally> m_byClass;
+  // Per phase, then per office or per class.
+  std::vector<std::vector<Tally>> m_byPhaseOffice;
+  std::vector<std::vector<Tally>> m_byPhaseClass;
+  std::vector<uint64_t> m_answeredPerStep; // steps of kAnsweredStep
   uint64_t m_callerRetries = 0;
   uint64_t m_internalFailures = 0;
   std::vector<std::string> m_faults;
--- a/apps/wigeonfold-load/Runner.cpp
+++ b/apps/wigeonfold-load/Runner.cpp
@@ -206,6 +206,9 @@
                 aVerdict.m_outcome,
                 Clock::now() - aSent.m_scheduled,
                 inTarget);
+  if (aVerdict.m_outcome == Outcome::Answered) {
+    m_results.NoteAnswered(Clock::now() - m_start);
+  }
   if (aVerdict.m_outcome == Outcome::Wrong ||
       aVerdict.m_outcome == Outcome::Lost) {
     m_results.NoteFault(RequestId(m_experiment.m_run, aSent.m_index) + " " +
