Displace inside an office whose part of the queue is full

Cause: when the parent's part of the queue (share.queue-percent of offices/arita) was filled by one office, its siblings were rejected with office-share instead of displacing the longest one. Ruled out: the order of the queue (members' p50 was 72 ms) and the spill limit.

--- a/libs/admission/include/wigeonfold/admission/Admission.h
+++ b/libs/admission/include/wigeonfold/admission/Admission.h
@@ -70,7 +70,16 @@
     TimePoint m_started{};
   };
 
-  RejectReason CheckRoom(const Request& aRequest) const;
+  // Where a request finds no room in the queue.
+  struct Room
+  {
+    RejectReason m_reason = RejectReason::None;
+    size_t m_levels = 0; // see Queue::Victim()
+  };
+
+  Room CheckRoom(const Request& aRequest) const;
+  RejectReason MakeRoom(const Request& aRequest,
+                        std::vector<Decision>& aDecisions);
   RejectReason CheckWait(const Request& aRequest, TimePoint aNow) const;
   void StartWaiting(std::vector<Decision>& aDecisions, TimePoint aNow);
 
--- a/libs/admission/include/wigeonfold/admission/Queue.h
+++ b/libs/admission/include/wigeonfold/admission/Queue.h
@@ -44,9 +44,12 @@
   virtual void OnFinished(const Request& aRequest, Duration aSlotTime) = 0;
   // Takes back the charge of a popped request that did not run.
   virtual void Refund(const Request& aRequest) = 0;
-  // The waiting request that should give way to aRequest when the queue is
-  // full; nothing when aRequest should be rejected.
-  virtual std::optional<uint64_t> Victim(const Request& aRequest) const = 0;
+  // The waiting request that should give way to aRequest when the part of the
+  // queue that the office at m_shares[aLevels - 1] may hold is full, or the
+  // whole queue when aLevels is 0. The victim is of that office or below it.
+  // Nothing when aRequest should be rejected.
+  virtual std::optional<uint64_t> Victim(const Request& aRequest,
+                                         size_t aLevels) const = 0;
   // Waiting requests of the office and all offices below it.
   virtual size_t WaitingFor(const std::string& aOffice) const = 0;
 
--- a/libs/admission/src/Admission.cpp
+++ b/libs/admission/src/Admission.cpp
@@ -60,14 +60,7 @@
     m_draining ? RejectReason::Draining : CheckWait(aRequest, aNow);
   const bool slotFree = Running() < m_limits.m_slots && m_queue->Size() == 0;
   if (reason == RejectReason::None && !slotFree) {
-    reason = CheckRoom(aRequest);
-  }
-  if (reason == RejectReason::QueueFull) {
-    if (const auto victim = m_queue->Victim(aRequest)) {
-      m_queue->Remove(*victim);
-      decisions.push_back({ *victim, false, RejectReason::Displaced });
-      reason = RejectReason::None;
-    }
+    reason = MakeRoom(aRequest, decisions);
   }
   if (reason != RejectReason::None) {
     decisions.push_back({ aRequest.m_id, false, reason });
@@ -112,20 +105,39 @@
   return decisions;
 }
 
-// Whether the queue has room for the request.
-RejectReason Admission::CheckRoom(const Request& aRequest) const
+// Finds the lowest office whose part of the queue is full. One request less
+// there is one less in every part above it too.
+Admission::Room Admission::CheckRoom(const Request& aRequest) const
 {
   // The top office holds every request, so its part is the whole queue.
-  for (size_t level = 1; level < aRequest.m_shares.size(); ++level) {
+  for (size_t level = aRequest.m_shares.size(); level-- > 1;) {
     const Share& share = aRequest.m_shares[level];
     const size_t part =
       std::max<size_t>(1, m_limits.m_queueLimit * share.m_queuePercent / 100);
     if (m_queue->WaitingFor(share.m_office) >= part) {
-      return RejectReason::OfficeShare;
+      return { RejectReason::OfficeShare, level + 1 };
     }
   }
-  return m_queue->Size() >= m_limits.m_queueLimit ? RejectReason::QueueFull
-                                                  : RejectReason::None;
+  const bool full = m_queue->Size() >= m_limits.m_queueLimit;
+  return { full ? RejectReason::QueueFull : RejectReason::None, 0 };
+}
+
+// Displaces a waiting request when there is no room. An office that has filled
+// the part of the office above it must not keep its siblings out.
+RejectReason Admission::MakeRoom(const Request& aRequest,
+                                 std::vector<Decision>& aDecisions)
+{
+  const Room room = CheckRoom(aRequest);
+  if (room.m_reason == RejectReason::None) {
+    return RejectReason::None;
+  }
+  const auto victim = m_queue->Victim(aRequest, room.m_levels);
+  if (!victim) {
+    return room.m_reason;
+  }
+  m_queue->Remove(*victim);
+  aDecisions.push_back({ *victim, false, RejectReason::Displaced });
+  return RejectReason::None;
 }
 
 // Whether the request may still take a slot.
--- a/libs/admission/src/FairQueue.cpp
+++ b/libs/admission/src/FairQueue.cpp
@@ -108,16 +108,22 @@
     Charge(aRequest.m_shares, -aRequest.m_chargedMs);
   }
 
-  std::optional<uint64_t> Victim(const Request& aRequest) const override
+  std::optional<uint64_t> Victim(const Request& aRequest,
+                                 size_t aLevels) const override
   {
     const bool deep = aRequest.m_depth > 0;
-    if (deep && m_outside.m_waiting > 0) {
-      return NewestOf(m_outside);
+    const Group* outside = Descend(m_outside, aRequest, aLevels);
+    if (deep && outside != nullptr && outside->m_waiting > 0) {
+      return NewestOf(*outside);
+    }
+    const Group* group = deep ? Descend(m_deep, aRequest, aLevels) : outside;
+    if (group == nullptr) {
+      return std::nullopt;
     }
     // Compares the waiting requests per weight at the first level where the
     // new request's office and the longest one part ways.
-    const Group* group = deep ? &m_deep : &m_outside;
-    for (const Share& share : aRequest.m_shares) {
+    for (size_t level = aLevels; level < aRequest.m_shares.size(); ++level) {
+      const Share& share = aRequest.m_shares[level];
       const auto longest = Longest(*group);
       if (longest == group->m_children.end()) {
         return std::nullopt;
@@ -235,6 +241,23 @@
     --m_size;
   }
 
+  // Group of the office at the request's m_shares[aLevels - 1], or nullptr.
+  static const Group* Descend(const Group& aTop,
+                              const Request& aRequest,
+                              size_t aLevels)
+  {
+    const Group* group = &aTop;
+    for (size_t level = 0; level < aLevels; ++level) {
+      const auto child =
+        group->m_children.find(aRequest.m_shares[level].m_office);
+      if (child == group->m_children.end()) {
+        return nullptr;
+      }
+      group = &child->second;
+    }
+    return group;
+  }
+
   static double PerWeight(const Group& aGroup)
   {
     return static_cast<double>(aGroup.m_waiting) / aGroup.m_weight;
--- a/libs/admission/src/FifoQueue.cpp
+++ b/libs/admission/src/FifoQueue.cpp
@@ -41,7 +41,7 @@
   void OnFinished(const Request&, Duration) override {}
   void Refund(const Request&) override {}
 
-  std::optional<uint64_t> Victim(const Request&) const override
+  std::optional<uint64_t> Victim(const Request&, size_t) const override
   {
     return std::nullopt;
   }
--- a/libs/admission/test/Admission_test.cpp
+++ b/libs/admission/test/Admission_test.cpp
@@ -92,6 +92,35 @@
   EXPECT_EQ(admission.Queued(), 4);
 }
 
+// Guards against an office that fills its parent's part of the queue and so
+// keeps its siblings out.
+TEST(AdmissionTest, FullPartOfTheParentDisplacesTheLongestSibling)
+{
+  const auto ofArita = [](uint64_t aId, const std::string& aName) {
+    return Request{ aId,
+                    { { "offices", 100, 100 },
+                      { "offices/arita", 100, 50 },
+                      { "offices/arita/" + aName, 100, 100 } },
+                    0,
+                    kStart + 10s,
+                    kStart + aId * 1ms };
+  };
+  Admission admission(MakeFairQueue());
+  admission.SetLimits({ 1, 8, 1h }, kStart);
+  for (uint64_t id = 1; id <= 5; ++id) {
+    admission.Offer(ofArita(id, "shop"), kStart + id * 1ms);
+  }
+  // Request 1 runs and four wait, which is the whole part of offices/arita.
+  const auto own = admission.Offer(ofArita(6, "shop"), kStart + 6ms);
+  ASSERT_EQ(own.size(), 1U);
+  EXPECT_EQ(own[0].m_reason, RejectReason::OfficeShare);
+  const auto sibling = admission.Offer(ofArita(7, "members"), kStart + 7ms);
+  ASSERT_EQ(sibling.size(), 1U);
+  EXPECT_EQ(sibling[0].m_id, 5U);
+  EXPECT_EQ(sibling[0].m_reason, RejectReason::Displaced);
+  EXPECT_EQ(admission.Queued(), 4);
+}
+
 TEST(AdmissionTest, ExpiredRequestNeverTakesASlot)
 {
   Admission admission(MakeFairQueue());
