Mend injected cuts when their rules file is emptied

Their events show "link cut" long after the cut had ended: inserting an empty file's stream buffer sets the fail bit, so an emptied rules file was ignored and the link stayed cut.

Ruled out: distribution and consensus; the nodes behind had no session with a control VM that was ahead, and reconnected in vain.

--- a/libs/base/src/Settings.cpp
+++ b/libs/base/src/Settings.cpp
@@ -133,13 +133,13 @@
 Result<SettingsFile> SettingsFile::Load(const std::string& aPath)
 {
   std::ifstream file(aPath);
-  std::stringstream text;
-  if (!file || !(text << file.rdbuf())) {
+  const std::string text(std::istreambuf_iterator<char>(file), {});
+  if (!file) {
     return Error{
       ErrorCode::Io, "read settings", aPath, "cannot read the file"
     };
   }
-  return Parse(aPath, text.str());
+  return Parse(aPath, text);
 }
 
 SettingsFile SettingsFile::Parse(const std::string& aName,
--- a/libs/net/src/LinkPolicy.cpp
+++ b/libs/net/src/LinkPolicy.cpp
@@ -85,9 +85,11 @@
 void ReadRules(const std::shared_ptr<Watch>& aWatch)
 {
   std::ifstream file(aWatch->m_file);
-  std::stringstream text;
-  if (file && (text << file.rdbuf())) {
-    auto rules = ParseLinkRules(text.str());
+  if (file) {
+    // Inserting an empty stream buffer would set the fail bit; an empty file
+    // means that every link is up.
+    const std::string text(std::istreambuf_iterator<char>(file), {});
+    auto rules = ParseLinkRules(text);
     if (rules) {
       aWatch->m_policy->SetRules(std::move(rules.value()));
     }
--- a/libs/net/test/Connection_test.cpp
+++ b/libs/net/test/Connection_test.cpp
@@ -6,7 +6,10 @@
 #include <utility>
 
 #include <boost/asio.hpp>
+#include <cstdio>
+#include <fstream>
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 namespace wigeonfold::net {
 namespace {
@@ -114,6 +117,23 @@
   m_client->Close();
 }
 
+// An emptied file once left the links cut for ever.
+TEST(LinkRulesTest, EmptiedFileMendsEveryLink)
+{
+  const std::string path =
+    testing::TempDir() + "link-rules-" + std::to_string(::getpid());
+  std::ofstream(path) << "refuse 127.0.2.\n";
+  asio::io_context io;
+  const auto policy = std::make_shared<LinkPolicy>();
+  WatchLinkRules(io, path, 1ms, policy);
+  EXPECT_EQ(policy->StateOf("127.0.2.1"), LinkState::Refused);
+  std::ofstream(path, std::ios::trunc).close();
+  while (policy->StateOf("127.0.2.1") != LinkState::Up) {
+    io.run_one();
+  }
+  std::remove(path.c_str());
+}
+
 TEST(LinkRulesTest, ReadsRulesAndNamesABadLine)
 {
   const auto rules =
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -135,8 +135,12 @@
         os.rename(self.path("links.new"), self.path("links-%d" % zone))
 
     def client(self, *arguments, timeout=40):
+        """Runs the operators' client; a run beyond the time limit has status 1."""
         command = [os.path.join(self.bin, "wigeonfold"), *arguments, "--control", self.all_api()]
-        return subprocess.run(command, capture_output=True, text=True, timeout=timeout)
+        try:
+            return subprocess.run(command, capture_output=True, text=True, timeout=timeout)
+        except subprocess.TimeoutExpired:
+            return subprocess.CompletedProcess(command, 1, "", "no end within the time limit")
 
     def accept(self, path, key, value, draft, *options):
         """Edits a new draft and accepts it; the answer as JSON or None."""
