Add scripted scenarios in a small test language

Cause: the promises are to be proved by scripted scenarios beside the property tests; the failures of a whole fleet in a given order had no test that runs the same way each time.

Change: tests/scenario runs scripts over the production state machines of control VMs and nodes in virtual time, with cuts, freezes, crashes, lost disks and membership changes, and checks one lease, one content per version and no node that goes back after every step.

Ruled out: real processes, which scripts/chaos covers and whose timing differs from run to run.

--- a/cmake/Layout.cmake
+++ b/cmake/Layout.cmake
@@ -28,3 +28,14 @@
 wigeonfold_app(wigeonfold USES base settings registry observe net)
 wigeonfold_app(wigeonfold-target USES base net)
 wigeonfold_app(wigeonfold-load USES base net)
+
+# Scripted scenarios over the state machines of control VMs and nodes.
+add_executable(scenario_test tests/scenario/World.cpp tests/scenario/Scenario_test.cpp)
+target_link_libraries(scenario_test PRIVATE wigeonfold_consensus wigeonfold_registry
+  wigeonfold_distribution wigeonfold_discovery GTest::gtest GTest::gtest_main)
+target_compile_definitions(scenario_test PRIVATE WIGEONFOLD_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
+if(WIGEONFOLD_PCH)
+  target_precompile_headers(scenario_test REUSE_FROM wigeonfold_pch)
+endif()
+add_test(NAME scenario_test COMMAND scenario_test)
+set_tests_properties(scenario_test PROPERTIES TIMEOUT 300)
