--- a/tests/scenario/Scenario_test.cpp
+++ b/tests/scenario/Scenario_test.cpp
@@ -49,6 +49,7 @@
       if (m_words.empty()) {
         continue;
       }
+      ResolveNames();
       const std::string problem = RunLine();
       if (!problem.empty()) {
         return "line " + std::to_string(number) + ": " + line + ": " + problem;
@@ -70,6 +71,21 @@
   };
   static const std::vector<CommandEntry> kCommands;
 
+  // Replaces "leader" by the lease holder's name and "old-leader" by the name
+  // that "leader" stood for last. Expectations take their words literally.
+  void ResolveNames()
+  {
+    for (size_t i = 1; i < m_words.size() && m_words[0] != "expect"; ++i) {
+      if (m_words[i] == "leader") {
+        const ControlVm* holder = m_world.LeaseHolder();
+        m_oldLeader = holder == nullptr ? "" : holder->m_name;
+        m_words[i] = m_oldLeader;
+      } else if (m_words[i] == "old-leader") {
+        m_words[i] = m_oldLeader;
+      }
+    }
+  }
+
   std::string RunLine()
   {
     for (const CommandEntry& command : kCommands) {
@@ -277,6 +293,7 @@
   Words m_words;
   std::set<std::string> m_refused;
   Version m_newest;
+  std::string m_oldLeader;
   int m_burst = 0;
   int m_expectations = 0;
 };
