Split the subscriber by sessions and state

Change: configuration, endpoints, floor and freshness move to SubscriberState.cpp; no line of behaviour changes.

--- /dev/null
+++ b/libs/distribution/src/SubscriberState.cpp
@@ -0,0 +1,227 @@
+// What the node holds: configuration, endpoints, floor and freshness. The
+// sessions and messages are in Subscriber.cpp.
+#include "wigeonfold/distribution/Subscriber.h"
+
+#include "wigeonfold/wire/Codec.h"
+
+#include <algorithm>
+
+namespace wigeonfold::distribution {
+
+namespace {
+
+settings::TreeDelta ToDelta(const wire::ConfigUpdate& aUpdate)
+{
+  settings::TreeDelta delta;
+  delta.m_full = aUpdate.full;
+  delta.m_base = wire::FromWire(aUpdate.base);
+  delta.m_target = wire::FromWire(aUpdate.target);
+  delta.m_branches = aUpdate.branches;
+  delta.m_digest = static_cast<uint64_t>(aUpdate.digest);
+  return delta;
+}
+
+} // namespace
+
+// ---- Configuration ---------------------------------------------------------
+
+std::optional<Version> Subscriber::InForce() const
+{
+  return m_state ? std::optional<Version>(m_state->m_tree.At()) : std::nullopt;
+}
+
+void Subscriber::Handle(const wire::ConfigUpdate& aUpdate, TimePoint aNow)
+{
+  const Version target = wire::FromWire(aUpdate.target);
+  const auto held = InForce();
+  if (held && target == *held) {
+    SendStatus(); // a duplicate; confirms once more
+    return;
+  }
+  if (m_refused == target) {
+    SendStatus();
+    return;
+  }
+  const bool wrongBase =
+    !aUpdate.full && (!held || wire::FromWire(aUpdate.base) != *held);
+  if ((held && target < *held) || wrongBase) {
+    AskResync(false, aNow);
+    return;
+  }
+  const settings::Tree tree = m_state ? m_state->m_tree : settings::Tree();
+  const auto patched = tree.Patch(ToDelta(aUpdate));
+  if (!patched) {
+    RefuseDelta(aUpdate, patched.error(), aNow);
+    return;
+  }
+  const auto problems = patched.value().Problems();
+  if (!problems.empty()) {
+    Refuse(target, problems.front());
+    return;
+  }
+  NodeState next{ patched.value(),
+                  m_state ? m_state->m_endpoints : m_earlyEndpoints };
+  if (const Status checked = m_check(next); !checked) {
+    Refuse(target, checked.error().m_detail);
+    return;
+  }
+  m_refused.reset();
+  m_refusal.clear();
+  Apply(std::move(next));
+  SendStatus();
+  CheckReady(aNow);
+}
+
+// A digest that differs after a delta may be the fault of the base, so the
+// whole tree is asked for before the version is refused.
+void Subscriber::RefuseDelta(const wire::ConfigUpdate& aUpdate,
+                             const Error& aError,
+                             TimePoint aNow)
+{
+  if (!aUpdate.full) {
+    AskResync(true, aNow);
+    return;
+  }
+  Refuse(wire::FromWire(aUpdate.target), aError.ToString());
+}
+
+void Subscriber::Refuse(const Version& aVersion, const std::string& aReason)
+{
+  m_refused = aVersion;
+  m_refusal = aReason;
+  m_actions.emplace_back(ReportRefusal{ aVersion, aReason });
+  SendStatus();
+}
+
+void Subscriber::Apply(NodeState aState)
+{
+  m_state = std::make_shared<const NodeState>(std::move(aState));
+  m_actions.emplace_back(ApplyState{ m_state });
+}
+
+// ---- Endpoints -------------------------------------------------------------
+
+void Subscriber::Handle(const wire::EndpointUpdate& aUpdate, TimePoint aNow)
+{
+  const bool sameSource = aUpdate.source == m_endpointSource;
+  if (sameSource && aUpdate.cursor <= m_endpointCursor) {
+    SendStatus();
+    return;
+  }
+  if (!aUpdate.full && (!sameSource || aUpdate.baseCursor > m_endpointCursor)) {
+    AskResync(false, aNow);
+    return;
+  }
+  m_endpointSource = aUpdate.source;
+  m_endpointCursor = aUpdate.cursor;
+  if (m_state) {
+    Apply(NodeState{ m_state->m_tree, m_state->m_endpoints.With(aUpdate) });
+  } else {
+    m_earlyEndpoints = m_earlyEndpoints.With(aUpdate);
+  }
+  SendStatus();
+}
+
+SubscriberActions Subscriber::Announce(wire::EndpointRecord aEndpoint,
+                                       TimePoint aNow)
+{
+  aEndpoint.nodeName = m_options.m_nodeName;
+  aEndpoint.nodeEpoch = 0;
+  aEndpoint.sequence = 0;
+  aEndpoint.owner = 0;
+  if (m_announced != aEndpoint) {
+    m_announced = std::move(aEndpoint);
+    ++m_sequence;
+    SendAnnouncement(aNow);
+  }
+  return Take();
+}
+
+// The control VM sends the node's own record back with the others. When it is
+// still another one some time after the announcement, the announcement was lost
+// or an older run of this node is known with a greater epoch.
+void Subscriber::CheckAnnouncement(TimePoint aNow)
+{
+  if (!m_announced || !HasSession() || aNow < m_nextAnnouncementCheck) {
+    return;
+  }
+  const auto& endpoints = m_state ? m_state->m_endpoints : m_earlyEndpoints;
+  const auto* held = endpoints.Find(m_options.m_nodeName);
+  const auto own = std::make_pair(m_nodeEpoch, m_sequence);
+  const auto shown =
+    held ? std::make_pair(held->nodeEpoch, held->sequence) : decltype(own)();
+  if (shown == own && held->state == m_announced->state) {
+    return;
+  }
+  if (shown.first > own.first) {
+    m_nodeEpoch = shown.first + 1;
+  } else if (shown >= own) {
+    m_sequence = shown.second + 1;
+  }
+  SendAnnouncement(aNow);
+}
+
+// ---- Floor and freshness ---------------------------------------------------
+
+SubscriberActions Subscriber::OnPeerVersion(const Version& aVersion,
+                                            TimePoint aNow)
+{
+  RaiseFloor(aVersion);
+  CheckReady(aNow);
+  return Take();
+}
+
+// The floor counts only until the node is ready; later versions are ordered by
+// the version in force.
+void Subscriber::RaiseFloor(const Version& aVersion)
+{
+  if (!m_ready) {
+    m_floor = std::max(m_floor.value_or(aVersion), aVersion);
+  }
+}
+
+void Subscriber::CheckReady(TimePoint aNow)
+{
+  if (m_ready || !m_state || !m_floorEnd || aNow < *m_floorEnd) {
+    return;
+  }
+  const bool below = m_floor && m_state->m_tree.At() < *m_floor;
+  if (below && aNow - m_lastFresh < m_options.m_floorGiveUp) {
+    return;
+  }
+  m_ready = true;
+  m_belowFloor = below;
+  m_actions.emplace_back(BecomeReady{ m_floor, below });
+  SendStatus();
+}
+
+void Subscriber::NoteFreshness(TimePoint aNow)
+{
+  if (m_main->m_freshnessAge <= m_options.m_maxFreshnessAge) {
+    m_lastFresh = aNow;
+  }
+}
+
+std::optional<Duration> Subscriber::FreshnessAge() const
+{
+  return HasSession() ? std::optional<Duration>(m_main->m_freshnessAge)
+                      : std::nullopt;
+}
+
+std::optional<SocketAddress> Subscriber::ControlAddress() const
+{
+  return m_main ? std::optional<SocketAddress>(
+                    m_options.m_controlVms[m_main->m_vm].m_address)
+                : std::nullopt;
+}
+
+void Subscriber::CheckFreshness(TimePoint aNow)
+{
+  const bool stale =
+    HasSession() && m_main->m_freshnessAge > m_options.m_maxFreshnessAge;
+  if (stale && !m_probe && aNow >= m_nextProbe) {
+    StartProbe(aNow);
+  }
+}
+
+} // namespace wigeonfold::distribution
