Let the shutdown test lose calls that a node leaves behind

Cause: with the wait for the work in hand taken out of DataPlane::Drain, ShutdownOfANodeCutsNoRequest still passed, because the node lived on after it had reported that it was drained.

Change: the test destroys the node as soon as it reports so, as the end of the process does, and keeps calling for a while.

--- a/apps/wigeonfold-node/test/Forwarding_test.cpp
+++ b/apps/wigeonfold-node/test/Forwarding_test.cpp
@@ -185,6 +185,9 @@
   std::this_thread::sleep_for(100ms);
   Do([&] { m_nodes[1]->Drain([&] { drained.set_value(); }); });
   drained.get_future().wait();
+  // The process ends here; a call that it still had would be lost.
+  Do([&] { m_nodes[1].reset(); });
+  std::this_thread::sleep_for(100ms);
   stop = true;
   for (auto& caller : callers) {
     caller.wait();
