--- a/apps/wigeonfold-control/Process.cpp
+++ b/apps/wigeonfold-control/Process.cpp
@@ -21,8 +21,8 @@
 constexpr size_t kEventsKept = 10'000;
 // A drain that takes longer is ended: a client holds its connection open.
 constexpr Duration kDrainLimit = 8s;
-// Time to write farewells to nodes and peers.
-constexpr Duration kFarewell = 200ms;
+// Time to write the last messages to nodes and peers.
+constexpr Duration kLastMessages = 200ms;
 
 // An event loop with a thread of its own.
 class Loop
@@ -232,7 +232,7 @@
     }
     m_netStopped = true;
     boost::asio::post(m_netLoop.Io(), [this] { m_net->Stop(); });
-    m_limit.expires_after(kFarewell);
+    m_limit.expires_after(kLastMessages);
     m_limit.async_wait([this](boost::system::error_code aCode) {
       if (!aCode) {
         m_main.stop();
--- a/libs/discovery/test/EndpointTable_test.cpp
+++ b/libs/discovery/test/EndpointTable_test.cpp
@@ -46,7 +46,7 @@
   wire::EndpointSync m_sync;
 };
 
-// Control VMs whose messages wait in one bag.
+// Control VMs whose messages are undelivered, in any order.
 class World
 {
 public:
@@ -95,12 +95,12 @@
   // Messages arrive again and everybody hears everybody.
   void Settle()
   {
-    m_bag.clear();
+    m_undelivered.clear();
     for (int round = 0; round < 90; ++round) {
       for (size_t table = 0; table < kTables; ++table) {
         Publish(table);
       }
-      while (!m_bag.empty()) {
+      while (!m_undelivered.empty()) {
         Deliver(0);
       }
       m_now += 1s;
@@ -116,11 +116,11 @@
     }
     for (int node = 0; node < kNodes; ++node) {
       const auto* record = m_tables[0].Find(Name(node));
-      if (m_home[node] >= 0) {
+      if (m_sessionVm[node] >= 0) {
         const bool shown = record != nullptr;
         RC_ASSERT(shown);
         RC_ASSERT(record->sequence == m_sequences[node]);
-        RC_ASSERT(record->owner == m_home[node] + 1);
+        RC_ASSERT(record->owner == m_sessionVm[node] + 1);
       } else {
         const bool hidden = record == nullptr;
         RC_ASSERT(hidden);
@@ -133,11 +133,12 @@
 
   void Move(int aNode, size_t aTable)
   {
-    if (m_home[aNode] >= 0 && m_home[aNode] != static_cast<int>(aTable)) {
-      m_tables[static_cast<size_t>(m_home[aNode])].LoseSession(Name(aNode),
-                                                               m_now);
+    if (m_sessionVm[aNode] >= 0 &&
+        m_sessionVm[aNode] != static_cast<int>(aTable)) {
+      m_tables[static_cast<size_t>(m_sessionVm[aNode])].LoseSession(Name(aNode),
+                                                                    m_now);
     }
-    m_home[aNode] = static_cast<int>(aTable);
+    m_sessionVm[aNode] = static_cast<int>(aTable);
     m_tables[aTable].Announce(MakeRecord(Name(aNode), 1, ++m_sequence), m_now);
     m_sequences[aNode] = m_sequence;
   }
@@ -145,10 +146,10 @@
   // The node has died.
   void Leave(int aNode)
   {
-    if (m_home[aNode] >= 0) {
-      m_tables[static_cast<size_t>(m_home[aNode])].LoseSession(Name(aNode),
-                                                               m_now);
-      m_home[aNode] = -1;
+    if (m_sessionVm[aNode] >= 0) {
+      m_tables[static_cast<size_t>(m_sessionVm[aNode])].LoseSession(Name(aNode),
+                                                                    m_now);
+      m_sessionVm[aNode] = -1;
     }
   }
 
@@ -158,7 +159,7 @@
     m_tables[aTable] = EndpointTable(member, ++m_incarnation);
     m_sent[aTable] = 0;
     m_shown[aTable].clear();
-    for (int& home : m_home) {
+    for (int& home : m_sessionVm) {
       home = home == static_cast<int>(aTable) ? -1 : home;
     }
     Reconnect(aTable);
@@ -170,7 +171,7 @@
     for (size_t peer = 0; peer < kTables; ++peer) {
       if (peer != aTable) {
         for (auto& sync : m_tables[peer].FullSyncFor(member)) {
-          m_bag.push_back({ aTable, sync });
+          m_undelivered.push_back({ aTable, sync });
         }
       }
     }
@@ -182,22 +183,22 @@
     m_sent[aTable] = m_tables[aTable].SyncCursor();
     for (size_t peer = 0; peer < kTables; ++peer) {
       if (peer != aTable) {
-        m_bag.push_back({ peer, sync });
+        m_undelivered.push_back({ peer, sync });
       }
     }
   }
 
   void DeliverOne()
   {
-    if (m_bag.empty()) {
+    if (m_undelivered.empty()) {
       return;
     }
-    const size_t index = Pick(m_bag.size());
+    const size_t index = Pick(m_undelivered.size());
     const size_t fault = Pick(4);
     if (fault == 0) {
-      m_bag.erase(m_bag.begin() + static_cast<long>(index));
+      m_undelivered.erase(m_undelivered.begin() + static_cast<long>(index));
     } else if (fault == 1) {
-      m_bag.push_back(m_bag[index]);
+      m_undelivered.push_back(m_undelivered[index]);
       Deliver(index);
     } else {
       Deliver(index);
@@ -206,8 +207,8 @@
 
   void Deliver(size_t aIndex)
   {
-    const Message message = m_bag[aIndex];
-    m_bag.erase(m_bag.begin() + static_cast<long>(aIndex));
+    const Message message = m_undelivered[aIndex];
+    m_undelivered.erase(m_undelivered.begin() + static_cast<long>(aIndex));
     const auto answer = m_tables[message.m_to].OnSync(message.m_sync, m_now);
     if (!answer) {
       return;
@@ -216,7 +217,7 @@
     for (size_t peer = 0; peer < kTables; ++peer) {
       const bool owner = static_cast<int64_t>(peer) + 1 == answer->owner;
       if (peer != message.m_to && owner == answer->request) {
-        m_bag.push_back({ peer, *answer });
+        m_undelivered.push_back({ peer, *answer });
       }
     }
   }
@@ -241,9 +242,9 @@
 
   std::vector<EndpointTable> m_tables;
   std::vector<int64_t> m_sent;
-  std::vector<Message> m_bag;
+  std::vector<Message> m_undelivered;
   std::map<size_t, std::map<std::string, int64_t>> m_shown;
-  int m_home[kNodes] = { -1, -1, -1, -1 };
+  int m_sessionVm[kNodes] = { -1, -1, -1, -1 };
   int64_t m_sequences[kNodes] = {};
   int64_t m_sequence = 0;
   int64_t m_incarnation = 1;
--- a/libs/distribution/src/NodeSessions.cpp
+++ b/libs/distribution/src/NodeSessions.cpp
@@ -234,7 +234,8 @@
   aSession.m_endpointSource = aHello.endpointSource;
   aSession.m_endpointCursor = aHello.endpointCursor;
   aSession.m_nextEndpoints = aNow;
-  // The first heartbeats are spread so that a herd does not stay in step.
+  // The first heartbeats are spread so that nodes that connected together do
+  // not stay in step.
   const auto part = static_cast<double>(m_random() % 1000) / 1000;
   aSession.m_nextHeartbeat =
     aNow + std::chrono::duration_cast<Duration>(m_options.m_heartbeat * part);
--- a/libs/distribution/test/Sessions_test.cpp
+++ b/libs/distribution/test/Sessions_test.cpp
@@ -7,10 +7,10 @@
 
 void DeliverWithFault(TestWorld& aWorld)
 {
-  if (aWorld.m_bag.empty()) {
+  if (aWorld.m_undelivered.empty()) {
     return;
   }
-  const size_t index = Pick(aWorld.m_bag.size());
+  const size_t index = Pick(aWorld.m_undelivered.size());
   switch (Pick(8)) {
     case 0:
       aWorld.Lose(index);
@@ -104,7 +104,7 @@
   world.StartNode();
   world.m_node->OnPeerVersion({ 1, before }, world.m_now);
   for (int step = 0; step < 200; ++step) {
-    while (!world.m_bag.empty()) {
+    while (!world.m_undelivered.empty()) {
       world.Deliver(0);
     }
     world.Tick(100ms);
@@ -124,7 +124,7 @@
   const size_t home = world.m_open.begin()->second;
   world.m_controls[home]->m_fresh = false;
   for (int step = 0; step < 100; ++step) {
-    while (!world.m_bag.empty()) {
+    while (!world.m_undelivered.empty()) {
       world.Deliver(0);
     }
     world.Tick(100ms);
@@ -143,7 +143,7 @@
   world.m_controls[0]->m_fresh = false;
   world.m_controls[1]->m_fresh = false;
   for (int step = 0; step < 300; ++step) {
-    while (!world.m_bag.empty()) {
+    while (!world.m_undelivered.empty()) {
       world.Deliver(0);
     }
     world.Tick(100ms);
--- a/libs/distribution/test/TestWorld.h
+++ b/libs/distribution/test/TestWorld.h
@@ -122,7 +122,7 @@
     }
     m_open.clear();
     m_connects.clear();
-    m_bag.clear();
+    m_undelivered.clear();
     m_applied.reset();
     m_node = std::make_unique<Subscriber>(
       options, [](const NodeState&) { return Ok(); }, m_epoch);
@@ -167,13 +167,13 @@
   // Delivers a frame and keeps a copy that arrives much later.
   void Repeat(size_t aIndex)
   {
-    m_bag.push_back(m_bag[aIndex]);
+    m_undelivered.push_back(m_undelivered[aIndex]);
     Deliver(aIndex);
   }
 
   void Deliver(size_t aIndex)
   {
-    const TestMessage message = m_bag[aIndex];
+    const TestMessage message = m_undelivered[aIndex];
     Lose(aIndex);
     const auto found = m_open.find(message.m_session);
     if (found == m_open.end()) {
@@ -191,7 +191,7 @@
 
   void Lose(size_t aIndex)
   {
-    m_bag.erase(m_bag.begin() + static_cast<long>(aIndex));
+    m_undelivered.erase(m_undelivered.begin() + static_cast<long>(aIndex));
   }
 
   // Faults end, all control VMs hold the newest version, time passes.
@@ -202,7 +202,7 @@
       Commit(control, m_newest);
     }
     for (int step = 0; step < 400; ++step) {
-      while (!m_bag.empty()) {
+      while (!m_undelivered.empty()) {
         Deliver(0);
       }
       Tick(100ms);
@@ -214,7 +214,7 @@
   std::vector<settings::Tree> m_trees;
   std::vector<std::unique_ptr<TestControl>> m_controls;
   std::unique_ptr<Subscriber> m_node;
-  std::vector<TestMessage> m_bag;
+  std::vector<TestMessage> m_undelivered;
   std::map<SessionId, size_t> m_open; // control VM of each open session
   TimePoint m_now = TimePoint() + 1h;
   int m_newest = 0;
@@ -244,7 +244,7 @@
       if (const auto* connect = std::get_if<ConnectTo>(&action)) {
         m_connects.push_back(*connect);
       } else if (const auto* send = std::get_if<SendFrame>(&action)) {
-        m_bag.push_back(
+        m_undelivered.push_back(
           { false, send->m_session, { send->m_type, 0, send->m_payload } });
       } else if (const auto* close = std::get_if<CloseSession>(&action)) {
         Close(close->m_session);
@@ -260,7 +260,7 @@
   {
     for (const NodeAction& action : aActions) {
       if (const auto* send = std::get_if<SendToNode>(&action)) {
-        m_bag.push_back(
+        m_undelivered.push_back(
           { true, send->m_session, { send->m_type, 0, *send->m_payload } });
       } else if (const auto* close = std::get_if<CloseNode>(&action)) {
         if (m_open.erase(close->m_session) > 0) {
