Count answers by status, so that chaos can judge P2

Cause: the check of P2 in scripts/chaos read counts that the load generator did not write, so it could not fail.

--- a/apps/wigeonfold-load/Results.cpp
+++ b/apps/wigeonfold-load/Results.cpp
@@ -238,6 +238,10 @@
   json["caller-retries"] = m_callerRetries;
   json["internal-failures"] = m_internalFailures;
   json["faults"] = m_faults;
+  json["statuses"] = nlohmann::json::object();
+  for (const auto& [status, count] : m_statuses) {
+    json["statuses"][std::to_string(status)] = count;
+  }
   json["answered-per-100ms"] = m_answeredPerStep;
   for (size_t i = 0; i < m_byPhase.size(); ++i) {
     nlohmann::json phase = TallyJson(m_byPhase[i]);
--- a/apps/wigeonfold-load/Results.h
+++ b/apps/wigeonfold-load/Results.h
@@ -77,6 +77,8 @@
   // Keeps the first reasons only.
   void NoteFault(const std::string& aText);
   void NoteCallerRetry() { ++m_callerRetries; }
+  // Counts the answers of all attempts by HTTP status.
+  void NoteStatus(int aStatus) { ++m_statuses[aStatus]; }
   // An answered request whose internal calls had no answer.
   void NoteInternalFailure() { ++m_internalFailures; }
 
@@ -97,6 +99,7 @@
   std::vector<std::vector<Tally>> m_byPhaseClass;
   std::vector<uint64_t> m_answeredPerStep; // steps of kAnsweredStep
   uint64_t m_callerRetries = 0;
+  std::map<int, uint64_t> m_statuses;
   uint64_t m_internalFailures = 0;
   std::vector<std::string> m_faults;
 };
--- a/apps/wigeonfold-load/Runner.cpp
+++ b/apps/wigeonfold-load/Runner.cpp
@@ -165,6 +165,9 @@
 void Runner::OnOutcome(const std::shared_ptr<Sent>& aSent,
                        const net::HttpOutcome& aOutcome)
 {
+  if (aOutcome.m_response) {
+    m_results.NoteStatus(aOutcome.m_response->m_status);
+  }
   Verdict verdict =
     Judge(aSent->m_request, aOutcome, m_experiment.m_nodesMayBreak || m_direct);
   verdict.m_outcome = Combine(aSent->m_earlier, verdict.m_outcome);
