--- a/apps/wigeonfold-node/main.cpp
+++ b/apps/wigeonfold-node/main.cpp
@@ -2,7 +2,6 @@
 
 #include "wigeonfold/base/CommandLine.h"
 
-#include <glog/logging.h>
 #include <iostream>
 #include <malloc.h>
 
@@ -14,31 +13,9 @@
 // one is enough and saves megabytes on VMs that have little to spare.
 constexpr int kMallocArenas = 1;
 
-ExitStatus RunNode(int aCount, const char* const* aArguments)
+ExitStatus RunNode(const wigeonfold::node::NodeSettings& aSettings)
 {
-  ExitStatus status = ExitStatus::Success;
-  const auto arguments = wigeonfold::ParseDaemonArguments(
-    "wigeonfold-node",
-    "sidecar that routes and forwards requests",
-    aCount,
-    aArguments,
-    status);
-  if (!arguments) {
-    return status;
-  }
-  auto file = wigeonfold::SettingsFile::Load(arguments->m_configPath);
-  if (!file) {
-    std::cerr << file.error().ToString() << '\n';
-    return ExitStatus::InvalidSettings;
-  }
-  const auto settings = wigeonfold::node::ReadNodeSettings(file.value());
-  if (!wigeonfold::ReportProblems(file.value().Finish())) {
-    return ExitStatus::InvalidSettings;
-  }
-  if (arguments->m_checkOnly) {
-    return ExitStatus::Success;
-  }
-  wigeonfold::node::Node node(settings);
+  wigeonfold::node::Node node(aSettings);
   if (const auto result = node.Run(); !result) {
     std::cerr << result.error().ToString() << '\n';
     return ExitStatus::Failed;
@@ -51,7 +28,11 @@
 int main(int aCount, char** aArguments)
 {
   mallopt(M_ARENA_MAX, kMallocArenas);
-  google::InitGoogleLogging(aArguments[0]);
-  FLAGS_logtostderr = true;
-  return static_cast<int>(RunNode(aCount, aArguments));
+  return static_cast<int>(
+    wigeonfold::RunDaemon("wigeonfold-node",
+                          "sidecar that routes and forwards requests",
+                          aCount,
+                          aArguments,
+                          wigeonfold::node::ReadNodeSettings,
+                          RunNode));
 }
--- a/apps/wigeonfold-target/main.cpp
+++ b/apps/wigeonfold-target/main.cpp
@@ -5,7 +5,6 @@
 
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
-#include <glog/logging.h>
 #include <iostream>
 
 namespace {
@@ -14,11 +13,6 @@
 
 constexpr size_t kEventsKept = 1000;
 
-int Exit(ExitStatus aStatus)
-{
-  return static_cast<int>(aStatus);
-}
-
 ExitStatus Run(const target::TargetSettings& aSettings)
 {
   EventLog log("target " + aSettings.m_name, kEventsKept);
@@ -54,28 +48,10 @@
 
 int main(int aCount, char** aArguments)
 {
-  FLAGS_logtostderr = true;
-  google::InitGoogleLogging(aArguments[0]);
-  ExitStatus status = ExitStatus::Success;
-  const auto arguments = ParseDaemonArguments("wigeonfold-target",
-                                              "HTTP target stand-in for tests",
-                                              aCount,
-                                              aArguments,
-                                              status);
-  if (!arguments) {
-    return Exit(status);
-  }
-  auto file = SettingsFile::Load(arguments->m_configPath);
-  if (!file) {
-    std::cerr << file.error().ToString() << '\n';
-    return Exit(ExitStatus::InvalidSettings);
-  }
-  const auto settings = target::ReadTargetSettings(file.value());
-  if (!ReportProblems(file.value().Finish())) {
-    return Exit(ExitStatus::InvalidSettings);
-  }
-  if (arguments->m_checkOnly) {
-    return Exit(ExitStatus::Success);
-  }
-  return Exit(Run(settings));
+  return static_cast<int>(RunDaemon("wigeonfold-target",
+                                    "HTTP target stand-in for tests",
+                                    aCount,
+                                    aArguments,
+                                    target::ReadTargetSettings,
+                                    Run));
 }
--- a/libs/base/include/wigeonfold/base/CommandLine.h
+++ b/libs/base/include/wigeonfold/base/CommandLine.h
@@ -3,6 +3,7 @@
 
 #include "wigeonfold/base/Settings.h"
 
+#include <iostream>
 #include <map>
 #include <optional>
 #include <string>
@@ -41,4 +42,37 @@
 // Prints all problems to stderr; true when there are none.
 bool ReportProblems(const std::vector<std::string>& aProblems);
 
+// Directs glog to stderr. Call once, before the first log line.
+void StartLogging(const char* aProgram);
+
+// Start of a daemon: logging, command line, settings checked as a whole, then
+// aRun(settings), whose exit status it returns. aReadSettings takes the
+// SettingsFile&. Nothing runs with --check-config or on a bad file.
+template<class ReadSettings, class Run>
+ExitStatus RunDaemon(const std::string& aBinary,
+                     const std::string& aSummary,
+                     int aCount,
+                     const char* const* aArguments,
+                     ReadSettings aReadSettings,
+                     Run aRun)
+{
+  StartLogging(aArguments[0]);
+  ExitStatus status = ExitStatus::Success;
+  const auto arguments =
+    ParseDaemonArguments(aBinary, aSummary, aCount, aArguments, status);
+  if (!arguments) {
+    return status;
+  }
+  auto file = SettingsFile::Load(arguments->m_configPath);
+  if (!file) {
+    std::cerr << file.error().ToString() << '\n';
+    return ExitStatus::InvalidSettings;
+  }
+  const auto settings = aReadSettings(file.value());
+  if (!ReportProblems(file.value().Finish())) {
+    return ExitStatus::InvalidSettings;
+  }
+  return arguments->m_checkOnly ? ExitStatus::Success : aRun(settings);
+}
+
 } // namespace wigeonfold
--- a/libs/base/src/CommandLine.cpp
+++ b/libs/base/src/CommandLine.cpp
@@ -1,6 +1,7 @@
 #include "wigeonfold/base/CommandLine.h"
 
 #include <docopt/docopt.h>
+#include <glog/logging.h>
 #include <iostream>
 
 namespace wigeonfold {
@@ -55,4 +56,10 @@
   return aProblems.empty();
 }
 
+void StartLogging(const char* aProgram)
+{
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging(aProgram);
+}
+
 } // namespace wigeonfold
--- a/libs/consensus/test/Raft_test.cpp
+++ b/libs/consensus/test/Raft_test.cpp
@@ -32,6 +32,7 @@
   int m_number = 0;
 };
 
+// RapidCheck requires this name.
 void showValue(const Incident& aIncident, std::ostream& aOut) // NOLINT
 {
   aOut << static_cast<int>(aIncident.m_fault) << ":" << aIncident.m_number;
