--- a/apps/wigeonfold-control/Api.cpp
+++ b/apps/wigeonfold-control/Api.cpp
@@ -1,6 +1,7 @@
 #include "Api.h"
 
 #include "wigeonfold/observe/Timeline.h"
+#include "wigeonfold/platform/OperatorCalls.h"
 
 #include <nlohmann/json.hpp>
 #include <prometheus/counter.h>
@@ -19,6 +20,8 @@
 constexpr Duration kDrainLinger = 200ms;
 // Summaries come every 100 ms; a core silent for this long is stalled.
 constexpr Duration kStalled = 2s;
+// Whole configurations with thousands of routes.
+constexpr size_t kMaxConfigBytes = size_t{ 16 } << 20;
 constexpr const char* kJson = "application/json";
 
 net::HttpResponse ToResponse(const registry::ApiReply& aReply)
@@ -83,13 +86,33 @@
     return server.error();
   }
   m_server = std::move(server.value());
+  if (m_settings.m_operatorListen) {
+    auto config = net::ServeHttp(m_io,
+                                 *m_settings.m_operatorListen,
+                                 [this](const net::HttpRequest& aRequest,
+                                        net::HttpRespond aRespond,
+                                        const net::HttpOnAbandon&) {
+                                   ServeConfig(aRequest, std::move(aRespond));
+                                 },
+                                 {},
+                                 { 0, Duration::zero(), kMaxConfigBytes });
+    if (!config) {
+      return config.error();
+    }
+    m_configServer = std::move(config.value());
+  }
   Schedule();
   return Ok();
 }
 
 void Api::Drain(std::function<void()> aDone)
 {
-  m_server->Drain(kDrainLinger, std::move(aDone));
+  if (!m_configServer) {
+    m_server->Drain(kDrainLinger, std::move(aDone));
+    return;
+  }
+  m_configServer->Drain(
+    kDrainLinger, [this, aDone] { m_server->Drain(Duration::zero(), aDone); });
 }
 
 void Api::Close()
@@ -98,6 +121,9 @@
   if (m_server) {
     m_server->Close();
   }
+  if (m_configServer) {
+    m_configServer->Close();
+  }
 }
 
 void Api::Schedule()
@@ -125,7 +151,11 @@
     aRespond(Timeline());
   } else if (isGet) {
     const Ticket ticket = ++m_lastTicket;
-    Call(ReadCall{ ticket }, ticket, aRequest.m_target, std::move(aRespond));
+    Call(ReadCall{ ticket },
+         ticket,
+         aRequest.m_target,
+         registry::NativeFormat(),
+         std::move(aRespond));
   } else if (aRequest.m_method == "POST" && path == "/v1/accept") {
     Accept(aRequest, std::move(aRespond));
   } else if (aRequest.m_method == "POST" && path == "/v1/members") {
@@ -143,12 +173,49 @@
     return;
   }
   const Ticket ticket = ++m_lastTicket;
-  Call(AcceptCall{ ticket, aRequest.m_target, std::move(change.value()) },
+  Call(AcceptCall{ ticket,
+                   aRequest.m_target,
+                   std::move(change.value()),
+                   &registry::NativeFormat() },
        ticket,
        aRequest.m_target,
+       registry::NativeFormat(),
        std::move(aRespond));
 }
 
+void Api::ServeConfig(const net::HttpRequest& aRequest,
+                      net::HttpRespond aRespond)
+{
+  const registry::OperatorFormat& format = platform::ConfigFormat();
+  const Ticket ticket = ++m_lastTicket;
+  if (platform::IsRead(aRequest)) {
+    Call(ReadCall{ ticket },
+         ticket,
+         aRequest.m_target,
+         format,
+         std::move(aRespond));
+    return;
+  }
+  if (!platform::IsAccept(aRequest)) {
+    aRespond(ToResponse(registry::FormatProblem(404, "no such call")));
+    return;
+  }
+  auto change = platform::ParseConfig(aRequest.m_body);
+  if (!change) {
+    m_log.Record(EventId::ReleaseInvalid,
+                 { { "reason", change.error().ToString() } });
+    aRespond(
+      ToResponse(registry::FormatProblem(400, change.error().ToString())));
+    return;
+  }
+  Call(
+    AcceptCall{ ticket, aRequest.m_target, std::move(change.value()), &format },
+    ticket,
+    aRequest.m_target,
+    format,
+    std::move(aRespond));
+}
+
 void Api::Members(const net::HttpRequest& aRequest, net::HttpRespond aRespond)
 {
   auto request = registry::ParseMemberRequest(aRequest.m_body);
@@ -160,12 +227,14 @@
   Call(MemberCall{ ticket, aRequest.m_target, std::move(request.value()) },
        ticket,
        aRequest.m_target,
+       registry::NativeFormat(),
        std::move(aRespond));
 }
 
 void Api::Call(ApiCall aCall,
                Ticket aTicket,
                std::string aTarget,
+               const registry::OperatorFormat& aFormat,
                net::HttpRespond aRespond)
 {
   if (!m_channels.m_httpToCore.TryPush(std::move(aCall))) {
@@ -173,6 +242,7 @@
     return;
   }
   m_waiting[aTicket] = Waiting{ std::move(aTarget),
+                                &aFormat,
                                 std::move(aRespond),
                                 Clock::now() + kCallTimeout };
 }
@@ -182,8 +252,8 @@
   const TimePoint now = Clock::now();
   // Tickets grow with time, so the oldest call comes first.
   while (!m_waiting.empty() && m_waiting.begin()->second.m_deadline <= now) {
-    Answer(m_waiting.begin()->first,
-           registry::FormatUnknown("the core does not answer"));
+    const auto& [ticket, waiting] = *m_waiting.begin();
+    Answer(ticket, waiting.m_format->Unknown("the core does not answer"));
   }
 }
 
@@ -213,7 +283,7 @@
     }
   }
   Answer(aAnswer.m_ticket,
-         registry::HandleRead(
+         found->second.m_format->Read(
            *aAnswer.m_registry, aAnswer.m_cluster, found->second.m_target));
 }
 
--- a/apps/wigeonfold-control/Api.h
+++ b/apps/wigeonfold-control/Api.h
@@ -39,16 +39,19 @@
   struct Waiting
   {
     std::string m_target;
+    const registry::OperatorFormat* m_format = nullptr;
     net::HttpRespond m_respond;
     TimePoint m_deadline;
   };
 
   void Serve(const net::HttpRequest& aRequest, net::HttpRespond aRespond);
+  void ServeConfig(const net::HttpRequest& aRequest, net::HttpRespond aRespond);
   void Accept(const net::HttpRequest& aRequest, net::HttpRespond aRespond);
   void Members(const net::HttpRequest& aRequest, net::HttpRespond aRespond);
   void Call(ApiCall aCall,
             Ticket aTicket,
             std::string aTarget,
+            const registry::OperatorFormat& aFormat,
             net::HttpRespond aRespond);
   void Answer(Ticket aTicket, const registry::ApiReply& aReply);
   void Answer(ReadAnswer& aAnswer);
@@ -68,6 +71,8 @@
   Channels& m_channels;
   EventLog& m_log;
   std::unique_ptr<net::HttpServer> m_server;
+  // The platform's interface for operators; null when it is not set.
+  std::unique_ptr<net::HttpServer> m_configServer;
   observe::Metrics m_metrics;
   Ticket m_lastTicket = 0;
   std::map<Ticket, Waiting> m_waiting;
--- a/apps/wigeonfold-control/ControlSettings.cpp
+++ b/apps/wigeonfold-control/ControlSettings.cpp
@@ -36,9 +36,27 @@
     aFile.Address(kControl, "peer-address").value_or(aSettings.m_peerListen);
   aSettings.m_apiAddress =
     aFile.Address(kControl, "api-address").value_or(aSettings.m_apiListen);
-  aSettings.m_seeds = aFile.Addresses(kControl, "seeds");
+  aSettings.m_nodeAddress =
+    aFile.Address(kControl, "node-address").value_or(aSettings.m_nodeListen);
+  aSettings.m_operatorListen = aFile.Address(kControl, "operator-listen");
+  aSettings.m_seeds = ReadSeeds(aFile);
+  const size_t listed = aSettings.m_seeds.size();
   std::erase(aSettings.m_seeds, aSettings.m_peerAddress);
   std::erase(aSettings.m_seeds, aSettings.m_peerListen);
+  aSettings.m_isSeed = aSettings.m_seeds.size() < listed;
+}
+
+// The group tolerates the loss of this many voters at a time.
+void ReadMembership(SettingsFile& aFile, ControlSettings& aSettings)
+{
+  aSettings.m_automaticMembers =
+    aFile.Boolean(kControl, "automatic-members", false);
+  const auto losses =
+    static_cast<size_t>(aFile.Integer(kControl, "tolerated-losses", 1, 0, 10));
+  aSettings.m_policy.m_voters = 2 * losses + 1;
+  if (aSettings.m_automaticMembers) {
+    aSettings.m_minVoters = losses + 1;
+  }
 }
 
 void ReadTiming(SettingsFile& aFile, ControlSettings& aSettings)
@@ -95,6 +113,17 @@
 
 } // namespace
 
+std::vector<SocketAddress> ReadSeeds(SettingsFile& aFile)
+{
+  std::vector<SocketAddress> seeds = aFile.Addresses(kControl, "seeds");
+  const auto port = static_cast<uint16_t>(
+    aFile.Integer(kControl, "seed-port", 0, 0, UINT16_MAX));
+  for (SocketAddress& seed : seeds) {
+    seed.m_port = port == 0 ? seed.m_port : port;
+  }
+  return seeds;
+}
+
 ControlSettings ReadControlSettings(SettingsFile& aFile)
 {
   ControlSettings settings;
@@ -106,6 +135,7 @@
   settings.m_bootstrap = aFile.Boolean(kControl, "bootstrap", false);
   settings.m_initialVoters =
     Names(aFile.String(kControl, "initial-voters", ""));
+  ReadMembership(aFile, settings);
   ReadTiming(aFile, settings);
   ReadLimits(aFile, settings);
   settings.m_linkFaults =
--- a/apps/wigeonfold-control/Core.cpp
+++ b/apps/wigeonfold-control/Core.cpp
@@ -20,6 +20,20 @@
   return std::max<int64_t>(hash, 1);
 }
 
+std::string OutcomeText(const wire::AcceptResult& aResult)
+{
+  switch (aResult.outcome) {
+    case wire::AcceptOutcome::Accepted:
+      return "accepted";
+    case wire::AcceptOutcome::Conflict:
+      return "conflict";
+    case wire::AcceptOutcome::Invalid:
+      return aResult.problems.empty() ? "invalid"
+                                      : "invalid: " + aResult.problems.front();
+  }
+  return "unknown";
+}
+
 bool IsEmpty(const consensus::RaftInitialState& aInitial)
 {
   return aInitial.m_hardState.m_term == 0 && !aInitial.m_snapshot &&
@@ -64,7 +78,8 @@
 
 void Core::Schedule()
 {
-  m_timer.expires_at(std::min(m_raft.NextDeadline(), m_nextHousekeeping));
+  m_timer.expires_after(std::min(m_raft.NextDeadline(), m_nextHousekeeping) -
+                        Clock::now());
   m_timer.async_wait([this](boost::system::error_code aCode) {
     if (!aCode && !m_stopped) {
       OnTimer();
@@ -89,6 +104,7 @@
   MaybeBootstrap(aNow);
   MaybeProposeCluster(aNow);
   FormGroup(aNow);
+  KeepMembership(aNow);
   ExpireCalls(aNow);
   m_channels.m_coreToNet.TryPush(SetFreshness{ m_raft.Age(aNow), aNow });
   PublishSummary(aNow);
@@ -101,10 +117,26 @@
 {
   const TimePoint now = Clock::now();
   if (auto* arrived = std::get_if<RaftArrived>(&aOrder)) {
+    const auto from = m_peers.find(arrived->m_message.fromMember);
+    if (from != m_peers.end()) {
+      from->second.m_contactAt = now;
+    }
     m_raft.Receive(now, std::move(arrived->m_message));
     Pump(now);
   } else if (auto* seen = std::get_if<PeerSeen>(&aOrder)) {
-    m_peers[seen->m_hello.memberId] = std::move(seen->m_hello);
+    consensus::ControlVmState& vm = m_peers[seen->m_hello.memberId];
+    vm.m_hello = std::move(seen->m_hello);
+    vm.m_helloAt = now;
+    vm.m_contactAt = now;
+  } else if (auto* connected = std::get_if<PeersConnected>(&aOrder)) {
+    // An open connection tells of a VM that is no member yet; members have to
+    // answer messages, since a connection can be silent.
+    for (auto& [id, vm] : m_peers) {
+      if (connected->m_ids.count(id) > 0 &&
+          !consensus::FindMember(m_raft.CurrentMembership(), id)) {
+        vm.m_contactAt = now;
+      }
+    }
   }
 }
 
@@ -174,8 +206,8 @@
   // Whether these calls are part of the snapshot is not known here.
   while (!m_pending.empty() &&
          m_pending.begin()->first <= aRestore.m_position.m_index) {
-    Answer(m_pending.begin()->second.m_ticket,
-           registry::FormatUnknown("the leader has changed"));
+    const PendingCall& call = m_pending.begin()->second;
+    Answer(call.m_ticket, call.m_format->Unknown("the leader has changed"));
     m_pending.erase(m_pending.begin());
   }
 }
@@ -217,11 +249,15 @@
   const PendingCall call = std::move(found->second);
   m_pending.erase(found);
   if (call.m_term != aEntry.term) {
-    Answer(call.m_ticket, registry::FormatUnknown("the leader has changed"));
+    Answer(call.m_ticket, call.m_format->Unknown("the leader has changed"));
   } else if (call.m_plan) {
     Answer(call.m_ticket, registry::FormatMembership(*call.m_plan));
   } else if (aResult) {
-    Answer(call.m_ticket, registry::FormatAccept(*aResult));
+    m_log.Record(EventId::ChangeDecided,
+                 { { "outcome", OutcomeText(*aResult) },
+                   { "version", ToString(m_registry.At()) },
+                   { "label", std::to_string(m_registry.Label()) } });
+    Answer(call.m_ticket, call.m_format->Accept(*aResult));
   }
 }
 
@@ -241,7 +277,9 @@
 {
   const wire::Membership& membership = m_raft.CurrentMembership();
   const std::string& cluster = m_registry.ClusterId();
-  if (membership == m_published && cluster == m_publishedCluster) {
+  const bool hasLog = HasLog();
+  if (membership == m_published && cluster == m_publishedCluster &&
+      hasLog == m_publishedLog) {
     return;
   }
   if (cluster != m_publishedCluster) {
@@ -251,7 +289,8 @@
   }
   m_published = membership;
   m_publishedCluster = cluster;
-  m_channels.m_coreToNet.Push(SetPeers{ membership, cluster });
+  m_publishedLog = hasLog;
+  m_channels.m_coreToNet.Push(SetPeers{ membership, cluster, hasLog });
 }
 
 void Core::PublishSummary(TimePoint aNow)
--- a/apps/wigeonfold-control/Core.h
+++ b/apps/wigeonfold-control/Core.h
@@ -43,6 +43,7 @@
     TimePoint m_deadline;
     // Answer of a membership step; a change is answered from its result.
     std::optional<registry::MembershipPlan> m_plan;
+    const registry::OperatorFormat* m_format = nullptr;
   };
 
   void Schedule();
@@ -63,6 +64,8 @@
 
   // ---- Group formation ----
   wire::Member Self() const;
+  bool HasLog() const;
+  void KeepMembership(TimePoint aNow);
   void MaybeBootstrap(TimePoint aNow);
   bool MayBootstrap(TimePoint aNow);
   void MaybeProposeCluster(TimePoint aNow);
@@ -77,7 +80,10 @@
   std::set<int64_t> CaughtUp() const;
   RegistryViewPtr RegistryState();
   void Answer(Ticket aTicket, registry::ApiReply aReply);
-  bool Redirect(Ticket aTicket, const std::string& aTarget, TimePoint aNow);
+  bool Redirect(Ticket aTicket,
+                const std::string& aTarget,
+                const registry::OperatorFormat& aFormat,
+                TimePoint aNow);
   void ProposeStep(Ticket aTicket,
                    const registry::MembershipPlan& aPlan,
                    TimePoint aNow);
@@ -95,12 +101,13 @@
   std::map<int64_t, PendingCall> m_pending; // by log index
   wire::Membership m_published;
   std::string m_publishedCluster;
+  bool m_publishedLog = false;
   TimePoint m_started;
   TimePoint m_nextHousekeeping;
   bool m_stopped = false;
 
   // Control VMs that said hello in this run, by member id.
-  std::map<int64_t, wire::ControlHello> m_peers;
+  std::map<consensus::MemberId, consensus::ControlVmState> m_peers;
   bool m_bootstrapSettled = false; // done, refused or not wanted
   bool m_forming = false;          // this run created the group
   // Names that have been members in this run; a name is added by itself once.
--- a/apps/wigeonfold-control/CoreCalls.cpp
+++ b/apps/wigeonfold-control/CoreCalls.cpp
@@ -81,9 +81,12 @@
 
 // ---- Changes ---------------------------------------------------------------
 
-bool Core::Redirect(Ticket aTicket, const std::string& aTarget, TimePoint aNow)
+bool Core::Redirect(Ticket aTicket,
+                    const std::string& aTarget,
+                    const registry::OperatorFormat& aFormat,
+                    TimePoint aNow)
 {
-  auto redirect = registry::RedirectUnlessLeader(View(aNow), aTarget);
+  auto redirect = aFormat.Redirect(View(aNow), aTarget);
   if (redirect) {
     Answer(aTicket, std::move(*redirect));
   }
@@ -92,7 +95,13 @@
 
 void Core::Carry(AcceptCall& aCall, TimePoint aNow)
 {
-  if (Redirect(aCall.m_ticket, aCall.m_target, aNow)) {
+  const registry::OperatorFormat& format = *aCall.m_format;
+  if (Redirect(aCall.m_ticket, aCall.m_target, format, aNow)) {
+    return;
+  }
+  if (consensus::VoterCount(m_raft.CurrentMembership()) <
+      m_settings.m_minVoters) {
+    Answer(aCall.m_ticket, format.Unknown("too few voters"));
     return;
   }
   wire::RegistryCommand command;
@@ -103,13 +112,14 @@
   command.__set_change(aCall.m_change);
   const auto position = m_raft.Propose(aNow, wire::Encode(command));
   if (!position) {
-    Answer(aCall.m_ticket,
-           registry::FormatUnknown(position.error().ToString()));
+    Answer(aCall.m_ticket, format.Unknown(position.error().ToString()));
     return;
   }
-  m_pending[position.value().m_index] = PendingCall{
-    position.value().m_term, aCall.m_ticket, aNow + kCallTimeout, std::nullopt
-  };
+  m_pending[position.value().m_index] = PendingCall{ position.value().m_term,
+                                                     aCall.m_ticket,
+                                                     aNow + kCallTimeout,
+                                                     std::nullopt,
+                                                     &format };
 }
 
 void Core::ExpireCalls(TimePoint aNow)
@@ -120,7 +130,7 @@
       continue;
     }
     Answer(at->second.m_ticket,
-           registry::FormatUnknown("not committed in time"));
+           at->second.m_format->Unknown("not committed in time"));
     at = m_pending.erase(at);
   }
 }
@@ -129,7 +139,8 @@
 
 void Core::Carry(MemberCall& aCall, TimePoint aNow)
 {
-  if (Redirect(aCall.m_ticket, aCall.m_target, aNow)) {
+  if (Redirect(
+        aCall.m_ticket, aCall.m_target, registry::NativeFormat(), aNow)) {
     return;
   }
   registry::MembershipPlan plan = registry::PlanMembership(
@@ -157,9 +168,12 @@
   }
   const auto position = m_raft.ProposeChange(aNow, *change);
   if (position) {
-    m_pending[position.value().m_index] = PendingCall{
-      position.value().m_term, aTicket, aNow + kCallTimeout, aPlan
-    };
+    m_pending[position.value().m_index] =
+      PendingCall{ position.value().m_term,
+                   aTicket,
+                   aNow + kCallTimeout,
+                   aPlan,
+                   &registry::NativeFormat() };
     return;
   }
   if (position.error().m_code == ErrorCode::Conflict) {
--- a/apps/wigeonfold-control/CoreFormation.cpp
+++ b/apps/wigeonfold-control/CoreFormation.cpp
@@ -1,5 +1,6 @@
 // Formation of the first group.
 #include "Core.h"
+#include "PeerLinks.h"
 
 #include "wigeonfold/wire/Codec.h"
 
@@ -34,6 +35,9 @@
   self.availabilityZone = m_settings.m_availabilityZone;
   self.peerAddress = ToString(m_settings.m_peerAddress);
   self.apiAddress = ToString(m_settings.m_apiAddress);
+  const wire::ControlHello hello = MakeHello(m_settings, m_raft.Self());
+  self.nodeAddress = hello.nodeAddress;
+  self.operatorAddress = hello.operatorAddress;
   self.voter = true;
   return self;
 }
@@ -44,9 +48,19 @@
 // belong to a cluster.
 bool Core::MayBootstrap(TimePoint aNow)
 {
+  if (m_settings.m_automaticMembers) {
+    std::set<std::string> seeds;
+    for (const SocketAddress& seed : m_settings.m_seeds) {
+      seeds.insert(ToString(seed));
+    }
+    wire::ControlHello self = MakeHello(m_settings, m_raft.Self());
+    self.hasLog = HasLog();
+    return consensus::MayFormCluster(self, seeds, m_peers);
+  }
   std::set<std::string> missing = m_settings.m_initialVoters;
   missing.erase(m_settings.m_name);
-  for (const auto& [id, peer] : m_peers) {
+  for (const auto& [id, vm] : m_peers) {
+    const wire::ControlHello& peer = vm.m_hello;
     if (!peer.clusterId.empty()) {
       m_bootstrapSettled = true;
       m_log.Record(EventId::BootstrapRefused,
@@ -60,6 +74,36 @@
   return missing.empty() && (!alone || aNow - m_started >= kBootstrapWait);
 }
 
+bool Core::HasLog() const
+{
+  return m_raft.LastPosition().m_index != 0;
+}
+
+// One step at a time; the next one waits until this one is committed.
+void Core::KeepMembership(TimePoint aNow)
+{
+  if (!m_settings.m_automaticMembers ||
+      m_raft.GetRole() != consensus::Role::Leader ||
+      !m_registry.IsBootstrapped() || !m_raft.MembershipCommitted()) {
+    return;
+  }
+  const auto step = consensus::NextMembershipStep(m_raft.CurrentMembership(),
+                                                  m_raft.Self(),
+                                                  m_peers,
+                                                  CaughtUp(),
+                                                  m_settings.m_policy,
+                                                  aNow);
+  if (!step || !m_raft.ProposeChange(aNow, step->m_change)) {
+    return; // tried again at the next tick
+  }
+  const wire::Member& member = step->m_change.m_member;
+  m_log.Record(EventId::MembershipStepTaken,
+               { { "member", std::to_string(member.memberId) },
+                 { "name", member.name },
+                 { "step", consensus::ToString(step->m_change.m_kind) },
+                 { "reason", step->m_reason } });
+}
+
 void Core::MaybeBootstrap(TimePoint aNow)
 {
   if (m_bootstrapSettled) {
@@ -111,7 +155,8 @@
       !m_registry.IsBootstrapped() || !m_raft.MembershipCommitted()) {
     return;
   }
-  for (const auto& [id, peer] : m_peers) {
+  for (const auto& [id, vm] : m_peers) {
+    const wire::ControlHello& peer = vm.m_hello;
     const bool wanted = m_settings.m_initialVoters.count(peer.name) > 0;
     if (wanted && FormWith(peer, aNow)) {
       return;
--- a/apps/wigeonfold-control/Messages.h
+++ b/apps/wigeonfold-control/Messages.h
@@ -3,13 +3,16 @@
 
 #include "Channel.h"
 
+#include "wigeonfold/base/Settings.h"
+
 #include "wigeonfold/consensus/Raft.h"
 #include "wigeonfold/distribution/NodeSessions.h"
-#include "wigeonfold/registry/OperatorApi.h"
+#include "wigeonfold/registry/OperatorFormat.h"
 #include "wigeonfold/registry/Registry.h"
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -23,13 +26,19 @@
   wire::RaftMessage m_message;
 };
 
+// Members and other control VMs with an open connection, sent every 500 ms.
+struct PeersConnected
+{
+  std::set<int64_t> m_ids;
+};
+
 // Another control VM said hello.
 struct PeerSeen
 {
   wire::ControlHello m_hello;
 };
 
-using CoreOrder = std::variant<RaftArrived, PeerSeen>;
+using CoreOrder = std::variant<RaftArrived, PeerSeen, PeersConnected>;
 
 // ---- core to net -----------------------------------------------------------
 
@@ -42,6 +51,12 @@
 {
   wire::Membership m_membership;
   std::string m_clusterId;
+  bool m_hasLog = false; // the data folder holds a log
+};
+
+struct AddSeeds
+{
+  std::vector<SocketAddress> m_seeds;
 };
 
 struct DistributeTree
@@ -55,7 +70,8 @@
   TimePoint m_at;
 };
 
-using NetOrder = std::variant<SendRaft, SetPeers, DistributeTree, SetFreshness>;
+using NetOrder =
+  std::variant<SendRaft, SetPeers, AddSeeds, DistributeTree, SetFreshness>;
 
 // ---- core to storage and back ----------------------------------------------
 
@@ -90,6 +106,7 @@
   Ticket m_ticket = 0;
   std::string m_target;
   wire::Change m_change;
+  const registry::OperatorFormat* m_format = nullptr; // of the answer
 };
 
 struct MemberCall
--- a/apps/wigeonfold-control/Network.cpp
+++ b/apps/wigeonfold-control/Network.cpp
@@ -16,6 +16,20 @@
 // Nodes leave a stopping VM spread over this time.
 constexpr Duration kAwaySpread = 500ms;
 
+std::vector<wire::ControlEndpoint> ControlVmsOf(
+  const wire::Membership& aMembership)
+{
+  std::vector<wire::ControlEndpoint> vms;
+  for (const wire::Member& member : aMembership.members) {
+    if (!member.nodeAddress.empty()) {
+      wire::ControlEndpoint& vm = vms.emplace_back();
+      vm.nodeAddress = member.nodeAddress;
+      vm.availabilityZone = member.availabilityZone;
+    }
+  }
+  return vms;
+}
+
 } // namespace
 
 Network::Network(boost::asio::io_context& aIo,
@@ -122,6 +136,12 @@
   } else if (auto* peers = std::get_if<SetPeers>(&aOrder)) {
     m_peers.SetMembership(peers->m_membership);
     m_peers.SetClusterId(peers->m_clusterId);
+    if (peers->m_hasLog) {
+      m_peers.SetHasLog();
+    }
+    m_sessions.SetControlVms(ControlVmsOf(peers->m_membership));
+  } else if (auto* seeds = std::get_if<AddSeeds>(&aOrder)) {
+    m_peers.AddSeeds(seeds->m_seeds);
   } else if (auto* tree = std::get_if<DistributeTree>(&aOrder)) {
     Carry(m_sessions.SetTree(*tree->m_tree, Clock::now()));
   } else if (auto* age = std::get_if<SetFreshness>(&aOrder)) {
@@ -183,6 +203,11 @@
   summary.m_endpoints = m_table.Size();
   summary.m_peers = m_peers.Members().size();
   m_channels.m_netToHttp.TryPush(std::move(summary));
+  PeersConnected connected;
+  for (const auto& [id, connection] : m_peers.Members()) {
+    connected.m_ids.insert(id);
+  }
+  m_channels.m_netToCore.TryPush(std::move(connected));
 }
 
 void Network::ReportShed()
--- a/apps/wigeonfold-control/PeerLinks.cpp
+++ b/apps/wigeonfold-control/PeerLinks.cpp
@@ -16,6 +16,22 @@
 
 } // namespace
 
+wire::ControlHello MakeHello(const ControlSettings& aSettings,
+                             int64_t aMemberId)
+{
+  wire::ControlHello hello;
+  hello.memberId = aMemberId;
+  hello.name = aSettings.m_name;
+  hello.availabilityZone = aSettings.m_availabilityZone;
+  hello.peerAddress = ToString(aSettings.m_peerAddress);
+  hello.apiAddress = ToString(aSettings.m_apiAddress);
+  hello.nodeAddress = ToString(aSettings.m_nodeAddress);
+  hello.operatorAddress =
+    aSettings.m_operatorListen ? ToString(*aSettings.m_operatorListen) : "";
+  hello.mayBootstrap = aSettings.m_bootstrap && aSettings.m_isSeed;
+  return hello;
+}
+
 PeerLinks::PeerLinks(boost::asio::io_context& aIo,
                      const ControlSettings& aSettings,
                      int64_t aMemberId,
@@ -29,9 +45,7 @@
   , m_log(aLog)
   , m_handlers(std::move(aHandlers))
 {
-  for (const SocketAddress& seed : m_settings.m_seeds) {
-    AddDial(seed);
-  }
+  AddSeeds(m_settings.m_seeds);
 }
 
 Status PeerLinks::Start()
@@ -75,6 +89,13 @@
   }
 }
 
+void PeerLinks::AddSeeds(const std::vector<SocketAddress>& aSeeds)
+{
+  for (const SocketAddress& seed : aSeeds) {
+    AddDial(seed);
+  }
+}
+
 void PeerLinks::SetMembership(const wire::Membership& aMembership)
 {
   for (const wire::Member& member : aMembership.members) {
@@ -85,6 +106,16 @@
   }
 }
 
+void PeerLinks::SetHasLog()
+{
+  if (!m_hasLog) {
+    m_hasLog = true;
+    for (const auto& [key, link] : m_links) {
+      SendHello(link.m_connection);
+    }
+  }
+}
+
 void PeerLinks::SetClusterId(const std::string& aClusterId)
 {
   if (aClusterId == m_clusterId) {
@@ -172,13 +203,9 @@
 
 void PeerLinks::SendHello(const net::ConnectionPtr& aConnection)
 {
-  wire::ControlHello hello;
-  hello.memberId = m_memberId;
-  hello.name = m_settings.m_name;
+  wire::ControlHello hello = MakeHello(m_settings, m_memberId);
   hello.clusterId = m_clusterId;
-  hello.availabilityZone = m_settings.m_availabilityZone;
-  hello.peerAddress = ToString(m_settings.m_peerAddress);
-  hello.apiAddress = ToString(m_settings.m_apiAddress);
+  hello.hasLog = m_hasLog;
   aConnection->Send(FrameType::ControlHello, hello);
 }
 
--- a/apps/wigeonfold-control/PeerLinks.h
+++ b/apps/wigeonfold-control/PeerLinks.h
@@ -18,6 +18,10 @@
 
 namespace wigeonfold::control {
 
+// This VM as others see it, without the state of its data folder.
+wire::ControlHello MakeHello(const ControlSettings& aSettings,
+                             int64_t aMemberId);
+
 struct PeerHandlers
 {
   std::function<void(const wire::ControlHello&)> m_onHello;
@@ -48,6 +52,10 @@
   // Members to connect to, beside the seeds.
   void SetMembership(const wire::Membership& aMembership);
   void SetClusterId(const std::string& aClusterId);
+  // The data folder holds a log now; told to the others with the next hello.
+  void SetHasLog();
+  // Further addresses to connect to.
+  void AddSeeds(const std::vector<SocketAddress>& aSeeds);
 
   // Opens connections that are due. Call every 50 ms.
   void Tick(TimePoint aNow);
@@ -102,6 +110,7 @@
   EventLog& m_log;
   const PeerHandlers m_handlers;
   std::string m_clusterId;
+  bool m_hasLog = false;
   std::unique_ptr<net::Listener> m_listener;
   std::map<std::string, Dial> m_dials; // by address
   std::map<net::Connection*, Link> m_links;
--- a/apps/wigeonfold-load/Runner.cpp
+++ b/apps/wigeonfold-load/Runner.cpp
@@ -66,7 +66,7 @@
     FinishIfDone();
     return;
   }
-  m_timer.expires_at(m_start + m_next->m_at);
+  m_timer.expires_after(m_start + m_next->m_at - Clock::now());
   m_timer.async_wait([this](boost::system::error_code aCode) {
     if (!aCode) {
       SendDue();
--- a/apps/wigeonfold-node/CallerSide.cpp
+++ b/apps/wigeonfold-node/CallerSide.cpp
@@ -1,7 +1,5 @@
 #include "CallerSide.h"
 
-#include "Translate.h"
-
 #include <algorithm>
 
 namespace wigeonfold::node {
@@ -23,11 +21,13 @@
                        routing::Chooser aChooser,
                        TargetSide& aTarget,
                        PeerClient& aPeers,
+                       forwarding::Dialect& aDialect,
                        NodeMetrics& aMetrics)
   : m_nodeName(std::move(aNodeName))
   , m_chooser(std::move(aChooser))
   , m_target(aTarget)
   , m_peers(aPeers)
+  , m_dialect(aDialect)
   , m_metrics(aMetrics)
 {
 }
@@ -53,15 +53,17 @@
     return;
   }
   const TimePoint now = Clock::now();
-  ParsedCall parsed;
-  if (const auto outcome =
-        ParseCall(std::move(aRequest), *m_view, now, parsed)) {
+  forwarding::ParsedCall parsed;
+  const forwarding::CallerInfo caller{ m_target.ServiceName() };
+  if (const auto outcome = m_dialect.ParseCall(
+        std::move(aRequest), *m_view, caller, now, parsed)) {
     Reject(*outcome, aRespond);
     return;
   }
   const uint64_t id = ++m_lastId;
   const forwarding::CallSpec spec{ parsed.m_request->idempotent,
-                                   parsed.m_deadline };
+                                   parsed.m_deadline,
+                                   parsed.m_maxAttempts };
   const auto added = m_calls.emplace(
     id,
     ActiveCall{ m_view,
@@ -74,7 +76,7 @@
                 now,
                 parsed.m_deadline + kVerdictGrace,
                 0,
-                kNoTarget });
+                forwarding::kNoTarget });
   ActiveCall& call = added.first->second;
   call.m_bytes = call.m_request->body.size();
   m_bytes += call.m_bytes;
@@ -86,7 +88,7 @@
 void CallerSide::Reject(Outcome aOutcome, const net::HttpRespond& aRespond)
 {
   m_metrics.CountOutcome(aOutcome);
-  aRespond(OwnAnswer(aOutcome, kNoTarget));
+  aRespond(m_dialect.OwnAnswer({ aOutcome, forwarding::kNoTarget }));
 }
 
 void CallerSide::Abandon(uint64_t aId)
@@ -206,6 +208,9 @@
   ActiveCall& call = found->second;
   call.m_response = std::move(aResponse);
   call.m_responseOutcome = aOutcome;
+  if (aOutcome == Outcome::AnsweredFailure) {
+    call.m_failure = call.m_response;
+  }
   const wire::TargetLoad* load =
     call.m_response.__isset.load ? &call.m_response.load : nullptr;
   Execute(
@@ -246,14 +251,22 @@
   if (!call.m_respond) {
     return;
   }
+  if (aOutcome == Outcome::AnsweredFailure && call.m_failure) {
+    call.m_respond(m_dialect.TargetAnswer(
+      aOutcome, std::move(*call.m_failure), call.m_lastTarget));
+    return;
+  }
   const bool fromTarget =
     aOutcome == Outcome::Answered || aOutcome == Outcome::Shed;
   if (fromTarget && aOutcome == call.m_responseOutcome) {
-    call.m_respond(
-      TargetAnswer(aOutcome, std::move(call.m_response), call.m_lastTarget));
-  } else {
-    call.m_respond(OwnAnswer(aOutcome, call.m_lastTarget));
+    call.m_respond(m_dialect.TargetAnswer(
+      aOutcome, std::move(call.m_response), call.m_lastTarget));
+    return;
   }
+  const Duration retryAfter =
+    std::chrono::microseconds(call.m_response.retryAfterUs);
+  call.m_respond(
+    m_dialect.OwnAnswer({ aOutcome, call.m_lastTarget, retryAfter }));
 }
 
 } // namespace wigeonfold::node
--- a/apps/wigeonfold-node/CallerSide.h
+++ b/apps/wigeonfold-node/CallerSide.h
@@ -7,6 +7,7 @@
 #include "TargetSide.h"
 
 #include "wigeonfold/forwarding/Call.h"
+#include "wigeonfold/forwarding/Dialect.h"
 #include "wigeonfold/net/Http.h"
 
 #include <memory>
@@ -23,6 +24,7 @@
              routing::Chooser aChooser,
              TargetSide& aTarget,
              PeerClient& aPeers,
+             forwarding::Dialect& aDialect,
              NodeMetrics& aMetrics);
 
   void SetView(std::shared_ptr<const routing::View> aView);
@@ -67,6 +69,9 @@
     std::vector<Attempt> m_attempts;
     wire::CallResponse m_response; // of the attempt that ended last
     forwarding::Outcome m_responseOutcome = forwarding::Outcome::TargetLost;
+    // Answer of a target that ran the request in vain; the caller's answer
+    // unless a later attempt does better.
+    std::optional<wire::CallResponse> m_failure;
   };
 
   void Reject(forwarding::Outcome aOutcome, const net::HttpRespond& aRespond);
@@ -87,6 +92,7 @@
   routing::Tracker m_tracker;
   TargetSide& m_target;
   PeerClient& m_peers;
+  forwarding::Dialect& m_dialect;
   NodeMetrics& m_metrics;
   std::shared_ptr<const routing::View> m_view;
   bool m_ready = false;
--- a/apps/wigeonfold-node/ControlLink.cpp
+++ b/apps/wigeonfold-node/ControlLink.cpp
@@ -131,8 +131,8 @@
 void ControlLink::Do(const distribution::ConnectTo& aAction)
 {
   Session& session = m_sessions[aAction.m_session];
-  session.m_delay =
-    std::make_unique<boost::asio::steady_timer>(m_io, aAction.m_at);
+  session.m_delay = std::make_unique<boost::asio::steady_timer>(
+    m_io, aAction.m_at - Clock::now());
   session.m_delay->async_wait(
     [this, id = aAction.m_session, address = aAction.m_address](
       boost::system::error_code aCode) {
--- a/apps/wigeonfold-node/DataPlane.cpp
+++ b/apps/wigeonfold-node/DataPlane.cpp
@@ -1,7 +1,5 @@
 #include "DataPlane.h"
 
-#include "Translate.h"
-
 #include <utility>
 
 namespace wigeonfold::node {
@@ -25,6 +23,7 @@
 
 DataPlane::DataPlane(boost::asio::io_context& aIo,
                      const NodeSettings& aSettings,
+                     std::unique_ptr<forwarding::Dialect> aDialect,
                      int64_t aNodeEpoch,
                      NodeMetrics& aMetrics,
                      EventLog& aLog,
@@ -34,11 +33,14 @@
   , m_metrics(aMetrics)
   , m_log(aLog)
   , m_hooks(std::move(aHooks))
+  , m_dialect(std::move(aDialect))
   , m_identity{ aSettings.m_name, aNodeEpoch, std::nullopt }
-  , m_target({ aSettings.m_name, aSettings.m_announceLease },
-             admission::MakeQueue(aSettings.m_queue),
-             MakeTargetPool(aIo, aSettings.m_targetConnectTimeout),
-             [this] { AnnounceEndpoint(); })
+  , m_target(
+      { aSettings.m_name, aSettings.m_announceLease, aSettings.m_service },
+      admission::MakeQueue(aSettings.m_queue),
+      MakeTargetPool(aIo, aSettings.m_targetConnectTimeout),
+      *m_dialect,
+      [this] { AnnounceEndpoint(); })
   , m_peerClient(aIo,
                  m_identity,
                  aSettings.m_peerConnectTimeout,
@@ -51,6 +53,7 @@
                                              SeedOf(aSettings, aNodeEpoch))),
                  m_target,
                  m_peerClient,
+                 *m_dialect,
                  aMetrics)
   , m_peerServer(aIo,
                  m_identity,
@@ -100,7 +103,7 @@
       m_callerSide.OnRequest(
         std::move(aRequest), std::move(aRespond), aOnAbandon);
     },
-    RejectFields());
+    m_dialect->RejectFields());
   if (!server) {
     return server.error();
   }
@@ -129,7 +132,15 @@
 
 void DataPlane::OnAnnouncement(const Announcement& aAnnouncement)
 {
-  m_target.Announce(aAnnouncement, Clock::now());
+  const auto verdict = m_target.Announce(aAnnouncement, Clock::now());
+  if (verdict != discovery::ReportVerdict::Applied) {
+    m_log.Record(
+      EventId::TargetReportIgnored,
+      { { "instance", aAnnouncement.m_instance },
+        { "sequence", std::to_string(aAnnouncement.m_sequence) },
+        { "reason",
+          verdict == discovery::ReportVerdict::Late ? "late" : "left" } });
+  }
 }
 
 StatusReport DataPlane::Report(uint64_t aId) const
--- a/apps/wigeonfold-node/DataPlane.h
+++ b/apps/wigeonfold-node/DataPlane.h
@@ -27,8 +27,10 @@
     std::function<void(const Version&)> m_onPeerVersion;
   };
 
+  // aDialect is that of callers and of the own target.
   DataPlane(boost::asio::io_context& aIo,
             const NodeSettings& aSettings,
+            std::unique_ptr<forwarding::Dialect> aDialect,
             int64_t aNodeEpoch,
             NodeMetrics& aMetrics,
             EventLog& aLog,
@@ -63,6 +65,7 @@
   NodeMetrics& m_metrics;
   EventLog& m_log;
   const Hooks m_hooks;
+  const std::unique_ptr<forwarding::Dialect> m_dialect;
   PeerIdentity m_identity;
   TargetSide m_target;
   PeerClient m_peerClient;
--- a/apps/wigeonfold-node/LocalApi.cpp
+++ b/apps/wigeonfold-node/LocalApi.cpp
@@ -1,6 +1,7 @@
 #include "LocalApi.h"
 
 #include "wigeonfold/observe/Timeline.h"
+#include "wigeonfold/platform/TargetCalls.h"
 
 #include <charconv>
 #include <nlohmann/json.hpp>
@@ -65,7 +66,9 @@
     announcement.m_slots = Bounded(json, "slots", kMaxSlots);
     announcement.m_connections = Bounded(json, "connections", kMaxConnections);
     const auto state = json.at("state").get<std::string>();
-    announcement.m_draining = state == "draining";
+    announcement.m_state = state == "draining"
+                             ? discovery::ReportedState::Draining
+                             : discovery::ReportedState::Ready;
     if (announcement.m_service.empty() ||
         (state != "ready" && state != "draining")) {
       return Invalid("service is empty, or state is not ready or draining");
@@ -119,7 +122,7 @@
 LocalApi::LocalApi(boost::asio::io_context& aIo,
                    const NodeSettings& aSettings,
                    const observe::Metrics& aMetrics,
-                   const EventLog& aLog,
+                   EventLog& aLog,
                    std::function<bool(HttpToData)> aSend)
   : m_io(aIo)
   , m_settings(aSettings)
@@ -131,6 +134,30 @@
 
 Status LocalApi::Start()
 {
+  if (m_settings.m_announceListen) {
+    auto server =
+      net::ServeHttp(m_io,
+                     *m_settings.m_announceListen,
+                     [this](const net::HttpRequest& aRequest,
+                            const net::HttpRespond& aRespond,
+                            const auto&) { aRespond(TakeReport(aRequest)); });
+    if (!server) {
+      return server.error();
+    }
+    m_announceServer = std::move(server.value());
+  }
+  if (m_settings.m_readyListen) {
+    auto server = net::ServeHttp(
+      m_io,
+      *m_settings.m_readyListen,
+      [this](const net::HttpRequest&, net::HttpRespond aRespond, const auto&) {
+        AskStatus(std::move(aRespond), &LocalApi::ReadyAnswer);
+      });
+    if (!server) {
+      return server.error();
+    }
+    m_readyServer = std::move(server.value());
+  }
   auto server = net::ServeHttp(
     m_io,
     m_settings.m_localListen,
@@ -147,6 +174,8 @@
 void LocalApi::Stop()
 {
   m_server.reset();
+  m_announceServer.reset();
+  m_readyServer.reset();
   m_queries.clear();
 }
 
@@ -163,7 +192,7 @@
   } else if (aRequest.m_method != "GET") {
     aRespond(PlainAnswer(405, "use GET"));
   } else if (path == "/status") {
-    AskStatus(std::move(aRespond));
+    AskStatus(std::move(aRespond), &LocalApi::StatusAnswer);
   } else if (path == "/metrics") {
     aRespond(Answer(200, m_metrics.Text(), "text/plain; version=0.0.4"));
   } else if (path == "/timeline") {
@@ -195,21 +224,50 @@
     kJsonType);
 }
 
-void LocalApi::AskStatus(net::HttpRespond aRespond)
+// A report that is late or of a target that left is acknowledged as well: the
+// sender has nothing to do about it.
+net::HttpResponse LocalApi::TakeReport(const net::HttpRequest& aRequest)
+{
+  const auto report = platform::ParseTargetCall(aRequest);
+  if (!report) {
+    m_log.Record(EventId::TargetReportIgnored,
+                 { { "reason", report.error().ToString() } });
+    const bool unknown = report.error().m_code == ErrorCode::NotFound;
+    return PlainAnswer(unknown ? 404 : 400, report.error().ToString());
+  }
+  if (!m_send(report.value())) {
+    return PlainAnswer(503, "busy");
+  }
+  return Answer(200, "{}", kJsonType);
+}
+
+net::HttpResponse LocalApi::StatusAnswer(const StatusReport& aReport) const
+{
+  return Answer(200, StatusJson(m_settings, aReport), kJsonType);
+}
+
+net::HttpResponse LocalApi::ReadyAnswer(const StatusReport& aReport) const
+{
+  const bool ready = aReport.m_ready && !aReport.m_stopping;
+  return PlainAnswer(ready ? 200 : 503, ready ? "ready" : "not ready");
+}
+
+void LocalApi::AskStatus(net::HttpRespond aRespond, AnswerOf aAnswerOf)
 {
   const uint64_t id = ++m_lastQuery;
   if (!m_send(StatusQuery{ id })) {
     aRespond(PlainAnswer(503, "busy"));
     return;
   }
-  m_queries.emplace(id, std::move(aRespond));
+  m_queries.emplace(id, Query{ std::move(aRespond), aAnswerOf });
 }
 
 void LocalApi::OnReport(const StatusReport& aReport)
 {
   auto node = m_queries.extract(aReport.m_id);
   if (!node.empty()) {
-    node.mapped()(Answer(200, StatusJson(m_settings, aReport), kJsonType));
+    const Query& query = node.mapped();
+    query.m_respond((this->*query.m_answerOf)(aReport));
   }
 }
 
--- a/apps/wigeonfold-node/LocalApi.h
+++ b/apps/wigeonfold-node/LocalApi.h
@@ -30,7 +30,7 @@
   LocalApi(boost::asio::io_context& aIo,
            const NodeSettings& aSettings,
            const observe::Metrics& aMetrics,
-           const EventLog& aLog,
+           EventLog& aLog,
            std::function<bool(HttpToData)> aSend);
 
   // Fails with Io when the address can't be bound.
@@ -44,16 +44,31 @@
   void Handle(net::HttpRequest aRequest, net::HttpRespond aRespond);
   net::HttpResponse Announce(const net::HttpRequest& aRequest);
   net::HttpResponse Timeline(const std::string& aQuery) const;
-  void AskStatus(net::HttpRespond aRespond);
+  net::HttpResponse TakeReport(const net::HttpRequest& aRequest);
+
+  // Answers that need the data thread's report.
+  using AnswerOf =
+    net::HttpResponse (LocalApi::*)(const StatusReport& aReport) const;
+  struct Query
+  {
+    net::HttpRespond m_respond;
+    AnswerOf m_answerOf = nullptr;
+  };
+  net::HttpResponse StatusAnswer(const StatusReport& aReport) const;
+  net::HttpResponse ReadyAnswer(const StatusReport& aReport) const;
+  void AskStatus(net::HttpRespond aRespond, AnswerOf aAnswerOf);
 
   boost::asio::io_context& m_io;
   const NodeSettings m_settings;
   const observe::Metrics& m_metrics;
-  const EventLog& m_log;
+  EventLog& m_log;
   const std::function<bool(HttpToData)> m_send;
   std::unique_ptr<net::HttpServer> m_server;
   uint64_t m_lastQuery = 0;
-  std::map<uint64_t, net::HttpRespond> m_queries;
+  // The platform's interfaces; null when they are not set.
+  std::unique_ptr<net::HttpServer> m_announceServer;
+  std::unique_ptr<net::HttpServer> m_readyServer;
+  std::map<uint64_t, Query> m_queries;
 };
 
 } // namespace wigeonfold::node
--- a/apps/wigeonfold-node/Messages.h
+++ b/apps/wigeonfold-node/Messages.h
@@ -4,6 +4,7 @@
 #include "wigeonfold/base/Ring.h"
 #include "wigeonfold/base/Settings.h"
 #include "wigeonfold/base/Version.h"
+#include "wigeonfold/discovery/TargetReport.h"
 #include "wigeonfold/routing/View.h"
 
 #include <optional>
@@ -20,16 +21,8 @@
   bool m_ready = false; // callers' traffic may be accepted
 };
 
-// A target's announcement of itself. Http thread to data thread.
-struct Announcement
-{
-  std::string m_service;
-  SocketAddress m_address;
-  int m_slots = 1;
-  int m_connections = 1;
-  bool m_draining = false;
-  std::string m_instance; // differs after each start of the target
-};
+// A target's report of itself. Http thread to data thread.
+using Announcement = discovery::TargetReport;
 
 struct StatusQuery
 {
@@ -43,7 +36,7 @@
 {
   Absent, // never announced
   Ready,
-  Draining,
+  Draining, // leaving, or gone
 };
 
 const char* ToString(TargetState aState);
--- a/apps/wigeonfold-node/Node.cpp
+++ b/apps/wigeonfold-node/Node.cpp
@@ -1,9 +1,13 @@
 #include "Node.h"
 
+#include "wigeonfold/forwarding/NativeDialect.h"
+#include "wigeonfold/platform/CallerDialect.h"
+
 #include <utility>
 
 #include <boost/asio/post.hpp>
 #include <csignal>
+#include <random>
 
 namespace wigeonfold::node {
 
@@ -18,6 +22,14 @@
     .count();
 }
 
+std::unique_ptr<forwarding::Dialect> MakeDialect(const NodeSettings& aSettings)
+{
+  if (aSettings.m_dialect == "platform") {
+    return platform::MakeCallerDialect(std::random_device{}());
+  }
+  return forwarding::MakeNativeDialect();
+}
+
 } // namespace
 
 Node::Node(const NodeSettings& aSettings)
@@ -58,7 +70,13 @@
                      });
                    });
                  })
-  , m_data(m_dataIo, m_settings, m_epoch, m_metrics, m_log, MakeHooks())
+  , m_data(m_dataIo,
+           m_settings,
+           MakeDialect(aSettings),
+           m_epoch,
+           m_metrics,
+           m_log,
+           MakeHooks())
   , m_control(m_controlIo,
               m_settings,
               m_epoch,
--- a/apps/wigeonfold-node/NodeSettings.cpp
+++ b/apps/wigeonfold-node/NodeSettings.cpp
@@ -9,19 +9,6 @@
 
 namespace {
 
-// "zone = IP:PORT, IP:PORT" for each availability zone with control VMs.
-void ReadControlVms(SettingsFile& aFile, NodeSettings& aSettings)
-{
-  for (const std::string& zone : aFile.Keys("control")) {
-    for (const SocketAddress& address : aFile.Addresses("control", zone)) {
-      aSettings.m_controlVms.push_back({ address, zone });
-    }
-  }
-  if (aSettings.m_controlVms.empty()) {
-    aFile.AddProblem("control", "", "lists no control VM");
-  }
-}
-
 void ReadCalls(SettingsFile& aFile, NodeSettings& aSettings)
 {
   aSettings.m_pickStrategy =
@@ -47,6 +34,25 @@
 
 } // namespace
 
+// "zone = IP:PORT, IP:PORT" for each availability zone with control VMs.
+// [node] control-port replaces the ports.
+std::vector<NodeSettings::ControlVm> ReadControlVms(SettingsFile& aFile)
+{
+  std::vector<NodeSettings::ControlVm> vms;
+  const auto port = static_cast<uint16_t>(
+    aFile.Integer("node", "control-port", 0, 0, UINT16_MAX));
+  for (const std::string& zone : aFile.Keys("control")) {
+    for (SocketAddress address : aFile.Addresses("control", zone)) {
+      address.m_port = port == 0 ? address.m_port : port;
+      vms.push_back({ address, zone });
+    }
+  }
+  if (vms.empty()) {
+    aFile.AddProblem("control", "", "lists no control VM");
+  }
+  return vms;
+}
+
 NodeSettings ReadNodeSettings(SettingsFile& aFile)
 {
   NodeSettings settings;
@@ -58,7 +64,14 @@
   settings.m_peerAddress =
     aFile.Address("node", "peer-address").value_or(settings.m_peerListen);
   settings.m_localListen = aFile.RequiredAddress("node", "local-listen");
-  ReadControlVms(aFile, settings);
+  settings.m_dialect = aFile.String("node", "dialect", "native");
+  if (settings.m_dialect != "native" && settings.m_dialect != "platform") {
+    aFile.AddProblem("node", "dialect", "neither native nor platform");
+  }
+  settings.m_service = aFile.String("node", "service", "");
+  settings.m_announceListen = aFile.Address("node", "announce-listen");
+  settings.m_readyListen = aFile.Address("node", "ready-listen");
+  settings.m_controlVms = ReadControlVms(aFile);
   ReadCalls(aFile, settings);
   settings.m_linkFaults =
     net::ReadLinkFaults(aFile, settings.m_peerListen.m_host);
--- a/apps/wigeonfold-node/NodeSettings.h
+++ b/apps/wigeonfold-node/NodeSettings.h
@@ -4,6 +4,7 @@
 #include "wigeonfold/base/Settings.h"
 #include "wigeonfold/net/LinkPolicy.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,12 @@
   SocketAddress m_peerListen;   // calls from other nodes
   SocketAddress m_peerAddress;  // where other nodes reach m_peerListen
   SocketAddress m_localListen;  // HTTP for the own target and for operators
+  // The interface of callers and of the own target: "native" or "platform".
+  std::string m_dialect = "native";
+  std::string m_service; // of the own target until it announces itself
+  // The platform's interfaces for the own target's reports and for readiness.
+  std::optional<SocketAddress> m_announceListen;
+  std::optional<SocketAddress> m_readyListen;
   // [control]
   struct ControlVm
   {
@@ -37,6 +44,9 @@
   Duration m_drainLimit{};  // requests under way are cut after this
 };
 
+// Control VMs in [control]. Notes problems in aFile.
+std::vector<NodeSettings::ControlVm> ReadControlVms(SettingsFile& aFile);
+
 // Reads every key; problems are listed by aFile.Finish().
 NodeSettings ReadNodeSettings(SettingsFile& aFile);
 
--- a/apps/wigeonfold-node/TargetPool.cpp
+++ b/apps/wigeonfold-node/TargetPool.cpp
@@ -1,5 +1,6 @@
 #include "TargetPool.h"
 
+#include "wigeonfold/forwarding/Dialect.h"
 #include "wigeonfold/net/Http.h"
 
 #include <utility>
@@ -25,6 +26,13 @@
 constexpr int kFirstFinalStatus = 200;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
+// Answers to earlier requests that are skipped before the connection is given
+// up.
+constexpr int kMaxSkipped = 2;
+const std::string kTimeoutParameter = "timeout=";
+constexpr int64_t kMaxKeepAliveSeconds = 3600;
+// For targets that do not say when they close idle connections.
+constexpr Duration kDefaultIdleLimit = std::chrono::seconds(4);
 
 // ---- Connection ------------------------------------------------------------
 
@@ -58,14 +66,14 @@
         boost::system::error_code aCode) { self->OnConnected(aCode, done); });
   }
 
-  void Run(std::shared_ptr<const wire::CallRequest> aRequest,
-           std::vector<wire::HeaderField> aExtra,
-           std::function<void(Exchange)> aDone) override
+  void Run(TargetRequest aRequest, std::function<void(Exchange)> aDone) override
   {
-    m_source = std::move(aRequest);
+    m_source = std::move(aRequest.m_call);
+    m_belongs = std::move(aRequest.m_belongs);
     m_done = std::move(aDone);
     m_written = false;
-    PrepareRequest(aExtra);
+    m_skipped = 0;
+    PrepareRequest(aRequest.m_extra);
     Read();
     http::async_write(
       m_socket,
@@ -84,6 +92,12 @@
     m_socket.close(ignored);
   }
 
+  void SetIdleSince(TimePoint aNow) { m_idleSince = aNow; }
+  bool IsStale(TimePoint aNow) const
+  {
+    return aNow - m_idleSince >= m_idleLimit;
+  }
+
   // Whether an idle connection is open and silent. A readable idle connection
   // was closed by the target or holds bytes of an answer to nobody.
   bool IsQuiet()
@@ -190,22 +204,55 @@
       Read(); // an interim answer
       return;
     }
-    exchange.m_kind =
-      IsDelimited(status) ? Exchange::Kind::Answer : Exchange::Kind::Unusable;
+    exchange.m_kind = status == kSwitchingProtocols ? Exchange::Kind::Unusable
+                                                    : Exchange::Kind::Answer;
     exchange.m_reusable =
       m_written && m_buffer.size() == 0 && m_parser->keep_alive();
+    const bool delimited = IsDelimited(status);
+    m_idleLimit = KeepAliveLimit();
     TakeAnswer(exchange);
+    if (m_belongs && !m_belongs(exchange.m_headers)) {
+      Skip(delimited);
+      return;
+    }
     Finish(std::move(exchange));
   }
 
-  // An answer that ends with the connection looks the same when the target
-  // dies in the middle of it.
+  // Reads on behind an answer to another request.
+  void Skip(bool aDelimited)
+  {
+    if (aDelimited && ++m_skipped <= kMaxSkipped) {
+      Read();
+    } else {
+      Finish(Exchange{});
+    }
+  }
+
+  // Without a length the answer ends with the connection. A reset fails the
+  // read, so only an orderly close ends such an answer as complete.
   bool IsDelimited(int aStatus) const
   {
     const bool empty = aStatus == kNoContent || aStatus == kNotModified ||
                        m_source->method == "HEAD";
-    return aStatus != kSwitchingProtocols &&
-           (empty || m_parser->chunked() || m_parser->content_length());
+    return empty || m_parser->chunked() || m_parser->content_length();
+  }
+
+  // How long the connection may be idle before the target may close it.
+  Duration KeepAliveLimit() const
+  {
+    const std::string value(m_parser->get()["Keep-Alive"]);
+    const size_t at = value.find(kTimeoutParameter);
+    if (at == std::string::npos) {
+      return kDefaultIdleLimit;
+    }
+    const auto seconds = forwarding::ParseNumber(value.substr(
+      at + kTimeoutParameter.size(),
+      value.find_first_not_of("0123456789", at + kTimeoutParameter.size()) -
+        (at + kTimeoutParameter.size())));
+    // The target's clock starts earlier than this one and its close travels.
+    return seconds && *seconds <= kMaxKeepAliveSeconds
+             ? std::chrono::milliseconds(*seconds * 1000 * 3 / 4)
+             : kDefaultIdleLimit;
   }
 
   void TakeAnswer(Exchange& aExchange)
@@ -236,6 +283,10 @@
   std::optional<Request> m_request;
   std::optional<Parser> m_parser;
   std::function<void(Exchange)> m_done;
+  std::function<bool(const std::vector<wire::HeaderField>&)> m_belongs;
+  Duration m_idleLimit = kDefaultIdleLimit;
+  TimePoint m_idleSince{};
+  int m_skipped = 0;
   bool m_written = false;
   bool m_closed = false;
 };
@@ -262,6 +313,11 @@
     CloseIdle();
   }
 
+  void SetMaxConnections(size_t aMaxConnections) override
+  {
+    m_maxConnections = aMaxConnections;
+  }
+
   void CloseIdle() override
   {
     for (const auto& connection : std::exchange(m_idle, {})) {
@@ -274,7 +330,7 @@
     while (!m_idle.empty()) {
       const auto connection = std::move(m_idle.back());
       m_idle.pop_back();
-      if (connection->IsQuiet()) {
+      if (!connection->IsStale(Clock::now()) && connection->IsQuiet()) {
         return connection;
       }
       connection->Close();
@@ -297,14 +353,16 @@
       connection->Close();
       return;
     }
+    connection->SetIdleSince(Clock::now());
     m_idle.push_back(std::move(connection));
   }
 
   void Sweep() override
   {
+    const TimePoint now = Clock::now();
     const auto dead = std::stable_partition(
-      m_idle.begin(), m_idle.end(), [](const auto& aConnection) {
-        return aConnection->IsQuiet();
+      m_idle.begin(), m_idle.end(), [now](const auto& aConnection) {
+        return !aConnection->IsStale(now) && aConnection->IsQuiet();
       });
     std::for_each(dead, m_idle.end(), [](const auto& aOne) { aOne->Close(); });
     m_idle.erase(dead, m_idle.end());
--- a/apps/wigeonfold-node/TargetPool.h
+++ b/apps/wigeonfold-node/TargetPool.h
@@ -37,16 +37,24 @@
   std::string m_body;
 };
 
+struct TargetRequest
+{
+  std::shared_ptr<const wire::CallRequest> m_call;
+  std::vector<wire::HeaderField> m_extra; // fields added to the call's own
+  // Whether an answer with these fields belongs to this request. One that does
+  // not is a late or second answer to an earlier one, and is skipped.
+  std::function<bool(const std::vector<wire::HeaderField>&)> m_belongs;
+};
+
 // One request at a time over HTTP/1.1. Runs on the thread of the io_context.
 class TargetConnection
 {
 public:
   virtual ~TargetConnection() = default;
 
-  // Writes the request with the given additional fields and reads the answer.
-  // aDone is called once, never from inside this call.
-  virtual void Run(std::shared_ptr<const wire::CallRequest> aRequest,
-                   std::vector<wire::HeaderField> aExtra,
+  // Writes the request and reads the answer. aDone is called once, never from
+  // inside this call.
+  virtual void Run(TargetRequest aRequest,
                    std::function<void(Exchange)> aDone) = 0;
   // No callback follows. Ends an attempt to connect as well.
   virtual void Close() = 0;
@@ -63,6 +71,7 @@
   // Connections of an earlier address or instance are not reused.
   virtual void SetTarget(const SocketAddress& aAddress,
                          size_t aMaxConnections) = 0;
+  virtual void SetMaxConnections(size_t aMaxConnections) = 0;
   virtual void CloseIdle() = 0;
 
   // An idle connection that the target has not closed, or nullptr.
--- a/apps/wigeonfold-node/TargetSide.cpp
+++ b/apps/wigeonfold-node/TargetSide.cpp
@@ -1,45 +1,23 @@
 #include "TargetSide.h"
 
-#include "Translate.h"
-
 #include <algorithm>
-#include <boost/algorithm/string/predicate.hpp>
 
 namespace wigeonfold::node {
 
 using admission::Decision;
+using forwarding::AnswerKind;
 using forwarding::Outcome;
 using forwarding::TargetStep;
 
 namespace {
 
-constexpr int kShedStatus = 503;
+constexpr int kFirstServerError = 500;
 // Offices whose shares are kept at hand; the table starts anew when full.
 constexpr size_t kMaxCachedOffices = 4096;
 // Weight of the newest sample in the smoothed latency: 1/8, as TCP does for
 // its round trip time.
 constexpr int64_t kLatencyDivisor = 8;
 
-// The target itself says that it did not run the request.
-bool IsShed(const Exchange& aExchange)
-{
-  return aExchange.m_status == kShedStatus &&
-         std::any_of(aExchange.m_headers.begin(),
-                     aExchange.m_headers.end(),
-                     [](const wire::HeaderField& aField) {
-                       return boost::iequals(aField.name, kRunHeader) &&
-                              aField.value == "not-run";
-                     });
-}
-
-wire::HeaderField Field(const char* aName, std::string aValue)
-{
-  wire::HeaderField field;
-  field.name = aName;
-  field.value = std::move(aValue);
-  return field;
-}
-
 } // namespace
 
 const char* ToString(TargetState aState)
@@ -58,10 +36,12 @@
 TargetSide::TargetSide(TargetSideOptions aOptions,
                        std::unique_ptr<admission::Queue> aQueue,
                        std::unique_ptr<TargetPool> aPool,
+                       const forwarding::Dialect& aDialect,
                        std::function<void()> aOnChange)
   : m_options(std::move(aOptions))
   , m_admission(std::move(aQueue))
   , m_pool(std::move(aPool))
+  , m_dialect(aDialect)
   , m_onChange(std::move(aOnChange))
 {
 }
@@ -73,23 +53,32 @@
 {
   m_view = std::move(aView);
   m_shares.clear();
+  if (m_target) {
+    m_pool->SetMaxConnections(static_cast<size_t>(MaxConnections()));
+  }
   UpdateLimits(aNow);
   UpdateDraining(aNow);
 }
 
-void TargetSide::Announce(const Announcement& aAnnouncement, TimePoint aNow)
+discovery::ReportVerdict TargetSide::Announce(const Announcement& aAnnouncement,
+                                              TimePoint aNow)
 {
+  const auto verdict = m_reports.Take(aAnnouncement);
+  if (verdict != discovery::ReportVerdict::Applied) {
+    return verdict;
+  }
   const std::optional<Announcement> before = std::move(m_target);
-  m_target = aAnnouncement;
+  m_target = m_reports.Current();
   m_leaseEnd = aNow + m_options.m_announceLease;
   m_leaseLost = false;
   const bool otherInstance = !before ||
                              before->m_instance != m_target->m_instance ||
+                             before->m_startedAtMs != m_target->m_startedAtMs ||
                              !(before->m_address == m_target->m_address) ||
                              before->m_connections != m_target->m_connections;
   if (otherInstance) {
     m_pool->SetTarget(m_target->m_address,
-                      static_cast<size_t>(m_target->m_connections));
+                      static_cast<size_t>(MaxConnections()));
   }
   const bool changed = !before || before->m_service != m_target->m_service ||
                        before->m_slots != m_target->m_slots || otherInstance;
@@ -98,6 +87,18 @@
     m_onChange();
   }
   UpdateDraining(aNow);
+  return verdict;
+}
+
+// The target's own limit, or that of its service.
+int TargetSide::MaxConnections() const
+{
+  if (m_target->m_connections > 0) {
+    return m_target->m_connections;
+  }
+  const routing::ServiceRoute* route =
+    m_view ? m_view->Find(m_target->m_service) : nullptr;
+  return route == nullptr ? m_target->m_slots : route->m_targetConnections;
 }
 
 void TargetSide::BeginStopping()
@@ -115,6 +116,11 @@
                                                 : TargetState::Ready;
 }
 
+const std::string& TargetSide::ServiceName() const
+{
+  return m_target ? m_target->m_service : m_options.m_service;
+}
+
 TargetStatus TargetSide::Status() const
 {
   TargetStatus status;
@@ -139,7 +145,7 @@
   admission::Limits limits;
   if (route != nullptr) {
     // Each running request occupies one connection.
-    limits.m_slots = std::min(m_target->m_slots, m_target->m_connections);
+    limits.m_slots = std::min(m_target->m_slots, MaxConnections());
     limits.m_queueLimit = static_cast<size_t>(route->m_queueLimit);
     limits.m_queueTimeout = route->m_queueTimeout;
   }
@@ -150,7 +156,8 @@
 {
   const bool told = m_view && m_view->IsDrained(m_options.m_nodeName);
   const bool draining =
-    m_target && (m_target->m_draining || m_leaseLost || told);
+    m_target && (m_target->m_state != discovery::ReportedState::Ready ||
+                 m_leaseLost || told);
   if (draining == m_admission.IsDraining()) {
     return;
   }
@@ -321,18 +328,26 @@
 void TargetSide::Write(uint64_t aId, ServedCall& aCall, TimePoint aNow)
 {
   aCall.m_started = aNow;
-  const int64_t left =
-    std::max<int64_t>(1, ToMilliseconds(aCall.m_deadline - aNow));
-  std::vector<wire::HeaderField> extra;
-  extra.push_back(Field(kDeadlineHeader, std::to_string(left)));
-  extra.push_back(Field(kDepthHeader, std::to_string(aCall.m_request->depth)));
-  if (!aCall.m_request->office.empty()) {
-    extra.push_back(Field(kAccountHeader, aCall.m_request->office));
-  }
-  aCall.m_connection->Run(
-    aCall.m_request, std::move(extra), [this, aId](Exchange aExchange) {
-      OnExchange(aId, std::move(aExchange));
-    });
+  TargetRequest request;
+  request.m_call = aCall.m_request;
+  request.m_extra = m_dialect.TargetFields(
+    *aCall.m_request, aCall.m_deadline - aNow, m_target->m_instance);
+  request.m_belongs = [this, call = aCall.m_request](
+                        const std::vector<wire::HeaderField>& aFields) {
+    return m_dialect.BelongsTo(*call, aFields);
+  };
+  aCall.m_connection->Run(std::move(request), [this, aId](Exchange aExchange) {
+    OnExchange(aId, std::move(aExchange));
+  });
+}
+
+AnswerKind TargetSide::KindOf(const Exchange& aExchange) const
+{
+  if (m_dialect.IsShed(aExchange.m_status, aExchange.m_headers)) {
+    return AnswerKind::Shed;
+  }
+  return aExchange.m_status >= kFirstServerError ? AnswerKind::Failure
+                                                 : AnswerKind::Final;
 }
 
 void TargetSide::OnExchange(uint64_t aId, Exchange aExchange)
@@ -348,7 +363,7 @@
     case Exchange::Kind::Answer: {
       const int64_t sample = ToMicroseconds(now - call.m_started);
       m_latencyUs += (sample - m_latencyUs) / kLatencyDivisor;
-      step = call.m_call.OnAnswer(IsShed(aExchange), aExchange.m_reusable);
+      step = call.m_call.OnAnswer(KindOf(aExchange), aExchange.m_reusable);
       break;
     }
     case Exchange::Kind::Unusable:
@@ -398,14 +413,15 @@
   response.run = info.m_run;
   response.status = info.m_status;
   response.__set_load(Load());
-  const bool answered = aReply.m_outcome == Outcome::Answered;
+  const bool failed = aReply.m_outcome == Outcome::AnsweredFailure;
+  const bool answered = aReply.m_outcome == Outcome::Answered || failed;
   if (answered || aReply.m_outcome == Outcome::Shed) {
     response.status = aExchange.m_status;
     response.headers = std::move(aExchange.m_headers);
     response.body = std::move(aExchange.m_body);
-    StripHopByHop(response.headers, aIsHead);
+    forwarding::StripHopByHop(response.headers, aIsHead);
   }
-  if (!answered) {
+  if (!answered || failed) {
     response.reason = info.m_reason;
   }
 }
--- a/apps/wigeonfold-node/TargetSide.h
+++ b/apps/wigeonfold-node/TargetSide.h
@@ -6,6 +6,7 @@
 #include "TargetPool.h"
 
 #include "wigeonfold/admission/Admission.h"
+#include "wigeonfold/forwarding/Dialect.h"
 #include "wigeonfold/forwarding/TargetCall.h"
 
 #include <deque>
@@ -27,6 +28,7 @@
 {
   std::string m_nodeName;
   Duration m_announceLease{};
+  std::string m_service; // of the own target until it announces itself
 };
 
 // Serves requests, the node's own and those of peers, through the only path to
@@ -38,10 +40,13 @@
   TargetSide(TargetSideOptions aOptions,
              std::unique_ptr<admission::Queue> aQueue,
              std::unique_ptr<TargetPool> aPool,
+             const forwarding::Dialect& aDialect,
              std::function<void()> aOnChange);
 
   void SetView(std::shared_ptr<const routing::View> aView, TimePoint aNow);
-  void Announce(const Announcement& aAnnouncement, TimePoint aNow);
+  // Late reports and those of a target that left are ignored.
+  discovery::ReportVerdict Announce(const Announcement& aAnnouncement,
+                                    TimePoint aNow);
   // Graceful shutdown. The target is announced as draining at once.
   void BeginStopping();
   // Rejects new requests from now on; those in the queue still run.
@@ -63,6 +68,8 @@
   // Nothing when the target never announced itself.
   const std::optional<Announcement>& Announced() const { return m_target; }
   TargetState State() const;
+  // Service of the own target.
+  const std::string& ServiceName() const;
   TargetStatus Status() const;
   size_t Active() const { return m_calls.size(); }
 
@@ -85,8 +92,10 @@
   void Execute(uint64_t aId, forwarding::TargetStep aStep, TimePoint aNow);
   void Connect(uint64_t aId, ServedCall& aCall, TimePoint aNow);
   void Write(uint64_t aId, ServedCall& aCall, TimePoint aNow);
+  forwarding::AnswerKind KindOf(const Exchange& aExchange) const;
   void OnExchange(uint64_t aId, Exchange aExchange);
   void End(uint64_t aId, const forwarding::TargetStep& aStep, TimePoint aNow);
+  int MaxConnections() const;
   void UpdateLimits(TimePoint aNow);
   void UpdateDraining(TimePoint aNow);
   void FillResponse(TargetReply& aReply, Exchange& aExchange, bool aIsHead);
@@ -95,9 +104,11 @@
   const TargetSideOptions m_options;
   admission::Admission m_admission;
   std::unique_ptr<TargetPool> m_pool;
+  const forwarding::Dialect& m_dialect;
   const std::function<void()> m_onChange;
   std::shared_ptr<const routing::View> m_view;
   std::unordered_map<std::string, std::vector<admission::Share>> m_shares;
+  discovery::TargetReports m_reports;
   std::optional<Announcement> m_target;
   TimePoint m_leaseEnd{};
   bool m_leaseLost = false;
--- a/cmake/Layout.cmake
+++ b/cmake/Layout.cmake
@@ -20,15 +20,19 @@
 wigeonfold_library(distribution USES base settings wire discovery)
 wigeonfold_library(routing USES base settings wire)
 wigeonfold_library(admission USES base)
-wigeonfold_library(forwarding USES base wire routing admission)
+wigeonfold_library(forwarding USES base wire net routing admission)
 wigeonfold_library(observe USES base wire net LINK prometheus-cpp::core)
 
-wigeonfold_app(wigeonfold-control USES base settings wire net storage consensus registry discovery distribution observe)
-wigeonfold_app(wigeonfold-node USES base settings wire net discovery distribution routing admission forwarding observe)
+wigeonfold_library(platform FOLDER platform
+  USES base settings wire net registry discovery routing forwarding)
+
+wigeonfold_app(wigeonfold-control USES base settings wire net storage consensus registry discovery distribution observe platform)
+wigeonfold_app(wigeonfold-node USES base settings wire net discovery distribution routing admission forwarding observe platform)
 wigeonfold_app(wigeonfold USES base settings registry observe net)
 wigeonfold_app(wigeonfold-target USES base net)
 wigeonfold_app(wigeonfold-load USES base net)
 
+if(WIGEONFOLD_TESTS)
 # Scripted scenarios over the state machines of control VMs and nodes.
 add_executable(scenario_test tests/scenario/World.cpp tests/scenario/Scenario_test.cpp)
 target_link_libraries(scenario_test PRIVATE wigeonfold_consensus wigeonfold_registry
@@ -39,3 +43,4 @@
 endif()
 add_test(NAME scenario_test COMMAND scenario_test)
 set_tests_properties(scenario_test PROPERTIES TIMEOUT 300)
+endif()
--- a/cmake/Modules.cmake
+++ b/cmake/Modules.cmake
@@ -1,4 +1,5 @@
-# wigeonfold_library(NAME USES ... [LINK ...]): the static library libs/NAME.
+# wigeonfold_library(NAME [FOLDER F] USES ... [LINK ...]): the static library
+# libs/NAME, or F.
 # wigeonfold_app(NAME USES ... [LINK ...]): the binary apps/NAME.
 # Both take every source below src/ (or the folder itself for an app); tests
 # are the files test/*_test.cpp, one ctest entry per file.
@@ -6,7 +7,7 @@
 # Modules from the bottom up. A module may use only modules listed before it.
 set(WIGEONFOLD_LAYERS
     base wire settings net storage consensus registry discovery distribution
-    routing admission forwarding observe)
+    routing admission forwarding observe platform)
 
 function(wigeonfold_check_layers name)
   list(FIND WIGEONFOLD_LAYERS ${name} own)
@@ -22,6 +23,9 @@
 endfunction()
 
 function(wigeonfold_add_tests name folder library)
+  if(NOT WIGEONFOLD_TESTS)
+    return()
+  endif()
   file(GLOB tests CONFIGURE_DEPENDS ${folder}/test/*_test.cpp)
   foreach(source IN LISTS tests)
     get_filename_component(stem ${source} NAME_WE)
@@ -40,9 +44,12 @@
 endfunction()
 
 function(wigeonfold_library name)
-  cmake_parse_arguments(ARG "" "" "USES;LINK" ${ARGN})
+  cmake_parse_arguments(ARG "" "FOLDER" "USES;LINK" ${ARGN})
   wigeonfold_check_layers(${name} ${ARG_USES})
   set(folder ${CMAKE_SOURCE_DIR}/libs/${name})
+  if(ARG_FOLDER)
+    set(folder ${CMAKE_SOURCE_DIR}/${ARG_FOLDER})
+  endif()
   file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${folder}/src/*.cpp ${folder}/gen/src/*.cpp)
   set(target wigeonfold_${name})
   add_library(${target} STATIC ${sources})
--- a/idl/common.thrift
+++ b/idl/common.thrift
@@ -19,6 +19,9 @@
   Set = 1,
   Unset = 2,
   RemoveBranch = 3,
+  // Removes the branch and all below it, if there is any. Branches that later
+  // operations of the change set again with equal content stay unchanged.
+  ClearBranch = 4,
 }
 
 struct Operation {
--- a/idl/control.thrift
+++ b/idl/control.thrift
@@ -39,12 +39,20 @@
   7: bool probe,
 }
 
+// Where a control VM takes nodes' sessions.
+struct ControlEndpoint {
+  1: string nodeAddress,
+  2: string availabilityZone,
+}
+
 struct HelloReply {
   1: i64 memberId,
   // Newest version that this control VM knows a node of that name to have had.
   2: optional common.WireVersion floor,
   3: i64 freshnessAgeMs,
   4: i64 greatestNodeEpoch,
+  // Control VMs that are members now; empty when this one knows none.
+  5: list<ControlEndpoint> controlVms,
 }
 
 struct Announce {
@@ -77,6 +85,8 @@
 struct Heartbeat {
   1: i64 freshnessAgeMs,
   2: common.WireVersion newest,
+  // Set when the members changed since the last heartbeat of the session.
+  3: optional list<ControlEndpoint> controlVms,
 }
 
 struct NodeStatus {
@@ -127,4 +137,10 @@
   4: string availabilityZone,
   5: string peerAddress,
   6: string apiAddress,
+  7: string nodeAddress,
+  8: string operatorAddress,
+  // The data folder holds a log, so the VM belongs or belonged to a cluster.
+  9: bool hasLog,
+  // The VM may create the cluster.
+  10: bool mayBootstrap,
 }
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -27,6 +27,14 @@
   8: i64 deadlineUs,
   9: i32 depth,
   10: bool idempotent,
+  // Service that runs beside the node at which the request began.
+  11: string callerService,
+  // 0 is the highest rank.
+  12: i32 priority,
+  // Time from the arrival at the first node within which an answer has its
+  // full value; 0 for none.
+  13: i64 objectiveUs,
+  14: string route,
 }
 
 enum RunState {
@@ -53,6 +61,8 @@
   6: TargetLoad load,
   // Why the call was refused or failed; empty when the target answered.
   7: string reason,
+  // Not-run responses: when the caller should come back; 0 for no advice.
+  8: i64 retryAfterUs,
 }
 
 struct CallCancel {
--- a/idl/raft.thrift
+++ b/idl/raft.thrift
@@ -24,6 +24,11 @@
   5: bool voter,
   // Address of the operators' HTTP API.
   6: string apiAddress,
+  // Address for nodes' sessions.
+  7: string nodeAddress,
+  // Address of the operators' interface in the platform's format; empty when
+  // the VM does not serve it.
+  8: string operatorAddress,
 }
 
 struct Membership {
--- a/idl/registry.thrift
+++ b/idl/registry.thrift
@@ -10,6 +10,11 @@
   4: string author,
   5: string comment,
   6: i64 acceptedAtMs,
+  // A release: the change holds a complete configuration that operators number
+  // themselves. It is decided by baseLabel instead of base, and label has to be
+  // greater than the newest one. Both are 0 for other changes.
+  7: i64 label,
+  8: i64 baseLabel,
 }
 
 enum AcceptOutcome {
@@ -75,4 +80,8 @@
   6: common.WireVersion tombstoneHorizon,
   // Digest of the tree.
   7: i64 digest,
+  // Label of the newest release and of the one it was based on; 0 before the
+  // first one.
+  8: i64 label,
+  9: i64 baseLabel,
 }
--- a/libs/base/include/wigeonfold/base/Events.h
+++ b/libs/base/include/wigeonfold/base/Events.h
@@ -51,6 +51,9 @@
   X(SnapshotSending,        1205, Info,    "the leader began to send a snapshot to a member") \
   X(SnapshotInstalled,      1206, Info,    "a snapshot from the leader replaced the log") \
   X(SnapshotRejected,       1207, Warning, "a received snapshot could not be decoded") \
+  X(ReleaseInvalid,         1300, Warning, "a configuration could not be read or is invalid") \
+  X(ChangeDecided,          1301, Info,    "a change was accepted, lost against another one or was refused") \
+  X(CallUnanswered,         1302, Warning, "an operator's call ended without a known outcome") \
   X(EndpointResync,         1400, Info,    "a control VM missed endpoint changes and asked for a full transfer") \
   X(VersionDistributed,     1500, Info,    "a committed version is distributed to the nodes") \
   X(NodeRefusedVersion,     1501, Warning, "a node refused a version") \
@@ -61,6 +64,8 @@
   X(BootstrapRefused,       1520, Warning, "no cluster was created because another control VM belongs to one") \
   X(ClusterCreated,         1521, Info,    "a new cluster was created") \
   X(InitialVoterStep,       1522, Info,    "an initial voter was added or promoted") \
+  X(MembershipStepTaken,    1523, Info,    "the leader proposed a membership change by itself") \
+  X(SeedsChanged,           1524, Info,    "the settings file names other seeds") \
   X(NodeReady,              2000, Info,    "callers' traffic is accepted") \
   X(ConfigApplied,          2001, Info,    "a configuration version is in force") \
   X(ConfigRefused,          2002, Error,   "a configuration version was refused") \
@@ -68,6 +73,7 @@
   X(ControlSessionOpened,   2004, Info,    "connected to a control VM") \
   X(ControlSessionClosed,   2005, Warning, "connection to a control VM failed or ended") \
   X(TargetStateChanged,     2100, Info,    "the own target's state changed") \
+  X(TargetReportIgnored,    2103, Warning, "a report of a target was late, malformed or of one that left") \
   X(DrainCutShort,          2101, Warning, "requests were cut at the end of the drain limit") \
   X(RingFull,               2102, Warning, "a ring between threads was full")
 // clang-format on
--- a/libs/base/include/wigeonfold/base/Time.h
+++ b/libs/base/include/wigeonfold/base/Time.h
@@ -3,10 +3,29 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace wigeonfold {
 
-using Clock = std::chrono::steady_clock;
+// Monotonic time that also counts the time in which the machine was suspended
+// (CLOCK_BOOTTIME). std::chrono::steady_clock stands still meanwhile, so that a
+// lease held across a suspension would look valid. Thread safe.
+struct Clock
+{
+  using duration = std::chrono::nanoseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<Clock>;
+  static constexpr bool is_steady = true;
+
+  static time_point now() noexcept
+  {
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return time_point(std::chrono::seconds(time.tv_sec) +
+                      std::chrono::nanoseconds(time.tv_nsec));
+  }
+};
 using TimePoint = Clock::time_point;
 using Duration = Clock::duration;
 
--- a/libs/consensus/include/wigeonfold/consensus/Membership.h
+++ b/libs/consensus/include/wigeonfold/consensus/Membership.h
@@ -19,6 +19,8 @@
   Remove,     //
 };
 
+const char* ToString(MembershipChangeKind aKind);
+
 struct MembershipChange
 {
   MembershipChangeKind m_kind = MembershipChangeKind::AddLearner;
--- a/libs/consensus/src/Membership.cpp
+++ b/libs/consensus/src/Membership.cpp
@@ -46,6 +46,21 @@
 
 } // namespace
 
+const char* ToString(MembershipChangeKind aKind)
+{
+  switch (aKind) {
+    case MembershipChangeKind::AddLearner:
+      return "add-learner";
+    case MembershipChangeKind::Promote:
+      return "promote";
+    case MembershipChangeKind::Demote:
+      return "demote";
+    case MembershipChangeKind::Remove:
+      return "remove";
+  }
+  return "unknown";
+}
+
 const wire::Member* FindMember(const wire::Membership& aMembership,
                                MemberId aId)
 {
--- /dev/null
+++ b/libs/consensus/test/MembershipPolicy_test.cpp
@@ -0,0 +1,216 @@
+// Guards against a group that stays short of voters after a loss, one that
+// removes a voter without a quorum of the others, two clusters formed from the
+// same seeds, and votes of an id whose disk is gone.
+#include "wigeonfold/consensus/MembershipPolicy.h"
+
+#include <gtest/gtest.h>
+
+namespace wigeonfold::consensus {
+namespace {
+
+using namespace std::chrono_literals;
+using Kind = MembershipChangeKind;
+
+class MembershipPolicy : public testing::Test
+{
+protected:
+  wire::Member& Member(MemberId aId, bool aVoter)
+  {
+    wire::Member member;
+    member.memberId = aId;
+    member.name = "c" + std::to_string(aId);
+    member.peerAddress = "10.0.0." + std::to_string(aId) + ":1";
+    member.voter = aVoter;
+    m_membership.members.push_back(member);
+    Contact(aId, m_now);
+    return m_membership.members.back();
+  }
+
+  ControlVmState& Contact(MemberId aId, TimePoint aAt)
+  {
+    ControlVmState& vm = m_vms[aId];
+    vm.m_hello.memberId = aId;
+    vm.m_hello.name = "c" + std::to_string(aId);
+    vm.m_hello.peerAddress = "10.0.0." + std::to_string(aId) + ":1";
+    vm.m_helloAt = aAt;
+    vm.m_contactAt = aAt;
+    return vm;
+  }
+
+  std::optional<MembershipStep> Next() const
+  {
+    return NextMembershipStep(
+      m_membership, 1, m_vms, m_caughtUp, m_options, m_now);
+  }
+
+  // Applies steps until none is left; false when it does not end.
+  bool Settle()
+  {
+    for (int i = 0; i < 20; ++i) {
+      const auto step = Next();
+      if (!step) {
+        return true;
+      }
+      const auto changed = ApplyChange(m_membership, step->m_change);
+      EXPECT_TRUE(changed);
+      m_membership = changed.value();
+      for (const wire::Member& member : m_membership.members) {
+        m_caughtUp.insert(member.memberId);
+      }
+    }
+    return false;
+  }
+
+  std::set<MemberId> Voters() const
+  {
+    std::set<MemberId> voters;
+    for (const wire::Member& member : m_membership.members) {
+      if (member.voter) {
+        voters.insert(member.memberId);
+      }
+    }
+    return voters;
+  }
+
+  wire::Membership m_membership;
+  std::map<MemberId, ControlVmState> m_vms;
+  std::set<MemberId> m_caughtUp;
+  MembershipPolicyOptions m_options;
+  TimePoint m_now{ 1h };
+};
+
+TEST_F(MembershipPolicy, GrowsToThreeVotersFromOne)
+{
+  Member(1, true);
+  Contact(2, m_now);
+  Contact(3, m_now);
+  Contact(4, m_now);
+  ASSERT_TRUE(Settle());
+  EXPECT_EQ(Voters().size(), 3U);
+  EXPECT_EQ(m_membership.members.size(), 4U);
+}
+
+TEST_F(MembershipPolicy, ReplacesAVmThatLostItsDisk)
+{
+  Member(1, true);
+  Member(2, true);
+  Member(3, true);
+  m_now += 3s;
+  Contact(1, m_now);
+  Contact(2, m_now);
+  ControlVmState& wiped = Contact(30, m_now);
+  wiped.m_hello.name = "c3";
+  wiped.m_hello.peerAddress = "10.0.0.3:1";
+  ASSERT_TRUE(Settle());
+  EXPECT_EQ(Voters(), (std::set<MemberId>{ 1, 2, 30 }));
+  EXPECT_EQ(FindMember(m_membership, 3), nullptr);
+}
+
+TEST_F(MembershipPolicy, ReplacesASilentVoterByAVmAtAnotherAddress)
+{
+  Member(1, true);
+  Member(2, true);
+  Member(3, true);
+  m_now += 2s;
+  Contact(1, m_now);
+  Contact(2, m_now);
+  Contact(9, m_now);
+  ASSERT_TRUE(Settle());
+  EXPECT_EQ(Voters(), (std::set<MemberId>{ 1, 2, 9 }));
+}
+
+TEST_F(MembershipPolicy, KeepsASilentVoterWithoutASuccessor)
+{
+  Member(1, true);
+  Member(2, true);
+  Member(3, true);
+  m_now += 10s;
+  Contact(1, m_now);
+  Contact(2, m_now);
+  EXPECT_FALSE(Next());
+}
+
+TEST_F(MembershipPolicy, TakesNoVoterAwayWithoutAQuorumOfTheOthers)
+{
+  Member(1, true);
+  Member(2, true);
+  Member(3, true);
+  Member(4, false);
+  m_caughtUp = { 4 };
+  m_now += 10s;
+  Contact(4, m_now);
+  EXPECT_FALSE(Next());
+}
+
+TEST_F(MembershipPolicy, PromotesNoLearnerThatLags)
+{
+  Member(1, true);
+  Member(2, true);
+  Member(3, false);
+  EXPECT_FALSE(Next());
+  m_caughtUp = { 3 };
+  ASSERT_TRUE(Next());
+  EXPECT_EQ(Next()->m_change.m_kind, Kind::Promote);
+}
+
+// ---- Formation -------------------------------------------------------------
+
+wire::ControlHello Hello(int aNumber, bool aMayBootstrap = true)
+{
+  wire::ControlHello hello;
+  hello.memberId = aNumber;
+  hello.peerAddress = "10.0.0." + std::to_string(aNumber) + ":1";
+  hello.mayBootstrap = aMayBootstrap;
+  return hello;
+}
+
+std::map<MemberId, ControlVmState> Vms(
+  const std::vector<wire::ControlHello>& aHellos)
+{
+  std::map<MemberId, ControlVmState> vms;
+  for (const wire::ControlHello& hello : aHellos) {
+    vms[hello.memberId].m_hello = hello;
+  }
+  return vms;
+}
+
+TEST(Formation, ExactlyOneSeedCreatesTheCluster)
+{
+  int forming = 0;
+  for (int self = 1; self <= 3; ++self) {
+    std::set<std::string> seeds;
+    std::vector<wire::ControlHello> hellos;
+    for (int other = 1; other <= 3; ++other) {
+      if (other != self) {
+        seeds.insert(Hello(other).peerAddress);
+        hellos.push_back(Hello(other));
+      }
+    }
+    forming += MayFormCluster(Hello(self), seeds, Vms(hellos)) ? 1 : 0;
+  }
+  EXPECT_EQ(forming, 1);
+}
+
+TEST(Formation, WaitsForEverySeed)
+{
+  EXPECT_FALSE(MayFormCluster(
+    Hello(1), { "10.0.0.2:1", "10.0.0.3:1" }, Vms({ Hello(2) })));
+}
+
+TEST(Formation, LeavesItToASeedThatMayWhenTheFirstWasRestarted)
+{
+  EXPECT_TRUE(MayFormCluster(Hello(2),
+                             { "10.0.0.1:1", "10.0.0.3:1" },
+                             Vms({ Hello(1, false), Hello(3) })));
+}
+
+TEST(Formation, CreatesNoSecondCluster)
+{
+  auto member = Hello(2);
+  member.hasLog = true;
+  EXPECT_FALSE(MayFormCluster(
+    Hello(1), { "10.0.0.2:1", "10.0.0.3:1" }, Vms({ member, Hello(3) })));
+}
+
+} // namespace
+} // namespace wigeonfold::consensus
--- /dev/null
+++ b/libs/discovery/src/TargetReport.cpp
@@ -0,0 +1,74 @@
+#include "wigeonfold/discovery/TargetReport.h"
+
+#include <algorithm>
+
+namespace wigeonfold::discovery {
+
+namespace {
+
+// Starts that left and are remembered; reports are delayed by seconds, and
+// targets start at most every few seconds.
+constexpr size_t kMaxRetired = 64;
+
+} // namespace
+
+bool TargetReports::IsRetired(const TargetReport& aReport) const
+{
+  return std::any_of(
+    m_retired.begin(), m_retired.end(), [&](const RetiredStart& aStart) {
+      return aStart.m_instance == aReport.m_instance &&
+             aReport.m_startedAtMs <= aStart.m_startedAtMs;
+    });
+}
+
+void TargetReports::Retire(const std::string& aInstance, int64_t aStartedAtMs)
+{
+  m_retired.push_back({ aInstance, aStartedAtMs });
+  if (m_retired.size() > kMaxRetired) {
+    m_retired.pop_front();
+  }
+}
+
+ReportVerdict TargetReports::Take(const TargetReport& aReport)
+{
+  if (IsRetired(aReport)) {
+    return ReportVerdict::Retired;
+  }
+  const bool isCurrent =
+    m_current && m_current->m_instance == aReport.m_instance;
+  if (aReport.m_state == ReportedState::Gone) {
+    // A report without a start time speaks for the start that is known.
+    const bool known = isCurrent && aReport.m_startedAtMs == 0;
+    const int64_t startedAt =
+      known ? m_current->m_startedAtMs : aReport.m_startedAtMs;
+    if (isCurrent && startedAt < m_current->m_startedAtMs) {
+      return ReportVerdict::Late;
+    }
+    Retire(aReport.m_instance, startedAt);
+    if (!isCurrent) {
+      return ReportVerdict::Late;
+    }
+    m_current->m_state = ReportedState::Gone;
+    return ReportVerdict::Applied;
+  }
+  const bool sameStart =
+    isCurrent && aReport.m_startedAtMs == m_current->m_startedAtMs;
+  if (m_current && aReport.m_startedAtMs < m_current->m_startedAtMs) {
+    return ReportVerdict::Late;
+  }
+  if (sameStart && aReport.m_sequence != 0 &&
+      aReport.m_sequence <= m_current->m_sequence) {
+    return ReportVerdict::Late;
+  }
+  const bool stays = sameStart && m_current->m_state == ReportedState::Draining;
+  if (m_current && !sameStart) {
+    Retire(m_current->m_instance, m_current->m_startedAtMs);
+  }
+  m_current = aReport;
+  if (stays) {
+    m_current->m_state = ReportedState::Draining;
+  }
+  return ReportVerdict::Applied;
+}
+
+} // namespace wigeonfold::discovery
--- a/libs/distribution/include/wigeonfold/distribution/NodeSessions.h
+++ b/libs/distribution/include/wigeonfold/distribution/NodeSessions.h
@@ -143,6 +143,8 @@
   NodeActions SetTree(const settings::Tree& aTree, TimePoint aNow);
   // Time since this control VM was last confirmed as current.
   void SetFreshness(Duration aAge, TimePoint aNow);
+  // Control VMs that are members; told to the nodes with the next heartbeat.
+  void SetControlVms(std::vector<wire::ControlEndpoint> aVms);
   // While false, nodes keep the endpoints they have: a control VM that has just
   // started does not know the other control VMs' records yet.
   void SetEndpointsComplete(bool aComplete) { m_endpointsComplete = aComplete; }
@@ -176,6 +178,7 @@
   };
   struct Session
   {
+    uint64_t m_controlVmsSent = 0; // version of the list that the node has
     NodeSessionId m_id = 0;
     bool m_greeted = false;
     NodeInfo m_info;
@@ -252,6 +255,8 @@
   std::optional<settings::Tree> m_tree;
   Duration m_age = Duration::max();
   TimePoint m_ageAt;
+  std::vector<wire::ControlEndpoint> m_controlVms;
+  uint64_t m_controlVmsVersion = 1;
   bool m_endpointsComplete = true;
 
   // Nodes that confirmed the same state receive the same bytes.
--- a/libs/distribution/include/wigeonfold/distribution/Subscriber.h
+++ b/libs/distribution/include/wigeonfold/distribution/Subscriber.h
@@ -148,6 +148,10 @@
   // in here; a call with unchanged content sends nothing.
   SubscriberActions Announce(wire::EndpointRecord aEndpoint, TimePoint aNow);
 
+  // Further control VMs to try, such as seeds of a changed settings file. Known
+  // addresses are left as they are.
+  void AddControlVms(const std::vector<ControlVm>& aVms);
+
   // Version that another node reported in PeerHello.
   SubscriberActions OnPeerVersion(const Version& aVersion, TimePoint aNow);
 
@@ -172,7 +176,7 @@
   struct Session
   {
     SessionId m_id = 0;
-    size_t m_vm = 0; // index in m_controlVms
+    size_t m_vm = 0; // index in m_candidates
     bool m_connected = false;
     bool m_established = false; // HelloReply received
     TimePoint m_lastFrame;
@@ -182,6 +186,7 @@
   };
   struct Candidate
   {
+    ControlVm m_vm;
     int m_failures = 0; // attempts that failed since the last session
     TimePoint m_lastProbe;
   };
@@ -196,6 +201,7 @@
   void CheckAnnouncement(TimePoint aNow);
 
   size_t ChooseVm(std::optional<size_t> aExcept);
+  void Learn(const std::vector<wire::ControlEndpoint>& aVms);
   void ConnectMain(Duration aDelay, TimePoint aNow);
   void StartProbe(TimePoint aNow);
   void DropProbe(TimePoint aNow);
--- a/libs/distribution/src/NodeSessions.cpp
+++ b/libs/distribution/src/NodeSessions.cpp
@@ -258,6 +258,7 @@
   }
   reply.freshnessAgeMs = ToMilliseconds(FreshnessAge(aNow));
   reply.greatestNodeEpoch = m_table.GreatestEpoch(aNodeName);
+  reply.controlVms = m_controlVms;
   Send(aSession.m_id, FrameType::HelloReply, EncodeShared(reply));
 }
 
@@ -484,12 +485,22 @@
 
 // ---- Time and state --------------------------------------------------------
 
+void NodeSessions::SetControlVms(std::vector<wire::ControlEndpoint> aVms)
+{
+  if (aVms != m_controlVms) {
+    m_controlVms = std::move(aVms);
+    ++m_controlVmsVersion;
+  }
+}
+
 NodeActions NodeSessions::OnTick(TimePoint aNow)
 {
   wire::Heartbeat beat;
   beat.freshnessAgeMs = ToMilliseconds(FreshnessAge(aNow));
   beat.newest = wire::ToWire(Newest().value_or(Version{}));
   const Payload payload = EncodeShared(beat);
+  beat.__set_controlVms(m_controlVms);
+  const Payload withVms = EncodeShared(beat);
   std::vector<NodeSessionId> silent;
   for (auto& [id, session] : m_sessions) {
     if (aNow - session.m_lastFrame > m_options.m_silence) {
@@ -501,7 +512,9 @@
     }
     if (aNow >= session.m_nextHeartbeat) {
       session.m_nextHeartbeat = aNow + m_options.m_heartbeat;
-      Send(id, FrameType::Heartbeat, payload);
+      const bool knowsVms = session.m_controlVmsSent == m_controlVmsVersion;
+      session.m_controlVmsSent = m_controlVmsVersion;
+      Send(id, FrameType::Heartbeat, knowsVms ? payload : withVms);
     }
     SendUpdates(session, aNow);
   }
--- a/libs/distribution/src/Subscriber.cpp
+++ b/libs/distribution/src/Subscriber.cpp
@@ -22,6 +22,8 @@
 
 // Seeds of the two backoffs differ from that of the main generator.
 constexpr uint64_t kBackoffSeed = 0x9e3779b97f4a7c15;
+// Learned and configured control VMs that are kept; 21 are the most at a time.
+constexpr size_t kMaxCandidates = 64;
 constexpr uint64_t kProbeSeed = 0xd1b54a32d192ed03;
 
 } // namespace
@@ -38,9 +40,9 @@
   , m_probeBackoff(m_options.m_backoffBase,
                    m_options.m_backoffMax,
                    aSeed ^ kProbeSeed)
-  , m_candidates(m_options.m_controlVms.size())
   , m_nodeEpoch(m_options.m_nodeEpoch)
 {
+  AddControlVms(m_options.m_controlVms);
 }
 
 SubscriberActions Subscriber::Take()
@@ -52,6 +54,46 @@
 
 // ---- Sessions --------------------------------------------------------------
 
+void Subscriber::AddControlVms(const std::vector<ControlVm>& aVms)
+{
+  for (const ControlVm& vm : aVms) {
+    const bool known = std::any_of(
+      m_candidates.begin(), m_candidates.end(), [&vm](const Candidate& aOne) {
+        return aOne.m_vm.m_address == vm.m_address;
+      });
+    if (known) {
+      continue;
+    }
+    if (m_candidates.size() < kMaxCandidates) {
+      m_candidates.push_back({ vm, 0, {} });
+      continue;
+    }
+    // The one that failed most often is the least likely to come back.
+    size_t worst = m_candidates.size();
+    for (size_t i = 0; i < m_candidates.size(); ++i) {
+      const bool inUse =
+        (m_main && m_main->m_vm == i) || (m_probe && m_probe->m_vm == i);
+      if (!inUse &&
+          (worst == m_candidates.size() ||
+           m_candidates[i].m_failures > m_candidates[worst].m_failures)) {
+        worst = i;
+      }
+    }
+    m_candidates[worst] = { vm, 0, {} };
+  }
+}
+
+void Subscriber::Learn(const std::vector<wire::ControlEndpoint>& aVms)
+{
+  std::vector<ControlVm> vms;
+  for (const wire::ControlEndpoint& vm : aVms) {
+    if (const auto address = ParseSocketAddress(vm.nodeAddress)) {
+      vms.push_back({ address.value(), vm.availabilityZone });
+    }
+  }
+  AddControlVms(vms);
+}
+
 // Fewest failures first, then the own availability zone, then at random.
 size_t Subscriber::ChooseVm(std::optional<size_t> aExcept)
 {
@@ -61,10 +103,9 @@
     if (vm == aExcept) {
       continue;
     }
-    const auto key =
-      std::make_pair(m_candidates[vm].m_failures,
-                     m_options.m_controlVms[vm].m_availabilityZone !=
-                       m_options.m_availabilityZone);
+    const auto key = std::make_pair(m_candidates[vm].m_failures,
+                                    m_candidates[vm].m_vm.m_availabilityZone !=
+                                      m_options.m_availabilityZone);
     if (best.empty() || key < bestKey) {
       best.clear();
       bestKey = key;
@@ -86,10 +127,8 @@
   session.m_vm = ChooseVm(std::nullopt);
   session.m_lastFrame = aNow + aDelay;
   m_main = session;
-  m_actions.emplace_back(
-    ConnectTo{ session.m_id,
-               m_options.m_controlVms[session.m_vm].m_address,
-               aNow + aDelay });
+  m_actions.emplace_back(ConnectTo{
+    session.m_id, m_candidates[session.m_vm].m_vm.m_address, aNow + aDelay });
 }
 
 void Subscriber::StartProbe(TimePoint aNow)
@@ -113,7 +152,7 @@
   session.m_lastFrame = aNow;
   m_probe = session;
   m_actions.emplace_back(
-    ConnectTo{ session.m_id, m_options.m_controlVms[*choice].m_address, aNow });
+    ConnectTo{ session.m_id, m_candidates[*choice].m_vm.m_address, aNow });
 }
 
 void Subscriber::DropProbe(TimePoint aNow)
@@ -270,9 +309,8 @@
 {
   m_main->m_established = true;
   m_backoff.Reset();
-  for (Candidate& candidate : m_candidates) {
-    candidate.m_failures = 0;
-  }
+  m_candidates[m_main->m_vm].m_failures = 0;
+  Learn(aReply.controlVms);
   m_main->m_freshnessAge = std::chrono::milliseconds(aReply.freshnessAgeMs);
   if (aReply.__isset.floor) {
     RaiseFloor(wire::FromWire(aReply.floor));
@@ -293,6 +331,9 @@
 void Subscriber::Handle(const wire::Heartbeat& aBeat, TimePoint aNow)
 {
   m_main->m_freshnessAge = std::chrono::milliseconds(aBeat.freshnessAgeMs);
+  if (aBeat.__isset.controlVms) {
+    Learn(aBeat.controlVms);
+  }
   NoteFreshness(aNow);
   SendStatus();
   CheckReady(aNow);
--- a/libs/distribution/src/SubscriberState.cpp
+++ b/libs/distribution/src/SubscriberState.cpp
@@ -211,7 +211,7 @@
 std::optional<SocketAddress> Subscriber::ControlAddress() const
 {
   return m_main ? std::optional<SocketAddress>(
-                    m_options.m_controlVms[m_main->m_vm].m_address)
+                    m_candidates[m_main->m_vm].m_vm.m_address)
                 : std::nullopt;
 }
 
--- a/libs/forwarding/include/wigeonfold/forwarding/Call.h
+++ b/libs/forwarding/include/wigeonfold/forwarding/Call.h
@@ -22,6 +22,7 @@
 {
   bool m_idempotent = false;
   TimePoint m_deadline{};
+  int m_maxAttempts = 1;
 };
 
 // Send the request to this endpoint.
@@ -44,9 +45,12 @@
 // safe.
 //
 // Retry rules: an attempt that provably did not run may be repeated at another
-// endpoint; one whose fate is unknown only when the request is idempotent. All
-// retries stay within the service's maximum attempts, its budget and the
-// deadline.
+// endpoint; one whose fate is unknown, or that the target answered with a
+// failure, only when the request is idempotent. Attempts that may have reached
+// a target stay within the maximum attempts, and all but the first of them are
+// paid from the service's budget. A refusal by a target's node costs neither,
+// since the target saw nothing; at most kMaxRefusals are followed by another
+// try. All of it ends at the deadline.
 class Call
 {
 public:
@@ -75,6 +79,9 @@
   // retry and for idempotent requests only. Hook for hedging of slow targets.
   CallStep Hedge(TimePoint aNow);
 
+  // Refusals by targets' nodes after which the request is tried elsewhere.
+  static constexpr size_t kMaxRefusals = 3;
+
   bool IsOver() const { return m_over; }
   TimePoint Deadline() const { return m_spec.m_deadline; }
   const routing::ServiceRoute& Route() const { return m_route; }
@@ -104,6 +111,9 @@
   // First attempt whose fate is unknown. Once set, no later rejection may
   // claim that the request did not run.
   std::optional<Outcome> m_unknown;
+  bool m_failureAnswered = false; // a target ran it and answered a failure
+  size_t m_arrivals = 0; // ended attempts that may have reached a target
+  size_t m_refusals = 0; // ended attempts that a target's node refused
   bool m_over = false;
 };
 
--- /dev/null
+++ b/libs/forwarding/include/wigeonfold/forwarding/Dialect.h
@@ -0,0 +1,96 @@
+// How callers and targets speak HTTP: the strategy that names fields and says
+// what they mean. One dialect serves all listeners of a node.
+#pragma once
+
+#include "wigeonfold/forwarding/Outcome.h"
+#include "wigeonfold/net/Http.h"
+#include "wigeonfold/routing/View.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace wigeonfold::forwarding {
+
+// A caller's request, ready to be sent.
+struct ParsedCall
+{
+  const routing::ServiceRoute* m_route = nullptr;
+  int m_maxAttempts = 1;
+  std::shared_ptr<wire::CallRequest> m_request; // without call id and deadline
+  TimePoint m_deadline{};
+};
+
+// What a dialect needs to know of the node at which a request arrives.
+struct CallerInfo
+{
+  std::string m_service; // of the target beside the node
+};
+
+// An answer of the system itself.
+struct OwnReply
+{
+  Outcome m_outcome = Outcome::NoEndpoint;
+  std::string m_target; // kNoTarget when the request was sent to none
+  // When the caller should come back; zero: the dialect's default.
+  Duration m_retryAfter{};
+};
+
+// Value for a request that was sent to no target.
+inline constexpr const char* kNoTarget = "none";
+
+// Not thread safe; used on the data thread.
+class Dialect
+{
+public:
+  virtual ~Dialect() = default;
+
+  // Selects the route and fills aCall; returns the outcome when the request is
+  // rejected. The body is moved out of aRequest.
+  virtual std::optional<Outcome> ParseCall(net::HttpRequest&& aRequest,
+                                           const routing::View& aView,
+                                           const CallerInfo& aCaller,
+                                           TimePoint aNow,
+                                           ParsedCall& aCall) = 0;
+  // Answer that the target gave.
+  virtual net::HttpResponse TargetAnswer(Outcome aOutcome,
+                                         wire::CallResponse&& aResponse,
+                                         const std::string& aTarget) const = 0;
+  virtual net::HttpResponse OwnAnswer(const OwnReply& aReply) const = 0;
+  // Fields of answers that the HTTP server gives by itself.
+  virtual std::vector<net::HttpField> RejectFields() const = 0;
+
+  // Fields that the target's node adds to the request; aLeft is the time until
+  // the deadline, aInstance the target's own id.
+  virtual std::vector<wire::HeaderField> TargetFields(
+    const wire::CallRequest& aRequest,
+    Duration aLeft,
+    const std::string& aInstance) const = 0;
+  // The target itself says that it did not run the request.
+  virtual bool IsShed(int aStatus,
+                      const std::vector<wire::HeaderField>& aFields) const = 0;
+  // False when the answer names another request than this one.
+  virtual bool BelongsTo(
+    const wire::CallRequest& aRequest,
+    const std::vector<wire::HeaderField>& aFields) const = 0;
+};
+
+// ---- Helpers for dialects --------------------------------------------------
+
+// Removes fields that concern one connection only and those that frame the
+// message, which is framed anew. An answer to HEAD keeps its Content-Length: it
+// describes a body that is not sent.
+void StripHopByHop(std::vector<wire::HeaderField>& aFields,
+                   bool aKeepLength = false);
+
+// Whole number from 0; nothing when the text is anything else.
+std::optional<int64_t> ParseNumber(const std::string& aText);
+
+wire::HeaderField MakeField(const std::string& aName, std::string aValue);
+
+// Value of the first field of that name (case-insensitive), or nullptr.
+const std::string* FindField(const std::vector<wire::HeaderField>& aFields,
+                             const std::string& aName);
+
+} // namespace wigeonfold::forwarding
--- a/libs/forwarding/include/wigeonfold/forwarding/Outcome.h
+++ b/libs/forwarding/include/wigeonfold/forwarding/Outcome.h
@@ -16,8 +16,9 @@
 {
   // The target gave an answer.
   Answered,
-  Shed, // 503 with "Wigeonfold-Run: not-run" from the target
-        // Rejected at the caller's node.
+  AnsweredFailure, // an answer with a 5xx status: the target ran it in vain
+  Shed,            // the target says that it did not run the request
+                   // Rejected at the caller's node.
   NoConfiguration,
   Overloaded, // too many bytes of requests in memory
   NoRoute,
@@ -65,6 +66,9 @@
 // one that contradicts the run state, becomes a generic outcome of that state.
 Outcome OutcomeFromPeer(wire::RunState::type aRun, std::string_view aReason);
 
+// Whether an attempt that ended so may have reached its target.
+bool MayHaveArrived(Outcome aOutcome);
+
 Outcome OutcomeOf(admission::RejectReason aReason);
 
 // Value of the Wigeonfold-Run header.
--- a/libs/forwarding/include/wigeonfold/forwarding/RetryBudget.h
+++ b/libs/forwarding/include/wigeonfold/forwarding/RetryBudget.h
@@ -17,10 +17,11 @@
   bool TryRetry(int aPercent);
 
   // A service with little traffic may retry this often before first attempts
-  // have paid for it.
-  static constexpr int64_t kReserve = 10;
-  // Unused retries kept for a burst of failures.
-  static constexpr int64_t kMaxSaved = 100;
+  // have paid for it. Each node of a fleet has a reserve, so it is small.
+  static constexpr int64_t kReserve = 2;
+  // Unused retries kept for a burst of failures; the fleet's budget is the sum
+  // over its nodes.
+  static constexpr int64_t kMaxSaved = 3;
 
 private:
   int64_t m_hundredths = kReserve * 100;
--- a/libs/forwarding/include/wigeonfold/forwarding/TargetCall.h
+++ b/libs/forwarding/include/wigeonfold/forwarding/TargetCall.h
@@ -20,6 +20,14 @@
   std::optional<Outcome> m_end;
 };
 
+// What the target's answer says of the request.
+enum class AnswerKind
+{
+  Final,
+  Failure, // the target ran it and failed; another target may do better
+  Shed,    // the target did not run it
+};
+
 // Follows one request from admission to the target's answer. Reports "not run"
 // only when no byte of it was written, or the target itself said so. After a
 // step with m_end every further event is ignored. Deterministic; not thread
@@ -33,9 +41,9 @@
   TargetStep OnRejected(admission::RejectReason aReason);
   TargetStep OnConnected(TimePoint aNow);
   TargetStep OnConnectFailed();
-  // The target's whole answer. aShed: it said that it did not run the request.
-  // aReusable: the connection is left in a known state.
-  TargetStep OnAnswer(bool aShed, bool aReusable);
+  // The target's whole answer. aReusable: the connection is left in a known
+  // state.
+  TargetStep OnAnswer(AnswerKind aKind, bool aReusable);
   // The answer is too large or may have been cut short.
   TargetStep OnUnusableAnswer();
   // aAnyByteWritten is false only when the system took no byte at all.
--- a/libs/forwarding/src/Call.cpp
+++ b/libs/forwarding/src/Call.cpp
@@ -62,6 +62,8 @@
   if (info.m_run == RunState::Unknown && !m_unknown) {
     m_unknown = aOutcome;
   }
+  m_failureAnswered |= aOutcome == Outcome::AnsweredFailure;
+  ++(MayHaveArrived(aOutcome) ? m_arrivals : m_refusals);
   if (!m_outstanding.empty()) {
     return {};
   }
@@ -99,23 +101,24 @@
 
 bool Call::MayRetry(Outcome aOutcome, TimePoint aNow) const
 {
-  const bool mayHaveRun = m_unknown.has_value();
+  const bool mayHaveRun = m_unknown.has_value() || m_failureAnswered;
   return InfoOf(aOutcome).m_elsewhere && aNow < m_spec.m_deadline &&
          (!mayHaveRun || m_spec.m_idempotent);
 }
 
-// Next attempt at an endpoint not tried yet; every one after the first is
-// paid from the retry budget.
+// Next attempt at an endpoint not tried yet.
 std::optional<StartAttempt> Call::StartNext(TimePoint aNow)
 {
   const int number = static_cast<int>(m_tried.size());
-  if (number >= m_route.m_maxAttempts) {
+  const size_t arrivals = m_arrivals + m_outstanding.size();
+  if (arrivals >= static_cast<size_t>(m_spec.m_maxAttempts) ||
+      m_refusals > kMaxRefusals) {
     return std::nullopt;
   }
   const routing::Endpoint* endpoint =
     m_context.m_chooser.Choose(m_route, m_tried, m_context.m_tracker, aNow);
   if (endpoint == nullptr ||
-      (number > 0 && !m_budget.TryRetry(m_route.m_retryBudgetPercent))) {
+      (arrivals > 0 && !m_budget.TryRetry(m_route.m_retryBudgetPercent))) {
     return std::nullopt;
   }
   m_tried.push_back(endpoint->m_nodeName);
@@ -140,6 +143,9 @@
   m_over = true;
   const bool claimsNotRun = InfoOf(aOutcome).m_run == RunState::NotRun;
   step.m_end = claimsNotRun && m_unknown ? *m_unknown : aOutcome;
+  if (m_failureAnswered && aOutcome != Outcome::Answered) {
+    step.m_end = Outcome::AnsweredFailure;
+  }
   return step;
 }
 
--- a/apps/wigeonfold-node/Translate.cpp
+++ b/libs/forwarding/src/NativeDialect.cpp
@@ -1,15 +1,9 @@
-#include "Translate.h"
+#include "wigeonfold/forwarding/NativeDialect.h"
 
 #include <algorithm>
-#include <array>
 #include <boost/algorithm/string.hpp>
-#include <boost/beast/http/status.hpp>
-#include <charconv>
 
-namespace wigeonfold::node {
-
-using forwarding::Outcome;
-using namespace std::chrono_literals;
+namespace wigeonfold::forwarding {
 
 namespace {
 
@@ -17,65 +11,7 @@
 // Longer deadlines are cut; the bound keeps time arithmetic in range.
 constexpr int64_t kMaxDeadlineMs = 3'600'000;
 
-constexpr std::array kHopByHop{
-  "connection",
-  "keep-alive",
-  "proxy-connection",
-  "te",
-  "trailer",
-  "transfer-encoding",
-  "upgrade",
-  "content-length",
-  "expect",
-  "proxy-authenticate",
-  "proxy-authorization",
-};
-
-bool IsOneOf(const std::string& aName, const std::vector<std::string>& aNames)
-{
-  return std::any_of(
-    aNames.begin(), aNames.end(), [&aName](const std::string& aOther) {
-      return boost::iequals(aName, aOther);
-    });
-}
-
-bool IsHopByHop(const std::string& aName)
-{
-  return std::any_of(
-    kHopByHop.begin(), kHopByHop.end(), [&aName](const char* aOther) {
-      return boost::iequals(aName, aOther);
-    });
-}
-
-// Names listed in Connection fields.
-std::vector<std::string> ConnectionNames(
-  const std::vector<wire::HeaderField>& aFields)
-{
-  std::vector<std::string> names;
-  for (const wire::HeaderField& field : aFields) {
-    if (boost::iequals(field.name, "connection")) {
-      std::vector<std::string> part;
-      boost::split(part, field.value, boost::is_any_of(","));
-      for (std::string& name : part) {
-        boost::trim(name);
-        names.push_back(std::move(name));
-      }
-    }
-  }
-  return names;
-}
-
-// Whole number from 0; nothing when the text is anything else.
-std::optional<int64_t> ParseNumber(const std::string& aText)
-{
-  int64_t value = 0;
-  const char* end = aText.data() + aText.size();
-  const auto [rest, error] = std::from_chars(aText.data(), end, value);
-  if (error != std::errc() || rest != end || value < 0) {
-    return std::nullopt;
-  }
-  return value;
-}
+constexpr int kShedStatus = 503;
 
 // The Wigeonfold fields of a request.
 struct Metadata
@@ -149,24 +85,37 @@
   return std::find(methods.begin(), methods.end(), aMethod) != methods.end();
 }
 
-} // namespace
-
-void StripHopByHop(std::vector<wire::HeaderField>& aFields, bool aKeepLength)
+class NativeDialect : public Dialect
 {
-  const std::vector<std::string> named = ConnectionNames(aFields);
-  const auto end = std::remove_if(
-    aFields.begin(), aFields.end(), [&](const wire::HeaderField& aField) {
-      const bool kept =
-        aKeepLength && boost::iequals(aField.name, "content-length");
-      return !kept && (IsHopByHop(aField.name) || IsOneOf(aField.name, named));
-    });
-  aFields.erase(end, aFields.end());
-}
+public:
+  std::optional<Outcome> ParseCall(net::HttpRequest&& aRequest,
+                                   const routing::View& aView,
+                                   const CallerInfo& aCaller,
+                                   TimePoint aNow,
+                                   ParsedCall& aCall) override;
+  net::HttpResponse TargetAnswer(Outcome aOutcome,
+                                 wire::CallResponse&& aResponse,
+                                 const std::string& aTarget) const override;
+  net::HttpResponse OwnAnswer(const OwnReply& aReply) const override;
+  std::vector<net::HttpField> RejectFields() const override;
+  std::vector<wire::HeaderField> TargetFields(
+    const wire::CallRequest& aRequest,
+    Duration aLeft,
+    const std::string& aInstance) const override;
+  bool IsShed(int aStatus,
+              const std::vector<wire::HeaderField>& aFields) const override;
+  bool BelongsTo(const wire::CallRequest&,
+                 const std::vector<wire::HeaderField>&) const override
+  {
+    return true; // answers name no request
+  }
+};
 
-std::optional<Outcome> ParseCall(net::HttpRequest&& aRequest,
-                                 const routing::View& aView,
-                                 TimePoint aNow,
-                                 ParsedCall& aCall)
+std::optional<Outcome> NativeDialect::ParseCall(net::HttpRequest&& aRequest,
+                                                const routing::View& aView,
+                                                const CallerInfo&,
+                                                TimePoint aNow,
+                                                ParsedCall& aCall)
 {
   Metadata data;
   if (aRequest.m_target.empty() || aRequest.m_target.front() != '/' ||
@@ -180,6 +129,7 @@
   if (aCall.m_route == nullptr) {
     return Outcome::NoRoute;
   }
+  aCall.m_maxAttempts = aCall.m_route->m_maxAttempts;
   aCall.m_deadline = aNow + aCall.m_route->m_requestTimeout;
   if (data.m_deadlineMs) {
     aCall.m_deadline = aNow + std::chrono::milliseconds(
@@ -198,9 +148,9 @@
   return std::nullopt;
 }
 
-net::HttpResponse TargetAnswer(Outcome aOutcome,
-                               wire::CallResponse&& aResponse,
-                               const std::string& aTarget)
+net::HttpResponse NativeDialect::TargetAnswer(Outcome aOutcome,
+                                              wire::CallResponse&& aResponse,
+                                              const std::string& aTarget) const
 {
   net::HttpResponse answer;
   answer.m_status = aResponse.status;
@@ -219,13 +169,13 @@
   return answer;
 }
 
-net::HttpResponse OwnAnswer(Outcome aOutcome, const std::string& aTarget)
+net::HttpResponse NativeDialect::OwnAnswer(const OwnReply& aReply) const
 {
-  const forwarding::OutcomeInfo& info = InfoOf(aOutcome);
+  const forwarding::OutcomeInfo& info = InfoOf(aReply.m_outcome);
   net::HttpResponse answer;
   answer.m_status = info.m_status;
   answer.m_fields = { { kRunHeader, forwarding::RunText(info.m_run) },
-                      { kTargetHeader, aTarget },
+                      { kTargetHeader, aReply.m_target },
                       { kReasonHeader, info.m_reason },
                       { "Content-Type", "text/plain" } };
   if (info.m_retryAfter) {
@@ -236,10 +186,39 @@
   return answer;
 }
 
-std::vector<net::HttpField> RejectFields()
+std::vector<net::HttpField> NativeDialect::RejectFields() const
 {
   return { { kRunHeader, forwarding::RunText(wire::RunState::NotRun) },
            { kTargetHeader, kNoTarget } };
 }
 
-} // namespace wigeonfold::node
+std::vector<wire::HeaderField> NativeDialect::TargetFields(
+  const wire::CallRequest& aRequest,
+  Duration aLeft,
+  const std::string&) const
+{
+  const int64_t left = std::max<int64_t>(1, ToMilliseconds(aLeft));
+  std::vector<wire::HeaderField> fields;
+  fields.push_back(MakeField(kDeadlineHeader, std::to_string(left)));
+  fields.push_back(MakeField(kDepthHeader, std::to_string(aRequest.depth)));
+  if (!aRequest.office.empty()) {
+    fields.push_back(MakeField(kAccountHeader, aRequest.office));
+  }
+  return fields;
+}
+
+bool NativeDialect::IsShed(int aStatus,
+                           const std::vector<wire::HeaderField>& aFields) const
+{
+  const std::string* run = FindField(aFields, kRunHeader);
+  return aStatus == kShedStatus && run != nullptr && *run == "not-run";
+}
+
+} // namespace
+
+std::unique_ptr<Dialect> MakeNativeDialect()
+{
+  return std::make_unique<NativeDialect>();
+}
+
+} // namespace wigeonfold::forwarding
--- a/libs/forwarding/src/Outcome.cpp
+++ b/libs/forwarding/src/Outcome.cpp
@@ -17,6 +17,7 @@
   static const std::vector<OutcomeInfo> table{
     // outcome                        reason                  run      status Retry-After elsewhere result
     { Outcome::Answered,             "answered",              RunState::Run,     0,   false, false, Result::Answered },
+    { Outcome::AnsweredFailure,      "answered-failure",      RunState::Run,     0,   false, true,  Result::Answered },
     { Outcome::Shed,                 "shed",                  RunState::NotRun,  503, false, true,  Result::Refused },
     { Outcome::NoConfiguration,      "no-configuration",      RunState::NotRun,  503, true,  true,  Result::Draining },
     { Outcome::Overloaded,           "node-overloaded",       RunState::NotRun,  503, true,  true,  Result::Refused },
@@ -53,7 +54,9 @@
 Outcome OutcomeFromPeer(RunState::type aRun, std::string_view aReason)
 {
   if (aRun == RunState::Run) {
-    return Outcome::Answered;
+    return aReason == InfoOf(Outcome::AnsweredFailure).m_reason
+             ? Outcome::AnsweredFailure
+             : Outcome::Answered;
   }
   const auto& table = OutcomeTable();
   const auto row =
@@ -67,6 +70,12 @@
                                   : Outcome::TargetLost;
 }
 
+bool MayHaveArrived(Outcome aOutcome)
+{
+  return InfoOf(aOutcome).m_run != RunState::NotRun ||
+         aOutcome == Outcome::Shed;
+}
+
 Outcome OutcomeOf(admission::RejectReason aReason)
 {
   switch (aReason) {
--- a/libs/forwarding/src/TargetCall.cpp
+++ b/libs/forwarding/src/TargetCall.cpp
@@ -48,12 +48,15 @@
                                       : TargetStep{};
 }
 
-TargetStep TargetCall::OnAnswer(bool aShed, bool aReusable)
+TargetStep TargetCall::OnAnswer(AnswerKind aKind, bool aReusable)
 {
   if (m_state != State::Written) {
     return {};
   }
-  TargetStep step = End(aShed ? Outcome::Shed : Outcome::Answered);
+  TargetStep step =
+    End(aKind == AnswerKind::Shed      ? Outcome::Shed
+        : aKind == AnswerKind::Failure ? Outcome::AnsweredFailure
+                                       : Outcome::Answered);
   step.m_keep = aReusable;
   step.m_close = !aReusable;
   return step;
--- a/libs/net/include/wigeonfold/net/Http.h
+++ b/libs/net/include/wigeonfold/net/Http.h
@@ -71,11 +71,13 @@
   virtual size_t Connections() const = 0;
 };
 
-// Bounds on connections, for servers that stand for a limited target.
+// Bounds of a server; those on connections are for one that stands for a
+// limited target.
 struct HttpLimits
 {
   size_t m_connections = 0; // further ones are closed at once; 0: no limit
   Duration m_connectionCost = Duration::zero(); // delay before the first read
+  size_t m_bodyBytes = kMaxBodyBytes;           // greatest body that is taken
 };
 
 // Fails with Io when the address can't be bound. aRejectFields are added to
--- a/libs/net/src/Http.cpp
+++ b/libs/net/src/Http.cpp
@@ -249,7 +249,7 @@
     }
   }
   m_parser.emplace();
-  m_parser->body_limit(kMaxBodyBytes);
+  m_parser->body_limit(m_server->m_limits.m_bodyBytes);
   m_stream.expires_after(kIdleTimeout);
   m_reading = true;
   http::async_read(m_stream,
--- a/libs/net/src/HttpPool.cpp
+++ b/libs/net/src/HttpPool.cpp
@@ -221,7 +221,7 @@
   m_request = ToBeast(m_call.m_request, m_pool->m_address);
   m_busy = true;
   m_sent = false;
-  m_stream.expires_at(m_call.m_expires);
+  m_stream.expires_after(m_call.m_expires - Clock::now());
   if (m_stream.socket().is_open()) {
     Write();
   } else {
--- a/libs/registry/include/wigeonfold/registry/Registry.h
+++ b/libs/registry/include/wigeonfold/registry/Registry.h
@@ -37,6 +37,8 @@
 struct RegistryView
 {
   std::string m_clusterId;
+  int64_t m_label = 0;     // of the newest release; 0 before the first one
+  int64_t m_baseLabel = 0; // of the release that it was based on
   std::shared_ptr<const settings::Tree> m_tree;
   std::vector<HistoryEntryPtr> m_history; // oldest first
 };
@@ -61,6 +63,8 @@
   const std::string& ClusterId() const { return m_clusterId; }
   const std::shared_ptr<const settings::Tree>& Newest() const { return m_tree; }
   Version At() const { return m_tree->At(); }
+  // Label of the newest release; 0 before the first one.
+  int64_t Label() const { return m_label; }
   // The first answer to a change, or nullptr when its id is not remembered.
   const wire::AcceptResult* FindResult(const std::string& aChangeId) const;
   RegistryView View() const;
@@ -92,6 +96,8 @@
 
   RegistryLimits m_limits;
   std::string m_clusterId;
+  int64_t m_label = 0;
+  int64_t m_baseLabel = 0;
   std::shared_ptr<const settings::Tree> m_tree;
   std::unordered_map<std::string, Remembered> m_results;
   std::deque<std::string> m_resultOrder; // oldest first
--- a/libs/registry/src/Json.cpp
+++ b/libs/registry/src/Json.cpp
@@ -38,6 +38,8 @@
                { "key", aOperation.key } };
     case wire::OperationKind::RemoveBranch:
       return { { "op", "remove" }, { "path", aOperation.path } };
+    case wire::OperationKind::ClearBranch:
+      return { { "op", "clear" }, { "path", aOperation.path } };
   }
   return { { "op", "unknown" } };
 }
--- a/libs/registry/src/OperatorChange.cpp
+++ b/libs/registry/src/OperatorChange.cpp
@@ -58,8 +58,10 @@
     operation.key = reader.Text("key", kMaxKeyBytes, true);
   } else if (kind == "remove") {
     operation.kind = wire::OperationKind::RemoveBranch;
+  } else if (kind == "clear") {
+    operation.kind = wire::OperationKind::ClearBranch;
   } else {
-    reader.AddProblem("op", "not set, unset or remove");
+    reader.AddProblem("op", "not set, unset, remove or clear");
     return operation;
   }
   reader.Finish();
--- a/libs/registry/src/OperatorRead.cpp
+++ b/libs/registry/src/OperatorRead.cpp
@@ -131,6 +131,12 @@
       return aPath.empty() || first == settings::kServices;
     case Scope::Offices:
       return aPath.empty() || first == settings::kOffices;
+    case Scope::OneRoute:
+      return first == settings::kRoutes && aPath != first;
+    case Scope::Routes:
+      return aPath.empty() || first == settings::kRoutes;
+    case Scope::Root:
+      return aPath.empty();
   }
   return false;
 }
--- a/libs/registry/src/Registry.cpp
+++ b/libs/registry/src/Registry.cpp
@@ -179,8 +179,14 @@
 
 wire::AcceptResult Registry::Decide(const wire::Change& aChange)
 {
-  const Version base = wire::FromWire(aChange.base);
-  if (base != At()) {
+  // Operators number releases themselves; an invalid number or an old base
+  // loses as an old base version does.
+  const bool isRelease = aChange.label != 0;
+  const Version base = isRelease ? At() : wire::FromWire(aChange.base);
+  const bool fits = isRelease
+                      ? aChange.baseLabel == m_label && aChange.label > m_label
+                      : base == At();
+  if (!fits) {
     return Conflict(*m_tree, base);
   }
   const Version nextVersion{ base.m_generation, base.m_number + 1 };
@@ -208,6 +214,10 @@
   Append(std::move(entry));
   m_tree = std::make_shared<const Tree>(
     aNext.WithTombstoneLimit(m_limits.m_tombstones));
+  if (aChange.label != 0) {
+    m_label = aChange.label;
+    m_baseLabel = aChange.baseLabel;
+  }
 }
 
 void Registry::Remember(const std::string& aChangeId, Remembered aRemembered)
@@ -244,7 +254,7 @@
 
 RegistryView Registry::View() const
 {
-  RegistryView view{ m_clusterId, m_tree, {} };
+  RegistryView view{ m_clusterId, m_label, m_baseLabel, m_tree, {} };
   view.m_history.reserve(m_history.size());
   for (const Accepted& accepted : m_history) {
     view.m_history.push_back(accepted.m_entry);
@@ -258,6 +268,8 @@
 {
   wire::RegistrySnapshot snapshot;
   snapshot.clusterId = m_clusterId;
+  snapshot.label = m_label;
+  snapshot.baseLabel = m_baseLabel;
   snapshot.version = wire::ToWire(At());
   snapshot.branches = m_tree->Export();
   snapshot.tombstoneHorizon = wire::ToWire(m_tree->Horizon());
@@ -297,6 +309,8 @@
   }
   Registry registry(aLimits);
   registry.m_clusterId = snapshot.clusterId;
+  registry.m_label = snapshot.label;
+  registry.m_baseLabel = snapshot.baseLabel;
   registry.m_tree = std::make_shared<const Tree>(std::move(tree.value()));
   for (wire::RememberedResult& result : snapshot.results) {
     if (registry.m_results.count(result.changeId) > 0) {
--- a/libs/routing/include/wigeonfold/routing/View.h
+++ b/libs/routing/include/wigeonfold/routing/View.h
@@ -39,9 +39,30 @@
   int m_spillPercent = 100;
   int m_ejectFailures = 1;
   Duration m_ejectDuration{};
+  int m_targetConnections = 1; // at one target
   std::vector<Endpoint> m_endpoints;
 };
 
+// A service's part of a route.
+struct RoutePart
+{
+  const ServiceRoute* m_service = nullptr;
+  int64_t m_weight = 1;
+};
+
+// A route that is selected by host and path prefix.
+struct RequestRoute
+{
+  std::string m_name;
+  std::string m_pathPrefix; // begins and ends with a slash
+  bool m_idempotent = false;
+  int m_maxAttempts = 1;
+  int m_priority = 0; // 0 is the highest rank
+  Duration m_timeout{};
+  Duration m_objective{};         // zero: none
+  std::vector<RoutePart> m_parts; // not empty
+};
+
 // An office on the path from the top of the tree to a caller's office.
 struct OfficeLevel
 {
@@ -65,6 +86,10 @@
   // Service with the longest prefix of aTarget that ends at a path segment;
   // nullptr when none matches. aTarget is a request target, with query.
   const ServiceRoute* Match(std::string_view aTarget) const;
+  // Route of that host with the longest prefix that begins aTarget's path;
+  // nullptr when none matches. aHost may carry a port.
+  const RequestRoute* MatchHost(std::string_view aHost,
+                                std::string_view aTarget) const;
   // nullptr when the settings tree has no such service.
   const ServiceRoute* Find(const std::string& aService) const;
 
@@ -79,9 +104,13 @@
   size_t EndpointCount() const { return m_endpointCount; }
 
 private:
+  void ReadRoutes();
+
   settings::Tree m_tree;
   std::map<std::string, ServiceRoute> m_services;
   std::unordered_map<std::string, const ServiceRoute*> m_prefixes;
+  // By host in lower case; longer prefixes first.
+  std::unordered_map<std::string, std::vector<RequestRoute>> m_hosts;
   size_t m_endpointCount = 0;
 };
 
--- /dev/null
+++ b/libs/routing/src/Splitter.cpp
@@ -0,0 +1,60 @@
+#include "wigeonfold/routing/Splitter.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace wigeonfold::routing {
+
+namespace {
+
+// Random steps that set the phase of a new split.
+constexpr int kMaxPhase = 100;
+// Routes that are gone are forgotten when the table reaches this size.
+constexpr size_t kMaxStates = 10'000;
+
+} // namespace
+
+Splitter::Splitter(uint64_t aSeed)
+  : m_random(aSeed)
+{
+}
+
+const ServiceRoute& Splitter::Next(const RequestRoute& aRoute)
+{
+  if (aRoute.m_parts.size() == 1) {
+    return *aRoute.m_parts.front().m_service;
+  }
+  std::vector<int64_t> weights;
+  weights.reserve(aRoute.m_parts.size());
+  for (const RoutePart& part : aRoute.m_parts) {
+    weights.push_back(part.m_weight);
+  }
+  if (m_states.size() >= kMaxStates && m_states.count(aRoute.m_name) == 0) {
+    m_states.clear();
+  }
+  State& state = m_states[aRoute.m_name];
+  if (state.m_weights != weights) {
+    state.m_credits.assign(weights.size(), 0);
+    state.m_weights = std::move(weights);
+    std::uniform_int_distribution<int> phase(0, kMaxPhase);
+    for (int left = phase(m_random); left > 0; --left) {
+      Step(state);
+    }
+  }
+  return *aRoute.m_parts[Step(state)].m_service;
+}
+
+size_t Splitter::Step(State& aState)
+{
+  const int64_t total = std::accumulate(
+    aState.m_weights.begin(), aState.m_weights.end(), int64_t{ 0 });
+  for (size_t i = 0; i < aState.m_credits.size(); ++i) {
+    aState.m_credits[i] += aState.m_weights[i];
+  }
+  const auto best =
+    std::max_element(aState.m_credits.begin(), aState.m_credits.end());
+  *best -= total;
+  return static_cast<size_t>(best - aState.m_credits.begin());
+}
+
+} // namespace wigeonfold::routing
--- a/libs/routing/src/View.cpp
+++ b/libs/routing/src/View.cpp
@@ -1,5 +1,10 @@
 #include "wigeonfold/routing/View.h"
 
+#include "wigeonfold/settings/Schema.h"
+
+#include <algorithm>
+#include <boost/algorithm/string.hpp>
+
 namespace wigeonfold::routing {
 
 namespace {
@@ -26,6 +31,7 @@
   route.m_spillPercent = number("zone.spill-percent");
   route.m_ejectFailures = number("eject.failures");
   route.m_ejectDuration = aTree.Time(path, "eject.duration");
+  route.m_targetConnections = number("target.connections");
   return route;
 }
 
@@ -90,9 +96,64 @@
                       place->second->m_name };
     }
   }
+  view->ReadRoutes();
   return std::shared_ptr<const View>(std::move(view));
 }
 
+void View::ReadRoutes()
+{
+  for (const std::string& name : m_tree.Children(settings::kRoutes)) {
+    const std::string path = settings::JoinPath(settings::kRoutes, name);
+    RequestRoute route;
+    route.m_name = name;
+    route.m_pathPrefix = m_tree.Text(path, "route.path");
+    route.m_idempotent = m_tree.Boolean(path, "route.idempotent");
+    route.m_maxAttempts =
+      static_cast<int>(m_tree.Integer(path, "route.attempts"));
+    route.m_priority = static_cast<int>(m_tree.Integer(path, "route.priority"));
+    route.m_timeout = m_tree.Time(path, "route.timeout");
+    route.m_objective = m_tree.Time(path, "route.objective");
+    const auto shares =
+      settings::ParseShares(m_tree.Text(path, "route.services"));
+    for (const settings::WeightedService& share :
+         shares.value_or(std::vector<settings::WeightedService>{})) {
+      if (const ServiceRoute* service = Find(share.m_service)) {
+        route.m_parts.push_back({ service, share.m_weight });
+      }
+    }
+    if (!route.m_parts.empty()) {
+      m_hosts[boost::to_lower_copy(m_tree.Text(path, "route.host"))].push_back(
+        std::move(route));
+    }
+  }
+  for (auto& [host, routes] : m_hosts) {
+    std::stable_sort(routes.begin(),
+                     routes.end(),
+                     [](const RequestRoute& aLeft, const RequestRoute& aRight) {
+                       return aLeft.m_pathPrefix.size() >
+                              aRight.m_pathPrefix.size();
+                     });
+  }
+}
+
+const RequestRoute* View::MatchHost(std::string_view aHost,
+                                    std::string_view aTarget) const
+{
+  const std::string host =
+    boost::to_lower_copy(std::string(aHost.substr(0, aHost.find(':'))));
+  const auto found = m_hosts.find(host);
+  if (found == m_hosts.end()) {
+    return nullptr;
+  }
+  const std::string_view path = aTarget.substr(0, aTarget.find_first_of("?#"));
+  for (const RequestRoute& route : found->second) {
+    if (boost::starts_with(path, route.m_pathPrefix)) {
+      return &route;
+    }
+  }
+  return nullptr;
+}
+
 const ServiceRoute* View::Match(std::string_view aTarget) const
 {
   std::string_view path = aTarget.substr(0, aTarget.find_first_of("?#"));
--- /dev/null
+++ b/libs/routing/test/Splitter_test.cpp
@@ -0,0 +1,103 @@
+// Guards against splits that drift from their weights, also when the weights
+// change while requests arrive, and against routes that match the wrong host or
+// a shorter prefix.
+#include "wigeonfold/routing/Splitter.h"
+
+#include <gtest/gtest.h>
+#include <map>
+#include <rapidcheck/gtest.h>
+
+namespace wigeonfold::routing {
+namespace {
+
+class Split : public testing::Test
+{
+protected:
+  RequestRoute Route(const std::vector<int64_t>& aWeights)
+  {
+    RequestRoute route;
+    route.m_name = "r";
+    m_services.resize(aWeights.size());
+    for (size_t i = 0; i < aWeights.size(); ++i) {
+      m_services[i].m_name = std::to_string(i);
+      route.m_parts.push_back({ &m_services[i], aWeights[i] });
+    }
+    return route;
+  }
+
+  std::vector<ServiceRoute> m_services;
+};
+
+RC_GTEST_FIXTURE_PROP(Split, KeepsSharesToWithinOneRequestEach, ())
+{
+  auto weights =
+    *rc::gen::container<std::vector<int64_t>>(rc::gen::inRange(0, 100));
+  weights.push_back(1);
+  const RequestRoute route = Route(weights);
+  Splitter splitter(*rc::gen::arbitrary<uint64_t>());
+  constexpr int kRequests = 400;
+  std::map<std::string, int> counts;
+  for (int i = 0; i < kRequests; ++i) {
+    ++counts[splitter.Next(route).m_name];
+  }
+  double total = 0;
+  for (const int64_t weight : weights) {
+    total += static_cast<double>(weight);
+  }
+  const auto slack = static_cast<double>(weights.size());
+  for (size_t i = 0; i < weights.size(); ++i) {
+    const double wanted = kRequests * static_cast<double>(weights[i]) / total;
+    RC_ASSERT(std::abs(counts[std::to_string(i)] - wanted) <= slack);
+  }
+}
+
+TEST_F(Split, FollowsChangedWeightsAtOnce)
+{
+  Splitter splitter(1);
+  const RequestRoute before = Route({ 100, 0 });
+  EXPECT_EQ(splitter.Next(before).m_name, "0");
+  const RequestRoute after = Route({ 0, 100 });
+  EXPECT_EQ(splitter.Next(after).m_name, "1");
+}
+
+// ---- Matching --------------------------------------------------------------
+
+wire::Operation Set(const std::string& aPath,
+                    const std::string& aKey,
+                    const std::string& aValue)
+{
+  wire::Operation operation;
+  operation.kind = wire::OperationKind::Set;
+  operation.path = aPath;
+  operation.key = aKey;
+  operation.value = aValue;
+  return operation;
+}
+
+TEST(HostRoutes, TheLongestPrefixOfTheHostWins)
+{
+  const auto tree =
+    settings::Tree().Apply({ Set("services/s", "health.path", "/h"),
+                             Set("routes/short", "route.host", "a.example"),
+                             Set("routes/short", "route.path", "/x/"),
+                             Set("routes/short", "route.services", "s"),
+                             Set("routes/long", "route.host", "A.example"),
+                             Set("routes/long", "route.path", "/x/y/"),
+                             Set("routes/long", "route.services", "s:1") },
+                           Version{ 1, 1 });
+  ASSERT_TRUE(tree) << tree.error().ToString();
+  const auto view = View::Build(tree.value(), {});
+  ASSERT_TRUE(view);
+  const auto name = [&](const char* aHost, const char* aTarget) {
+    const RequestRoute* route = view.value()->MatchHost(aHost, aTarget);
+    return route == nullptr ? "" : route->m_name;
+  };
+  EXPECT_EQ(name("a.example", "/x/1"), "short");
+  EXPECT_EQ(name("a.example:80", "/x/y/1?q=/"), "long");
+  EXPECT_EQ(name("A.EXAMPLE", "/x/y/"), "long");
+  EXPECT_EQ(name("a.example", "/x"), "");
+  EXPECT_EQ(name("b.example", "/x/1"), "");
+}
+
+} // namespace
+} // namespace wigeonfold::routing
--- a/libs/settings/include/wigeonfold/settings/Schema.h
+++ b/libs/settings/include/wigeonfold/settings/Schema.h
@@ -17,6 +17,10 @@
   Integer,      // whole number within the range
   Boolean,      // "true" or "false"
   Methods,      // HTTP methods in capitals, separated by commas; may be empty
+  Prefix,       // "/" or "/a/b/": begins and ends with a slash
+  Host,         // a host name without a port
+  Word,         // letters, digits, '.', '_' or '-'
+  Shares,       // "a:90,b:10": names below services with their weights
 };
 
 // Where a key may be set. A key is refused where no process would read it.
@@ -26,6 +30,9 @@
   OneTarget,  // targets/<node name>
   Services,   // the root, services, services/<name>
   Offices,    // the root, offices and all below
+  OneRoute,   // routes/<name>
+  Routes,     // the root, routes, routes/<name>
+  Root,       // the root only
 };
 
 struct KeyInfo
@@ -55,6 +62,7 @@
 inline constexpr const char* kServices = "services";
 inline constexpr const char* kOffices = "offices";
 inline constexpr const char* kTargets = "targets";
+inline constexpr const char* kRoutes = "routes";
 inline constexpr size_t kMaxLevels = 8;
 inline constexpr size_t kMaxSegmentBytes = 64;
 inline constexpr size_t kMaxValueBytes = 1024;
@@ -79,4 +87,20 @@
 std::optional<int64_t> ParseInteger(const std::string& aText);
 std::vector<std::string> SplitList(const std::string& aText);
 
+// A service's part of a route's requests.
+struct WeightedService
+{
+  std::string m_service;
+  int64_t m_weight = 0; // relative to the others' of the route
+
+  bool operator==(const WeightedService&) const = default;
+};
+
+// Parts of a value of type Shares, or nothing when it is malformed: a name
+// twice, a weight that is no whole number from 0 to 1,000,000, or no weight
+// above 0.
+std::optional<std::vector<WeightedService>> ParseShares(
+  const std::string& aText);
+std::string FormatShares(const std::vector<WeightedService>& aShares);
+
 } // namespace wigeonfold::settings
--- a/libs/settings/src/Schema.cpp
+++ b/libs/settings/src/Schema.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr int64_t kMaxTimeMs = 600'000;
+constexpr int64_t kMaxBodyLimit = int64_t{ 1 } << 40;
+constexpr int64_t kMaxWeight = 1'000'000;
 constexpr size_t kMaxMethodBytes = 20;
 
 constexpr const char* kSegmentCharacters =
@@ -70,6 +72,21 @@
   return true;
 }
 
+bool IsPrefix(const std::string& aText)
+{
+  const bool slashes =
+    !aText.empty() && aText.front() == '/' && aText.back() == '/';
+  return slashes && std::all_of(aText.begin(), aText.end(), [](char aByte) {
+           return aByte > ' ' && aByte < '\x7f' && aByte != '?' && aByte != '#';
+         });
+}
+
+bool IsWord(const std::string& aText)
+{
+  return !aText.empty() &&
+         aText.find_first_not_of(kSegmentCharacters) == std::string::npos;
+}
+
 bool IsValid(const KeyInfo& aKey, const std::string& aValue)
 {
   switch (aKey.m_type) {
@@ -84,6 +101,13 @@
       return aValue == "true" || aValue == "false";
     case ValueType::Methods:
       return IsMethodList(aValue);
+    case ValueType::Prefix:
+      return IsPrefix(aValue);
+    case ValueType::Host:
+    case ValueType::Word:
+      return IsWord(aValue);
+    case ValueType::Shares:
+      return ParseShares(aValue).has_value();
   }
   return false;
 }
@@ -102,6 +126,12 @@
       return root || first == kServices;
     case Scope::Offices:
       return root || first == kOffices;
+    case Scope::OneRoute:
+      return first == kRoutes && segments.size() == 2;
+    case Scope::Routes:
+      return root || first == kRoutes;
+    case Scope::Root:
+      return root;
   }
   return false;
 }
@@ -115,10 +145,20 @@
   using enum ValueType;
   // clang-format off
   static const std::vector<KeyInfo> kSchema{
+    { "caller.body-bytes",          Integer,      "bytes", 0, kMaxBodyLimit, "1048576", Scope::Root,
+      "greatest body of a caller's request" },
+    { "caller.header-bytes",        Integer,      "bytes", 256, 1'048'576, "16384", Scope::Root,
+      "greatest head of a caller's request" },
+    { "caller.header-timeout",      Milliseconds, "ms", 1, kMaxTimeMs, "10000", Scope::Root,
+      "time a caller may take for the head of a request" },
+    { "caller.idle-timeout",        Milliseconds, "ms", 1, kMaxTimeMs, "300000", Scope::Root,
+      "time a caller's connection may stay idle" },
     { "eject.duration",             Milliseconds, "ms", 1, kMaxTimeMs, "1000", Scope::Services,
       "duration of an ejection" },
     { "eject.failures",             Integer,      "",   1, 1000,       "5",    Scope::Services,
       "consecutive failures after which a target is ejected" },
+    { "health.path",                Path,         "",   0, 0,          "/health", Scope::Services,
+      "path at which a target reports its health" },
     { "queue.limit",                Integer,      "",   0, 100'000,    "64",   Scope::Services,
       "maximum requests queued at one target's node" },
     { "queue.timeout",              Milliseconds, "ms", 0, kMaxTimeMs, "500",  Scope::Services,
@@ -131,14 +171,36 @@
       "retries allowed as a percentage of first attempts" },
     { "retry.max-attempts",         Integer,      "",   1, 10,         "3",    Scope::Services,
       "maximum attempts per request" },
+    { "route.attempts",             Integer,      "",   1, 10,         "2",    Scope::Routes,
+      "maximum targets to which one request may be sent" },
+    { "route.host",                 Host,         "",   0, 0,          "",     Scope::OneRoute,
+      "host that selects the route" },
+    { "route.idempotent",           Boolean,      "",   0, 0,          "false", Scope::Routes,
+      "requests of the route may run more than once" },
+    { "route.objective",            Milliseconds, "ms", 0, kMaxTimeMs, "0",    Scope::Routes,
+      "latency within which an answer has its full value; 0 for none" },
+    { "route.path",                 Prefix,       "",   0, 0,          "/",    Scope::OneRoute,
+      "path prefix that selects the route among those of its host" },
     { "route.prefix",               Path,         "",   0, 0,          "",     Scope::OneService,
       "path prefix that selects the service" },
+    { "route.priority",             Integer,      "",   0, 1000,       "0",    Scope::Routes,
+      "rank of the route's requests; 0 is the highest" },
+    { "route.services",             Shares,       "",   0, 0,          "",     Scope::OneRoute,
+      "services that serve the route, with their weights" },
+    { "route.timeout",              Milliseconds, "ms", 1, kMaxTimeMs, "2000", Scope::Routes,
+      "longest time until the answer" },
     { "share.queue-percent",        Integer,      "%",  1, 100,        "50",   Scope::Offices,
       "maximum part of a queue that one office may occupy" },
     { "share.weight",               Integer,      "",   1, 10'000,     "100",  Scope::Offices,
       "office's fair-queueing weight relative to its siblings" },
+    { "target.connections",         Integer,      "",   1, 60'000,     "1024", Scope::Services,
+      "maximum connections to one target" },
     { "target.drain",               Boolean,      "",   0, 0,          "false", Scope::OneTarget,
       "the node drains its own target while true" },
+    { "target.protocol",            Word,         "",   0, 0,          "h1",   Scope::Services,
+      "protocol that the service's targets speak" },
+    { "target.tls",                 Boolean,      "",   0, 0,          "false", Scope::Services,
+      "the service's targets expect TLS" },
     // Below the last slot of a target with 6 or more, so that a request does
     // not wait for a slot here while another zone has a free one.
     { "zone.spill-percent",         Integer,      "%",  1, 1000,       "80",   Scope::Services,
@@ -173,6 +235,14 @@
       return "true or false";
     case ValueType::Methods:
       return "a list of different HTTP methods in capitals, such as GET,HEAD";
+    case ValueType::Prefix:
+      return "a path prefix that begins and ends with a slash";
+    case ValueType::Host:
+      return "a host name without a port";
+    case ValueType::Word:
+      return "a word of A-Z a-z 0-9 . _ -";
+    case ValueType::Shares:
+      return "a list of services with weights, such as a:90,b:10";
   }
   return "";
 }
@@ -188,6 +258,12 @@
       return "the root, services or services/<name>";
     case Scope::Offices:
       return "the root, offices or a branch below offices";
+    case Scope::OneRoute:
+      return "routes/<name>";
+    case Scope::Routes:
+      return "the root, routes or routes/<name>";
+    case Scope::Root:
+      return "the root";
   }
   return "";
 }
@@ -214,9 +290,10 @@
     return std::nullopt;
   }
   const std::string& first = segments.front();
-  if (first != kServices && first != kOffices && first != kTargets) {
+  if (first != kServices && first != kOffices && first != kTargets &&
+      first != kRoutes) {
     return Quote(aPath) +
-           ": the first segment is not services, offices or targets";
+           ": the first segment is not services, offices, targets or routes";
   }
   if (segments.size() > kMaxLevels) {
     return Quote(aPath) + ": more than " + std::to_string(kMaxLevels) +
@@ -280,4 +357,39 @@
   return items;
 }
 
+std::optional<std::vector<WeightedService>> ParseShares(
+  const std::string& aText)
+{
+  std::vector<WeightedService> shares;
+  std::set<std::string> seen;
+  int64_t total = 0;
+  for (const std::string& item : SplitList(aText)) {
+    const size_t colon = item.find(':');
+    WeightedService share{ item.substr(0, colon), 1 };
+    if (colon != std::string::npos) {
+      const auto weight = ParseInteger(item.substr(colon + 1));
+      if (!weight || *weight < 0 || *weight > kMaxWeight) {
+        return std::nullopt;
+      }
+      share.m_weight = *weight;
+    }
+    if (!IsWord(share.m_service) || !seen.insert(share.m_service).second) {
+      return std::nullopt;
+    }
+    total += share.m_weight;
+    shares.push_back(std::move(share));
+  }
+  return total > 0 ? std::optional(std::move(shares)) : std::nullopt;
+}
+
+std::string FormatShares(const std::vector<WeightedService>& aShares)
+{
+  std::string text;
+  for (const WeightedService& share : aShares) {
+    text += (text.empty() ? "" : ",") + share.m_service + ":" +
+            std::to_string(share.m_weight);
+  }
+  return text;
+}
+
 } // namespace wigeonfold::settings
--- a/libs/settings/src/Tree.cpp
+++ b/libs/settings/src/Tree.cpp
@@ -116,7 +116,10 @@
         Unset(aOperation);
         return;
       case wire::OperationKind::RemoveBranch:
-        Remove(aOperation.path);
+        Remove(aOperation.path, true);
+        return;
+      case wire::OperationKind::ClearBranch:
+        Remove(aOperation.path, false);
         return;
     }
     m_problems.push_back(Place(aOperation.path) + ": unknown operation");
@@ -164,7 +167,7 @@
     }
   }
 
-  void Remove(const std::string& aPath)
+  void Remove(const std::string& aPath, bool aMustExist)
   {
     if (aPath.empty()) {
       m_problems.emplace_back("/: the root cannot be removed");
@@ -187,7 +190,7 @@
       removed = removed || branch.has_value();
       branch.reset();
     }
-    if (!removed) {
+    if (!removed && aMustExist) {
       m_problems.push_back(aPath + ": no such branch");
     }
   }
@@ -221,11 +224,51 @@
   return problems;
 }
 
+std::string ValueOf(const Branch& aBranch, const std::string& aKey)
+{
+  const auto value = aBranch.m_settings.find(aKey);
+  return value == aBranch.m_settings.end() ? "" : value->second;
+}
+
+// A route needs a host and services that exist; no two routes may match the
+// same requests.
+void CheckRoutes(const Tree& aTree, std::vector<std::string>& aProblems)
+{
+  std::map<std::pair<std::string, std::string>, std::string> owners;
+  const auto& branches = aTree.Branches();
+  const std::string routes = std::string(kRoutes) + "/";
+  for (auto place = branches.lower_bound(routes);
+       place != branches.end() && boost::starts_with(place->first, routes);
+       ++place) {
+    const std::string& path = place->first;
+    const std::string host = ValueOf(*place->second, "route.host");
+    const std::string services = ValueOf(*place->second, "route.services");
+    if (host.empty() || services.empty()) {
+      aProblems.push_back(path + ": needs route.host and route.services");
+      continue;
+    }
+    for (const WeightedService& share :
+         ParseShares(services).value_or(std::vector<WeightedService>{})) {
+      if (branches.count(JoinPath(kServices, share.m_service)) == 0) {
+        aProblems.push_back(path + ": no service '" + share.m_service + "'");
+      }
+    }
+    const std::string prefix = aTree.Text(path, "route.path");
+    const auto [owner, added] =
+      owners.emplace(std::make_pair(host, prefix), path);
+    if (!added) {
+      aProblems.push_back(path + ": host '" + host + "' and path '" + prefix +
+                          "' are already those of " + owner->second);
+    }
+  }
+}
+
 // Problems that no single branch shows.
 void CheckCombinations(const Tree& aTree, std::vector<std::string>& aProblems)
 {
   std::map<std::string, std::string> owners;
   const auto& branches = aTree.Branches();
+  CheckRoutes(aTree, aProblems);
   const std::string services = std::string(kServices) + "/";
   for (auto place = branches.lower_bound(services);
        place != branches.end() && boost::starts_with(place->first, services);
--- a/libs/wire/gen/include/wigeonfold/wire/gen/common_types.h
+++ b/libs/wire/gen/include/wigeonfold/wire/gen/common_types.h
@@ -25,7 +25,8 @@
   enum type {
     Set = 1,
     Unset = 2,
-    RemoveBranch = 3
+    RemoveBranch = 3,
+    ClearBranch = 4
   };
 };
 
--- a/libs/wire/gen/include/wigeonfold/wire/gen/control_types.h
+++ b/libs/wire/gen/include/wigeonfold/wire/gen/control_types.h
@@ -40,6 +40,8 @@
 
 class NodeHello;
 
+class ControlEndpoint;
+
 class HelloReply;
 
 class Announce;
@@ -251,20 +253,73 @@
 
 std::ostream& operator<<(std::ostream& out, const NodeHello& obj);
 
+typedef struct _ControlEndpoint__isset {
+  _ControlEndpoint__isset() : nodeAddress(false), availabilityZone(false) {}
+  bool nodeAddress :1;
+  bool availabilityZone :1;
+} _ControlEndpoint__isset;
+
+class ControlEndpoint : public virtual ::apache::thrift::TBase {
+ public:
+
+  ControlEndpoint(const ControlEndpoint&);
+  ControlEndpoint(ControlEndpoint&&) noexcept;
+  ControlEndpoint& operator=(const ControlEndpoint&);
+  ControlEndpoint& operator=(ControlEndpoint&&) noexcept;
+  ControlEndpoint() noexcept
+                  : nodeAddress(),
+                    availabilityZone() {
+  }
+
+  virtual ~ControlEndpoint() noexcept;
+  std::string nodeAddress;
+  std::string availabilityZone;
+
+  _ControlEndpoint__isset __isset;
+
+  void __set_nodeAddress(const std::string& val);
+
+  void __set_availabilityZone(const std::string& val);
+
+  bool operator == (const ControlEndpoint & rhs) const
+  {
+    if (!(nodeAddress == rhs.nodeAddress))
+      return false;
+    if (!(availabilityZone == rhs.availabilityZone))
+      return false;
+    return true;
+  }
+  bool operator != (const ControlEndpoint &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ControlEndpoint & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ControlEndpoint &a, ControlEndpoint &b);
+
+std::ostream& operator<<(std::ostream& out, const ControlEndpoint& obj);
+
 typedef struct _HelloReply__isset {
-  _HelloReply__isset() : memberId(false), floor(false), freshnessAgeMs(false), greatestNodeEpoch(false) {}
+  _HelloReply__isset() : memberId(false), floor(false), freshnessAgeMs(false), greatestNodeEpoch(false), controlVms(false) {}
   bool memberId :1;
   bool floor :1;
   bool freshnessAgeMs :1;
   bool greatestNodeEpoch :1;
+  bool controlVms :1;
 } _HelloReply__isset;
 
 class HelloReply : public virtual ::apache::thrift::TBase {
  public:
 
-  HelloReply(const HelloReply&) noexcept;
+  HelloReply(const HelloReply&);
   HelloReply(HelloReply&&) noexcept;
-  HelloReply& operator=(const HelloReply&) noexcept;
+  HelloReply& operator=(const HelloReply&);
   HelloReply& operator=(HelloReply&&) noexcept;
   HelloReply() noexcept
              : memberId(0),
@@ -277,6 +332,7 @@
    ::wigeonfold::wire::WireVersion floor;
   int64_t freshnessAgeMs;
   int64_t greatestNodeEpoch;
+  std::vector<ControlEndpoint>  controlVms;
 
   _HelloReply__isset __isset;
 
@@ -288,6 +344,8 @@
 
   void __set_greatestNodeEpoch(const int64_t val);
 
+  void __set_controlVms(const std::vector<ControlEndpoint> & val);
+
   bool operator == (const HelloReply & rhs) const
   {
     if (!(memberId == rhs.memberId))
@@ -300,6 +358,8 @@
       return false;
     if (!(greatestNodeEpoch == rhs.greatestNodeEpoch))
       return false;
+    if (!(controlVms == rhs.controlVms))
+      return false;
     return true;
   }
   bool operator != (const HelloReply &rhs) const {
@@ -511,17 +571,18 @@
 std::ostream& operator<<(std::ostream& out, const EndpointUpdate& obj);
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : freshnessAgeMs(false), newest(false) {}
+  _Heartbeat__isset() : freshnessAgeMs(false), newest(false), controlVms(false) {}
   bool freshnessAgeMs :1;
   bool newest :1;
+  bool controlVms :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
  public:
 
-  Heartbeat(const Heartbeat&) noexcept;
+  Heartbeat(const Heartbeat&);
   Heartbeat(Heartbeat&&) noexcept;
-  Heartbeat& operator=(const Heartbeat&) noexcept;
+  Heartbeat& operator=(const Heartbeat&);
   Heartbeat& operator=(Heartbeat&&) noexcept;
   Heartbeat() noexcept
             : freshnessAgeMs(0) {
@@ -530,6 +591,7 @@
   virtual ~Heartbeat() noexcept;
   int64_t freshnessAgeMs;
    ::wigeonfold::wire::WireVersion newest;
+  std::vector<ControlEndpoint>  controlVms;
 
   _Heartbeat__isset __isset;
 
@@ -537,12 +599,18 @@
 
   void __set_newest(const  ::wigeonfold::wire::WireVersion& val);
 
+  void __set_controlVms(const std::vector<ControlEndpoint> & val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(freshnessAgeMs == rhs.freshnessAgeMs))
       return false;
     if (!(newest == rhs.newest))
       return false;
+    if (__isset.controlVms != rhs.__isset.controlVms)
+      return false;
+    else if (__isset.controlVms && !(controlVms == rhs.controlVms))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
@@ -809,13 +877,17 @@
 std::ostream& operator<<(std::ostream& out, const EndpointSync& obj);
 
 typedef struct _ControlHello__isset {
-  _ControlHello__isset() : memberId(false), name(false), clusterId(false), availabilityZone(false), peerAddress(false), apiAddress(false) {}
+  _ControlHello__isset() : memberId(false), name(false), clusterId(false), availabilityZone(false), peerAddress(false), apiAddress(false), nodeAddress(false), operatorAddress(false), hasLog(false), mayBootstrap(false) {}
   bool memberId :1;
   bool name :1;
   bool clusterId :1;
   bool availabilityZone :1;
   bool peerAddress :1;
   bool apiAddress :1;
+  bool nodeAddress :1;
+  bool operatorAddress :1;
+  bool hasLog :1;
+  bool mayBootstrap :1;
 } _ControlHello__isset;
 
 class ControlHello : public virtual ::apache::thrift::TBase {
@@ -831,7 +903,11 @@
                  clusterId(),
                  availabilityZone(),
                  peerAddress(),
-                 apiAddress() {
+                 apiAddress(),
+                 nodeAddress(),
+                 operatorAddress(),
+                 hasLog(0),
+                 mayBootstrap(0) {
   }
 
   virtual ~ControlHello() noexcept;
@@ -841,6 +917,10 @@
   std::string availabilityZone;
   std::string peerAddress;
   std::string apiAddress;
+  std::string nodeAddress;
+  std::string operatorAddress;
+  bool hasLog;
+  bool mayBootstrap;
 
   _ControlHello__isset __isset;
 
@@ -856,6 +936,14 @@
 
   void __set_apiAddress(const std::string& val);
 
+  void __set_nodeAddress(const std::string& val);
+
+  void __set_operatorAddress(const std::string& val);
+
+  void __set_hasLog(const bool val);
+
+  void __set_mayBootstrap(const bool val);
+
   bool operator == (const ControlHello & rhs) const
   {
     if (!(memberId == rhs.memberId))
@@ -870,6 +958,14 @@
       return false;
     if (!(apiAddress == rhs.apiAddress))
       return false;
+    if (!(nodeAddress == rhs.nodeAddress))
+      return false;
+    if (!(operatorAddress == rhs.operatorAddress))
+      return false;
+    if (!(hasLog == rhs.hasLog))
+      return false;
+    if (!(mayBootstrap == rhs.mayBootstrap))
+      return false;
     return true;
   }
   bool operator != (const ControlHello &rhs) const {
--- a/libs/wire/gen/include/wigeonfold/wire/gen/peer_types.h
+++ b/libs/wire/gen/include/wigeonfold/wire/gen/peer_types.h
@@ -170,7 +170,7 @@
 std::ostream& operator<<(std::ostream& out, const PeerHello& obj);
 
 typedef struct _CallRequest__isset {
-  _CallRequest__isset() : callId(false), serviceName(false), office(false), method(false), path(false), headers(false), body(false), deadlineUs(false), depth(false), idempotent(false) {}
+  _CallRequest__isset() : callId(false), serviceName(false), office(false), method(false), path(false), headers(false), body(false), deadlineUs(false), depth(false), idempotent(false), callerService(false), priority(false), objectiveUs(false), route(false) {}
   bool callId :1;
   bool serviceName :1;
   bool office :1;
@@ -181,6 +181,10 @@
   bool deadlineUs :1;
   bool depth :1;
   bool idempotent :1;
+  bool callerService :1;
+  bool priority :1;
+  bool objectiveUs :1;
+  bool route :1;
 } _CallRequest__isset;
 
 class CallRequest : public virtual ::apache::thrift::TBase {
@@ -199,7 +203,11 @@
                 body(),
                 deadlineUs(0),
                 depth(0),
-                idempotent(0) {
+                idempotent(0),
+                callerService(),
+                priority(0),
+                objectiveUs(0),
+                route() {
   }
 
   virtual ~CallRequest() noexcept;
@@ -213,6 +221,10 @@
   int64_t deadlineUs;
   int32_t depth;
   bool idempotent;
+  std::string callerService;
+  int32_t priority;
+  int64_t objectiveUs;
+  std::string route;
 
   _CallRequest__isset __isset;
 
@@ -236,6 +248,14 @@
 
   void __set_idempotent(const bool val);
 
+  void __set_callerService(const std::string& val);
+
+  void __set_priority(const int32_t val);
+
+  void __set_objectiveUs(const int64_t val);
+
+  void __set_route(const std::string& val);
+
   bool operator == (const CallRequest & rhs) const
   {
     if (!(callId == rhs.callId))
@@ -258,6 +278,14 @@
       return false;
     if (!(idempotent == rhs.idempotent))
       return false;
+    if (!(callerService == rhs.callerService))
+      return false;
+    if (!(priority == rhs.priority))
+      return false;
+    if (!(objectiveUs == rhs.objectiveUs))
+      return false;
+    if (!(route == rhs.route))
+      return false;
     return true;
   }
   bool operator != (const CallRequest &rhs) const {
@@ -350,7 +378,7 @@
 std::ostream& operator<<(std::ostream& out, const TargetLoad& obj);
 
 typedef struct _CallResponse__isset {
-  _CallResponse__isset() : callId(false), run(false), status(false), headers(false), body(false), load(false), reason(false) {}
+  _CallResponse__isset() : callId(false), run(false), status(false), headers(false), body(false), load(false), reason(false), retryAfterUs(false) {}
   bool callId :1;
   bool run :1;
   bool status :1;
@@ -358,6 +386,7 @@
   bool body :1;
   bool load :1;
   bool reason :1;
+  bool retryAfterUs :1;
 } _CallResponse__isset;
 
 class CallResponse : public virtual ::apache::thrift::TBase {
@@ -372,7 +401,8 @@
                  run(static_cast<RunState::type>(0)),
                  status(0),
                  body(),
-                 reason() {
+                 reason(),
+                 retryAfterUs(0) {
   }
 
   virtual ~CallResponse() noexcept;
@@ -387,6 +417,7 @@
   std::string body;
   TargetLoad load;
   std::string reason;
+  int64_t retryAfterUs;
 
   _CallResponse__isset __isset;
 
@@ -404,6 +435,8 @@
 
   void __set_reason(const std::string& val);
 
+  void __set_retryAfterUs(const int64_t val);
+
   bool operator == (const CallResponse & rhs) const
   {
     if (!(callId == rhs.callId))
@@ -420,6 +453,8 @@
       return false;
     if (!(reason == rhs.reason))
       return false;
+    if (!(retryAfterUs == rhs.retryAfterUs))
+      return false;
     return true;
   }
   bool operator != (const CallResponse &rhs) const {
--- a/libs/wire/gen/include/wigeonfold/wire/gen/raft_types.h
+++ b/libs/wire/gen/include/wigeonfold/wire/gen/raft_types.h
@@ -135,13 +135,15 @@
 std::ostream& operator<<(std::ostream& out, const LogEntry& obj);
 
 typedef struct _Member__isset {
-  _Member__isset() : memberId(false), name(false), availabilityZone(false), peerAddress(false), voter(false), apiAddress(false) {}
+  _Member__isset() : memberId(false), name(false), availabilityZone(false), peerAddress(false), voter(false), apiAddress(false), nodeAddress(false), operatorAddress(false) {}
   bool memberId :1;
   bool name :1;
   bool availabilityZone :1;
   bool peerAddress :1;
   bool voter :1;
   bool apiAddress :1;
+  bool nodeAddress :1;
+  bool operatorAddress :1;
 } _Member__isset;
 
 class Member : public virtual ::apache::thrift::TBase {
@@ -157,7 +159,9 @@
            availabilityZone(),
            peerAddress(),
            voter(0),
-           apiAddress() {
+           apiAddress(),
+           nodeAddress(),
+           operatorAddress() {
   }
 
   virtual ~Member() noexcept;
@@ -167,6 +171,8 @@
   std::string peerAddress;
   bool voter;
   std::string apiAddress;
+  std::string nodeAddress;
+  std::string operatorAddress;
 
   _Member__isset __isset;
 
@@ -182,6 +188,10 @@
 
   void __set_apiAddress(const std::string& val);
 
+  void __set_nodeAddress(const std::string& val);
+
+  void __set_operatorAddress(const std::string& val);
+
   bool operator == (const Member & rhs) const
   {
     if (!(memberId == rhs.memberId))
@@ -196,6 +206,10 @@
       return false;
     if (!(apiAddress == rhs.apiAddress))
       return false;
+    if (!(nodeAddress == rhs.nodeAddress))
+      return false;
+    if (!(operatorAddress == rhs.operatorAddress))
+      return false;
     return true;
   }
   bool operator != (const Member &rhs) const {
--- a/libs/wire/gen/include/wigeonfold/wire/gen/registry_types.h
+++ b/libs/wire/gen/include/wigeonfold/wire/gen/registry_types.h
@@ -53,13 +53,15 @@
 class RegistrySnapshot;
 
 typedef struct _Change__isset {
-  _Change__isset() : changeId(false), base(false), operations(false), author(false), comment(false), acceptedAtMs(false) {}
+  _Change__isset() : changeId(false), base(false), operations(false), author(false), comment(false), acceptedAtMs(false), label(false), baseLabel(false) {}
   bool changeId :1;
   bool base :1;
   bool operations :1;
   bool author :1;
   bool comment :1;
   bool acceptedAtMs :1;
+  bool label :1;
+  bool baseLabel :1;
 } _Change__isset;
 
 class Change : public virtual ::apache::thrift::TBase {
@@ -73,7 +75,9 @@
          : changeId(),
            author(),
            comment(),
-           acceptedAtMs(0) {
+           acceptedAtMs(0),
+           label(0),
+           baseLabel(0) {
   }
 
   virtual ~Change() noexcept;
@@ -83,6 +87,8 @@
   std::string author;
   std::string comment;
   int64_t acceptedAtMs;
+  int64_t label;
+  int64_t baseLabel;
 
   _Change__isset __isset;
 
@@ -98,6 +104,10 @@
 
   void __set_acceptedAtMs(const int64_t val);
 
+  void __set_label(const int64_t val);
+
+  void __set_baseLabel(const int64_t val);
+
   bool operator == (const Change & rhs) const
   {
     if (!(changeId == rhs.changeId))
@@ -112,6 +122,10 @@
       return false;
     if (!(acceptedAtMs == rhs.acceptedAtMs))
       return false;
+    if (!(label == rhs.label))
+      return false;
+    if (!(baseLabel == rhs.baseLabel))
+      return false;
     return true;
   }
   bool operator != (const Change &rhs) const {
@@ -495,7 +509,7 @@
 std::ostream& operator<<(std::ostream& out, const RegistryCommand& obj);
 
 typedef struct _RegistrySnapshot__isset {
-  _RegistrySnapshot__isset() : clusterId(false), version(false), branches(false), results(false), history(false), tombstoneHorizon(false), digest(false) {}
+  _RegistrySnapshot__isset() : clusterId(false), version(false), branches(false), results(false), history(false), tombstoneHorizon(false), digest(false), label(false), baseLabel(false) {}
   bool clusterId :1;
   bool version :1;
   bool branches :1;
@@ -503,6 +517,8 @@
   bool history :1;
   bool tombstoneHorizon :1;
   bool digest :1;
+  bool label :1;
+  bool baseLabel :1;
 } _RegistrySnapshot__isset;
 
 class RegistrySnapshot : public virtual ::apache::thrift::TBase {
@@ -514,7 +530,9 @@
   RegistrySnapshot& operator=(RegistrySnapshot&&) noexcept;
   RegistrySnapshot() noexcept
                    : clusterId(),
-                     digest(0) {
+                     digest(0),
+                     label(0),
+                     baseLabel(0) {
   }
 
   virtual ~RegistrySnapshot() noexcept;
@@ -525,6 +543,8 @@
   std::vector<HistoryEntry>  history;
    ::wigeonfold::wire::WireVersion tombstoneHorizon;
   int64_t digest;
+  int64_t label;
+  int64_t baseLabel;
 
   _RegistrySnapshot__isset __isset;
 
@@ -542,6 +562,10 @@
 
   void __set_digest(const int64_t val);
 
+  void __set_label(const int64_t val);
+
+  void __set_baseLabel(const int64_t val);
+
   bool operator == (const RegistrySnapshot & rhs) const
   {
     if (!(clusterId == rhs.clusterId))
@@ -558,6 +582,10 @@
       return false;
     if (!(digest == rhs.digest))
       return false;
+    if (!(label == rhs.label))
+      return false;
+    if (!(baseLabel == rhs.baseLabel))
+      return false;
     return true;
   }
   bool operator != (const RegistrySnapshot &rhs) const {
--- a/libs/wire/gen/src/common_types.cpp
+++ b/libs/wire/gen/src/common_types.cpp
@@ -16,14 +16,16 @@
 int _kOperationKindValues[] = {
   OperationKind::Set,
   OperationKind::Unset,
-  OperationKind::RemoveBranch
+  OperationKind::RemoveBranch,
+  OperationKind::ClearBranch
 };
 const char* _kOperationKindNames[] = {
   "Set",
   "Unset",
-  "RemoveBranch"
+  "RemoveBranch",
+  "ClearBranch"
 };
-const std::map<int, const char*> _OperationKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(3, _kOperationKindValues, _kOperationKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _OperationKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(4, _kOperationKindValues, _kOperationKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const OperationKind::type& val) {
   std::map<int, const char*>::const_iterator it = _OperationKind_VALUES_TO_NAMES.find(val);
