--- a/libs/wire/gen/src/control_types.cpp
+++ b/libs/wire/gen/src/control_types.cpp
@@ -559,6 +559,129 @@
 }
 
 
+ControlEndpoint::~ControlEndpoint() noexcept {
+}
+
+
+void ControlEndpoint::__set_nodeAddress(const std::string& val) {
+  this->nodeAddress = val;
+}
+
+void ControlEndpoint::__set_availabilityZone(const std::string& val) {
+  this->availabilityZone = val;
+}
+std::ostream& operator<<(std::ostream& out, const ControlEndpoint& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ControlEndpoint::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->nodeAddress);
+          this->__isset.nodeAddress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->availabilityZone);
+          this->__isset.availabilityZone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ControlEndpoint::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ControlEndpoint");
+
+  xfer += oprot->writeFieldBegin("nodeAddress", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->nodeAddress);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("availabilityZone", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->availabilityZone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ControlEndpoint &a, ControlEndpoint &b) {
+  using ::std::swap;
+  swap(a.nodeAddress, b.nodeAddress);
+  swap(a.availabilityZone, b.availabilityZone);
+  swap(a.__isset, b.__isset);
+}
+
+ControlEndpoint::ControlEndpoint(const ControlEndpoint& other9) {
+  nodeAddress = other9.nodeAddress;
+  availabilityZone = other9.availabilityZone;
+  __isset = other9.__isset;
+}
+ControlEndpoint::ControlEndpoint(ControlEndpoint&& other10) noexcept {
+  nodeAddress = std::move(other10.nodeAddress);
+  availabilityZone = std::move(other10.availabilityZone);
+  __isset = other10.__isset;
+}
+ControlEndpoint& ControlEndpoint::operator=(const ControlEndpoint& other11) {
+  nodeAddress = other11.nodeAddress;
+  availabilityZone = other11.availabilityZone;
+  __isset = other11.__isset;
+  return *this;
+}
+ControlEndpoint& ControlEndpoint::operator=(ControlEndpoint&& other12) noexcept {
+  nodeAddress = std::move(other12.nodeAddress);
+  availabilityZone = std::move(other12.availabilityZone);
+  __isset = other12.__isset;
+  return *this;
+}
+void ControlEndpoint::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ControlEndpoint(";
+  out << "nodeAddress=" << to_string(nodeAddress);
+  out << ", " << "availabilityZone=" << to_string(availabilityZone);
+  out << ")";
+}
+
+
 HelloReply::~HelloReply() noexcept {
 }
 
@@ -579,6 +702,10 @@
 void HelloReply::__set_greatestNodeEpoch(const int64_t val) {
   this->greatestNodeEpoch = val;
 }
+
+void HelloReply::__set_controlVms(const std::vector<ControlEndpoint> & val) {
+  this->controlVms = val;
+}
 std::ostream& operator<<(std::ostream& out, const HelloReply& obj)
 {
   obj.printTo(out);
@@ -639,6 +766,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->controlVms.clear();
+            uint32_t _size13;
+            ::apache::thrift::protocol::TType _etype16;
+            xfer += iprot->readListBegin(_etype16, _size13);
+            this->controlVms.resize(_size13);
+            uint32_t _i17;
+            for (_i17 = 0; _i17 < _size13; ++_i17)
+            {
+              xfer += this->controlVms[_i17].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.controlVms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -673,6 +820,18 @@
   xfer += oprot->writeI64(this->greatestNodeEpoch);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("controlVms", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->controlVms.size()));
+    std::vector<ControlEndpoint> ::const_iterator _iter18;
+    for (_iter18 = this->controlVms.begin(); _iter18 != this->controlVms.end(); ++_iter18)
+    {
+      xfer += (*_iter18).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -684,37 +843,42 @@
   swap(a.floor, b.floor);
   swap(a.freshnessAgeMs, b.freshnessAgeMs);
   swap(a.greatestNodeEpoch, b.greatestNodeEpoch);
+  swap(a.controlVms, b.controlVms);
   swap(a.__isset, b.__isset);
 }
 
-HelloReply::HelloReply(const HelloReply& other9) noexcept {
-  memberId = other9.memberId;
-  floor = other9.floor;
-  freshnessAgeMs = other9.freshnessAgeMs;
-  greatestNodeEpoch = other9.greatestNodeEpoch;
-  __isset = other9.__isset;
-}
-HelloReply::HelloReply(HelloReply&& other10) noexcept {
-  memberId = other10.memberId;
-  floor = std::move(other10.floor);
-  freshnessAgeMs = other10.freshnessAgeMs;
-  greatestNodeEpoch = other10.greatestNodeEpoch;
-  __isset = other10.__isset;
-}
-HelloReply& HelloReply::operator=(const HelloReply& other11) noexcept {
-  memberId = other11.memberId;
-  floor = other11.floor;
-  freshnessAgeMs = other11.freshnessAgeMs;
-  greatestNodeEpoch = other11.greatestNodeEpoch;
-  __isset = other11.__isset;
+HelloReply::HelloReply(const HelloReply& other19) {
+  memberId = other19.memberId;
+  floor = other19.floor;
+  freshnessAgeMs = other19.freshnessAgeMs;
+  greatestNodeEpoch = other19.greatestNodeEpoch;
+  controlVms = other19.controlVms;
+  __isset = other19.__isset;
+}
+HelloReply::HelloReply(HelloReply&& other20) noexcept {
+  memberId = other20.memberId;
+  floor = std::move(other20.floor);
+  freshnessAgeMs = other20.freshnessAgeMs;
+  greatestNodeEpoch = other20.greatestNodeEpoch;
+  controlVms = std::move(other20.controlVms);
+  __isset = other20.__isset;
+}
+HelloReply& HelloReply::operator=(const HelloReply& other21) {
+  memberId = other21.memberId;
+  floor = other21.floor;
+  freshnessAgeMs = other21.freshnessAgeMs;
+  greatestNodeEpoch = other21.greatestNodeEpoch;
+  controlVms = other21.controlVms;
+  __isset = other21.__isset;
   return *this;
 }
-HelloReply& HelloReply::operator=(HelloReply&& other12) noexcept {
-  memberId = other12.memberId;
-  floor = std::move(other12.floor);
-  freshnessAgeMs = other12.freshnessAgeMs;
-  greatestNodeEpoch = other12.greatestNodeEpoch;
-  __isset = other12.__isset;
+HelloReply& HelloReply::operator=(HelloReply&& other22) noexcept {
+  memberId = other22.memberId;
+  floor = std::move(other22.floor);
+  freshnessAgeMs = other22.freshnessAgeMs;
+  greatestNodeEpoch = other22.greatestNodeEpoch;
+  controlVms = std::move(other22.controlVms);
+  __isset = other22.__isset;
   return *this;
 }
 void HelloReply::printTo(std::ostream& out) const {
@@ -724,6 +888,7 @@
   out << ", " << "floor="; (__isset.floor ? (out << to_string(floor)) : (out << "<null>"));
   out << ", " << "freshnessAgeMs=" << to_string(freshnessAgeMs);
   out << ", " << "greatestNodeEpoch=" << to_string(greatestNodeEpoch);
+  out << ", " << "controlVms=" << to_string(controlVms);
   out << ")";
 }
 
@@ -803,22 +968,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Announce::Announce(const Announce& other13) {
-  endpoint = other13.endpoint;
-  __isset = other13.__isset;
+Announce::Announce(const Announce& other23) {
+  endpoint = other23.endpoint;
+  __isset = other23.__isset;
 }
-Announce::Announce(Announce&& other14) noexcept {
-  endpoint = std::move(other14.endpoint);
-  __isset = other14.__isset;
+Announce::Announce(Announce&& other24) noexcept {
+  endpoint = std::move(other24.endpoint);
+  __isset = other24.__isset;
 }
-Announce& Announce::operator=(const Announce& other15) {
-  endpoint = other15.endpoint;
-  __isset = other15.__isset;
+Announce& Announce::operator=(const Announce& other25) {
+  endpoint = other25.endpoint;
+  __isset = other25.__isset;
   return *this;
 }
-Announce& Announce::operator=(Announce&& other16) noexcept {
-  endpoint = std::move(other16.endpoint);
-  __isset = other16.__isset;
+Announce& Announce::operator=(Announce&& other26) noexcept {
+  endpoint = std::move(other26.endpoint);
+  __isset = other26.__isset;
   return *this;
 }
 void Announce::printTo(std::ostream& out) const {
@@ -908,14 +1073,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->branches.clear();
-            uint32_t _size17;
-            ::apache::thrift::protocol::TType _etype20;
-            xfer += iprot->readListBegin(_etype20, _size17);
-            this->branches.resize(_size17);
-            uint32_t _i21;
-            for (_i21 = 0; _i21 < _size17; ++_i21)
+            uint32_t _size27;
+            ::apache::thrift::protocol::TType _etype30;
+            xfer += iprot->readListBegin(_etype30, _size27);
+            this->branches.resize(_size27);
+            uint32_t _i31;
+            for (_i31 = 0; _i31 < _size27; ++_i31)
             {
-              xfer += this->branches[_i21].read(iprot);
+              xfer += this->branches[_i31].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -964,10 +1129,10 @@
   xfer += oprot->writeFieldBegin("branches", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->branches.size()));
-    std::vector< ::wigeonfold::wire::BranchState> ::const_iterator _iter22;
-    for (_iter22 = this->branches.begin(); _iter22 != this->branches.end(); ++_iter22)
+    std::vector< ::wigeonfold::wire::BranchState> ::const_iterator _iter32;
+    for (_iter32 = this->branches.begin(); _iter32 != this->branches.end(); ++_iter32)
     {
-      xfer += (*_iter22).write(oprot);
+      xfer += (*_iter32).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -992,38 +1157,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigUpdate::ConfigUpdate(const ConfigUpdate& other23) {
-  full = other23.full;
-  base = other23.base;
-  target = other23.target;
-  branches = other23.branches;
-  digest = other23.digest;
-  __isset = other23.__isset;
-}
-ConfigUpdate::ConfigUpdate(ConfigUpdate&& other24) noexcept {
-  full = other24.full;
-  base = std::move(other24.base);
-  target = std::move(other24.target);
-  branches = std::move(other24.branches);
-  digest = other24.digest;
-  __isset = other24.__isset;
-}
-ConfigUpdate& ConfigUpdate::operator=(const ConfigUpdate& other25) {
-  full = other25.full;
-  base = other25.base;
-  target = other25.target;
-  branches = other25.branches;
-  digest = other25.digest;
-  __isset = other25.__isset;
+ConfigUpdate::ConfigUpdate(const ConfigUpdate& other33) {
+  full = other33.full;
+  base = other33.base;
+  target = other33.target;
+  branches = other33.branches;
+  digest = other33.digest;
+  __isset = other33.__isset;
+}
+ConfigUpdate::ConfigUpdate(ConfigUpdate&& other34) noexcept {
+  full = other34.full;
+  base = std::move(other34.base);
+  target = std::move(other34.target);
+  branches = std::move(other34.branches);
+  digest = other34.digest;
+  __isset = other34.__isset;
+}
+ConfigUpdate& ConfigUpdate::operator=(const ConfigUpdate& other35) {
+  full = other35.full;
+  base = other35.base;
+  target = other35.target;
+  branches = other35.branches;
+  digest = other35.digest;
+  __isset = other35.__isset;
   return *this;
 }
-ConfigUpdate& ConfigUpdate::operator=(ConfigUpdate&& other26) noexcept {
-  full = other26.full;
-  base = std::move(other26.base);
-  target = std::move(other26.target);
-  branches = std::move(other26.branches);
-  digest = other26.digest;
-  __isset = other26.__isset;
+ConfigUpdate& ConfigUpdate::operator=(ConfigUpdate&& other36) noexcept {
+  full = other36.full;
+  base = std::move(other36.base);
+  target = std::move(other36.target);
+  branches = std::move(other36.branches);
+  digest = other36.digest;
+  __isset = other36.__isset;
   return *this;
 }
 void ConfigUpdate::printTo(std::ostream& out) const {
@@ -1121,14 +1286,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size27;
-            ::apache::thrift::protocol::TType _etype30;
-            xfer += iprot->readListBegin(_etype30, _size27);
-            this->records.resize(_size27);
-            uint32_t _i31;
-            for (_i31 = 0; _i31 < _size27; ++_i31)
+            uint32_t _size37;
+            ::apache::thrift::protocol::TType _etype40;
+            xfer += iprot->readListBegin(_etype40, _size37);
+            this->records.resize(_size37);
+            uint32_t _i41;
+            for (_i41 = 0; _i41 < _size37; ++_i41)
             {
-              xfer += this->records[_i31].read(iprot);
+              xfer += this->records[_i41].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1141,14 +1306,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removedNodes.clear();
-            uint32_t _size32;
-            ::apache::thrift::protocol::TType _etype35;
-            xfer += iprot->readListBegin(_etype35, _size32);
-            this->removedNodes.resize(_size32);
-            uint32_t _i36;
-            for (_i36 = 0; _i36 < _size32; ++_i36)
+            uint32_t _size42;
+            ::apache::thrift::protocol::TType _etype45;
+            xfer += iprot->readListBegin(_etype45, _size42);
+            this->removedNodes.resize(_size42);
+            uint32_t _i46;
+            for (_i46 = 0; _i46 < _size42; ++_i46)
             {
-              xfer += iprot->readString(this->removedNodes[_i36]);
+              xfer += iprot->readString(this->removedNodes[_i46]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1197,10 +1362,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<EndpointRecord> ::const_iterator _iter37;
-    for (_iter37 = this->records.begin(); _iter37 != this->records.end(); ++_iter37)
+    std::vector<EndpointRecord> ::const_iterator _iter47;
+    for (_iter47 = this->records.begin(); _iter47 != this->records.end(); ++_iter47)
     {
-      xfer += (*_iter37).write(oprot);
+      xfer += (*_iter47).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1209,10 +1374,10 @@
   xfer += oprot->writeFieldBegin("removedNodes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removedNodes.size()));
-    std::vector<std::string> ::const_iterator _iter38;
-    for (_iter38 = this->removedNodes.begin(); _iter38 != this->removedNodes.end(); ++_iter38)
+    std::vector<std::string> ::const_iterator _iter48;
+    for (_iter48 = this->removedNodes.begin(); _iter48 != this->removedNodes.end(); ++_iter48)
     {
-      xfer += oprot->writeString((*_iter38));
+      xfer += oprot->writeString((*_iter48));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1238,42 +1403,42 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointUpdate::EndpointUpdate(const EndpointUpdate& other39) {
-  source = other39.source;
-  cursor = other39.cursor;
-  full = other39.full;
-  records = other39.records;
-  removedNodes = other39.removedNodes;
-  baseCursor = other39.baseCursor;
-  __isset = other39.__isset;
-}
-EndpointUpdate::EndpointUpdate(EndpointUpdate&& other40) noexcept {
-  source = other40.source;
-  cursor = other40.cursor;
-  full = other40.full;
-  records = std::move(other40.records);
-  removedNodes = std::move(other40.removedNodes);
-  baseCursor = other40.baseCursor;
-  __isset = other40.__isset;
-}
-EndpointUpdate& EndpointUpdate::operator=(const EndpointUpdate& other41) {
-  source = other41.source;
-  cursor = other41.cursor;
-  full = other41.full;
-  records = other41.records;
-  removedNodes = other41.removedNodes;
-  baseCursor = other41.baseCursor;
-  __isset = other41.__isset;
+EndpointUpdate::EndpointUpdate(const EndpointUpdate& other49) {
+  source = other49.source;
+  cursor = other49.cursor;
+  full = other49.full;
+  records = other49.records;
+  removedNodes = other49.removedNodes;
+  baseCursor = other49.baseCursor;
+  __isset = other49.__isset;
+}
+EndpointUpdate::EndpointUpdate(EndpointUpdate&& other50) noexcept {
+  source = other50.source;
+  cursor = other50.cursor;
+  full = other50.full;
+  records = std::move(other50.records);
+  removedNodes = std::move(other50.removedNodes);
+  baseCursor = other50.baseCursor;
+  __isset = other50.__isset;
+}
+EndpointUpdate& EndpointUpdate::operator=(const EndpointUpdate& other51) {
+  source = other51.source;
+  cursor = other51.cursor;
+  full = other51.full;
+  records = other51.records;
+  removedNodes = other51.removedNodes;
+  baseCursor = other51.baseCursor;
+  __isset = other51.__isset;
   return *this;
 }
-EndpointUpdate& EndpointUpdate::operator=(EndpointUpdate&& other42) noexcept {
-  source = other42.source;
-  cursor = other42.cursor;
-  full = other42.full;
-  records = std::move(other42.records);
-  removedNodes = std::move(other42.removedNodes);
-  baseCursor = other42.baseCursor;
-  __isset = other42.__isset;
+EndpointUpdate& EndpointUpdate::operator=(EndpointUpdate&& other52) noexcept {
+  source = other52.source;
+  cursor = other52.cursor;
+  full = other52.full;
+  records = std::move(other52.records);
+  removedNodes = std::move(other52.removedNodes);
+  baseCursor = other52.baseCursor;
+  __isset = other52.__isset;
   return *this;
 }
 void EndpointUpdate::printTo(std::ostream& out) const {
@@ -1300,6 +1465,11 @@
 void Heartbeat::__set_newest(const  ::wigeonfold::wire::WireVersion& val) {
   this->newest = val;
 }
+
+void Heartbeat::__set_controlVms(const std::vector<ControlEndpoint> & val) {
+  this->controlVms = val;
+__isset.controlVms = true;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -1344,6 +1514,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->controlVms.clear();
+            uint32_t _size53;
+            ::apache::thrift::protocol::TType _etype56;
+            xfer += iprot->readListBegin(_etype56, _size53);
+            this->controlVms.resize(_size53);
+            uint32_t _i57;
+            for (_i57 = 0; _i57 < _size53; ++_i57)
+            {
+              xfer += this->controlVms[_i57].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.controlVms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1369,6 +1559,19 @@
   xfer += this->newest.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.controlVms) {
+    xfer += oprot->writeFieldBegin("controlVms", ::apache::thrift::protocol::T_LIST, 3);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->controlVms.size()));
+      std::vector<ControlEndpoint> ::const_iterator _iter58;
+      for (_iter58 = this->controlVms.begin(); _iter58 != this->controlVms.end(); ++_iter58)
+      {
+        xfer += (*_iter58).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1378,29 +1581,34 @@
   using ::std::swap;
   swap(a.freshnessAgeMs, b.freshnessAgeMs);
   swap(a.newest, b.newest);
+  swap(a.controlVms, b.controlVms);
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other43) noexcept {
-  freshnessAgeMs = other43.freshnessAgeMs;
-  newest = other43.newest;
-  __isset = other43.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other59) {
+  freshnessAgeMs = other59.freshnessAgeMs;
+  newest = other59.newest;
+  controlVms = other59.controlVms;
+  __isset = other59.__isset;
 }
-Heartbeat::Heartbeat(Heartbeat&& other44) noexcept {
-  freshnessAgeMs = other44.freshnessAgeMs;
-  newest = std::move(other44.newest);
-  __isset = other44.__isset;
+Heartbeat::Heartbeat(Heartbeat&& other60) noexcept {
+  freshnessAgeMs = other60.freshnessAgeMs;
+  newest = std::move(other60.newest);
+  controlVms = std::move(other60.controlVms);
+  __isset = other60.__isset;
 }
-Heartbeat& Heartbeat::operator=(const Heartbeat& other45) noexcept {
-  freshnessAgeMs = other45.freshnessAgeMs;
-  newest = other45.newest;
-  __isset = other45.__isset;
+Heartbeat& Heartbeat::operator=(const Heartbeat& other61) {
+  freshnessAgeMs = other61.freshnessAgeMs;
+  newest = other61.newest;
+  controlVms = other61.controlVms;
+  __isset = other61.__isset;
   return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other46) noexcept {
-  freshnessAgeMs = other46.freshnessAgeMs;
-  newest = std::move(other46.newest);
-  __isset = other46.__isset;
+Heartbeat& Heartbeat::operator=(Heartbeat&& other62) noexcept {
+  freshnessAgeMs = other62.freshnessAgeMs;
+  newest = std::move(other62.newest);
+  controlVms = std::move(other62.controlVms);
+  __isset = other62.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -1408,6 +1616,7 @@
   out << "Heartbeat(";
   out << "freshnessAgeMs=" << to_string(freshnessAgeMs);
   out << ", " << "newest=" << to_string(newest);
+  out << ", " << "controlVms="; (__isset.controlVms ? (out << to_string(controlVms)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1644,58 +1853,58 @@
   swap(a.__isset, b.__isset);
 }
 
-NodeStatus::NodeStatus(const NodeStatus& other47) {
-  inForce = other47.inForce;
-  refused = other47.refused;
-  refusal = other47.refusal;
-  controlBytesReceived = other47.controlBytesReceived;
-  controlBytesSent = other47.controlBytesSent;
-  endpointSource = other47.endpointSource;
-  endpointCursor = other47.endpointCursor;
-  resync = other47.resync;
-  resyncFull = other47.resyncFull;
-  belowFloor = other47.belowFloor;
-  __isset = other47.__isset;
-}
-NodeStatus::NodeStatus(NodeStatus&& other48) noexcept {
-  inForce = std::move(other48.inForce);
-  refused = std::move(other48.refused);
-  refusal = std::move(other48.refusal);
-  controlBytesReceived = other48.controlBytesReceived;
-  controlBytesSent = other48.controlBytesSent;
-  endpointSource = other48.endpointSource;
-  endpointCursor = other48.endpointCursor;
-  resync = other48.resync;
-  resyncFull = other48.resyncFull;
-  belowFloor = other48.belowFloor;
-  __isset = other48.__isset;
-}
-NodeStatus& NodeStatus::operator=(const NodeStatus& other49) {
-  inForce = other49.inForce;
-  refused = other49.refused;
-  refusal = other49.refusal;
-  controlBytesReceived = other49.controlBytesReceived;
-  controlBytesSent = other49.controlBytesSent;
-  endpointSource = other49.endpointSource;
-  endpointCursor = other49.endpointCursor;
-  resync = other49.resync;
-  resyncFull = other49.resyncFull;
-  belowFloor = other49.belowFloor;
-  __isset = other49.__isset;
+NodeStatus::NodeStatus(const NodeStatus& other63) {
+  inForce = other63.inForce;
+  refused = other63.refused;
+  refusal = other63.refusal;
+  controlBytesReceived = other63.controlBytesReceived;
+  controlBytesSent = other63.controlBytesSent;
+  endpointSource = other63.endpointSource;
+  endpointCursor = other63.endpointCursor;
+  resync = other63.resync;
+  resyncFull = other63.resyncFull;
+  belowFloor = other63.belowFloor;
+  __isset = other63.__isset;
+}
+NodeStatus::NodeStatus(NodeStatus&& other64) noexcept {
+  inForce = std::move(other64.inForce);
+  refused = std::move(other64.refused);
+  refusal = std::move(other64.refusal);
+  controlBytesReceived = other64.controlBytesReceived;
+  controlBytesSent = other64.controlBytesSent;
+  endpointSource = other64.endpointSource;
+  endpointCursor = other64.endpointCursor;
+  resync = other64.resync;
+  resyncFull = other64.resyncFull;
+  belowFloor = other64.belowFloor;
+  __isset = other64.__isset;
+}
+NodeStatus& NodeStatus::operator=(const NodeStatus& other65) {
+  inForce = other65.inForce;
+  refused = other65.refused;
+  refusal = other65.refusal;
+  controlBytesReceived = other65.controlBytesReceived;
+  controlBytesSent = other65.controlBytesSent;
+  endpointSource = other65.endpointSource;
+  endpointCursor = other65.endpointCursor;
+  resync = other65.resync;
+  resyncFull = other65.resyncFull;
+  belowFloor = other65.belowFloor;
+  __isset = other65.__isset;
   return *this;
 }
-NodeStatus& NodeStatus::operator=(NodeStatus&& other50) noexcept {
-  inForce = std::move(other50.inForce);
-  refused = std::move(other50.refused);
-  refusal = std::move(other50.refusal);
-  controlBytesReceived = other50.controlBytesReceived;
-  controlBytesSent = other50.controlBytesSent;
-  endpointSource = other50.endpointSource;
-  endpointCursor = other50.endpointCursor;
-  resync = other50.resync;
-  resyncFull = other50.resyncFull;
-  belowFloor = other50.belowFloor;
-  __isset = other50.__isset;
+NodeStatus& NodeStatus::operator=(NodeStatus&& other66) noexcept {
+  inForce = std::move(other66.inForce);
+  refused = std::move(other66.refused);
+  refusal = std::move(other66.refusal);
+  controlBytesReceived = other66.controlBytesReceived;
+  controlBytesSent = other66.controlBytesSent;
+  endpointSource = other66.endpointSource;
+  endpointCursor = other66.endpointCursor;
+  resync = other66.resync;
+  resyncFull = other66.resyncFull;
+  belowFloor = other66.belowFloor;
+  __isset = other66.__isset;
   return *this;
 }
 void NodeStatus::printTo(std::ostream& out) const {
@@ -1790,22 +1999,22 @@
   swap(a.__isset, b.__isset);
 }
 
-RetryLater::RetryLater(const RetryLater& other51) noexcept {
-  afterMs = other51.afterMs;
-  __isset = other51.__isset;
+RetryLater::RetryLater(const RetryLater& other67) noexcept {
+  afterMs = other67.afterMs;
+  __isset = other67.__isset;
 }
-RetryLater::RetryLater(RetryLater&& other52) noexcept {
-  afterMs = other52.afterMs;
-  __isset = other52.__isset;
+RetryLater::RetryLater(RetryLater&& other68) noexcept {
+  afterMs = other68.afterMs;
+  __isset = other68.__isset;
 }
-RetryLater& RetryLater::operator=(const RetryLater& other53) noexcept {
-  afterMs = other53.afterMs;
-  __isset = other53.__isset;
+RetryLater& RetryLater::operator=(const RetryLater& other69) noexcept {
+  afterMs = other69.afterMs;
+  __isset = other69.__isset;
   return *this;
 }
-RetryLater& RetryLater::operator=(RetryLater&& other54) noexcept {
-  afterMs = other54.afterMs;
-  __isset = other54.__isset;
+RetryLater& RetryLater::operator=(RetryLater&& other70) noexcept {
+  afterMs = other70.afterMs;
+  __isset = other70.__isset;
   return *this;
 }
 void RetryLater::printTo(std::ostream& out) const {
@@ -1899,14 +2108,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size55;
-            ::apache::thrift::protocol::TType _etype58;
-            xfer += iprot->readListBegin(_etype58, _size55);
-            this->records.resize(_size55);
-            uint32_t _i59;
-            for (_i59 = 0; _i59 < _size55; ++_i59)
+            uint32_t _size71;
+            ::apache::thrift::protocol::TType _etype74;
+            xfer += iprot->readListBegin(_etype74, _size71);
+            this->records.resize(_size71);
+            uint32_t _i75;
+            for (_i75 = 0; _i75 < _size71; ++_i75)
             {
-              xfer += this->records[_i59].read(iprot);
+              xfer += this->records[_i75].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1919,14 +2128,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removedNodes.clear();
-            uint32_t _size60;
-            ::apache::thrift::protocol::TType _etype63;
-            xfer += iprot->readListBegin(_etype63, _size60);
-            this->removedNodes.resize(_size60);
-            uint32_t _i64;
-            for (_i64 = 0; _i64 < _size60; ++_i64)
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->removedNodes.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
             {
-              xfer += iprot->readString(this->removedNodes[_i64]);
+              xfer += iprot->readString(this->removedNodes[_i80]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1995,10 +2204,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<EndpointRecord> ::const_iterator _iter65;
-    for (_iter65 = this->records.begin(); _iter65 != this->records.end(); ++_iter65)
+    std::vector<EndpointRecord> ::const_iterator _iter81;
+    for (_iter81 = this->records.begin(); _iter81 != this->records.end(); ++_iter81)
     {
-      xfer += (*_iter65).write(oprot);
+      xfer += (*_iter81).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2007,10 +2216,10 @@
   xfer += oprot->writeFieldBegin("removedNodes", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removedNodes.size()));
-    std::vector<std::string> ::const_iterator _iter66;
-    for (_iter66 = this->removedNodes.begin(); _iter66 != this->removedNodes.end(); ++_iter66)
+    std::vector<std::string> ::const_iterator _iter82;
+    for (_iter82 = this->removedNodes.begin(); _iter82 != this->removedNodes.end(); ++_iter82)
     {
-      xfer += oprot->writeString((*_iter66));
+      xfer += oprot->writeString((*_iter82));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2050,50 +2259,50 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointSync::EndpointSync(const EndpointSync& other67) {
-  owner = other67.owner;
-  full = other67.full;
-  records = other67.records;
-  removedNodes = other67.removedNodes;
-  incarnation = other67.incarnation;
-  baseCursor = other67.baseCursor;
-  cursor = other67.cursor;
-  request = other67.request;
-  __isset = other67.__isset;
-}
-EndpointSync::EndpointSync(EndpointSync&& other68) noexcept {
-  owner = other68.owner;
-  full = other68.full;
-  records = std::move(other68.records);
-  removedNodes = std::move(other68.removedNodes);
-  incarnation = other68.incarnation;
-  baseCursor = other68.baseCursor;
-  cursor = other68.cursor;
-  request = other68.request;
-  __isset = other68.__isset;
-}
-EndpointSync& EndpointSync::operator=(const EndpointSync& other69) {
-  owner = other69.owner;
-  full = other69.full;
-  records = other69.records;
-  removedNodes = other69.removedNodes;
-  incarnation = other69.incarnation;
-  baseCursor = other69.baseCursor;
-  cursor = other69.cursor;
-  request = other69.request;
-  __isset = other69.__isset;
+EndpointSync::EndpointSync(const EndpointSync& other83) {
+  owner = other83.owner;
+  full = other83.full;
+  records = other83.records;
+  removedNodes = other83.removedNodes;
+  incarnation = other83.incarnation;
+  baseCursor = other83.baseCursor;
+  cursor = other83.cursor;
+  request = other83.request;
+  __isset = other83.__isset;
+}
+EndpointSync::EndpointSync(EndpointSync&& other84) noexcept {
+  owner = other84.owner;
+  full = other84.full;
+  records = std::move(other84.records);
+  removedNodes = std::move(other84.removedNodes);
+  incarnation = other84.incarnation;
+  baseCursor = other84.baseCursor;
+  cursor = other84.cursor;
+  request = other84.request;
+  __isset = other84.__isset;
+}
+EndpointSync& EndpointSync::operator=(const EndpointSync& other85) {
+  owner = other85.owner;
+  full = other85.full;
+  records = other85.records;
+  removedNodes = other85.removedNodes;
+  incarnation = other85.incarnation;
+  baseCursor = other85.baseCursor;
+  cursor = other85.cursor;
+  request = other85.request;
+  __isset = other85.__isset;
   return *this;
 }
-EndpointSync& EndpointSync::operator=(EndpointSync&& other70) noexcept {
-  owner = other70.owner;
-  full = other70.full;
-  records = std::move(other70.records);
-  removedNodes = std::move(other70.removedNodes);
-  incarnation = other70.incarnation;
-  baseCursor = other70.baseCursor;
-  cursor = other70.cursor;
-  request = other70.request;
-  __isset = other70.__isset;
+EndpointSync& EndpointSync::operator=(EndpointSync&& other86) noexcept {
+  owner = other86.owner;
+  full = other86.full;
+  records = std::move(other86.records);
+  removedNodes = std::move(other86.removedNodes);
+  incarnation = other86.incarnation;
+  baseCursor = other86.baseCursor;
+  cursor = other86.cursor;
+  request = other86.request;
+  __isset = other86.__isset;
   return *this;
 }
 void EndpointSync::printTo(std::ostream& out) const {
@@ -2138,6 +2347,22 @@
 void ControlHello::__set_apiAddress(const std::string& val) {
   this->apiAddress = val;
 }
+
+void ControlHello::__set_nodeAddress(const std::string& val) {
+  this->nodeAddress = val;
+}
+
+void ControlHello::__set_operatorAddress(const std::string& val) {
+  this->operatorAddress = val;
+}
+
+void ControlHello::__set_hasLog(const bool val) {
+  this->hasLog = val;
+}
+
+void ControlHello::__set_mayBootstrap(const bool val) {
+  this->mayBootstrap = val;
+}
 std::ostream& operator<<(std::ostream& out, const ControlHello& obj)
 {
   obj.printTo(out);
@@ -2214,6 +2439,38 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->nodeAddress);
+          this->__isset.nodeAddress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->operatorAddress);
+          this->__isset.operatorAddress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->hasLog);
+          this->__isset.hasLog = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->mayBootstrap);
+          this->__isset.mayBootstrap = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2255,6 +2512,22 @@
   xfer += oprot->writeString(this->apiAddress);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("nodeAddress", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->nodeAddress);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("operatorAddress", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->operatorAddress);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hasLog", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->hasLog);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("mayBootstrap", ::apache::thrift::protocol::T_BOOL, 10);
+  xfer += oprot->writeBool(this->mayBootstrap);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2268,45 +2541,65 @@
   swap(a.availabilityZone, b.availabilityZone);
   swap(a.peerAddress, b.peerAddress);
   swap(a.apiAddress, b.apiAddress);
+  swap(a.nodeAddress, b.nodeAddress);
+  swap(a.operatorAddress, b.operatorAddress);
+  swap(a.hasLog, b.hasLog);
+  swap(a.mayBootstrap, b.mayBootstrap);
   swap(a.__isset, b.__isset);
 }
 
-ControlHello::ControlHello(const ControlHello& other71) {
-  memberId = other71.memberId;
-  name = other71.name;
-  clusterId = other71.clusterId;
-  availabilityZone = other71.availabilityZone;
-  peerAddress = other71.peerAddress;
-  apiAddress = other71.apiAddress;
-  __isset = other71.__isset;
-}
-ControlHello::ControlHello(ControlHello&& other72) noexcept {
-  memberId = other72.memberId;
-  name = std::move(other72.name);
-  clusterId = std::move(other72.clusterId);
-  availabilityZone = std::move(other72.availabilityZone);
-  peerAddress = std::move(other72.peerAddress);
-  apiAddress = std::move(other72.apiAddress);
-  __isset = other72.__isset;
-}
-ControlHello& ControlHello::operator=(const ControlHello& other73) {
-  memberId = other73.memberId;
-  name = other73.name;
-  clusterId = other73.clusterId;
-  availabilityZone = other73.availabilityZone;
-  peerAddress = other73.peerAddress;
-  apiAddress = other73.apiAddress;
-  __isset = other73.__isset;
+ControlHello::ControlHello(const ControlHello& other87) {
+  memberId = other87.memberId;
+  name = other87.name;
+  clusterId = other87.clusterId;
+  availabilityZone = other87.availabilityZone;
+  peerAddress = other87.peerAddress;
+  apiAddress = other87.apiAddress;
+  nodeAddress = other87.nodeAddress;
+  operatorAddress = other87.operatorAddress;
+  hasLog = other87.hasLog;
+  mayBootstrap = other87.mayBootstrap;
+  __isset = other87.__isset;
+}
+ControlHello::ControlHello(ControlHello&& other88) noexcept {
+  memberId = other88.memberId;
+  name = std::move(other88.name);
+  clusterId = std::move(other88.clusterId);
+  availabilityZone = std::move(other88.availabilityZone);
+  peerAddress = std::move(other88.peerAddress);
+  apiAddress = std::move(other88.apiAddress);
+  nodeAddress = std::move(other88.nodeAddress);
+  operatorAddress = std::move(other88.operatorAddress);
+  hasLog = other88.hasLog;
+  mayBootstrap = other88.mayBootstrap;
+  __isset = other88.__isset;
+}
+ControlHello& ControlHello::operator=(const ControlHello& other89) {
+  memberId = other89.memberId;
+  name = other89.name;
+  clusterId = other89.clusterId;
+  availabilityZone = other89.availabilityZone;
+  peerAddress = other89.peerAddress;
+  apiAddress = other89.apiAddress;
+  nodeAddress = other89.nodeAddress;
+  operatorAddress = other89.operatorAddress;
+  hasLog = other89.hasLog;
+  mayBootstrap = other89.mayBootstrap;
+  __isset = other89.__isset;
   return *this;
 }
-ControlHello& ControlHello::operator=(ControlHello&& other74) noexcept {
-  memberId = other74.memberId;
-  name = std::move(other74.name);
-  clusterId = std::move(other74.clusterId);
-  availabilityZone = std::move(other74.availabilityZone);
-  peerAddress = std::move(other74.peerAddress);
-  apiAddress = std::move(other74.apiAddress);
-  __isset = other74.__isset;
+ControlHello& ControlHello::operator=(ControlHello&& other90) noexcept {
+  memberId = other90.memberId;
+  name = std::move(other90.name);
+  clusterId = std::move(other90.clusterId);
+  availabilityZone = std::move(other90.availabilityZone);
+  peerAddress = std::move(other90.peerAddress);
+  apiAddress = std::move(other90.apiAddress);
+  nodeAddress = std::move(other90.nodeAddress);
+  operatorAddress = std::move(other90.operatorAddress);
+  hasLog = other90.hasLog;
+  mayBootstrap = other90.mayBootstrap;
+  __isset = other90.__isset;
   return *this;
 }
 void ControlHello::printTo(std::ostream& out) const {
@@ -2318,6 +2611,10 @@
   out << ", " << "availabilityZone=" << to_string(availabilityZone);
   out << ", " << "peerAddress=" << to_string(peerAddress);
   out << ", " << "apiAddress=" << to_string(apiAddress);
+  out << ", " << "nodeAddress=" << to_string(nodeAddress);
+  out << ", " << "operatorAddress=" << to_string(operatorAddress);
+  out << ", " << "hasLog=" << to_string(hasLog);
+  out << ", " << "mayBootstrap=" << to_string(mayBootstrap);
   out << ")";
 }
 
--- a/libs/wire/gen/src/peer_types.cpp
+++ b/libs/wire/gen/src/peer_types.cpp
@@ -380,6 +380,22 @@
 void CallRequest::__set_idempotent(const bool val) {
   this->idempotent = val;
 }
+
+void CallRequest::__set_callerService(const std::string& val) {
+  this->callerService = val;
+}
+
+void CallRequest::__set_priority(const int32_t val) {
+  this->priority = val;
+}
+
+void CallRequest::__set_objectiveUs(const int64_t val) {
+  this->objectiveUs = val;
+}
+
+void CallRequest::__set_route(const std::string& val) {
+  this->route = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj)
 {
   obj.printTo(out);
@@ -500,6 +516,38 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->callerService);
+          this->__isset.callerService = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->objectiveUs);
+          this->__isset.objectiveUs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->route);
+          this->__isset.route = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -565,6 +613,22 @@
   xfer += oprot->writeBool(this->idempotent);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("callerService", ::apache::thrift::protocol::T_STRING, 11);
+  xfer += oprot->writeString(this->callerService);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 12);
+  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("objectiveUs", ::apache::thrift::protocol::T_I64, 13);
+  xfer += oprot->writeI64(this->objectiveUs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("route", ::apache::thrift::protocol::T_STRING, 14);
+  xfer += oprot->writeString(this->route);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -582,6 +646,10 @@
   swap(a.deadlineUs, b.deadlineUs);
   swap(a.depth, b.depth);
   swap(a.idempotent, b.idempotent);
+  swap(a.callerService, b.callerService);
+  swap(a.priority, b.priority);
+  swap(a.objectiveUs, b.objectiveUs);
+  swap(a.route, b.route);
   swap(a.__isset, b.__isset);
 }
 
@@ -596,6 +664,10 @@
   deadlineUs = other14.deadlineUs;
   depth = other14.depth;
   idempotent = other14.idempotent;
+  callerService = other14.callerService;
+  priority = other14.priority;
+  objectiveUs = other14.objectiveUs;
+  route = other14.route;
   __isset = other14.__isset;
 }
 CallRequest::CallRequest(CallRequest&& other15) noexcept {
@@ -609,6 +681,10 @@
   deadlineUs = other15.deadlineUs;
   depth = other15.depth;
   idempotent = other15.idempotent;
+  callerService = std::move(other15.callerService);
+  priority = other15.priority;
+  objectiveUs = other15.objectiveUs;
+  route = std::move(other15.route);
   __isset = other15.__isset;
 }
 CallRequest& CallRequest::operator=(const CallRequest& other16) {
@@ -622,6 +698,10 @@
   deadlineUs = other16.deadlineUs;
   depth = other16.depth;
   idempotent = other16.idempotent;
+  callerService = other16.callerService;
+  priority = other16.priority;
+  objectiveUs = other16.objectiveUs;
+  route = other16.route;
   __isset = other16.__isset;
   return *this;
 }
@@ -636,6 +716,10 @@
   deadlineUs = other17.deadlineUs;
   depth = other17.depth;
   idempotent = other17.idempotent;
+  callerService = std::move(other17.callerService);
+  priority = other17.priority;
+  objectiveUs = other17.objectiveUs;
+  route = std::move(other17.route);
   __isset = other17.__isset;
   return *this;
 }
@@ -652,6 +736,10 @@
   out << ", " << "deadlineUs=" << to_string(deadlineUs);
   out << ", " << "depth=" << to_string(depth);
   out << ", " << "idempotent=" << to_string(idempotent);
+  out << ", " << "callerService=" << to_string(callerService);
+  out << ", " << "priority=" << to_string(priority);
+  out << ", " << "objectiveUs=" << to_string(objectiveUs);
+  out << ", " << "route=" << to_string(route);
   out << ")";
 }
 
@@ -876,6 +964,10 @@
 void CallResponse::__set_reason(const std::string& val) {
   this->reason = val;
 }
+
+void CallResponse::__set_retryAfterUs(const int64_t val) {
+  this->retryAfterUs = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallResponse& obj)
 {
   obj.printTo(out);
@@ -974,6 +1066,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retryAfterUs);
+          this->__isset.retryAfterUs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1027,6 +1127,10 @@
   xfer += oprot->writeString(this->reason);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("retryAfterUs", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->retryAfterUs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1041,6 +1145,7 @@
   swap(a.body, b.body);
   swap(a.load, b.load);
   swap(a.reason, b.reason);
+  swap(a.retryAfterUs, b.retryAfterUs);
   swap(a.__isset, b.__isset);
 }
 
@@ -1052,6 +1157,7 @@
   body = other29.body;
   load = other29.load;
   reason = other29.reason;
+  retryAfterUs = other29.retryAfterUs;
   __isset = other29.__isset;
 }
 CallResponse::CallResponse(CallResponse&& other30) noexcept {
@@ -1062,6 +1168,7 @@
   body = std::move(other30.body);
   load = std::move(other30.load);
   reason = std::move(other30.reason);
+  retryAfterUs = other30.retryAfterUs;
   __isset = other30.__isset;
 }
 CallResponse& CallResponse::operator=(const CallResponse& other31) {
@@ -1072,6 +1179,7 @@
   body = other31.body;
   load = other31.load;
   reason = other31.reason;
+  retryAfterUs = other31.retryAfterUs;
   __isset = other31.__isset;
   return *this;
 }
@@ -1083,6 +1191,7 @@
   body = std::move(other32.body);
   load = std::move(other32.load);
   reason = std::move(other32.reason);
+  retryAfterUs = other32.retryAfterUs;
   __isset = other32.__isset;
   return *this;
 }
@@ -1096,6 +1205,7 @@
   out << ", " << "body=" << to_string(body);
   out << ", " << "load=" << to_string(load);
   out << ", " << "reason=" << to_string(reason);
+  out << ", " << "retryAfterUs=" << to_string(retryAfterUs);
   out << ")";
 }
 
--- a/libs/wire/gen/src/raft_types.cpp
+++ b/libs/wire/gen/src/raft_types.cpp
@@ -282,6 +282,14 @@
 void Member::__set_apiAddress(const std::string& val) {
   this->apiAddress = val;
 }
+
+void Member::__set_nodeAddress(const std::string& val) {
+  this->nodeAddress = val;
+}
+
+void Member::__set_operatorAddress(const std::string& val) {
+  this->operatorAddress = val;
+}
 std::ostream& operator<<(std::ostream& out, const Member& obj)
 {
   obj.printTo(out);
@@ -358,6 +366,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->nodeAddress);
+          this->__isset.nodeAddress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->operatorAddress);
+          this->__isset.operatorAddress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -399,6 +423,14 @@
   xfer += oprot->writeString(this->apiAddress);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("nodeAddress", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->nodeAddress);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("operatorAddress", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->operatorAddress);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -412,6 +444,8 @@
   swap(a.peerAddress, b.peerAddress);
   swap(a.voter, b.voter);
   swap(a.apiAddress, b.apiAddress);
+  swap(a.nodeAddress, b.nodeAddress);
+  swap(a.operatorAddress, b.operatorAddress);
   swap(a.__isset, b.__isset);
 }
 
@@ -422,6 +456,8 @@
   peerAddress = other5.peerAddress;
   voter = other5.voter;
   apiAddress = other5.apiAddress;
+  nodeAddress = other5.nodeAddress;
+  operatorAddress = other5.operatorAddress;
   __isset = other5.__isset;
 }
 Member::Member(Member&& other6) noexcept {
@@ -431,6 +467,8 @@
   peerAddress = std::move(other6.peerAddress);
   voter = other6.voter;
   apiAddress = std::move(other6.apiAddress);
+  nodeAddress = std::move(other6.nodeAddress);
+  operatorAddress = std::move(other6.operatorAddress);
   __isset = other6.__isset;
 }
 Member& Member::operator=(const Member& other7) {
@@ -440,6 +478,8 @@
   peerAddress = other7.peerAddress;
   voter = other7.voter;
   apiAddress = other7.apiAddress;
+  nodeAddress = other7.nodeAddress;
+  operatorAddress = other7.operatorAddress;
   __isset = other7.__isset;
   return *this;
 }
@@ -450,6 +490,8 @@
   peerAddress = std::move(other8.peerAddress);
   voter = other8.voter;
   apiAddress = std::move(other8.apiAddress);
+  nodeAddress = std::move(other8.nodeAddress);
+  operatorAddress = std::move(other8.operatorAddress);
   __isset = other8.__isset;
   return *this;
 }
@@ -462,6 +504,8 @@
   out << ", " << "peerAddress=" << to_string(peerAddress);
   out << ", " << "voter=" << to_string(voter);
   out << ", " << "apiAddress=" << to_string(apiAddress);
+  out << ", " << "nodeAddress=" << to_string(nodeAddress);
+  out << ", " << "operatorAddress=" << to_string(operatorAddress);
   out << ")";
 }
 
--- a/libs/wire/gen/src/registry_types.cpp
+++ b/libs/wire/gen/src/registry_types.cpp
@@ -72,6 +72,14 @@
 void Change::__set_acceptedAtMs(const int64_t val) {
   this->acceptedAtMs = val;
 }
+
+void Change::__set_label(const int64_t val) {
+  this->label = val;
+}
+
+void Change::__set_baseLabel(const int64_t val) {
+  this->baseLabel = val;
+}
 std::ostream& operator<<(std::ostream& out, const Change& obj)
 {
   obj.printTo(out);
@@ -160,6 +168,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->label);
+          this->__isset.label = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->baseLabel);
+          this->__isset.baseLabel = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -209,6 +233,14 @@
   xfer += oprot->writeI64(this->acceptedAtMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("label", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->label);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("baseLabel", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->baseLabel);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -222,6 +254,8 @@
   swap(a.author, b.author);
   swap(a.comment, b.comment);
   swap(a.acceptedAtMs, b.acceptedAtMs);
+  swap(a.label, b.label);
+  swap(a.baseLabel, b.baseLabel);
   swap(a.__isset, b.__isset);
 }
 
@@ -232,6 +266,8 @@
   author = other6.author;
   comment = other6.comment;
   acceptedAtMs = other6.acceptedAtMs;
+  label = other6.label;
+  baseLabel = other6.baseLabel;
   __isset = other6.__isset;
 }
 Change::Change(Change&& other7) noexcept {
@@ -241,6 +277,8 @@
   author = std::move(other7.author);
   comment = std::move(other7.comment);
   acceptedAtMs = other7.acceptedAtMs;
+  label = other7.label;
+  baseLabel = other7.baseLabel;
   __isset = other7.__isset;
 }
 Change& Change::operator=(const Change& other8) {
@@ -250,6 +288,8 @@
   author = other8.author;
   comment = other8.comment;
   acceptedAtMs = other8.acceptedAtMs;
+  label = other8.label;
+  baseLabel = other8.baseLabel;
   __isset = other8.__isset;
   return *this;
 }
@@ -260,6 +300,8 @@
   author = std::move(other9.author);
   comment = std::move(other9.comment);
   acceptedAtMs = other9.acceptedAtMs;
+  label = other9.label;
+  baseLabel = other9.baseLabel;
   __isset = other9.__isset;
   return *this;
 }
@@ -272,6 +314,8 @@
   out << ", " << "author=" << to_string(author);
   out << ", " << "comment=" << to_string(comment);
   out << ", " << "acceptedAtMs=" << to_string(acceptedAtMs);
+  out << ", " << "label=" << to_string(label);
+  out << ", " << "baseLabel=" << to_string(baseLabel);
   out << ")";
 }
 
@@ -1269,6 +1313,14 @@
 void RegistrySnapshot::__set_digest(const int64_t val) {
   this->digest = val;
 }
+
+void RegistrySnapshot::__set_label(const int64_t val) {
+  this->label = val;
+}
+
+void RegistrySnapshot::__set_baseLabel(const int64_t val) {
+  this->baseLabel = val;
+}
 std::ostream& operator<<(std::ostream& out, const RegistrySnapshot& obj)
 {
   obj.printTo(out);
@@ -1389,6 +1441,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->label);
+          this->__isset.label = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->baseLabel);
+          this->__isset.baseLabel = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1458,6 +1526,14 @@
   xfer += oprot->writeI64(this->digest);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("label", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->label);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("baseLabel", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->baseLabel);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1472,6 +1548,8 @@
   swap(a.history, b.history);
   swap(a.tombstoneHorizon, b.tombstoneHorizon);
   swap(a.digest, b.digest);
+  swap(a.label, b.label);
+  swap(a.baseLabel, b.baseLabel);
   swap(a.__isset, b.__isset);
 }
 
@@ -1483,6 +1561,8 @@
   history = other71.history;
   tombstoneHorizon = other71.tombstoneHorizon;
   digest = other71.digest;
+  label = other71.label;
+  baseLabel = other71.baseLabel;
   __isset = other71.__isset;
 }
 RegistrySnapshot::RegistrySnapshot(RegistrySnapshot&& other72) noexcept {
@@ -1493,6 +1573,8 @@
   history = std::move(other72.history);
   tombstoneHorizon = std::move(other72.tombstoneHorizon);
   digest = other72.digest;
+  label = other72.label;
+  baseLabel = other72.baseLabel;
   __isset = other72.__isset;
 }
 RegistrySnapshot& RegistrySnapshot::operator=(const RegistrySnapshot& other73) {
@@ -1503,6 +1585,8 @@
   history = other73.history;
   tombstoneHorizon = other73.tombstoneHorizon;
   digest = other73.digest;
+  label = other73.label;
+  baseLabel = other73.baseLabel;
   __isset = other73.__isset;
   return *this;
 }
@@ -1514,6 +1598,8 @@
   history = std::move(other74.history);
   tombstoneHorizon = std::move(other74.tombstoneHorizon);
   digest = other74.digest;
+  label = other74.label;
+  baseLabel = other74.baseLabel;
   __isset = other74.__isset;
   return *this;
 }
@@ -1527,6 +1613,8 @@
   out << ", " << "history=" << to_string(history);
   out << ", " << "tombstoneHorizon=" << to_string(tombstoneHorizon);
   out << ", " << "digest=" << to_string(digest);
+  out << ", " << "label=" << to_string(label);
+  out << ", " << "baseLabel=" << to_string(baseLabel);
   out << ")";
 }
 
