Survive SIGHUP and a full disk

Now SIGHUP, and for a VM without contact a timer, reads the seeds of the settings file again; a write without space is repeated while the other members commit. Ruled out: taking over all settings at SIGHUP, since addresses and timers need a restart anyway.

--- a/apps/wigeonfold-control/Process.cpp
+++ b/apps/wigeonfold-control/Process.cpp
@@ -5,6 +5,7 @@
 #include "Network.h"
 #include "StorageWorker.h"
 
+#include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
@@ -19,6 +20,9 @@
 using namespace std::chrono_literals;
 
 constexpr size_t kEventsKept = 10'000;
+constexpr Duration kDiskFullRetry = 50ms;
+constexpr Duration kDiskFullReport = 1s;
+constexpr Duration kReloadPeriod = 5s;
 // A drain that takes longer is ended: a client holds its connection open.
 constexpr Duration kDrainLimit = 8s;
 // Time to write the last messages to nodes and peers.
@@ -70,10 +74,13 @@
 class Process
 {
 public:
-  Process(const ControlSettings& aSettings, EventLog& aLog)
+  Process(const ControlSettings& aSettings, std::string aPath, EventLog& aLog)
     : m_settings(aSettings)
+    , m_path(std::move(aPath))
     , m_log(aLog)
     , m_signals(m_main, SIGTERM, SIGINT)
+    , m_hangup(m_main, SIGHUP)
+    , m_reload(m_main)
     , m_limit(m_main)
   {
   }
@@ -98,6 +105,8 @@
         Drain();
       }
     });
+    AwaitHangup();
+    ReloadLater();
     m_main.run();
     StopThreads();
     m_log.Record(EventId::ProcessStopped, { { "name", m_settings.m_name } });
@@ -109,7 +118,8 @@
 
   bool OpenStorage()
   {
-    m_files = storage::MakePosixFileSystem();
+    m_files = storage::MakePosixFileSystem(
+      [this](const Error& aError) { return WaitForSpace(aError); });
     storage::StorageSettings settings;
     settings.m_folder = m_settings.m_dataFolder;
     auto opened = storage::Storage::Open(
@@ -149,6 +159,19 @@
     return true;
   }
 
+  // On the storage thread. The other members commit meanwhile; only this VM's
+  // acknowledgements wait.
+  bool WaitForSpace(const Error& aError)
+  {
+    const TimePoint now = Clock::now();
+    if (now >= m_nextDiskFull) {
+      m_nextDiskFull = now + kDiskFullReport;
+      m_log.Record(EventId::DiskFull, { { "error", aError.ToString() } });
+    }
+    std::this_thread::sleep_for(kDiskFullRetry);
+    return !m_stopping;
+  }
+
   // Binds all addresses before any thread runs.
   bool Listen()
   {
@@ -195,6 +218,46 @@
     });
   }
 
+  // ---- Reload ----
+
+  void AwaitHangup()
+  {
+    m_hangup.async_wait([this](boost::system::error_code aCode, int) {
+      if (!aCode) {
+        Reload();
+        AwaitHangup();
+      }
+    });
+  }
+
+  // The file may also change without a signal. Seeds only matter to a VM that
+  // knows no member, and reading them again costs little.
+  void ReloadLater()
+  {
+    m_reload.expires_after(kReloadPeriod);
+    m_reload.async_wait([this](boost::system::error_code aCode) {
+      if (!aCode) {
+        Reload();
+        ReloadLater();
+      }
+    });
+  }
+
+  // Takes over the seeds; other changes take effect at the next start.
+  void Reload()
+  {
+    const auto settings = ReloadSettings(m_path, ReadControlSettings);
+    if (!settings || settings->m_seeds == m_seeds) {
+      return;
+    }
+    m_seeds = settings->m_seeds;
+    m_log.Record(EventId::SeedsChanged,
+                 { { "seeds", std::to_string(m_seeds.size()) } });
+    boost::asio::post(m_netLoop.Io(), [this, seeds = m_seeds] {
+      m_net->Handle(AddSeeds{ seeds });
+    });
+  }
+
   // ---- Failure ----
 
   // Thread safe. Nothing unsynced was acknowledged, so the process may end at
@@ -242,6 +305,7 @@
 
   void StopThreads()
   {
+    m_stopping = true;
     if (m_core) {
       boost::asio::post(m_coreLoop.Io(), [this] { m_core->Stop(); });
     }
@@ -255,11 +319,17 @@
   }
 
   const ControlSettings& m_settings;
+  const std::string m_path; // of the settings file
+  std::vector<SocketAddress> m_seeds = m_settings.m_seeds;
   EventLog& m_log;
   ExitStatus m_status = ExitStatus::Success;
   bool m_netStopped = false;
+  std::atomic<bool> m_stopping = false;
+  TimePoint m_nextDiskFull{}; // storage thread
   boost::asio::io_context m_main{ 1 };
   boost::asio::signal_set m_signals;
+  boost::asio::signal_set m_hangup;
+  boost::asio::steady_timer m_reload;
   boost::asio::steady_timer m_limit;
   std::unique_ptr<storage::FileSystem> m_files;
   Channels m_channels;
@@ -275,10 +345,11 @@
 
 } // namespace
 
-ExitStatus RunControl(const ControlSettings& aSettings)
+ExitStatus RunControl(const ControlSettings& aSettings,
+                      const std::string& aPath)
 {
   EventLog log("control " + aSettings.m_name, kEventsKept);
-  Process process(aSettings, log);
+  Process process(aSettings, aPath, log);
   return process.Run();
 }
 
--- a/apps/wigeonfold-control/Process.h
+++ b/apps/wigeonfold-control/Process.h
@@ -8,6 +8,8 @@
 namespace wigeonfold::control {
 
 // Runs until SIGTERM or SIGINT, or until the data folder fails. Blocks.
-ExitStatus RunControl(const ControlSettings& aSettings);
+// aPath is the settings file; SIGHUP reads the seeds in it again.
+ExitStatus RunControl(const ControlSettings& aSettings,
+                      const std::string& aPath);
 
 } // namespace wigeonfold::control
--- a/apps/wigeonfold-node/ControlLink.cpp
+++ b/apps/wigeonfold-node/ControlLink.cpp
@@ -41,6 +41,16 @@
   return Ok();
 }
 
+std::vector<distribution::ControlVm> ToControlVms(
+  const std::vector<NodeSettings::ControlVm>& aVms)
+{
+  std::vector<distribution::ControlVm> vms;
+  for (const NodeSettings::ControlVm& vm : aVms) {
+    vms.push_back({ vm.m_address, vm.m_availabilityZone });
+  }
+  return vms;
+}
+
 distribution::SubscriberOptions MakeOptions(const NodeSettings& aSettings,
                                             int64_t aNodeEpoch)
 {
@@ -48,9 +58,7 @@
   options.m_nodeName = aSettings.m_name;
   options.m_nodeEpoch = aNodeEpoch;
   options.m_availabilityZone = aSettings.m_availabilityZone;
-  for (const NodeSettings::ControlVm& vm : aSettings.m_controlVms) {
-    options.m_controlVms.push_back({ vm.m_address, vm.m_availabilityZone });
-  }
+  options.m_controlVms = ToControlVms(aSettings.m_controlVms);
   return options;
 }
 
@@ -93,6 +101,12 @@
   m_sessions.clear();
 }
 
+void ControlLink::AddControlVms(
+  const std::vector<NodeSettings::ControlVm>& aVms)
+{
+  m_subscriber.AddControlVms(ToControlVms(aVms));
+}
+
 void ControlLink::OnMessage(const DataToControl& aMessage)
 {
   const TimePoint now = Clock::now();
--- a/apps/wigeonfold-node/ControlLink.h
+++ b/apps/wigeonfold-node/ControlLink.h
@@ -36,6 +36,10 @@
   void Stop();
   void OnMessage(const DataToControl& aMessage);
 
+  bool HasSession() const { return m_subscriber.HasSession(); }
+  // Further control VMs to try.
+  void AddControlVms(const std::vector<NodeSettings::ControlVm>& aVms);
+
 private:
   struct Session
   {
--- a/apps/wigeonfold-node/Node.cpp
+++ b/apps/wigeonfold-node/Node.cpp
@@ -1,5 +1,6 @@
 #include "Node.h"
 
+#include "wigeonfold/base/CommandLine.h"
 #include "wigeonfold/forwarding/NativeDialect.h"
 #include "wigeonfold/platform/CallerDialect.h"
 
@@ -14,6 +15,7 @@
 namespace {
 
 constexpr size_t kKeptEvents = 2000;
+constexpr std::chrono::seconds kReloadPeriod{ 2 };
 
 int64_t StartTimeUs()
 {
@@ -32,8 +34,9 @@
 
 } // namespace
 
-Node::Node(const NodeSettings& aSettings)
+Node::Node(const NodeSettings& aSettings, std::string aPath)
   : m_settings(aSettings)
+  , m_path(std::move(aPath))
   , m_epoch(StartTimeUs())
   , m_log("node " + aSettings.m_name, kKeptEvents)
   , m_metrics(m_registry)
@@ -93,6 +96,8 @@
              return m_httpToData.Push(std::move(aMessage));
            })
   , m_signals(m_dataIo, SIGTERM, SIGINT)
+  , m_hangup(m_controlIo, SIGHUP)
+  , m_reload(m_controlIo)
 {
 }
 
@@ -127,6 +132,8 @@
                  { "callers", ToString(m_settings.m_callerListen) },
                  { "peers", ToString(m_settings.m_peerListen) } });
   m_control.Start();
+  AwaitHangup();
+  ReloadLater();
   m_controlThread = std::thread([this] {
     const Guard guard(m_controlIo.get_executor());
     m_controlIo.run();
@@ -151,10 +158,47 @@
   m_data.Drain([this] { m_dataIo.stop(); });
 }
 
+// ---- Reload, on the control thread ------------------------------------------
+
+void Node::AwaitHangup()
+{
+  m_hangup.async_wait([this](boost::system::error_code aCode, int) {
+    if (!aCode) {
+      Reload();
+      AwaitHangup();
+    }
+  });
+}
+
+// The file may also change without a signal; it only matters to a node that
+// reaches no control VM that it knows.
+void Node::ReloadLater()
+{
+  m_reload.expires_after(kReloadPeriod);
+  m_reload.async_wait([this](boost::system::error_code aCode) {
+    if (!aCode) {
+      if (!m_control.HasSession()) {
+        Reload();
+      }
+      ReloadLater();
+    }
+  });
+}
+
+// Takes over the control VMs; other changes take effect at the next start.
+void Node::Reload()
+{
+  if (const auto settings = ReloadSettings(m_path, ReadNodeSettings)) {
+    m_control.AddControlVms(settings->m_controlVms);
+  }
+}
+
 void Node::StopOtherThreads()
 {
   if (m_controlThread.joinable()) {
     boost::asio::post(m_controlIo, [this] {
+      m_hangup.cancel();
+      m_reload.cancel();
       m_control.Stop();
       m_controlIo.stop();
     });
--- a/apps/wigeonfold-node/Node.h
+++ b/apps/wigeonfold-node/Node.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <thread>
 
@@ -16,7 +17,8 @@
 class Node
 {
 public:
-  explicit Node(const NodeSettings& aSettings);
+  // aPath is the settings file; SIGHUP reads the control VMs in it again.
+  Node(const NodeSettings& aSettings, std::string aPath);
   ~Node();
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
@@ -34,10 +36,14 @@
   bool SendToControl(DataToControl aMessage);
   void OnHttpMessage(const HttpToData& aMessage);
   void OnStopSignal();
+  void AwaitHangup();
+  void ReloadLater();
+  void Reload();
   void StopOtherThreads();
 
   const NodeSettings m_settings;
-  const int64_t m_epoch; // start time in microseconds
+  const std::string m_path; // of the settings file
+  const int64_t m_epoch;    // start time in microseconds
   EventLog m_log;
   observe::Metrics m_registry;
   NodeMetrics m_metrics;
@@ -52,6 +58,8 @@
   ControlLink m_control;
   LocalApi m_http;
   boost::asio::signal_set m_signals;
+  boost::asio::signal_set m_hangup;
+  boost::asio::steady_timer m_reload;
   std::thread m_controlThread;
   std::thread m_httpThread;
 };
--- a/apps/wigeonfold-node/main.cpp
+++ b/apps/wigeonfold-node/main.cpp
@@ -13,9 +13,10 @@
 // one is enough and saves megabytes on VMs that have little to spare.
 constexpr int kMallocArenas = 1;
 
-ExitStatus RunNode(const wigeonfold::node::NodeSettings& aSettings)
+ExitStatus RunNode(const wigeonfold::node::NodeSettings& aSettings,
+                   const std::string& aPath)
 {
-  wigeonfold::node::Node node(aSettings);
+  wigeonfold::node::Node node(aSettings, aPath);
   if (const auto result = node.Run(); !result) {
     std::cerr << result.error().ToString() << '\n';
     return ExitStatus::Failed;
--- a/apps/wigeonfold-node/test/Forwarding_test.cpp
+++ b/apps/wigeonfold-node/test/Forwarding_test.cpp
@@ -28,9 +28,9 @@
   const uint16_t port = m_nodes[0]->CallerPort();
   const std::string rest =
     " /lots HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
-  EXPECT_NE(Exchange(port, "HEAD" + rest).find("Content-Length: 9\r\n"),
+  EXPECT_NE(Converse(port, "HEAD" + rest).find("Content-Length: 9\r\n"),
             std::string::npos);
-  const std::string empty = Exchange(port, "GET" + rest);
+  const std::string empty = Converse(port, "GET" + rest);
   EXPECT_EQ(empty.find("HTTP/1.1 204 "), 0U);
   EXPECT_EQ(empty.find("Content-Length"), std::string::npos);
   EXPECT_EQ(target.m_connections, 1);
--- a/apps/wigeonfold-node/test/Outcomes_test.cpp
+++ b/apps/wigeonfold-node/test/Outcomes_test.cpp
@@ -58,7 +58,7 @@
   // Only the header is sent: a body under way could reset the connection
   // before the answer is read.
   const std::string large =
-    Exchange(m_nodes[0]->CallerPort(),
+    Converse(m_nodes[0]->CallerPort(),
              "POST /lots HTTP/1.1\r\nHost: x\r\nContent-Length: " +
                std::to_string(net::kMaxBodyBytes + 1) + "\r\n\r\n");
   EXPECT_EQ(large.find("HTTP/1.1 413 "), 0U) << large;
--- a/apps/wigeonfold-node/test/TestNodes.h
+++ b/apps/wigeonfold-node/test/TestNodes.h
@@ -134,7 +134,7 @@
 };
 
 // Sends bytes and reads until the peer closes the connection.
-inline std::string Exchange(uint16_t aPort, const std::string& aBytes)
+inline std::string Converse(uint16_t aPort, const std::string& aBytes)
 {
   asio::io_context io;
   asio::ip::tcp::socket socket(io);
--- a/apps/wigeonfold-target/main.cpp
+++ b/apps/wigeonfold-target/main.cpp
@@ -13,7 +13,7 @@
 
 constexpr size_t kEventsKept = 1000;
 
-ExitStatus Run(const target::TargetSettings& aSettings)
+ExitStatus Run(const target::TargetSettings& aSettings, const std::string&)
 {
   EventLog log("target " + aSettings.m_name, kEventsKept);
   auto executed = target::Executed::Open(aSettings.m_executedFile);
--- a/libs/base/include/wigeonfold/base/CommandLine.h
+++ b/libs/base/include/wigeonfold/base/CommandLine.h
@@ -45,9 +45,14 @@
 // Directs glog to stderr. Call once, before the first log line.
 void StartLogging(const char* aProgram);
 
+// Ignores SIGHUP until the daemon handles it: its default action would end the
+// process.
+void IgnoreHangup();
+
 // Start of a daemon: logging, command line, settings checked as a whole, then
-// aRun(settings), whose exit status it returns. aReadSettings takes the
-// SettingsFile&. Nothing runs with --check-config or on a bad file.
+// aRun(settings, path), whose exit status it returns; path is that of the
+// settings file, for a reload. aReadSettings takes the SettingsFile&. Nothing
+// runs with --check-config or on a bad file.
 template<class ReadSettings, class Run>
 ExitStatus RunDaemon(const std::string& aBinary,
                      const std::string& aSummary,
@@ -56,6 +61,7 @@
                      ReadSettings aReadSettings,
                      Run aRun)
 {
+  IgnoreHangup();
   StartLogging(aArguments[0]);
   ExitStatus status = ExitStatus::Success;
   const auto arguments =
@@ -72,7 +78,26 @@
   if (!ReportProblems(file.value().Finish())) {
     return ExitStatus::InvalidSettings;
   }
-  return arguments->m_checkOnly ? ExitStatus::Success : aRun(settings);
+  return arguments->m_checkOnly ? ExitStatus::Success
+                                : aRun(settings, arguments->m_configPath);
+}
+
+// Reads the settings file of a running daemon again. Problems are printed and
+// leave nothing, so that the settings in use stay.
+template<class ReadSettings>
+auto ReloadSettings(const std::string& aPath, ReadSettings aReadSettings)
+  -> std::optional<decltype(aReadSettings(std::declval<SettingsFile&>()))>
+{
+  auto file = SettingsFile::Load(aPath);
+  if (!file) {
+    std::cerr << file.error().ToString() << '\n';
+    return std::nullopt;
+  }
+  auto settings = aReadSettings(file.value());
+  if (!ReportProblems(file.value().Finish())) {
+    return std::nullopt;
+  }
+  return settings;
 }
 
 } // namespace wigeonfold
--- a/libs/base/include/wigeonfold/base/Events.h
+++ b/libs/base/include/wigeonfold/base/Events.h
@@ -41,6 +41,7 @@
   X(TornTailCut,            1102, Warning, "an incomplete record at the end of the log was removed") \
   X(SnapshotDamaged,        1103, Warning, "a snapshot failed its checksum and was passed over") \
   X(StorageFailed,          1104, Error,   "the data folder is damaged or a write or sync failed") \
+  X(DiskFull,               1107, Error,   "the disk is full; the write is repeated until there is space") \
   X(SnapshotSaved,          1105, Info,    "a snapshot was written and synced") \
   X(LogReplaced,            1106, Info,    "the log was replaced by a snapshot") \
   X(RoleChanged,            1200, Info,    "the member changed its role in the replicated group") \
--- a/libs/base/src/CommandLine.cpp
+++ b/libs/base/src/CommandLine.cpp
@@ -1,5 +1,6 @@
 #include "wigeonfold/base/CommandLine.h"
 
+#include <csignal>
 #include <docopt/docopt.h>
 #include <glog/logging.h>
 #include <iostream>
@@ -56,6 +57,11 @@
   return aProblems.empty();
 }
 
+void IgnoreHangup()
+{
+  std::signal(SIGHUP, SIG_IGN);
+}
+
 void StartLogging(const char* aProgram)
 {
   FLAGS_logtostderr = true;
--- a/libs/storage/include/wigeonfold/storage/FileSystem.h
+++ b/libs/storage/include/wigeonfold/storage/FileSystem.h
@@ -4,6 +4,7 @@
 
 #include "wigeonfold/base/Error.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -57,6 +58,10 @@
 
 // The operating system's files. The object holds no state and may be shared by
 // threads.
-std::unique_ptr<FileSystem> MakePosixFileSystem();
+// aOnNoSpace is called, on the thread of the call, each time a call finds no
+// space; true tries it again, which may go on until space is free, and false
+// fails it.
+std::unique_ptr<FileSystem> MakePosixFileSystem(
+  std::function<bool(const Error&)> aOnNoSpace = {});
 
 } // namespace wigeonfold::storage
--- a/libs/storage/src/PosixFileSystem.cpp
+++ b/libs/storage/src/PosixFileSystem.cpp
@@ -46,12 +46,40 @@
   const int m_fd;
 };
 
+// Repeats calls that find no space for as long as the owner wants.
+class NoSpacePolicy
+{
+public:
+  explicit NoSpacePolicy(std::function<bool(const Error&)> aOnNoSpace)
+    : m_onNoSpace(std::move(aOnNoSpace))
+  {
+  }
+
+  // Whether the call that failed with errno is made again.
+  bool Retry(const char* aStep, const std::string& aPath) const
+  {
+    const int error = errno;
+    if (error == EINTR) {
+      return true;
+    }
+    const bool noSpace = error == ENOSPC || error == EDQUOT;
+    const bool again =
+      noSpace && m_onNoSpace && m_onNoSpace(IoError(aStep, aPath, error));
+    errno = error;
+    return again;
+  }
+
+private:
+  const std::function<bool(const Error&)> m_onNoSpace;
+};
+
 class PosixFile : public File
 {
 public:
-  PosixFile(int aFd, std::string aPath)
+  PosixFile(int aFd, std::string aPath, const NoSpacePolicy& aPolicy)
     : m_fd(aFd)
     , m_path(std::move(aPath))
+    , m_policy(aPolicy)
   {
   }
 
@@ -59,7 +87,7 @@
   {
     while (!aBytes.empty()) {
       const ssize_t written = ::write(m_fd.Get(), aBytes.data(), aBytes.size());
-      if (written < 0 && errno == EINTR) {
+      if (written < 0 && m_policy.Retry("write file", m_path)) {
         continue;
       }
       if (written < 0) {
@@ -72,8 +100,10 @@
 
   Status Sync() override
   {
-    if (::fdatasync(m_fd.Get()) != 0) {
-      return IoError("sync file", m_path, errno);
+    while (::fdatasync(m_fd.Get()) != 0) {
+      if (!m_policy.Retry("sync file", m_path)) {
+        return IoError("sync file", m_path, errno);
+      }
     }
     return Ok();
   }
@@ -89,11 +119,17 @@
 private:
   const Descriptor m_fd;
   const std::string m_path;
+  const NoSpacePolicy& m_policy;
 };
 
 class PosixFileSystem : public FileSystem
 {
 public:
+  explicit PosixFileSystem(std::function<bool(const Error&)> aOnNoSpace)
+    : m_policy(std::move(aOnNoSpace))
+  {
+  }
+
   Status MakeFolder(const std::string& aPath) override
   {
     std::error_code error;
@@ -156,12 +192,16 @@
 
   Result<std::unique_ptr<File>> Open(const std::string& aPath) override
   {
-    const int fd = ::open(
-      aPath.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, kFileMode);
+    constexpr int kFlags = O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC;
+    int fd = ::open(aPath.c_str(), kFlags, kFileMode);
+    while (fd < 0 && m_policy.Retry("open file", aPath)) {
+      fd = ::open(aPath.c_str(), kFlags, kFileMode);
+    }
     if (fd < 0) {
       return IoError("open file", aPath, errno);
     }
-    return std::unique_ptr<File>(std::make_unique<PosixFile>(fd, aPath));
+    return std::unique_ptr<File>(
+      std::make_unique<PosixFile>(fd, aPath, m_policy));
   }
 
   Result<std::unique_ptr<File>> Lock(const std::string& aPath) override
@@ -171,7 +211,7 @@
     if (fd < 0) {
       return IoError("open file", aPath, errno);
     }
-    auto file = std::make_unique<PosixFile>(fd, aPath);
+    auto file = std::make_unique<PosixFile>(fd, aPath, m_policy);
     if (::flock(fd, LOCK_EX | LOCK_NB) != 0) {
       if (errno == EWOULDBLOCK) {
         return Error{ ErrorCode::Conflict,
@@ -186,8 +226,10 @@
 
   Status Rename(const std::string& aFrom, const std::string& aTo) override
   {
-    if (::rename(aFrom.c_str(), aTo.c_str()) != 0) {
-      return IoError("rename file", aFrom, errno);
+    while (::rename(aFrom.c_str(), aTo.c_str()) != 0) {
+      if (!m_policy.Retry("rename file", aFrom)) {
+        return IoError("rename file", aFrom, errno);
+      }
     }
     return Ok();
   }
@@ -204,18 +246,27 @@
   {
     const Descriptor fd(
       ::open(aPath.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
-    if (fd.Get() < 0 || ::fsync(fd.Get()) != 0) {
-      return IoError("sync folder", aPath, errno);
+    if (fd.Get() < 0) {
+      return IoError("open folder", aPath, errno);
+    }
+    while (::fsync(fd.Get()) != 0) {
+      if (!m_policy.Retry("sync folder", aPath)) {
+        return IoError("sync folder", aPath, errno);
+      }
     }
     return Ok();
   }
+
+private:
+  const NoSpacePolicy m_policy;
 };
 
 } // namespace
 
-std::unique_ptr<FileSystem> MakePosixFileSystem()
+std::unique_ptr<FileSystem> MakePosixFileSystem(
+  std::function<bool(const Error&)> aOnNoSpace)
 {
-  return std::make_unique<PosixFileSystem>();
+  return std::make_unique<PosixFileSystem>(std::move(aOnNoSpace));
 }
 
 } // namespace wigeonfold::storage
--- a/libs/storage/test/Storage_test.cpp
+++ b/libs/storage/test/Storage_test.cpp
@@ -315,5 +315,20 @@
   std::filesystem::remove_all(folder);
 }
 
+// A full disk must not end the process: the write is made again until there is
+// room, or until the process stops.
+TEST(PosixFiles, AWriteWithoutSpaceIsRepeatedUntilItIsGivenUp)
+{
+  int calls = 0;
+  const auto files = MakePosixFileSystem([&calls](const Error& aError) {
+    EXPECT_EQ(aError.m_step, "write file");
+    return ++calls < 3;
+  });
+  const auto file = files->Open("/dev/full");
+  ASSERT_TRUE(file);
+  EXPECT_FALSE(file.value()->Append("bytes"));
+  EXPECT_EQ(calls, 3);
+}
+
 } // namespace
 } // namespace wigeonfold::storage
