Refuse at once what would miss its objective; choose targets by expected time

Load pattern: a crest of all, with slow, cold and failing targets. A target's node now estimates the wait from what runs and waits before a request, by route, and refuses at arrival what could not start in time for its objective. Calls of the highest rank are bound by their deadline only. Callers' nodes choose by latency, wait and failures that the target's node reports. Ruled out: bounding the queue by a fixed time, which is wrong for two routes with different objectives at one target.

--- a/apps/wigeonfold-node/DataPlane.cpp
+++ b/apps/wigeonfold-node/DataPlane.cpp
@@ -50,6 +50,7 @@
                  routing::Chooser(
                    aSettings.m_availabilityZone,
                    routing::MakePickStrategy(aSettings.m_pickStrategy,
+                                             aSettings.m_availabilityZone,
                                              SeedOf(aSettings, aNodeEpoch))),
                  m_target,
                  m_peerClient,
--- a/apps/wigeonfold-node/NodeSettings.cpp
+++ b/apps/wigeonfold-node/NodeSettings.cpp
@@ -13,11 +13,13 @@
 {
   aSettings.m_pickStrategy =
     aFile.String("calls", "load-balancing", "power-of-two");
-  if (routing::MakePickStrategy(aSettings.m_pickStrategy, 0) == nullptr) {
+  if (routing::MakePickStrategy(
+        aSettings.m_pickStrategy, aSettings.m_availabilityZone, 0) == nullptr) {
     aFile.AddProblem("calls",
                      "load-balancing",
                      "'" + aSettings.m_pickStrategy +
-                       "' is not power-of-two, round-robin or random");
+                       "' is not least-expected-time, power-of-two, "
+                       "round-robin or random");
   }
   aSettings.m_queue = aFile.String("calls", "queue", "fair");
   if (admission::MakeQueue(aSettings.m_queue) == nullptr) {
--- a/apps/wigeonfold-node/TargetSide.cpp
+++ b/apps/wigeonfold-node/TargetSide.cpp
@@ -1,6 +1,7 @@
 #include "TargetSide.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace wigeonfold::node {
 
@@ -18,6 +19,16 @@
 // its round trip time.
 constexpr int64_t kLatencyDivisor = 8;
 
+// Order in the queue: calls of work under way by their depth, then requests of
+// the highest rank, then the others by rank.
+int DepthOf(const wire::CallRequest& aRequest)
+{
+  if (aRequest.depth > 0 || aRequest.route.empty()) {
+    return aRequest.depth;
+  }
+  return aRequest.priority == 0 ? 1 : -aRequest.priority;
+}
+
 } // namespace
 
 const char* ToString(TargetState aState)
@@ -77,6 +88,7 @@
                              !(before->m_address == m_target->m_address) ||
                              before->m_connections != m_target->m_connections;
   if (otherInstance) {
+    m_health = {};
     m_pool->SetTarget(m_target->m_address,
                       static_cast<size_t>(MaxConnections()));
   }
@@ -184,9 +196,17 @@
   admission::Request request;
   request.m_id = id;
   request.m_shares = SharesOf(aRequest->office);
-  request.m_depth = aRequest->depth;
+  request.m_depth = DepthOf(*aRequest);
   request.m_deadline = aDeadline;
   request.m_arrived = aNow;
+  request.m_work = m_work.Expected(aRequest->route);
+  // Calls of the highest rank are made by work that is under way; refusing one
+  // wastes that work, so only the deadline bounds their wait.
+  if (aRequest->__isset.objectiveLeadUs && aRequest->priority > 0) {
+    request.m_startBy = aDeadline -
+                        std::chrono::microseconds(aRequest->objectiveLeadUs) -
+                        request.m_work;
+  }
   ServedCall call{ forwarding::TargetCall(aDeadline) };
   m_bytes += aRequest->body.size();
   call.m_request = std::move(aRequest);
@@ -282,6 +302,7 @@
       continue;
     }
     forwarding::TargetCall& machine = call->second.m_call;
+    call->second.m_retryAfter = decision.m_retryAfter;
     Execute(decision.m_id,
             decision.m_start ? machine.OnAdmitted(aNow)
                              : machine.OnRejected(decision.m_reason),
@@ -395,10 +416,15 @@
   if (aStep.m_release) {
     next = m_admission.Finished(aId, aNow);
   }
+  m_health.Note(*aStep.m_end);
+  if (*aStep.m_end == Outcome::Answered) {
+    m_work.Note(call.m_request->route, aNow - call.m_started);
+  }
   if (call.m_reply) {
     TargetReply reply;
     reply.m_outcome = *aStep.m_end;
     FillResponse(reply, call.m_exchange, call.m_request->method == "HEAD");
+    reply.m_response.retryAfterUs = ToMicroseconds(call.m_retryAfter);
     call.m_reply(std::move(reply));
   }
   Apply(std::move(next), aNow);
@@ -434,6 +460,9 @@
   load.queued = m_admission.Queued();
   load.latencyUs = m_latencyUs;
   load.draining = State() == TargetState::Draining;
+  load.failurePercent = m_health.FailurePercent();
+  load.waitUs = ToMicroseconds(
+    m_admission.ExpectedWait(std::numeric_limits<int>::min(), Clock::now()));
   return load;
 }
 
--- a/apps/wigeonfold-node/TargetSide.h
+++ b/apps/wigeonfold-node/TargetSide.h
@@ -8,6 +8,7 @@
 #include "wigeonfold/admission/Admission.h"
 #include "wigeonfold/forwarding/Dialect.h"
 #include "wigeonfold/forwarding/TargetCall.h"
+#include "wigeonfold/forwarding/TargetHealth.h"
 
 #include <deque>
 #include <unordered_map>
@@ -80,6 +81,7 @@
     std::shared_ptr<const wire::CallRequest> m_request;
     TimePoint m_deadline{};
     TimePoint m_started{};
+    Duration m_retryAfter{};
     OnTargetReply m_reply;
     TargetConnectionPtr m_connection;
     Exchange m_exchange;
@@ -120,6 +122,8 @@
   Deadlines m_deadlines;
   std::deque<admission::Decision> m_decisions;
   bool m_applying = false;
+  forwarding::TargetHealth m_health;
+  forwarding::WorkEstimates m_work;
   int64_t m_latencyUs = 0; // smoothed time from write to answer
 };
 
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -31,9 +31,9 @@
   11: string callerService,
   // 0 is the highest rank.
   12: i32 priority,
-  // Time from the arrival at the first node within which an answer has its
-  // full value; 0 for none.
-  13: i64 objectiveUs,
+  // Time from the latency objective to the deadline; absent without an
+  // objective.
+  13: optional i64 objectiveLeadUs,
   14: string route,
 }
 
@@ -50,6 +50,10 @@
   3: i32 queued,
   4: i64 latencyUs,
   5: bool draining,
+  // Part of the latest requests that failed or were shed there, in percent.
+  6: i32 failurePercent,
+  // Expected time until a further request of the lowest rank gets a slot.
+  7: i64 waitUs,
 }
 
 struct CallResponse {
--- a/libs/admission/include/wigeonfold/admission/Admission.h
+++ b/libs/admission/include/wigeonfold/admission/Admission.h
@@ -17,6 +17,7 @@
   Expired,      // deadline passed before a slot was free
   Draining,     // the target takes no new work
   Displaced,    // gave way to an office with fewer waiting requests
+  TooLate,      // no slot would be free in time for an answer of full value
 };
 
 const char* ToString(RejectReason aReason);
@@ -28,6 +29,8 @@
   uint64_t m_id = 0;
   bool m_start = false; // run now; Finished() must follow
   RejectReason m_reason = RejectReason::None;
+  // Rejections: time after which a slot would be free for the request.
+  Duration m_retryAfter{};
 };
 
 struct Limits
@@ -58,6 +61,10 @@
   // Rejects what waited too long. Call about every 10 ms.
   std::vector<Decision> Tick(TimePoint aNow);
 
+  // Expected time until a request of that depth gets a slot: what runs and what
+  // would run before it, spread over the slots.
+  Duration ExpectedWait(int aDepth, TimePoint aNow) const;
+
   int Running() const { return static_cast<int>(m_running.size()); }
   int Queued() const { return static_cast<int>(m_queue->Size()); }
   int Slots() const { return m_limits.m_slots; }
@@ -80,6 +87,7 @@
   Room CheckRoom(const Request& aRequest) const;
   RejectReason MakeRoom(const Request& aRequest,
                         std::vector<Decision>& aDecisions);
+  bool IsTooLate(const Request& aRequest, Duration aWait, TimePoint aNow) const;
   RejectReason CheckWait(const Request& aRequest, TimePoint aNow) const;
   void StartWaiting(std::vector<Decision>& aDecisions, TimePoint aNow);
 
--- a/libs/admission/include/wigeonfold/admission/Queue.h
+++ b/libs/admission/include/wigeonfold/admission/Queue.h
@@ -23,10 +23,14 @@
 {
   uint64_t m_id = 0;           // unique among the requests of one target
   std::vector<Share> m_shares; // from the top office down; not empty
-  int m_depth = 0;             // calls between this one and the outside
+  int m_depth = 0;             // greater goes first; calls to the outside
   TimePoint m_deadline{};
   TimePoint m_arrived{};
   double m_chargedMs = 0; // slot time charged by Pop()
+  Duration m_work{};      // expected slot time; zero: unknown
+  // Latest start that still makes the answer worth its full value; zero: the
+  // deadline alone bounds the wait.
+  TimePoint m_startBy{};
 };
 
 // Strategy that orders waiting requests. Not thread safe.
--- a/libs/admission/src/Admission.cpp
+++ b/libs/admission/src/Admission.cpp
@@ -21,6 +21,8 @@
       return "draining";
     case RejectReason::Displaced:
       return "displaced";
+    case RejectReason::TooLate:
+      return "too-late";
   }
   return "none";
 }
@@ -59,11 +61,14 @@
   RejectReason reason =
     m_draining ? RejectReason::Draining : CheckWait(aRequest, aNow);
   const bool slotFree = Running() < m_limits.m_slots && m_queue->Size() == 0;
+  Duration wait{};
   if (reason == RejectReason::None && !slotFree) {
-    reason = MakeRoom(aRequest, decisions);
+    wait = ExpectedWait(aRequest.m_depth, aNow);
+    reason = IsTooLate(aRequest, wait, aNow) ? RejectReason::TooLate
+                                             : MakeRoom(aRequest, decisions);
   }
   if (reason != RejectReason::None) {
-    decisions.push_back({ aRequest.m_id, false, reason });
+    decisions.push_back({ aRequest.m_id, false, reason, wait });
     return decisions;
   }
   m_queue->Push(aRequest);
@@ -96,7 +101,11 @@
     return decisions;
   }
   for (const Request& request : m_queue->Waiting()) {
-    const RejectReason reason = CheckWait(request, aNow);
+    RejectReason reason = CheckWait(request, aNow);
+    if (reason == RejectReason::None &&
+        IsTooLate(request, Duration::zero(), aNow)) {
+      reason = RejectReason::TooLate;
+    }
     if (reason != RejectReason::None) {
       m_queue->Remove(request.m_id);
       decisions.push_back({ request.m_id, false, reason });
@@ -140,6 +149,35 @@
   return RejectReason::None;
 }
 
+Duration Admission::ExpectedWait(int aDepth, TimePoint aNow) const
+{
+  if (m_limits.m_slots <= 0) {
+    return Duration::max();
+  }
+  Duration work{};
+  for (const auto& [id, running] : m_running) {
+    const Duration expected = running.m_request.m_work;
+    // One that has run longer than expected is likely to be one of the few
+    // long ones.
+    work += std::max(expected - (aNow - running.m_started), expected / 4);
+  }
+  for (const Request& waiting : m_queue->Waiting()) {
+    if (waiting.m_depth >= aDepth) {
+      work += waiting.m_work;
+    }
+  }
+  return work / m_limits.m_slots;
+}
+
+// A request without a bound, or one that waits for nothing, is never too late:
+// a late answer is worth more than none.
+bool Admission::IsTooLate(const Request& aRequest,
+                          Duration aWait,
+                          TimePoint aNow) const
+{
+  return aRequest.m_startBy != TimePoint{} && aNow + aWait > aRequest.m_startBy;
+}
+
 // Whether the request may still take a slot.
 RejectReason Admission::CheckWait(const Request& aRequest, TimePoint aNow) const
 {
--- a/libs/admission/test/Admission_test.cpp
+++ b/libs/admission/test/Admission_test.cpp
@@ -3,6 +3,7 @@
 #include "wigeonfold/admission/Admission.h"
 
 #include <gtest/gtest.h>
+#include <map>
 #include <rapidcheck/gtest.h>
 #include <set>
 
@@ -207,5 +208,97 @@
   }
 }
 
+// ---- Latency objectives ----------------------------------------------------
+
+// Load pattern: for two seconds requests arrive at 1.5 times the rate that the
+// slots can serve. Returns how many were answered within the objective and how
+// many were answered or rejected late.
+struct Crest
+{
+  int m_inTime = 0;
+  int m_late = 0;
+  Duration m_longestHold{}; // until a rejection
+};
+
+Crest ReplayCrest(bool aWithObjective)
+{
+  constexpr Duration kWork = 100ms;
+  constexpr Duration kObjective = 300ms;
+  constexpr int kSlots = 6;
+  constexpr Duration kInterval = 11ms; // 90 a second, 60 fit
+  Admission admission(MakeFairQueue());
+  admission.SetLimits({ kSlots, 1000, 1h }, kStart);
+  Crest crest;
+  std::map<uint64_t, TimePoint> arrived;
+  std::multimap<TimePoint, uint64_t> ends;
+  const auto note = [&](const std::vector<Decision>& aDecisions,
+                        TimePoint aNow) {
+    for (const Decision& decision : aDecisions) {
+      if (decision.m_start) {
+        ends.emplace(aNow + kWork, decision.m_id);
+      } else {
+        crest.m_longestHold =
+          std::max(crest.m_longestHold, aNow - arrived[decision.m_id]);
+      }
+    }
+  };
+  uint64_t id = 0;
+  for (TimePoint now = kStart; now < kStart + 4s; now += 1ms) {
+    while (!ends.empty() && ends.begin()->first <= now) {
+      const uint64_t ended = ends.begin()->second;
+      ends.erase(ends.begin());
+      ++(now - arrived[ended] <= kObjective ? crest.m_inTime : crest.m_late);
+      note(admission.Finished(ended, now), now);
+    }
+    const auto since = now - kStart;
+    if (since < 2s && since % kInterval == Duration::zero()) {
+      Request request = MakeRequest(++id, "a", 0, now);
+      request.m_work = kWork;
+      if (aWithObjective) {
+        request.m_startBy = now + kObjective - kWork;
+      }
+      arrived[id] = now;
+      note(admission.Offer(request, now), now);
+    }
+    note(admission.Tick(now), now);
+  }
+  return crest;
+}
+
+TEST(AdmissionTest, AtACrestTheSlotsServeWhatCanStillBeInTime)
+{
+  const Crest bounded = ReplayCrest(true);
+  const Crest unbounded = ReplayCrest(false);
+  // 2 s on 6 slots of 100 ms are 120 requests; the queue adds some after that.
+  EXPECT_GE(bounded.m_inTime, 114);
+  EXPECT_EQ(bounded.m_late, 0);
+  EXPECT_LT(unbounded.m_inTime, bounded.m_inTime);
+  EXPECT_GT(unbounded.m_late, 0);
+}
+
+// What can't be served in time is rejected when it arrives.
+TEST(AdmissionTest, ARequestThatWouldBeLateIsRejectedAtOnce)
+{
+  EXPECT_LE(ReplayCrest(true).m_longestHold, 37ms);
+}
+
+// A call of work under way has no bound but its deadline and goes first.
+TEST(AdmissionTest, CallsOfWorkUnderWayPassWaitingRequests)
+{
+  Admission admission(MakeFairQueue());
+  admission.SetLimits({ 1, 10, 1h }, kStart);
+  for (uint64_t id = 1; id <= 3; ++id) {
+    Request request = MakeRequest(id, "a", -2, kStart);
+    request.m_work = 100ms;
+    admission.Offer(request, kStart);
+  }
+  EXPECT_EQ(admission.ExpectedWait(1, kStart), Duration(100ms));
+  EXPECT_EQ(admission.ExpectedWait(-2, kStart), Duration(300ms));
+  admission.Offer(MakeRequest(9, "a", 1, kStart), kStart);
+  const auto decisions = admission.Finished(1, kStart + 1ms);
+  ASSERT_EQ(decisions.size(), 1U);
+  EXPECT_EQ(decisions[0].m_id, 9U);
+}
+
 } // namespace
 } // namespace wigeonfold::admission
--- a/libs/forwarding/include/wigeonfold/forwarding/Outcome.h
+++ b/libs/forwarding/include/wigeonfold/forwarding/Outcome.h
@@ -32,6 +32,7 @@
   OfficeShare,
   QueueTimeout,
   Displaced,
+  TooLate, // an answer would come after the latency objective
   Draining,
   // Failed on the way.
   ExpiredBeforeWrite,
--- a/libs/forwarding/src/Outcome.cpp
+++ b/libs/forwarding/src/Outcome.cpp
@@ -17,8 +17,8 @@
   static const std::vector<OutcomeInfo> table{
     // outcome                        reason                  run      status Retry-After elsewhere result
     { Outcome::Answered,             "answered",              RunState::Run,     0,   false, false, Result::Answered },
-    { Outcome::AnsweredFailure,      "answered-failure",      RunState::Run,     0,   false, true,  Result::Answered },
-    { Outcome::Shed,                 "shed",                  RunState::NotRun,  503, false, true,  Result::Refused },
+    { Outcome::AnsweredFailure,      "answered-failure",      RunState::Run,     0,   false, true,  Result::AnsweredFailure },
+    { Outcome::Shed,                 "shed",                  RunState::NotRun,  503, false, true,  Result::Shed },
     { Outcome::NoConfiguration,      "no-configuration",      RunState::NotRun,  503, true,  true,  Result::Draining },
     { Outcome::Overloaded,           "node-overloaded",       RunState::NotRun,  503, true,  true,  Result::Refused },
     { Outcome::NoRoute,              "no-route",              RunState::NotRun,  404, false, false, Result::Refused },
@@ -31,6 +31,7 @@
     { Outcome::OfficeShare,          "office-share",          RunState::NotRun,  503, true,  true,  Result::Refused },
     { Outcome::QueueTimeout,         "queue-timeout",         RunState::NotRun,  503, true,  true,  Result::Refused },
     { Outcome::Displaced,            "displaced",             RunState::NotRun,  503, true,  true,  Result::Refused },
+    { Outcome::TooLate,              "too-late",              RunState::NotRun,  503, true,  true,  Result::Refused },
     { Outcome::Draining,             "draining",              RunState::NotRun,  503, true,  true,  Result::Draining },
     { Outcome::ExpiredBeforeWrite,   "expired-before-write",  RunState::NotRun,  504, false, false, Result::Refused },
     { Outcome::ExpiredAfterWrite,    "expired-after-write",   RunState::Unknown, 504, false, false, Result::Failed },
@@ -92,6 +93,8 @@
       return Outcome::Draining;
     case admission::RejectReason::Displaced:
       return Outcome::Displaced;
+    case admission::RejectReason::TooLate:
+      return Outcome::TooLate;
   }
   return Outcome::QueueFull;
 }
--- /dev/null
+++ b/libs/forwarding/src/TargetHealth.cpp
@@ -0,0 +1,43 @@
+#include "wigeonfold/forwarding/TargetHealth.h"
+
+namespace wigeonfold::forwarding {
+
+namespace {
+
+// Weight of the newest sample.
+constexpr double kFailureWeight = 0.05;
+constexpr int kWorkDivisor = 16;
+// Routes that are gone are forgotten when the table reaches this size.
+constexpr size_t kMaxRoutes = 10'000;
+
+} // namespace
+
+void TargetHealth::Note(Outcome aOutcome)
+{
+  const bool failed =
+    aOutcome == Outcome::AnsweredFailure || aOutcome == Outcome::Shed ||
+    aOutcome == Outcome::TargetRefused || aOutcome == Outcome::TargetLost ||
+    aOutcome == Outcome::AnswerUnusable;
+  if (failed || aOutcome == Outcome::Answered) {
+    m_failureRate += kFailureWeight * ((failed ? 1 : 0) - m_failureRate);
+  }
+}
+
+void WorkEstimates::Note(const std::string& aRoute, Duration aWork)
+{
+  if (m_work.size() >= kMaxRoutes) {
+    m_work.clear();
+  }
+  const auto [known, added] = m_work.emplace(aRoute, aWork);
+  if (!added) {
+    known->second += (aWork - known->second) / kWorkDivisor;
+  }
+}
+
+Duration WorkEstimates::Expected(const std::string& aRoute) const
+{
+  const auto known = m_work.find(aRoute);
+  return known == m_work.end() ? Duration::zero() : known->second;
+}
+
+} // namespace wigeonfold::forwarding
--- a/libs/routing/include/wigeonfold/routing/Chooser.h
+++ b/libs/routing/include/wigeonfold/routing/Chooser.h
@@ -16,6 +16,9 @@
 {
 public:
   virtual ~PickStrategy() = default;
+  // Whether the strategy weighs availability zones itself; otherwise it gets
+  // the candidates of one zone as long as they are not overloaded.
+  virtual bool WeighsZones() const { return false; }
   // Precondition: aCandidates is not empty.
   virtual const Endpoint* Pick(const std::string& aService,
                                const std::vector<const Endpoint*>& aCandidates,
@@ -25,11 +28,17 @@
 
 // The less loaded of two different random candidates.
 std::unique_ptr<PickStrategy> MakePowerOfTwo(uint64_t aSeed);
+// The least expected time until the answer among a few random candidates. An
+// endpoint of another zone than aZone has to be better by a margin.
+std::unique_ptr<PickStrategy> MakeLeastExpectedTime(std::string aZone,
+                                                    uint64_t aSeed);
 // Baselines.
 std::unique_ptr<PickStrategy> MakeRoundRobin();
 std::unique_ptr<PickStrategy> MakeRandom(uint64_t aSeed);
-// "power-of-two", "round-robin" or "random"; nullptr for another name.
+// "least-expected-time", "power-of-two", "round-robin" or "random"; nullptr for
+// another name. aZone is the node's own availability zone.
 std::unique_ptr<PickStrategy> MakePickStrategy(const std::string& aName,
+                                               const std::string& aZone,
                                                uint64_t aSeed);
 
 // Narrows a service's endpoints to candidates and lets the strategy pick. Not
--- a/libs/routing/include/wigeonfold/routing/Tracker.h
+++ b/libs/routing/include/wigeonfold/routing/Tracker.h
@@ -13,8 +13,10 @@
 // How an attempt at an endpoint ended, as far as choosing targets goes.
 enum class AttemptResult
 {
-  Answered, // the target answered, whatever the status
-  Refused,  // proven not run: queue full, office over its share, shed
+  Answered,        // the target answered, whatever the status
+  AnsweredFailure, // the target ran the request and answered a failure
+  Shed,            // the target itself refused the request
+  Refused,  // proven not run: queue full, office over its share, too late
   Draining, // proven not run: the target is leaving
   Failed,   // connection failed or lost, or no answer in time
 };
@@ -37,6 +39,14 @@
   // Estimated calls at the target per slot: own calls in flight plus what
   // others had there at the last answer, while that answer is recent.
   double LoadOf(const Endpoint& aEndpoint, TimePoint aNow) const;
+  // Expected time until the target's answer to a further call: the time it
+  // takes for one, the wait for a slot there, and the calls that fail there.
+  // aUnknown stands for the time of a target that has not reported yet.
+  Duration CostOf(const Endpoint& aEndpoint,
+                  Duration aUnknown,
+                  TimePoint aNow) const;
+  // Time per call that the target reported; zero before its first report.
+  Duration ReportedLatency(const Endpoint& aEndpoint) const;
   // Ejected after failures, or known to drain.
   bool IsAvoided(const Endpoint& aEndpoint, TimePoint aNow) const;
   // Avoided because it said itself that it takes no calls.
@@ -53,6 +63,10 @@
     int m_inFlight = 0;
     int m_othersAtTarget = 0; // running and queued there for other nodes
     TimePoint m_reported{};
+    Duration m_latency{};        // per call, as reported
+    Duration m_wait{};           // for a slot, as reported
+    double m_failureRate = 0;    // of all nodes' calls there, as reported
+    double m_ownFailureRate = 0; // of this node's calls
     int m_failures = 0;
     int m_ejections = 0; // in a row; each lasts longer
     TimePoint m_avoidUntil{};
--- a/libs/routing/src/Chooser.cpp
+++ b/libs/routing/src/Chooser.cpp
@@ -40,6 +40,71 @@
   std::mt19937_64 m_random;
 };
 
+class LeastExpectedTime : public PickStrategy
+{
+public:
+  LeastExpectedTime(std::string aZone, uint64_t aSeed)
+    : m_zone(std::move(aZone))
+    , m_random(aSeed)
+  {
+  }
+
+  bool WeighsZones() const override { return true; }
+
+  const Endpoint* Pick(const std::string&,
+                       const CandidateList& aCandidates,
+                       const Tracker& aTracker,
+                       TimePoint aNow) override
+  {
+    const Duration unknown = TypicalLatency(aCandidates, aTracker);
+    CandidateList sample;
+    std::sample(aCandidates.begin(),
+                aCandidates.end(),
+                std::back_inserter(sample),
+                kSample,
+                m_random);
+    std::shuffle(sample.begin(), sample.end(), m_random);
+    const Endpoint* best = nullptr;
+    Duration bestCost{};
+    for (const Endpoint* endpoint : sample) {
+      Duration cost = aTracker.CostOf(*endpoint, unknown, aNow);
+      if (endpoint->m_availabilityZone != m_zone) {
+        cost += cost / kZoneMargin;
+      }
+      if (best == nullptr || cost < bestCost) {
+        best = endpoint;
+        bestCost = cost;
+      }
+    }
+    return best;
+  }
+
+private:
+  // Targets without a report are taken for average ones.
+  static Duration TypicalLatency(const CandidateList& aCandidates,
+                                 const Tracker& aTracker)
+  {
+    Duration sum{};
+    int count = 0;
+    for (const Endpoint* endpoint : aCandidates) {
+      const Duration latency = aTracker.ReportedLatency(*endpoint);
+      sum += latency;
+      count += latency > Duration::zero() ? 1 : 0;
+    }
+    return count == 0 ? kAssumedLatency : sum / count;
+  }
+
+  // Enough to find a good endpoint of a large service, few enough that not
+  // every node sends to the same one.
+  static constexpr size_t kSample = 4;
+  // A quarter: traffic between zones costs money, but a slow answer costs more.
+  static constexpr int kZoneMargin = 4;
+  static constexpr Duration kAssumedLatency = std::chrono::milliseconds(50);
+
+  const std::string m_zone;
+  std::mt19937_64 m_random;
+};
+
 class RoundRobin : public PickStrategy
 {
 public:
@@ -107,9 +172,19 @@
   return std::make_unique<RandomPick>(aSeed);
 }
 
+std::unique_ptr<PickStrategy> MakeLeastExpectedTime(std::string aZone,
+                                                    uint64_t aSeed)
+{
+  return std::make_unique<LeastExpectedTime>(std::move(aZone), aSeed);
+}
+
 std::unique_ptr<PickStrategy> MakePickStrategy(const std::string& aName,
+                                               const std::string& aZone,
                                                uint64_t aSeed)
 {
+  if (aName == "least-expected-time") {
+    return MakeLeastExpectedTime(aZone, aSeed);
+  }
   if (aName == "power-of-two") {
     return MakePowerOfTwo(aSeed);
   }
@@ -171,6 +246,9 @@
   if (all.empty()) {
     return nullptr;
   }
+  if (m_strategy->WeighsZones()) {
+    return m_strategy->Pick(aRoute.m_name, all, aTracker, aNow);
+  }
   CandidateList local;
   std::copy_if(all.begin(),
                all.end(),
--- a/libs/routing/src/Tracker.cpp
+++ b/libs/routing/src/Tracker.cpp
@@ -15,6 +15,14 @@
 // lets a target that comes back under the same epoch be found again.
 constexpr Duration kDrainAvoidance = 3s;
 constexpr int kMaxEjectionFactor = 10;
+// Weight of the newest outcome in the rate of failures.
+constexpr double kFailureWeight = 0.1;
+// A target that fails nearly always still gets a few calls, which show when it
+// has recovered.
+constexpr double kMinSuccessRate = 0.2;
+// Part by which a call is expected to take longer at a target with all slots
+// busy.
+constexpr double kCrowding = 0.5;
 
 } // namespace
 
@@ -58,13 +66,26 @@
     state.m_othersAtTarget =
       std::max(0, aLoad->running + aLoad->queued - state.m_inFlight);
     state.m_reported = aNow;
+    state.m_latency = std::chrono::microseconds(aLoad->latencyUs);
+    state.m_wait = std::chrono::microseconds(aLoad->waitUs);
+    state.m_failureRate = aLoad->failurePercent / 100.0;
   }
   state.m_inFlight = std::max(0, state.m_inFlight - 1);
+  const bool failed = aResult == AttemptResult::Failed ||
+                      aResult == AttemptResult::Shed ||
+                      aResult == AttemptResult::AnsweredFailure;
+  if (failed || aResult == AttemptResult::Answered) {
+    state.m_ownFailureRate +=
+      kFailureWeight * ((failed ? 1 : 0) - state.m_ownFailureRate);
+  }
   switch (aResult) {
     case AttemptResult::Answered:
       state.m_failures = 0;
       state.m_ejections = 0;
       break;
+    case AttemptResult::AnsweredFailure:
+    case AttemptResult::Shed:
+      break;
     case AttemptResult::Refused:
       break;
     case AttemptResult::Draining:
@@ -91,6 +112,39 @@
   return static_cast<double>(calls) / aEndpoint.m_slots;
 }
 
+Duration Tracker::CostOf(const Endpoint& aEndpoint,
+                         Duration aUnknown,
+                         TimePoint aNow) const
+{
+  const State* state = FindState(aEndpoint);
+  if (state == nullptr) {
+    return aUnknown;
+  }
+  const bool recent = aNow - state->m_reported < kReportLifetime;
+  const Duration latency =
+    state->m_latency > Duration::zero() ? state->m_latency : aUnknown;
+  // Calls sent since the last report take slots that it counted as free.
+  const double load = LoadOf(aEndpoint, aNow);
+  const auto queued = std::chrono::duration_cast<Duration>(
+    latency * std::max(0.0, load - 1 + 1.0 / aEndpoint.m_slots));
+  const Duration wait =
+    recent && load >= 1 ? std::max(state->m_wait, queued) : queued;
+  // Targets slow down as their slots fill, so a less loaded one is preferred
+  // among equals.
+  const double crowding = 1 + kCrowding * std::min(load, 1.0);
+  const double success =
+    std::max(kMinSuccessRate,
+             1 - std::max(state->m_failureRate, state->m_ownFailureRate));
+  return std::chrono::duration_cast<Duration>((latency * crowding + wait) /
+                                              (success * success));
+}
+
+Duration Tracker::ReportedLatency(const Endpoint& aEndpoint) const
+{
+  const State* state = FindState(aEndpoint);
+  return state == nullptr ? Duration::zero() : state->m_latency;
+}
+
 bool Tracker::IsAvoided(const Endpoint& aEndpoint, TimePoint aNow) const
 {
   const State* state = FindState(aEndpoint);
--- a/libs/routing/test/Chooser_test.cpp
+++ b/libs/routing/test/Chooser_test.cpp
@@ -139,10 +139,13 @@
   for (size_t i = 0; i < zones.size(); ++i) {
     Fail(tracker, route, i, *rc::gen::inRange(0, 4));
   }
-  Chooser chooser("a",
-                  MakePickStrategy(*rc::gen::element<std::string>(
-                                     "power-of-two", "round-robin", "random"),
-                                   7));
+  Chooser chooser(
+    "a",
+    MakePickStrategy(
+      *rc::gen::element<std::string>(
+        "least-expected-time", "power-of-two", "round-robin", "random"),
+      "a",
+      7));
   std::vector<std::string> tried;
   while (const Endpoint* next = chooser.Choose(route, tried, tracker, kStart)) {
     RC_ASSERT(std::find(tried.begin(), tried.end(), next->m_nodeName) ==
@@ -152,5 +155,84 @@
   RC_ASSERT(tried.size() == zones.size());
 }
 
+// ---- Least expected time ---------------------------------------------------
+
+wire::TargetLoad Load(int64_t aLatencyUs, int aFailurePercent = 0)
+{
+  wire::TargetLoad load;
+  load.slots = 4;
+  load.latencyUs = aLatencyUs;
+  load.failurePercent = aFailurePercent;
+  return load;
+}
+
+// Share of 100 picks that go to the first endpoint, all targets idle.
+int PicksOfFirst(const ServiceRoute& aRoute, const Tracker& aTracker)
+{
+  Chooser chooser("a", MakeLeastExpectedTime("a", 7));
+  int picks = 0;
+  for (int i = 0; i < 100; ++i) {
+    const Endpoint* next = chooser.Choose(aRoute, {}, aTracker, kStart);
+    picks += next == &aRoute.m_endpoints.front() ? 1 : 0;
+  }
+  return picks;
+}
+
+void Report(Tracker& aTracker,
+            const ServiceRoute& aRoute,
+            size_t aEndpoint,
+            const wire::TargetLoad& aLoad)
+{
+  aTracker.OnSent(aRoute.m_endpoints[aEndpoint]);
+  aTracker.OnEnded(aRoute,
+                   aRoute.m_endpoints[aEndpoint],
+                   AttemptResult::Answered,
+                   &aLoad,
+                   kStart);
+}
+
+// Load pattern: one target has become 5 to 12 times slower.
+TEST(LeastExpectedTime, LeavesASlowTarget)
+{
+  const ServiceRoute route = MakeRoute({ "a", "a" });
+  Tracker tracker;
+  Report(tracker, route, 0, Load(500'000));
+  Report(tracker, route, 1, Load(100'000));
+  EXPECT_EQ(PicksOfFirst(route, tracker), 0);
+}
+
+// Load pattern: a target fails or sheds a part of its requests while it looks
+// healthy and, since failing is quick, even fast.
+TEST(LeastExpectedTime, LeavesATargetThatFailsThoughItIsFast)
+{
+  const ServiceRoute route = MakeRoute({ "a", "a" });
+  Tracker tracker;
+  Report(tracker, route, 0, Load(60'000, 40));
+  Report(tracker, route, 1, Load(100'000));
+  EXPECT_EQ(PicksOfFirst(route, tracker), 0);
+}
+
+TEST(LeastExpectedTime, StaysInTheZoneAmongEquals)
+{
+  const ServiceRoute route = MakeRoute({ "a", "b", "b" });
+  Tracker tracker;
+  for (size_t i = 0; i < 3; ++i) {
+    Report(tracker, route, i, Load(100'000));
+  }
+  EXPECT_EQ(PicksOfFirst(route, tracker), 100);
+}
+
+TEST(LeastExpectedTime, LeavesTheZoneWhenItsTargetIsFull)
+{
+  const ServiceRoute route = MakeRoute({ "a", "b" });
+  Tracker tracker;
+  Report(tracker, route, 0, Load(100'000));
+  Report(tracker, route, 1, Load(100'000));
+  for (int i = 0; i < 6; ++i) {
+    tracker.OnSent(route.m_endpoints[0]);
+  }
+  EXPECT_EQ(PicksOfFirst(route, tracker), 0);
+}
+
 } // namespace
 } // namespace wigeonfold::routing
--- a/libs/wire/gen/include/wigeonfold/wire/gen/peer_types.h
+++ b/libs/wire/gen/include/wigeonfold/wire/gen/peer_types.h
@@ -170,7 +170,7 @@
 std::ostream& operator<<(std::ostream& out, const PeerHello& obj);
 
 typedef struct _CallRequest__isset {
-  _CallRequest__isset() : callId(false), serviceName(false), office(false), method(false), path(false), headers(false), body(false), deadlineUs(false), depth(false), idempotent(false), callerService(false), priority(false), objectiveUs(false), route(false) {}
+  _CallRequest__isset() : callId(false), serviceName(false), office(false), method(false), path(false), headers(false), body(false), deadlineUs(false), depth(false), idempotent(false), callerService(false), priority(false), objectiveLeadUs(false), route(false) {}
   bool callId :1;
   bool serviceName :1;
   bool office :1;
@@ -183,7 +183,7 @@
   bool idempotent :1;
   bool callerService :1;
   bool priority :1;
-  bool objectiveUs :1;
+  bool objectiveLeadUs :1;
   bool route :1;
 } _CallRequest__isset;
 
@@ -206,7 +206,7 @@
                 idempotent(0),
                 callerService(),
                 priority(0),
-                objectiveUs(0),
+                objectiveLeadUs(0),
                 route() {
   }
 
@@ -223,7 +223,7 @@
   bool idempotent;
   std::string callerService;
   int32_t priority;
-  int64_t objectiveUs;
+  int64_t objectiveLeadUs;
   std::string route;
 
   _CallRequest__isset __isset;
@@ -252,7 +252,7 @@
 
   void __set_priority(const int32_t val);
 
-  void __set_objectiveUs(const int64_t val);
+  void __set_objectiveLeadUs(const int64_t val);
 
   void __set_route(const std::string& val);
 
@@ -282,7 +282,9 @@
       return false;
     if (!(priority == rhs.priority))
       return false;
-    if (!(objectiveUs == rhs.objectiveUs))
+    if (__isset.objectiveLeadUs != rhs.__isset.objectiveLeadUs)
+      return false;
+    else if (__isset.objectiveLeadUs && !(objectiveLeadUs == rhs.objectiveLeadUs))
       return false;
     if (!(route == rhs.route))
       return false;
@@ -305,12 +307,14 @@
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj);
 
 typedef struct _TargetLoad__isset {
-  _TargetLoad__isset() : slots(false), running(false), queued(false), latencyUs(false), draining(false) {}
+  _TargetLoad__isset() : slots(false), running(false), queued(false), latencyUs(false), draining(false), failurePercent(false), waitUs(false) {}
   bool slots :1;
   bool running :1;
   bool queued :1;
   bool latencyUs :1;
   bool draining :1;
+  bool failurePercent :1;
+  bool waitUs :1;
 } _TargetLoad__isset;
 
 class TargetLoad : public virtual ::apache::thrift::TBase {
@@ -325,7 +329,9 @@
                running(0),
                queued(0),
                latencyUs(0),
-               draining(0) {
+               draining(0),
+               failurePercent(0),
+               waitUs(0) {
   }
 
   virtual ~TargetLoad() noexcept;
@@ -334,6 +340,8 @@
   int32_t queued;
   int64_t latencyUs;
   bool draining;
+  int32_t failurePercent;
+  int64_t waitUs;
 
   _TargetLoad__isset __isset;
 
@@ -347,6 +355,10 @@
 
   void __set_draining(const bool val);
 
+  void __set_failurePercent(const int32_t val);
+
+  void __set_waitUs(const int64_t val);
+
   bool operator == (const TargetLoad & rhs) const
   {
     if (!(slots == rhs.slots))
@@ -359,6 +371,10 @@
       return false;
     if (!(draining == rhs.draining))
       return false;
+    if (!(failurePercent == rhs.failurePercent))
+      return false;
+    if (!(waitUs == rhs.waitUs))
+      return false;
     return true;
   }
   bool operator != (const TargetLoad &rhs) const {
--- a/libs/wire/gen/src/peer_types.cpp
+++ b/libs/wire/gen/src/peer_types.cpp
@@ -389,8 +389,9 @@
   this->priority = val;
 }
 
-void CallRequest::__set_objectiveUs(const int64_t val) {
-  this->objectiveUs = val;
+void CallRequest::__set_objectiveLeadUs(const int64_t val) {
+  this->objectiveLeadUs = val;
+__isset.objectiveLeadUs = true;
 }
 
 void CallRequest::__set_route(const std::string& val) {
@@ -534,8 +535,8 @@
         break;
       case 13:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->objectiveUs);
-          this->__isset.objectiveUs = true;
+          xfer += iprot->readI64(this->objectiveLeadUs);
+          this->__isset.objectiveLeadUs = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -621,10 +622,11 @@
   xfer += oprot->writeI32(this->priority);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("objectiveUs", ::apache::thrift::protocol::T_I64, 13);
-  xfer += oprot->writeI64(this->objectiveUs);
-  xfer += oprot->writeFieldEnd();
-
+  if (this->__isset.objectiveLeadUs) {
+    xfer += oprot->writeFieldBegin("objectiveLeadUs", ::apache::thrift::protocol::T_I64, 13);
+    xfer += oprot->writeI64(this->objectiveLeadUs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldBegin("route", ::apache::thrift::protocol::T_STRING, 14);
   xfer += oprot->writeString(this->route);
   xfer += oprot->writeFieldEnd();
@@ -648,7 +650,7 @@
   swap(a.idempotent, b.idempotent);
   swap(a.callerService, b.callerService);
   swap(a.priority, b.priority);
-  swap(a.objectiveUs, b.objectiveUs);
+  swap(a.objectiveLeadUs, b.objectiveLeadUs);
   swap(a.route, b.route);
   swap(a.__isset, b.__isset);
 }
@@ -666,7 +668,7 @@
   idempotent = other14.idempotent;
   callerService = other14.callerService;
   priority = other14.priority;
-  objectiveUs = other14.objectiveUs;
+  objectiveLeadUs = other14.objectiveLeadUs;
   route = other14.route;
   __isset = other14.__isset;
 }
@@ -683,7 +685,7 @@
   idempotent = other15.idempotent;
   callerService = std::move(other15.callerService);
   priority = other15.priority;
-  objectiveUs = other15.objectiveUs;
+  objectiveLeadUs = other15.objectiveLeadUs;
   route = std::move(other15.route);
   __isset = other15.__isset;
 }
@@ -700,7 +702,7 @@
   idempotent = other16.idempotent;
   callerService = other16.callerService;
   priority = other16.priority;
-  objectiveUs = other16.objectiveUs;
+  objectiveLeadUs = other16.objectiveLeadUs;
   route = other16.route;
   __isset = other16.__isset;
   return *this;
@@ -718,7 +720,7 @@
   idempotent = other17.idempotent;
   callerService = std::move(other17.callerService);
   priority = other17.priority;
-  objectiveUs = other17.objectiveUs;
+  objectiveLeadUs = other17.objectiveLeadUs;
   route = std::move(other17.route);
   __isset = other17.__isset;
   return *this;
@@ -738,7 +740,7 @@
   out << ", " << "idempotent=" << to_string(idempotent);
   out << ", " << "callerService=" << to_string(callerService);
   out << ", " << "priority=" << to_string(priority);
-  out << ", " << "objectiveUs=" << to_string(objectiveUs);
+  out << ", " << "objectiveLeadUs="; (__isset.objectiveLeadUs ? (out << to_string(objectiveLeadUs)) : (out << "<null>"));
   out << ", " << "route=" << to_string(route);
   out << ")";
 }
@@ -767,6 +769,14 @@
 void TargetLoad::__set_draining(const bool val) {
   this->draining = val;
 }
+
+void TargetLoad::__set_failurePercent(const int32_t val) {
+  this->failurePercent = val;
+}
+
+void TargetLoad::__set_waitUs(const int64_t val) {
+  this->waitUs = val;
+}
 std::ostream& operator<<(std::ostream& out, const TargetLoad& obj)
 {
   obj.printTo(out);
@@ -835,6 +845,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->failurePercent);
+          this->__isset.failurePercent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->waitUs);
+          this->__isset.waitUs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -872,6 +898,14 @@
   xfer += oprot->writeBool(this->draining);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("failurePercent", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->failurePercent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waitUs", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->waitUs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -884,6 +918,8 @@
   swap(a.queued, b.queued);
   swap(a.latencyUs, b.latencyUs);
   swap(a.draining, b.draining);
+  swap(a.failurePercent, b.failurePercent);
+  swap(a.waitUs, b.waitUs);
   swap(a.__isset, b.__isset);
 }
 
@@ -893,6 +929,8 @@
   queued = other18.queued;
   latencyUs = other18.latencyUs;
   draining = other18.draining;
+  failurePercent = other18.failurePercent;
+  waitUs = other18.waitUs;
   __isset = other18.__isset;
 }
 TargetLoad::TargetLoad(TargetLoad&& other19) noexcept {
@@ -901,6 +939,8 @@
   queued = other19.queued;
   latencyUs = other19.latencyUs;
   draining = other19.draining;
+  failurePercent = other19.failurePercent;
+  waitUs = other19.waitUs;
   __isset = other19.__isset;
 }
 TargetLoad& TargetLoad::operator=(const TargetLoad& other20) noexcept {
@@ -909,6 +949,8 @@
   queued = other20.queued;
   latencyUs = other20.latencyUs;
   draining = other20.draining;
+  failurePercent = other20.failurePercent;
+  waitUs = other20.waitUs;
   __isset = other20.__isset;
   return *this;
 }
@@ -918,6 +960,8 @@
   queued = other21.queued;
   latencyUs = other21.latencyUs;
   draining = other21.draining;
+  failurePercent = other21.failurePercent;
+  waitUs = other21.waitUs;
   __isset = other21.__isset;
   return *this;
 }
@@ -929,6 +973,8 @@
   out << ", " << "queued=" << to_string(queued);
   out << ", " << "latencyUs=" << to_string(latencyUs);
   out << ", " << "draining=" << to_string(draining);
+  out << ", " << "failurePercent=" << to_string(failurePercent);
+  out << ", " << "waitUs=" << to_string(waitUs);
   out << ")";
 }
 
