Let nodes leave a silent or stale control VM within a second

Ruled out: the leader (it decided and distributed at once) and nodes on the other control VMs (applied within 30 ms, by their logs). The limits are settings now; the platform's template sets a heartbeat of 300 ms, 900 ms of silence and a freshness age of 700 ms. Defaults stay.

--- a/apps/wigeonfold-control/ControlSettings.cpp
+++ b/apps/wigeonfold-control/ControlSettings.cpp
@@ -73,6 +73,8 @@
     kTiming, "session-lease", aSettings.m_endpoints.m_sessionLease, 100ms, 60s);
   aSettings.m_endpoints.m_ownerLease = aFile.Time(
     kTiming, "owner-lease", aSettings.m_endpoints.m_ownerLease, 1s, 600s);
+  aSettings.m_nodes.m_heartbeat = aFile.Time(
+    kTiming, "node-heartbeat", aSettings.m_nodes.m_heartbeat, 50ms, 60s);
   if (raft.m_electionMax <= raft.m_electionMin) {
     aFile.AddProblem(
       kTiming, "election-max", "must be greater than election-min");
--- a/apps/wigeonfold-node/ControlLink.cpp
+++ b/apps/wigeonfold-node/ControlLink.cpp
@@ -15,7 +15,6 @@
 namespace {
 
 constexpr Duration kTick = 100ms;
-constexpr Duration kConnectTimeout = 1s;
 // Endpoints churn constantly. A pause of this many times the duration of the
 // last build keeps view building near 2 % of a core.
 constexpr int kBuildPauseFactor = 50;
@@ -59,6 +58,9 @@
   options.m_nodeEpoch = aNodeEpoch;
   options.m_availabilityZone = aSettings.m_availabilityZone;
   options.m_controlVms = ToControlVms(aSettings.m_controlVms);
+  options.m_silence = aSettings.m_sessionSilence;
+  options.m_maxFreshnessAge = aSettings.m_maxFreshnessAge;
+  options.m_backoffMax = aSettings.m_sessionBackoff;
   return options;
 }
 
@@ -169,7 +171,7 @@
   };
   net::Connect(m_io,
                aAddress,
-               kConnectTimeout,
+               m_settings.m_sessionConnectTimeout,
                std::move(handlers),
                [this, aId](Result<net::ConnectionPtr> aResult) {
                  const auto session = m_sessions.find(aId);
--- a/apps/wigeonfold-node/NodeSettings.cpp
+++ b/apps/wigeonfold-node/NodeSettings.cpp
@@ -9,6 +9,17 @@
 
 namespace {
 
+void ReadSession(SettingsFile& aFile, NodeSettings& aSettings)
+{
+  aSettings.m_sessionSilence = aFile.Time("session", "silence", 4s, 100ms, 60s);
+  aSettings.m_maxFreshnessAge =
+    aFile.Time("session", "max-freshness-age", 3s, 100ms, 60s);
+  aSettings.m_sessionBackoff =
+    aFile.Time("session", "backoff-max", 5s, 100ms, 60s);
+  aSettings.m_sessionConnectTimeout =
+    aFile.Time("session", "connect-timeout", 1s, 10ms, 60s);
+}
+
 void ReadCalls(SettingsFile& aFile, NodeSettings& aSettings)
 {
   aSettings.m_pickStrategy =
@@ -74,6 +85,7 @@
   settings.m_announceListen = aFile.Address("node", "announce-listen");
   settings.m_readyListen = aFile.Address("node", "ready-listen");
   settings.m_controlVms = ReadControlVms(aFile);
+  ReadSession(aFile, settings);
   ReadCalls(aFile, settings);
   settings.m_linkFaults =
     net::ReadLinkFaults(aFile, settings.m_peerListen.m_host);
--- a/apps/wigeonfold-node/NodeSettings.h
+++ b/apps/wigeonfold-node/NodeSettings.h
@@ -32,6 +32,11 @@
     std::string m_availabilityZone;
   };
   std::vector<ControlVm> m_controlVms;
+  // [session] with a control VM
+  Duration m_sessionSilence{};  // one without a frame for this long is left
+  Duration m_maxFreshnessAge{}; // one less current than this is left
+  Duration m_sessionBackoff{};  // longest pause between two attempts
+  Duration m_sessionConnectTimeout{};
   // [calls]
   std::string m_pickStrategy;
   std::string m_queue;
