Log each decision about a request as one line, bounded

Cause: after a complaint, operators have only logs and metrics, and the logs told nothing of single requests. Every event is now one key=value line on standard output; requests that fail, are repeated or are not admitted have a line with id, inputs and outcome, answers of targets a sample; what is left out is counted. Test: observe_DecisionLog_test.

--- a/apps/wigeonfold-node/CallerSide.cpp
+++ b/apps/wigeonfold-node/CallerSide.cpp
@@ -22,13 +22,15 @@
                        TargetSide& aTarget,
                        PeerClient& aPeers,
                        forwarding::Dialect& aDialect,
-                       NodeMetrics& aMetrics)
+                       NodeMetrics& aMetrics,
+                       observe::DecisionLog& aLog)
   : m_nodeName(std::move(aNodeName))
   , m_chooser(std::move(aChooser))
   , m_target(aTarget)
   , m_peers(aPeers)
   , m_dialect(aDialect)
   , m_metrics(aMetrics)
+  , m_log(aLog)
 {
 }
 
@@ -120,6 +122,12 @@
     Withdraw(found->second, number);
   }
   if (aStep.m_start) {
+    if (aStep.m_start->m_attempt > 0) {
+      Log(EventId::AttemptRepeated,
+          found->second,
+          found->second.m_responseOutcome,
+          Clock::now());
+    }
     Start(aId, found->second, *aStep.m_start);
   } else if (aStep.m_end) {
     Finish(aId, *aStep.m_end);
@@ -238,6 +246,40 @@
   }
 }
 
+// One line with what decided: the outcome, the target and its load as it was
+// last reported, and the version of the configuration in use.
+void CallerSide::Log(EventId aEvent,
+                     const ActiveCall& aCall,
+                     Outcome aOutcome,
+                     TimePoint aNow)
+{
+  if (!m_log.Admits(aEvent, aNow)) {
+    return;
+  }
+  const wire::CallRequest& request = *aCall.m_request;
+  std::vector<EventField> fields{
+    { "request", request.requestId },
+    { "route", request.route },
+    { "service", request.serviceName },
+    { "outcome", InfoOf(aOutcome).m_reason },
+    { "target", aCall.m_lastTarget },
+    { "attempts", std::to_string(aCall.m_attempts.size()) },
+    { "elapsed-ms", std::to_string(ToMilliseconds(aNow - aCall.m_arrived)) },
+    { "left-ms",
+      std::to_string(ToMilliseconds(aCall.m_call.Deadline() - aNow)) },
+    { "version", ToString(aCall.m_view->Settings().At()) },
+  };
+  if (aCall.m_response.__isset.load) {
+    const wire::TargetLoad& load = aCall.m_response.load;
+    fields.push_back({ "slots", std::to_string(load.slots) });
+    fields.push_back({ "running", std::to_string(load.running) });
+    fields.push_back({ "queued", std::to_string(load.queued) });
+    fields.push_back({ "wait-ms", std::to_string(load.waitUs / 1000) });
+    fields.push_back({ "failures", std::to_string(load.failurePercent) });
+  }
+  m_log.Record(aEvent, std::move(fields));
+}
+
 // ---- Answers ---------------------------------------------------------------
 
 void CallerSide::Finish(uint64_t aId, Outcome aOutcome)
@@ -246,8 +288,14 @@
   ActiveCall& call = node.mapped();
   m_deadlines.Remove(call.m_timeout, aId);
   m_bytes -= call.m_bytes;
+  const TimePoint now = Clock::now();
   m_metrics.CountOutcome(aOutcome);
-  m_metrics.ObserveLatency(Clock::now() - call.m_arrived);
+  m_metrics.ObserveLatency(now - call.m_arrived);
+  Log(aOutcome == Outcome::Answered ? EventId::RequestServed
+                                    : EventId::RequestFailed,
+      call,
+      aOutcome,
+      now);
   if (!call.m_respond) {
     return;
   }
--- a/apps/wigeonfold-node/CallerSide.h
+++ b/apps/wigeonfold-node/CallerSide.h
@@ -9,6 +9,7 @@
 #include "wigeonfold/forwarding/Call.h"
 #include "wigeonfold/forwarding/Dialect.h"
 #include "wigeonfold/net/Http.h"
+#include "wigeonfold/observe/DecisionLog.h"
 
 #include <memory>
 #include <string>
@@ -25,7 +26,8 @@
              TargetSide& aTarget,
              PeerClient& aPeers,
              forwarding::Dialect& aDialect,
-             NodeMetrics& aMetrics);
+             NodeMetrics& aMetrics,
+             observe::DecisionLog& aLog);
 
   void SetView(std::shared_ptr<const routing::View> aView);
   // Callers' traffic is rejected until then.
@@ -85,6 +87,10 @@
                    const forwarding::StartAttempt& aStart);
   void Withdraw(ActiveCall& aCall, int aNumber);
   void Finish(uint64_t aId, forwarding::Outcome aOutcome);
+  void Log(EventId aEvent,
+           const ActiveCall& aCall,
+           forwarding::Outcome aOutcome,
+           TimePoint aNow);
   void Abandon(uint64_t aId);
 
   const std::string m_nodeName;
@@ -94,6 +100,7 @@
   PeerClient& m_peers;
   forwarding::Dialect& m_dialect;
   NodeMetrics& m_metrics;
+  observe::DecisionLog& m_log;
   std::shared_ptr<const routing::View> m_view;
   bool m_ready = false;
   std::unordered_map<std::string, forwarding::RetryBudget> m_budgets;
--- a/apps/wigeonfold-node/DataPlane.cpp
+++ b/apps/wigeonfold-node/DataPlane.cpp
@@ -32,6 +32,7 @@
   , m_settings(aSettings)
   , m_metrics(aMetrics)
   , m_log(aLog)
+  , m_decisions(aLog)
   , m_hooks(std::move(aHooks))
   , m_dialect(std::move(aDialect))
   , m_identity{ aSettings.m_name, aNodeEpoch, std::nullopt }
@@ -40,6 +41,7 @@
       admission::MakeQueue(aSettings.m_queue),
       MakeTargetPool(aIo, aSettings.m_targetConnectTimeout),
       *m_dialect,
+      m_decisions,
       [this] { AnnounceEndpoint(); })
   , m_peerClient(aIo,
                  m_identity,
@@ -55,7 +57,8 @@
                  m_target,
                  m_peerClient,
                  *m_dialect,
-                 aMetrics)
+                 aMetrics,
+                 m_decisions)
   , m_peerServer(aIo,
                  m_identity,
                  SeedOf(aSettings, aNodeEpoch),
--- a/apps/wigeonfold-node/DataPlane.h
+++ b/apps/wigeonfold-node/DataPlane.h
@@ -64,6 +64,7 @@
   const NodeSettings m_settings;
   NodeMetrics& m_metrics;
   EventLog& m_log;
+  observe::DecisionLog m_decisions;
   const Hooks m_hooks;
   const std::unique_ptr<forwarding::Dialect> m_dialect;
   PeerIdentity m_identity;
--- a/apps/wigeonfold-node/TargetSide.cpp
+++ b/apps/wigeonfold-node/TargetSide.cpp
@@ -48,11 +48,13 @@
                        std::unique_ptr<admission::Queue> aQueue,
                        std::unique_ptr<TargetPool> aPool,
                        const forwarding::Dialect& aDialect,
+                       observe::DecisionLog& aLog,
                        std::function<void()> aOnChange)
   : m_options(std::move(aOptions))
   , m_admission(std::move(aQueue))
   , m_pool(std::move(aPool))
   , m_dialect(aDialect)
+  , m_log(aLog)
   , m_onChange(std::move(aOnChange))
 {
 }
@@ -303,6 +305,9 @@
     }
     forwarding::TargetCall& machine = call->second.m_call;
     call->second.m_retryAfter = decision.m_retryAfter;
+    if (!decision.m_start) {
+      LogRefusal(call->second, decision, aNow);
+    }
     Execute(decision.m_id,
             decision.m_start ? machine.OnAdmitted(aNow)
                              : machine.OnRejected(decision.m_reason),
@@ -311,6 +316,28 @@
   m_applying = false;
 }
 
+void TargetSide::LogRefusal(const ServedCall& aCall,
+                            const Decision& aDecision,
+                            TimePoint aNow)
+{
+  if (!m_log.Admits(EventId::RequestNotAdmitted, aNow)) {
+    return;
+  }
+  const wire::CallRequest& request = *aCall.m_request;
+  m_log.Record(
+    EventId::RequestNotAdmitted,
+    { { "request", request.requestId },
+      { "route", request.route },
+      { "reason", admission::ToString(aDecision.m_reason) },
+      { "slots", std::to_string(m_admission.Slots()) },
+      { "running", std::to_string(m_admission.Running()) },
+      { "queued", std::to_string(m_admission.Queued()) },
+      { "wait-ms", std::to_string(ToMilliseconds(aDecision.m_retryAfter)) },
+      { "work-ms",
+        std::to_string(ToMilliseconds(m_work.Expected(request.route))) },
+      { "left-ms", std::to_string(ToMilliseconds(aCall.m_deadline - aNow)) } });
+}
+
 void TargetSide::Execute(uint64_t aId, TargetStep aStep, TimePoint aNow)
 {
   const auto found = m_calls.find(aId);
--- a/apps/wigeonfold-node/TargetSide.h
+++ b/apps/wigeonfold-node/TargetSide.h
@@ -9,6 +9,7 @@
 #include "wigeonfold/forwarding/Dialect.h"
 #include "wigeonfold/forwarding/TargetCall.h"
 #include "wigeonfold/forwarding/TargetHealth.h"
+#include "wigeonfold/observe/DecisionLog.h"
 
 #include <deque>
 #include <unordered_map>
@@ -42,6 +43,7 @@
              std::unique_ptr<admission::Queue> aQueue,
              std::unique_ptr<TargetPool> aPool,
              const forwarding::Dialect& aDialect,
+             observe::DecisionLog& aLog,
              std::function<void()> aOnChange);
 
   void SetView(std::shared_ptr<const routing::View> aView, TimePoint aNow);
@@ -98,6 +100,9 @@
   void OnExchange(uint64_t aId, Exchange aExchange);
   void End(uint64_t aId, const forwarding::TargetStep& aStep, TimePoint aNow);
   int MaxConnections() const;
+  void LogRefusal(const ServedCall& aCall,
+                  const admission::Decision& aDecision,
+                  TimePoint aNow);
   void UpdateLimits(TimePoint aNow);
   void UpdateDraining(TimePoint aNow);
   void FillResponse(TargetReply& aReply, Exchange& aExchange, bool aIsHead);
@@ -107,6 +112,7 @@
   admission::Admission m_admission;
   std::unique_ptr<TargetPool> m_pool;
   const forwarding::Dialect& m_dialect;
+  observe::DecisionLog& m_log;
   const std::function<void()> m_onChange;
   std::shared_ptr<const routing::View> m_view;
   std::unordered_map<std::string, std::vector<admission::Share>> m_shares;
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -35,6 +35,8 @@
   // objective.
   13: optional i64 objectiveLeadUs,
   14: string route,
+  // Name of the request in logs; empty when the caller gave none.
+  15: string requestId,
 }
 
 enum RunState {
--- a/libs/base/include/wigeonfold/base/Events.h
+++ b/libs/base/include/wigeonfold/base/Events.h
@@ -76,7 +76,12 @@
   X(TargetStateChanged,     2100, Info,    "the own target's state changed") \
   X(TargetReportIgnored,    2103, Warning, "a report of a target was late, malformed or of one that left") \
   X(DrainCutShort,          2101, Warning, "requests were cut at the end of the drain limit") \
-  X(RingFull,               2102, Warning, "a ring between threads was full")
+  X(RingFull,               2102, Warning, "a ring between threads was full") \
+  X(RequestServed,          2110, Info,    "a caller got a target's answer; a sample") \
+  X(RequestFailed,          2111, Info,    "a caller got an answer of the system itself, or a target's failure") \
+  X(AttemptRepeated,        2112, Info,    "an attempt ended without success and the request is tried elsewhere") \
+  X(RequestNotAdmitted,     2113, Info,    "the node of a target refused a request") \
+  X(DecisionsOmitted,       2114, Warning, "lines about requests were left out to bound the log")
 // clang-format on
 
 enum class EventId : int
@@ -115,9 +120,13 @@
 
 // "1000 ProcessStarted name=a peer=b"; values with blanks are quoted.
 std::string Format(const Event& aEvent);
+// The line for the log: "time=2026-12-04T08:27:34.123Z level=info process=n
+// code=1000 event=ProcessStarted name=a".
+std::string FormatLine(const std::string& aProcess, const Event& aEvent);
 
-// Keeps the newest events of the process for the time line and writes each to
-// glog from a thread of its own, so that no caller waits for a log file.
+// Keeps the newest events of the process for the time line and writes each as
+// one line to standard output from a thread of its own, so that no caller waits
+// for a reader of the log.
 class EventLog
 {
 public:
--- a/libs/base/src/Events.cpp
+++ b/libs/base/src/Events.cpp
@@ -1,7 +1,10 @@
 #include "wigeonfold/base/Events.h"
 
 #include <algorithm>
-#include <glog/logging.h>
+#include <cstdio>
+#include <ctime>
+#include <iomanip>
+#include <sstream>
 
 namespace wigeonfold {
 
@@ -29,6 +32,54 @@
 
 // ---- Log -------------------------------------------------------------------
 
+namespace {
+
+const char* ToString(EventLevel aLevel)
+{
+  switch (aLevel) {
+    case EventLevel::Info:
+      return "info";
+    case EventLevel::Warning:
+      return "warning";
+    case EventLevel::Error:
+      return "error";
+  }
+  return "info";
+}
+
+// The physical part of a hybrid stamp as UTC.
+std::string TimeText(HybridTime aTime)
+{
+  const int64_t ms = WallPart(aTime).count();
+  const std::time_t seconds = ms / 1000;
+  std::tm utc{};
+  gmtime_r(&seconds, &utc);
+  std::ostringstream text;
+  text << std::put_time(&utc, "%FT%T") << '.' << std::setw(3)
+       << std::setfill('0') << ms % 1000 << 'Z';
+  return text.str();
+}
+
+void AppendField(std::string& aText,
+                 const std::string& aName,
+                 const std::string& aValue)
+{
+  const bool quote =
+    aValue.empty() || aValue.find_first_of(" \"\n") != std::string::npos;
+  aText += " " + aName + "=";
+  if (!quote) {
+    aText += aValue;
+    return;
+  }
+  aText += '"';
+  for (const char byte : aValue) {
+    aText += byte == '"' ? '\'' : byte == '\n' ? ' ' : byte;
+  }
+  aText += '"';
+}
+
+} // namespace
+
 std::string Format(const Event& aEvent)
 {
   const EventInfo& info = InfoOf(aEvent.m_id);
@@ -36,10 +87,21 @@
   text += ' ';
   text += info.m_name;
   for (const EventField& field : aEvent.m_fields) {
-    const bool quote =
-      field.m_value.find_first_of(" \"\n") != std::string::npos;
-    text += " " + field.m_name + "=";
-    text += quote ? "\"" + field.m_value + "\"" : field.m_value;
+    AppendField(text, field.m_name, field.m_value);
+  }
+  return text;
+}
+
+std::string FormatLine(const std::string& aProcess, const Event& aEvent)
+{
+  const EventInfo& info = InfoOf(aEvent.m_id);
+  std::string text = "time=" + TimeText(aEvent.m_time);
+  AppendField(text, "level", ToString(info.m_level));
+  AppendField(text, "process", aProcess);
+  AppendField(text, "code", std::to_string(static_cast<int>(info.m_id)));
+  AppendField(text, "event", info.m_name);
+  for (const EventField& field : aEvent.m_fields) {
+    AppendField(text, field.m_name, field.m_value);
   }
   return text;
 }
@@ -107,19 +169,12 @@
       m_dropped = 0;
     }
     lock.unlock();
+    std::string lines;
     for (const Event& event : batch) {
-      switch (InfoOf(event.m_id).m_level) {
-        case EventLevel::Info:
-          LOG(INFO) << Format(event);
-          break;
-        case EventLevel::Warning:
-          LOG(WARNING) << Format(event);
-          break;
-        case EventLevel::Error:
-          LOG(ERROR) << Format(event);
-          break;
-      }
+      lines += FormatLine(m_process, event) + '\n';
     }
+    std::fwrite(lines.data(), 1, lines.size(), stdout);
+    std::fflush(stdout);
     lock.lock();
   }
 }
--- a/libs/forwarding/src/NativeDialect.cpp
+++ b/libs/forwarding/src/NativeDialect.cpp
@@ -11,6 +11,7 @@
 // Longer deadlines are cut; the bound keeps time arithmetic in range.
 constexpr int64_t kMaxDeadlineMs = 3'600'000;
 
+constexpr size_t kMaxIdBytes = 64; // of an id in logs
 constexpr int kShedStatus = 503;
 
 // The Wigeonfold fields of a request.
@@ -20,6 +21,7 @@
   std::optional<int64_t> m_deadlineMs;
   int64_t m_depth = 0;
   std::optional<bool> m_idempotent;
+  std::string m_requestId;
 };
 
 // Returns false when a field is malformed.
@@ -29,7 +31,9 @@
     if (!boost::istarts_with(field.m_name, "wigeonfold-")) {
       continue;
     }
-    if (boost::iequals(field.m_name, kAccountHeader)) {
+    if (boost::iequals(field.m_name, kRequestIdHeader)) {
+      aData.m_requestId = field.m_value.substr(0, kMaxIdBytes);
+    } else if (boost::iequals(field.m_name, kAccountHeader)) {
       aData.m_account = field.m_value;
     } else if (boost::iequals(field.m_name, kDeadlineHeader)) {
       aData.m_deadlineMs = ParseNumber(field.m_value);
@@ -140,6 +144,7 @@
   request.serviceName = aCall.m_route->m_name;
   request.office = std::move(data.m_account);
   request.depth = static_cast<int32_t>(data.m_depth);
+  request.requestId = std::move(data.m_requestId);
   request.idempotent = IsIdempotent(data, aRequest.m_method, *aCall.m_route);
   request.method = std::move(aRequest.m_method);
   request.path = std::move(aRequest.m_target);
--- a/libs/wire/gen/include/wigeonfold/wire/gen/peer_types.h
+++ b/libs/wire/gen/include/wigeonfold/wire/gen/peer_types.h
@@ -170,7 +170,7 @@
 std::ostream& operator<<(std::ostream& out, const PeerHello& obj);
 
 typedef struct _CallRequest__isset {
-  _CallRequest__isset() : callId(false), serviceName(false), office(false), method(false), path(false), headers(false), body(false), deadlineUs(false), depth(false), idempotent(false), callerService(false), priority(false), objectiveLeadUs(false), route(false) {}
+  _CallRequest__isset() : callId(false), serviceName(false), office(false), method(false), path(false), headers(false), body(false), deadlineUs(false), depth(false), idempotent(false), callerService(false), priority(false), objectiveLeadUs(false), route(false), requestId(false) {}
   bool callId :1;
   bool serviceName :1;
   bool office :1;
@@ -185,6 +185,7 @@
   bool priority :1;
   bool objectiveLeadUs :1;
   bool route :1;
+  bool requestId :1;
 } _CallRequest__isset;
 
 class CallRequest : public virtual ::apache::thrift::TBase {
@@ -207,7 +208,8 @@
                 callerService(),
                 priority(0),
                 objectiveLeadUs(0),
-                route() {
+                route(),
+                requestId() {
   }
 
   virtual ~CallRequest() noexcept;
@@ -225,6 +227,7 @@
   int32_t priority;
   int64_t objectiveLeadUs;
   std::string route;
+  std::string requestId;
 
   _CallRequest__isset __isset;
 
@@ -256,6 +259,8 @@
 
   void __set_route(const std::string& val);
 
+  void __set_requestId(const std::string& val);
+
   bool operator == (const CallRequest & rhs) const
   {
     if (!(callId == rhs.callId))
@@ -288,6 +293,8 @@
       return false;
     if (!(route == rhs.route))
       return false;
+    if (!(requestId == rhs.requestId))
+      return false;
     return true;
   }
   bool operator != (const CallRequest &rhs) const {
--- a/libs/wire/gen/src/peer_types.cpp
+++ b/libs/wire/gen/src/peer_types.cpp
@@ -397,6 +397,10 @@
 void CallRequest::__set_route(const std::string& val) {
   this->route = val;
 }
+
+void CallRequest::__set_requestId(const std::string& val) {
+  this->requestId = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj)
 {
   obj.printTo(out);
@@ -549,6 +553,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->requestId);
+          this->__isset.requestId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -631,6 +643,10 @@
   xfer += oprot->writeString(this->route);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("requestId", ::apache::thrift::protocol::T_STRING, 15);
+  xfer += oprot->writeString(this->requestId);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -652,6 +668,7 @@
   swap(a.priority, b.priority);
   swap(a.objectiveLeadUs, b.objectiveLeadUs);
   swap(a.route, b.route);
+  swap(a.requestId, b.requestId);
   swap(a.__isset, b.__isset);
 }
 
@@ -670,6 +687,7 @@
   priority = other14.priority;
   objectiveLeadUs = other14.objectiveLeadUs;
   route = other14.route;
+  requestId = other14.requestId;
   __isset = other14.__isset;
 }
 CallRequest::CallRequest(CallRequest&& other15) noexcept {
@@ -687,6 +705,7 @@
   priority = other15.priority;
   objectiveLeadUs = other15.objectiveLeadUs;
   route = std::move(other15.route);
+  requestId = std::move(other15.requestId);
   __isset = other15.__isset;
 }
 CallRequest& CallRequest::operator=(const CallRequest& other16) {
@@ -704,6 +723,7 @@
   priority = other16.priority;
   objectiveLeadUs = other16.objectiveLeadUs;
   route = other16.route;
+  requestId = other16.requestId;
   __isset = other16.__isset;
   return *this;
 }
@@ -722,6 +742,7 @@
   priority = other17.priority;
   objectiveLeadUs = other17.objectiveLeadUs;
   route = std::move(other17.route);
+  requestId = std::move(other17.requestId);
   __isset = other17.__isset;
   return *this;
 }
@@ -742,6 +763,7 @@
   out << ", " << "priority=" << to_string(priority);
   out << ", " << "objectiveLeadUs="; (__isset.objectiveLeadUs ? (out << to_string(objectiveLeadUs)) : (out << "<null>"));
   out << ", " << "route=" << to_string(route);
+  out << ", " << "requestId=" << to_string(requestId);
   out << ")";
 }
 
