Estimate waits by the first free slot and let calls of running work through

Ruled out: telling such calls by their rank (they have that of the declarations) or by their sender's address (the same for callers and targets).

--- a/apps/wigeonfold-node/CallerSide.cpp
+++ b/apps/wigeonfold-node/CallerSide.cpp
@@ -62,6 +62,9 @@
     Reject(*outcome, aRespond);
     return;
   }
+  if (const auto depth = m_target.DepthOfRunning(parsed.m_parentId)) {
+    parsed.m_request->depth = *depth + 1;
+  }
   const uint64_t id = ++m_lastId;
   const forwarding::CallSpec spec{ parsed.m_request->idempotent,
                                    parsed.m_deadline,
--- a/apps/wigeonfold-node/TargetSide.cpp
+++ b/apps/wigeonfold-node/TargetSide.cpp
@@ -13,20 +13,18 @@
 namespace {
 
 constexpr int kFirstServerError = 500;
+constexpr int64_t kMicrosecondsPerMillisecond = 1000;
 // Offices whose shares are kept at hand; the table starts anew when full.
 constexpr size_t kMaxCachedOffices = 4096;
 // Weight of the newest sample in the smoothed latency: 1/8, as TCP does for
 // its round trip time.
 constexpr int64_t kLatencyDivisor = 8;
 
-// Order in the queue: calls of work under way by their depth, then requests of
-// the highest rank, then the others by rank.
+// Order in the queue: calls of work under way by their depth, then requests
+// from outside by rank.
 int DepthOf(const wire::CallRequest& aRequest)
 {
-  if (aRequest.depth > 0 || aRequest.route.empty()) {
-    return aRequest.depth;
-  }
-  return aRequest.priority == 0 ? 1 : -aRequest.priority;
+  return aRequest.depth > 0 ? aRequest.depth : -aRequest.priority;
 }
 
 } // namespace
@@ -135,6 +133,14 @@
   return m_target ? m_target->m_service : m_options.m_service;
 }
 
+std::optional<int> TargetSide::DepthOfRunning(
+  const std::string& aRequestId) const
+{
+  const auto found = m_runningDepths.find(aRequestId);
+  return found == m_runningDepths.end() ? std::nullopt
+                                        : std::optional(found->second);
+}
+
 TargetStatus TargetSide::Status() const
 {
   TargetStatus status;
@@ -202,9 +208,9 @@
   request.m_deadline = aDeadline;
   request.m_arrived = aNow;
   request.m_work = m_work.Expected(aRequest->route);
-  // Calls of the highest rank are made by work that is under way; refusing one
-  // wastes that work, so only the deadline bounds their wait.
-  if (aRequest->__isset.objectiveLeadUs && aRequest->priority > 0) {
+  // Refusing a call of work that is under way wastes that work, so only the
+  // deadline bounds its wait.
+  if (aRequest->__isset.objectiveLeadUs && aRequest->depth == 0) {
     request.m_startBy = aDeadline -
                         std::chrono::microseconds(aRequest->objectiveLeadUs) -
                         request.m_work;
@@ -329,6 +335,10 @@
     { { "request", request.requestId },
       { "route", request.route },
       { "reason", admission::ToString(aDecision.m_reason) },
+      { "rank", std::to_string(request.priority) },
+      { "objective-ms",
+        std::to_string(ToMilliseconds(aCall.m_deadline - aNow) -
+                       request.objectiveLeadUs / kMicrosecondsPerMillisecond) },
       { "slots", std::to_string(m_admission.Slots()) },
       { "running", std::to_string(m_admission.Running()) },
       { "queued", std::to_string(m_admission.Queued()) },
@@ -376,6 +386,9 @@
 void TargetSide::Write(uint64_t aId, ServedCall& aCall, TimePoint aNow)
 {
   aCall.m_started = aNow;
+  if (!aCall.m_request->requestId.empty()) {
+    m_runningDepths[aCall.m_request->requestId] = aCall.m_request->depth;
+  }
   TargetRequest request;
   request.m_call = aCall.m_request;
   request.m_extra = m_dialect.TargetFields(
@@ -430,6 +443,7 @@
   auto node = m_calls.extract(aId);
   ServedCall& call = node.mapped();
   m_deadlines.Remove(call.m_deadline, aId);
+  m_runningDepths.erase(call.m_request->requestId);
   m_bytes -= call.m_request->body.size();
   if (aStep.m_unqueue) {
     m_admission.Cancel(aId);
--- a/apps/wigeonfold-node/TargetSide.h
+++ b/apps/wigeonfold-node/TargetSide.h
@@ -70,6 +70,9 @@
 
   // Nothing when the target never announced itself.
   const std::optional<Announcement>& Announced() const { return m_target; }
+  // Depth of the request of that id if the target is running it. A call that
+  // the target makes meanwhile is one deeper.
+  std::optional<int> DepthOfRunning(const std::string& aRequestId) const;
   TargetState State() const;
   // Service of the own target.
   const std::string& ServiceName() const;
@@ -123,6 +126,8 @@
   bool m_stopping = false;
   bool m_rejectNew = false;
   std::unordered_map<uint64_t, ServedCall> m_calls;
+  // Requests at the target by their ids, as far as callers gave any.
+  std::unordered_map<std::string, int> m_runningDepths;
   uint64_t m_lastId = 0;
   size_t m_bytes = 0; // of request bodies in memory
   Deadlines m_deadlines;
--- a/libs/admission/include/wigeonfold/admission/Admission.h
+++ b/libs/admission/include/wigeonfold/admission/Admission.h
@@ -88,6 +88,9 @@
   RejectReason MakeRoom(const Request& aRequest,
                         std::vector<Decision>& aDecisions);
   bool IsTooLate(const Request& aRequest, Duration aWait, TimePoint aNow) const;
+  Duration RetryAfter(const Request& aRequest,
+                      Duration aWait,
+                      TimePoint aNow) const;
   RejectReason CheckWait(const Request& aRequest, TimePoint aNow) const;
   void StartWaiting(std::vector<Decision>& aDecisions, TimePoint aNow);
 
--- a/libs/admission/src/Admission.cpp
+++ b/libs/admission/src/Admission.cpp
@@ -4,6 +4,13 @@
 
 namespace wigeonfold::admission {
 
+namespace {
+
+// A caller that comes back sooner finds the same queue.
+constexpr Duration kShortestRetryAfter = std::chrono::milliseconds(20);
+
+} // namespace
+
 const char* ToString(RejectReason aReason)
 {
   switch (aReason) {
@@ -68,7 +75,8 @@
                                              : MakeRoom(aRequest, decisions);
   }
   if (reason != RejectReason::None) {
-    decisions.push_back({ aRequest.m_id, false, reason, wait });
+    decisions.push_back(
+      { aRequest.m_id, false, reason, RetryAfter(aRequest, wait, aNow) });
     return decisions;
   }
   m_queue->Push(aRequest);
@@ -154,19 +162,39 @@
   if (m_limits.m_slots <= 0) {
     return Duration::max();
   }
-  Duration work{};
+  Duration remaining{};
   for (const auto& [id, running] : m_running) {
     const Duration expected = running.m_request.m_work;
     // One that has run longer than expected is likely to be one of the few
     // long ones.
-    work += std::max(expected - (aNow - running.m_started), expected / 4);
+    remaining += std::max(expected - (aNow - running.m_started), expected / 4);
+  }
+  // Slots become free one after the other over the mean remaining time.
+  Duration wait{};
+  if (Running() >= m_limits.m_slots) {
+    wait = remaining / m_limits.m_slots / m_limits.m_slots;
   }
+  Duration work{};
   for (const Request& waiting : m_queue->Waiting()) {
     if (waiting.m_depth >= aDepth) {
       work += waiting.m_work;
     }
   }
-  return work / m_limits.m_slots;
+  return wait + work / m_limits.m_slots;
+}
+
+// The time by which the wait is too long: then there is room for a request that
+// has the same bound.
+Duration Admission::RetryAfter(const Request& aRequest,
+                               Duration aWait,
+                               TimePoint aNow) const
+{
+  if (aRequest.m_startBy == TimePoint{} || aWait == Duration::max()) {
+    return Duration::zero();
+  }
+  const Duration allowed =
+    std::max(aRequest.m_startBy - aNow, Duration::zero());
+  return std::max(aWait - allowed, kShortestRetryAfter);
 }
 
 // A request without a bound, or one that waits for nothing, is never too late:
--- a/libs/admission/test/Admission_test.cpp
+++ b/libs/admission/test/Admission_test.cpp
@@ -294,6 +294,15 @@
   }
   EXPECT_EQ(admission.ExpectedWait(1, kStart), Duration(100ms));
   EXPECT_EQ(admission.ExpectedWait(-2, kStart), Duration(300ms));
+  // With all of n slots busy, the first one is free after an n-th of the work.
+  Admission wide(MakeFairQueue());
+  wide.SetLimits({ 4, 10, 1h }, kStart);
+  for (uint64_t id = 1; id <= 4; ++id) {
+    Request request = MakeRequest(id, "a", 0, kStart);
+    request.m_work = 100ms;
+    wide.Offer(request, kStart);
+  }
+  EXPECT_EQ(wide.ExpectedWait(0, kStart), Duration(25ms));
   admission.Offer(MakeRequest(9, "a", 1, kStart), kStart);
   const auto decisions = admission.Finished(1, kStart + 1ms);
   ASSERT_EQ(decisions.size(), 1U);
--- a/libs/forwarding/include/wigeonfold/forwarding/Dialect.h
+++ b/libs/forwarding/include/wigeonfold/forwarding/Dialect.h
@@ -20,6 +20,8 @@
   int m_maxAttempts = 1;
   std::shared_ptr<wire::CallRequest> m_request; // without call id and deadline
   TimePoint m_deadline{};
+  // Id of the request whose target may have made this call; empty: unknown.
+  std::string m_parentId;
 };
 
 // What a dialect needs to know of the node at which a request arrives.
--- a/libs/net/include/wigeonfold/net/Http.h
+++ b/libs/net/include/wigeonfold/net/Http.h
@@ -31,6 +31,7 @@
   std::string m_target; // path with query
   std::vector<HttpField> m_fields;
   std::string m_body;
+  std::string m_peer; // server: IP number of the sender
 };
 
 struct HttpResponse
--- a/libs/net/src/Http.cpp
+++ b/libs/net/src/Http.cpp
@@ -57,6 +57,7 @@
   {
     boost::system::error_code ignored;
     m_stream.socket().set_option(tcp::no_delay(true), ignored);
+    m_peer = m_stream.socket().remote_endpoint(ignored).address().to_string();
   }
 
   void Read();
@@ -79,6 +80,7 @@
   beast::flat_buffer m_buffer;
   std::optional<http::request_parser<http::string_body>> m_parser;
   std::shared_ptr<PlainResponse> m_response;
+  std::string m_peer; // IP number
   std::function<void()> m_onAbandon;
   Server* m_server; // null after the server is gone
   bool m_reading = false;
@@ -304,7 +306,9 @@
       self->m_onAbandon = std::move(aCallback);
     }
   };
-  m_server->m_handler(ToPlain(std::move(aRequest)), respond, onAbandon);
+  HttpRequest request = ToPlain(std::move(aRequest));
+  request.m_peer = m_peer;
+  m_server->m_handler(std::move(request), respond, onAbandon);
 }
 
 void Session::WatchForClose()
