Reject requests that can be framed in two ways; prefer the zone by a half

- A request without a Host, with two, with a length beside chunks or with an unknown transfer coding was answered 200; it is 400 or 501 now.

--- a/libs/net/src/Http.cpp
+++ b/libs/net/src/Http.cpp
@@ -36,6 +36,28 @@
   return request;
 }
 
+// What is wrong with the head of a request that could be parsed, as the status
+// of the answer; nothing when it is sound. A request whose length or host can
+// be read in two ways must not be passed on (RFC 9112, 3.2 and 6.1).
+std::optional<http::status> HeadProblem(const ParsedRequest& aRequest)
+{
+  const size_t hosts = aRequest.count(http::field::host);
+  if (hosts > 1 || (hosts == 0 && aRequest.version() >= 11)) {
+    return http::status::bad_request;
+  }
+  if (aRequest.count(http::field::transfer_encoding) == 0) {
+    return std::nullopt;
+  }
+  if (aRequest.count(http::field::content_length) > 0) {
+    return http::status::bad_request;
+  }
+  const bool chunkedOnly =
+    aRequest.count(http::field::transfer_encoding) == 1 &&
+    boost::iequals(aRequest[http::field::transfer_encoding], "chunked");
+  return chunkedOnly ? std::nullopt
+                     : std::optional(http::status::not_implemented);
+}
+
 // The server frames the message itself, so fields that do so are left out.
 bool IsFramingField(const std::string& aName)
 {
@@ -282,6 +304,10 @@
     Close();
     return;
   }
+  if (const auto problem = HeadProblem(m_parser->get())) {
+    Reject(*problem);
+    return;
+  }
   Handle(m_parser->release());
 }
 
--- a/libs/net/test/Http_test.cpp
+++ b/libs/net/test/Http_test.cpp
@@ -2,6 +2,7 @@
 // against malformed requests that are not told so.
 #include "wigeonfold/net/Http.h"
 
+#include <atomic>
 #include <boost/asio.hpp>
 #include <future>
 #include <gtest/gtest.h>
@@ -105,6 +106,47 @@
   EXPECT_NE(large.find(" 413 "), std::string::npos);
 }
 
+// Guards against requests whose length or host two readers read differently:
+// what one takes for a body the other would take for a request of its own.
+TEST_F(HttpTest, AmbiguousFramingIsRejectedAndNothingOfItIsHandled)
+{
+  std::atomic<int> handled = 0;
+  Serve([&handled](HttpRequest, HttpRespond aRespond, const auto&) {
+    ++handled;
+    aRespond({ 200, {}, "" });
+  });
+  const std::string smuggled = "GET /smuggled HTTP/1.1\r\nHost: x\r\n\r\n";
+  struct Row
+  {
+    const char* m_head;
+    const char* m_status;
+  };
+  for (const Row& row : std::vector<Row>{
+         { "POST / HTTP/1.1\r\n\r\n", " 400 " },
+         { "POST / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", " 400 " },
+         { "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+           " 400 " },
+         { "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+           "Content-Length: 4\r\n\r\nabcd",
+           " 400 " },
+         { "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n",
+           " 400 " },
+         { "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\n",
+           " 501 " },
+         { "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: xchunked\r\n"
+           "\r\n",
+           " 501 " },
+         { "POST / HTTP/1.1\r\nHost : a\r\n\r\n", " 400 " },
+       }) {
+    const std::string answer = Exchange(m_port, row.m_head + smuggled);
+    EXPECT_NE(answer.find(row.m_status), std::string::npos)
+      << row.m_head << " got " << answer;
+    EXPECT_EQ(Count(answer, "HTTP/1.1 "), 1U) << row.m_head;
+  }
+  EXPECT_EQ(handled, 0);
+}
+
 TEST_F(HttpTest, AbandonedRequestIsReported)
 {
   std::promise<void> abandoned;
--- a/libs/registry/include/wigeonfold/registry/OperatorApi.h
+++ b/libs/registry/include/wigeonfold/registry/OperatorApi.h
@@ -1,4 +1,4 @@
-// Translation between the operators' HTTP/JSON API (docs/operations.md) and
+// Translation between the operators' HTTP/JSON API (docs/OPERATIONS.md) and
 // the registry. Pure: no network, no clock. All functions are thread safe.
 #pragma once
 
--- a/libs/routing/src/Chooser.cpp
+++ b/libs/routing/src/Chooser.cpp
@@ -69,7 +69,7 @@
     for (const Endpoint* endpoint : sample) {
       Duration cost = aTracker.CostOf(*endpoint, unknown, aNow);
       if (endpoint->m_availabilityZone != m_zone) {
-        cost += cost / kZoneMargin;
+        cost += cost / kZoneMarginDivisor;
       }
       if (best == nullptr || cost < bestCost) {
         best = endpoint;
@@ -97,8 +97,8 @@
   // Enough to find a good endpoint of a large service, few enough that not
   // every node sends to the same one.
   static constexpr size_t kSample = 4;
-  // A quarter: traffic between zones costs money, but a slow answer costs more.
-  static constexpr int kZoneMargin = 4;
+  // A half: traffic between zones costs money, but a slow answer costs more.
+  static constexpr int kZoneMarginDivisor = 2;
   static constexpr Duration kAssumedLatency = std::chrono::milliseconds(50);
 
   const std::string m_zone;
--- a/libs/routing/src/Tracker.cpp
+++ b/libs/routing/src/Tracker.cpp
@@ -85,7 +85,6 @@
       break;
     case AttemptResult::AnsweredFailure:
     case AttemptResult::Shed:
-      break;
     case AttemptResult::Refused:
       break;
     case AttemptResult::Draining:
