Leave a silent peer after half a second

Load pattern: a zone is cut off without a reset, with its capacity. Now a peer with calls under way is asked after 150 ms and given up after 500 ms; a node that falls silent or can't be connected to takes no calls for a second, also when that takes most targets of a service away. Tests: Chooser.LeavesNodesThatCannotBeReachedEvenWhenTheyAreMost, Forwarding.ARequestLeavesAPeerThatFallsSilent.

--- a/apps/wigeonfold-node/CallerSide.cpp
+++ b/apps/wigeonfold-node/CallerSide.cpp
@@ -283,6 +283,11 @@
   m_log.Record(aEvent, std::move(fields));
 }
 
+void CallerSide::OnUnreachable(const std::string& aNodeName)
+{
+  m_tracker.OnUnreachable(aNodeName, Clock::now());
+}
+
 // ---- Answers ---------------------------------------------------------------
 
 void CallerSide::Finish(uint64_t aId, Outcome aOutcome)
--- a/apps/wigeonfold-node/CallerSide.h
+++ b/apps/wigeonfold-node/CallerSide.h
@@ -43,6 +43,7 @@
                       forwarding::Outcome aOutcome,
                       wire::CallResponse aResponse);
   void OnGoaway(const std::string& aNodeName);
+  void OnUnreachable(const std::string& aNodeName);
 
   // Ends calls past their deadline. Call each 10 ms.
   void Tick(TimePoint aNow);
--- a/apps/wigeonfold-node/DataPlane.cpp
+++ b/apps/wigeonfold-node/DataPlane.cpp
@@ -11,6 +11,7 @@
 // Bounds how late deadlines and queue timeouts are noticed.
 constexpr Duration kTick = 10ms;
 constexpr int kTicksPerSecond = 100;
+constexpr int kTicksPerPeerCheck = 5;
 constexpr Duration kPeerCloseWait = 2s;
 
 uint64_t SeedOf(const NodeSettings& aSettings, int64_t aNodeEpoch)
@@ -86,6 +87,9 @@
   handlers.m_onGoaway = [this](const std::string& aNodeName) {
     m_callerSide.OnGoaway(aNodeName);
   };
+  handlers.m_onUnreachable = [this](const std::string& aNodeName) {
+    m_callerSide.OnUnreachable(aNodeName);
+  };
   handlers.m_onPeerVersion = [this](const Version& aVersion) {
     OnPeerVersion(aVersion);
   };
@@ -210,8 +214,12 @@
   if (m_announcePending) {
     AnnounceEndpoint();
   }
-  if (++m_ticks % kTicksPerSecond == 0) {
-    Each100Ticks(now);
+  ++m_ticks;
+  if (m_ticks % kTicksPerPeerCheck == 0) {
+    m_peerClient.Tick(now);
+  }
+  if (m_ticks % kTicksPerSecond == 0) {
+    Each100Ticks();
   }
   FinishIfDrained(now);
   m_tick.expires_after(kTick);
@@ -222,9 +230,8 @@
   });
 }
 
-void DataPlane::Each100Ticks(TimePoint aNow)
+void DataPlane::Each100Ticks()
 {
-  m_peerClient.Tick(aNow);
   m_target.Sweep();
   const TargetStatus status = m_target.Status();
   m_metrics.SetTarget(status.m_running, status.m_queued, status.m_slots);
--- a/apps/wigeonfold-node/DataPlane.h
+++ b/apps/wigeonfold-node/DataPlane.h
@@ -54,7 +54,7 @@
 private:
   PeerClientHandlers ClientHandlers();
   void Tick();
-  void Each100Ticks(TimePoint aNow);
+  void Each100Ticks();
   void AnnounceEndpoint();
   void OnPeerVersion(const Version& aVersion);
   void OnLingerOver();
--- a/apps/wigeonfold-node/PeerClient.cpp
+++ b/apps/wigeonfold-node/PeerClient.cpp
@@ -14,10 +14,11 @@
 namespace {
 
 // A peer that has said nothing for this long is asked for a sign of life.
-constexpr Duration kHeartbeatAfter = 1s;
+constexpr Duration kHeartbeatAfter = 150ms;
 // A connection with calls under way but without a frame for this long is taken
-// as lost: a VM that vanished sends no reset.
-constexpr Duration kSilenceLimit = 3s;
+// as lost: a VM that vanished sends no reset. Three heartbeats fit, and an
+// idempotent request still has time for another target.
+constexpr Duration kSilenceLimit = 500ms;
 constexpr Duration kIdleLimit = 60s;
 // A peer that reads more slowly than this is not given further calls.
 constexpr size_t kMaxQueuedBytes = size_t{ 4 } << 20;
@@ -184,6 +185,7 @@
     return;
   }
   if (!aConnection) {
+    m_handlers.m_onUnreachable(std::string(found->second.m_nodeName));
     Lose(aLink);
     return;
   }
@@ -321,6 +323,8 @@
     }
   }
   for (const uint64_t id : lost) {
+    // First, so that the calls that are lost do not choose the node again.
+    m_handlers.m_onUnreachable(std::string(m_links.at(id).m_nodeName));
     Lose(id);
   }
   for (const uint64_t id : idle) {
--- a/apps/wigeonfold-node/PeerClient.h
+++ b/apps/wigeonfold-node/PeerClient.h
@@ -46,6 +46,8 @@
   // The node takes no further calls.
   std::function<void(const std::string& aNodeName)> m_onGoaway;
   std::function<void(const Version&)> m_onPeerVersion;
+  // The node could not be connected to, or its connection fell silent.
+  std::function<void(const std::string& aNodeName)> m_onUnreachable;
 };
 
 // One multiplexed connection to each node that is called, opened on demand.
@@ -70,7 +72,7 @@
   // Withdraws an attempt; it is not reported any more.
   void Cancel(const PeerTicket& aTicket);
 
-  // Heartbeats, lost and idle connections. Call about each second.
+  // Heartbeats, lost and idle connections. Call each 50 ms.
   void Tick(TimePoint aNow);
   void CloseAll();
 
--- a/apps/wigeonfold-node/test/Forwarding_test.cpp
+++ b/apps/wigeonfold-node/test/Forwarding_test.cpp
@@ -154,6 +154,26 @@
   EXPECT_EQ(answer.m_status, 200);
 }
 
+// Guards against idempotent requests that wait for a peer that vanished until
+// their deadline although another target could answer.
+TEST_F(Forwarding, ARequestLeavesAPeerThatFallsSilent)
+{
+  asio::ip::tcp::acceptor silent(m_io,
+                                 { asio::ip::make_address("127.0.0.1"), 0 });
+  Do([&] {
+    m_target = std::make_unique<TestTarget>(m_io, [](int, const std::string&) {
+      return Reaction{ WholeAnswer("x") };
+    });
+  });
+  Announce(0, m_target->Port());
+  SetView({ Endpoint("n9", silent.local_endpoint().port()), EndpointOf(0) });
+  // Round robin: one of the two goes to the silent peer first.
+  for (int i = 0; i < 2; ++i) {
+    const auto answer = Call(0, Get("/lots", { { kDeadlineHeader, "2500" } }));
+    EXPECT_EQ(answer.m_status, 200);
+  }
+}
+
 TEST_F(Forwarding, TargetGetsMetadataAndNoHopByHopFields)
 {
   std::string seen;
--- a/libs/routing/include/wigeonfold/routing/Tracker.h
+++ b/libs/routing/include/wigeonfold/routing/Tracker.h
@@ -36,6 +36,11 @@
                const wire::TargetLoad* aLoad,
                TimePoint aNow);
 
+  // The node could not be connected to, or fell silent. Its target takes no
+  // calls for a second, however many others are in the same state: calls to a
+  // part of the fleet that is cut off wait for nothing.
+  void OnUnreachable(const std::string& aNodeName, TimePoint aNow);
+
   // Estimated calls at the target per slot: own calls in flight plus what
   // others had there at the last answer, while that answer is recent.
   double LoadOf(const Endpoint& aEndpoint, TimePoint aNow) const;
@@ -49,7 +54,8 @@
   Duration ReportedLatency(const Endpoint& aEndpoint) const;
   // Ejected after failures, or known to drain.
   bool IsAvoided(const Endpoint& aEndpoint, TimePoint aNow) const;
-  // Avoided because it said itself that it takes no calls.
+  // Avoided because it said itself that it takes no calls, or because its node
+  // can't be reached.
   bool IsDraining(const Endpoint& aEndpoint, TimePoint aNow) const;
   int InFlight(const Endpoint& aEndpoint) const;
 
@@ -71,6 +77,7 @@
     int m_ejections = 0; // in a row; each lasts longer
     TimePoint m_avoidUntil{};
     TimePoint m_drainingUntil{};
+    TimePoint m_unreachableUntil{};
   };
 
   const State* FindState(const Endpoint& aEndpoint) const;
--- a/libs/routing/src/Tracker.cpp
+++ b/libs/routing/src/Tracker.cpp
@@ -15,6 +15,8 @@
 // lets a target that comes back under the same epoch be found again.
 constexpr Duration kDrainAvoidance = 3s;
 constexpr int kMaxEjectionFactor = 10;
+// After this time one call finds out whether the node is back.
+constexpr Duration kUnreachableAvoidance = 1s;
 // Weight of the newest outcome in the rate of failures.
 constexpr double kFailureWeight = 0.1;
 // A target that fails nearly always still gets a few calls, which show when it
@@ -100,6 +102,14 @@
   }
 }
 
+void Tracker::OnUnreachable(const std::string& aNodeName, TimePoint aNow)
+{
+  const auto state = m_states.find(aNodeName);
+  if (state != m_states.end()) {
+    state->second.m_unreachableUntil = aNow + kUnreachableAvoidance;
+  }
+}
+
 double Tracker::LoadOf(const Endpoint& aEndpoint, TimePoint aNow) const
 {
   const State* state = FindState(aEndpoint);
@@ -148,13 +158,15 @@
 {
   const State* state = FindState(aEndpoint);
   return state != nullptr &&
-         (aNow < state->m_avoidUntil || aNow < state->m_drainingUntil);
+         (aNow < state->m_avoidUntil || aNow < state->m_drainingUntil ||
+          aNow < state->m_unreachableUntil);
 }
 
 bool Tracker::IsDraining(const Endpoint& aEndpoint, TimePoint aNow) const
 {
   const State* state = FindState(aEndpoint);
-  return state != nullptr && aNow < state->m_drainingUntil;
+  return state != nullptr &&
+         (aNow < state->m_drainingUntil || aNow < state->m_unreachableUntil);
 }
 
 int Tracker::InFlight(const Endpoint& aEndpoint) const
--- a/libs/routing/test/Chooser_test.cpp
+++ b/libs/routing/test/Chooser_test.cpp
@@ -155,6 +155,25 @@
   RC_ASSERT(tried.size() == zones.size());
 }
 
+// Load pattern: the zones with most of the targets are cut off. Ejection alone
+// would be ignored, because it would take most targets away.
+TEST(Chooser, LeavesNodesThatCannotBeReachedEvenWhenTheyAreMost)
+{
+  const ServiceRoute route = MakeRoute({ "a", "b", "c" });
+  Tracker tracker;
+  for (size_t i = 0; i < 3; ++i) {
+    tracker.OnSent(route.m_endpoints[i]);
+  }
+  tracker.OnUnreachable(route.m_endpoints[1].m_nodeName, kStart);
+  tracker.OnUnreachable(route.m_endpoints[2].m_nodeName, kStart);
+  Chooser chooser("b", MakeRandom(7));
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(chooser.Choose(route, {}, tracker, kStart),
+              &route.m_endpoints[0]);
+  }
+  EXPECT_FALSE(tracker.IsAvoided(route.m_endpoints[1], kStart + 1s));
+}
+
 // ---- Least expected time ---------------------------------------------------
 
 wire::TargetLoad Load(int64_t aLatencyUs, int aFailurePercent = 0)
