Give each piece of logic one place

Cause: a second reading of the whole change. The reload of settings stood in both daemons, the hand-over of operators' calls twice in the API, a setting's operation in six files, a call without an outcome in four places, and a draining node was marked by a loop over all endpoints. Change: net::WatchForReload, Api::Propose, settings::SetOperation, Core::AnswerUnknown (which writes the event that was declared and never used) and Tracker::OnDraining; the list of control VMs is encoded only when a node needs it. Each muted lint line names its reason. Ruled out: one mechanism for initial voters and the automatic policy; their rules differ on who may create a cluster.

--- a/apps/wigeonfold-control/Api.cpp
+++ b/apps/wigeonfold-control/Api.cpp
@@ -150,9 +150,7 @@
   } else if (isGet && path == "/timeline") {
     aRespond(Timeline());
   } else if (isGet) {
-    const Ticket ticket = ++m_lastTicket;
-    Call(ReadCall{ ticket },
-         ticket,
+    Call(ReadCall{},
          aRequest.m_target,
          registry::NativeFormat(),
          std::move(aRespond));
@@ -172,28 +170,30 @@
     aRespond(ToResponse(registry::FormatInvalid(change.error())));
     return;
   }
-  const Ticket ticket = ++m_lastTicket;
-  Call(AcceptCall{ ticket,
-                   aRequest.m_target,
-                   std::move(change.value()),
-                   &registry::NativeFormat() },
-       ticket,
-       aRequest.m_target,
-       registry::NativeFormat(),
-       std::move(aRespond));
+  Propose(std::move(change.value()),
+          aRequest.m_target,
+          registry::NativeFormat(),
+          std::move(aRespond));
+}
+
+void Api::Propose(wire::Change aChange,
+                  const std::string& aTarget,
+                  const registry::OperatorFormat& aFormat,
+                  net::HttpRespond aRespond)
+{
+  AcceptCall call;
+  call.m_target = aTarget;
+  call.m_change = std::move(aChange);
+  call.m_format = &aFormat;
+  Call(std::move(call), aTarget, aFormat, std::move(aRespond));
 }
 
 void Api::ServeConfig(const net::HttpRequest& aRequest,
                       net::HttpRespond aRespond)
 {
   const registry::OperatorFormat& format = platform::ConfigFormat();
-  const Ticket ticket = ++m_lastTicket;
   if (platform::IsRead(aRequest)) {
-    Call(ReadCall{ ticket },
-         ticket,
-         aRequest.m_target,
-         format,
-         std::move(aRespond));
+    Call(ReadCall{}, aRequest.m_target, format, std::move(aRespond));
     return;
   }
   if (!platform::IsAccept(aRequest)) {
@@ -208,12 +208,8 @@
       ToResponse(registry::FormatProblem(400, change.error().ToString())));
     return;
   }
-  Call(
-    AcceptCall{ ticket, aRequest.m_target, std::move(change.value()), &format },
-    ticket,
-    aRequest.m_target,
-    format,
-    std::move(aRespond));
+  Propose(
+    std::move(change.value()), aRequest.m_target, format, std::move(aRespond));
 }
 
 void Api::Members(const net::HttpRequest& aRequest, net::HttpRespond aRespond)
@@ -223,28 +219,26 @@
     aRespond(ToResponse(registry::FormatInvalid(request.error())));
     return;
   }
-  const Ticket ticket = ++m_lastTicket;
-  Call(MemberCall{ ticket, aRequest.m_target, std::move(request.value()) },
-       ticket,
+  Call(MemberCall{ 0, aRequest.m_target, std::move(request.value()) },
        aRequest.m_target,
        registry::NativeFormat(),
        std::move(aRespond));
 }
 
 void Api::Call(ApiCall aCall,
-               Ticket aTicket,
-               std::string aTarget,
+               const std::string& aTarget,
                const registry::OperatorFormat& aFormat,
                net::HttpRespond aRespond)
 {
+  const Ticket ticket = ++m_lastTicket;
+  std::visit([ticket](auto& aTyped) { aTyped.m_ticket = ticket; }, aCall);
   if (!m_channels.m_httpToCore.TryPush(std::move(aCall))) {
     aRespond(ToResponse(registry::FormatProblem(503, "too many calls")));
     return;
   }
-  m_waiting[aTicket] = Waiting{ std::move(aTarget),
-                                &aFormat,
-                                std::move(aRespond),
-                                Clock::now() + kCallTimeout };
+  m_waiting[ticket] = Waiting{
+    aTarget, &aFormat, std::move(aRespond), Clock::now() + kCallTimeout
+  };
 }
 
 void Api::ExpireWaiting()
--- a/apps/wigeonfold-control/Api.h
+++ b/apps/wigeonfold-control/Api.h
@@ -48,9 +48,13 @@
   void ServeConfig(const net::HttpRequest& aRequest, net::HttpRespond aRespond);
   void Accept(const net::HttpRequest& aRequest, net::HttpRespond aRespond);
   void Members(const net::HttpRequest& aRequest, net::HttpRespond aRespond);
+  void Propose(wire::Change aChange,
+               const std::string& aTarget,
+               const registry::OperatorFormat& aFormat,
+               net::HttpRespond aRespond);
+  // Numbers the call and hands it to the core.
   void Call(ApiCall aCall,
-            Ticket aTicket,
-            std::string aTarget,
+            const std::string& aTarget,
             const registry::OperatorFormat& aFormat,
             net::HttpRespond aRespond);
   void Answer(Ticket aTicket, const registry::ApiReply& aReply);
--- a/apps/wigeonfold-control/Core.cpp
+++ b/apps/wigeonfold-control/Core.cpp
@@ -207,7 +207,7 @@
   while (!m_pending.empty() &&
          m_pending.begin()->first <= aRestore.m_position.m_index) {
     const PendingCall& call = m_pending.begin()->second;
-    Answer(call.m_ticket, call.m_format->Unknown("the leader has changed"));
+    AnswerUnknown(call.m_ticket, *call.m_format, "the leader has changed");
     m_pending.erase(m_pending.begin());
   }
 }
@@ -249,7 +249,7 @@
   const PendingCall call = std::move(found->second);
   m_pending.erase(found);
   if (call.m_term != aEntry.term) {
-    Answer(call.m_ticket, call.m_format->Unknown("the leader has changed"));
+    AnswerUnknown(call.m_ticket, *call.m_format, "the leader has changed");
   } else if (call.m_plan) {
     Answer(call.m_ticket, registry::FormatMembership(*call.m_plan));
   } else if (aResult) {
--- a/apps/wigeonfold-control/Core.h
+++ b/apps/wigeonfold-control/Core.h
@@ -80,6 +80,10 @@
   std::set<int64_t> CaughtUp() const;
   RegistryViewPtr RegistryState();
   void Answer(Ticket aTicket, registry::ApiReply aReply);
+  // The outcome is not known; the client sends the call again.
+  void AnswerUnknown(Ticket aTicket,
+                     const registry::OperatorFormat& aFormat,
+                     const std::string& aReason);
   bool Redirect(Ticket aTicket,
                 const std::string& aTarget,
                 const registry::OperatorFormat& aFormat,
--- a/apps/wigeonfold-control/CoreCalls.cpp
+++ b/apps/wigeonfold-control/CoreCalls.cpp
@@ -25,6 +25,14 @@
   m_channels.m_coreToHttp.Push(CallAnswer{ aTicket, std::move(aReply) });
 }
 
+void Core::AnswerUnknown(Ticket aTicket,
+                         const registry::OperatorFormat& aFormat,
+                         const std::string& aReason)
+{
+  m_log.Record(EventId::CallUnanswered, { { "reason", aReason } });
+  Answer(aTicket, aFormat.Unknown(aReason));
+}
+
 // ---- Reads -----------------------------------------------------------------
 
 RegistryViewPtr Core::RegistryState()
@@ -101,7 +109,7 @@
   }
   if (consensus::VoterCount(m_raft.CurrentMembership()) <
       m_settings.m_minVoters) {
-    Answer(aCall.m_ticket, format.Unknown("too few voters"));
+    AnswerUnknown(aCall.m_ticket, format, "too few voters");
     return;
   }
   wire::RegistryCommand command;
@@ -112,7 +120,7 @@
   command.__set_change(aCall.m_change);
   const auto position = m_raft.Propose(aNow, wire::Encode(command));
   if (!position) {
-    Answer(aCall.m_ticket, format.Unknown(position.error().ToString()));
+    AnswerUnknown(aCall.m_ticket, format, position.error().ToString());
     return;
   }
   m_pending[position.value().m_index] = PendingCall{ position.value().m_term,
@@ -129,8 +137,8 @@
       ++at;
       continue;
     }
-    Answer(at->second.m_ticket,
-           at->second.m_format->Unknown("not committed in time"));
+    AnswerUnknown(
+      at->second.m_ticket, *at->second.m_format, "not committed in time");
     at = m_pending.erase(at);
   }
 }
--- a/apps/wigeonfold-control/Process.cpp
+++ b/apps/wigeonfold-control/Process.cpp
@@ -5,6 +5,8 @@
 #include "Network.h"
 #include "StorageWorker.h"
 
+#include "wigeonfold/net/ReloadWatch.h"
+
 #include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -79,8 +81,6 @@
     , m_path(std::move(aPath))
     , m_log(aLog)
     , m_signals(m_main, SIGTERM, SIGINT)
-    , m_hangup(m_main, SIGHUP)
-    , m_reload(m_main)
     , m_limit(m_main)
   {
   }
@@ -105,8 +105,10 @@
         Drain();
       }
     });
-    AwaitHangup();
-    ReloadLater();
+    // Seeds only matter to a VM that knows no member, and reading them again
+    // costs little.
+    m_reload = net::WatchForReload(
+      m_main, kReloadPeriod, [this](net::ReloadCause) { Reload(); });
     m_main.run();
     StopThreads();
     m_log.Record(EventId::ProcessStopped, { { "name", m_settings.m_name } });
@@ -220,29 +222,6 @@
 
   // ---- Reload ----
 
-  void AwaitHangup()
-  {
-    m_hangup.async_wait([this](boost::system::error_code aCode, int) {
-      if (!aCode) {
-        Reload();
-        AwaitHangup();
-      }
-    });
-  }
-
-  // The file may also change without a signal. Seeds only matter to a VM that
-  // knows no member, and reading them again costs little.
-  void ReloadLater()
-  {
-    m_reload.expires_after(kReloadPeriod);
-    m_reload.async_wait([this](boost::system::error_code aCode) {
-      if (!aCode) {
-        Reload();
-        ReloadLater();
-      }
-    });
-  }
-
   // Takes over the seeds; other changes take effect at the next start.
   void Reload()
   {
@@ -328,8 +307,7 @@
   TimePoint m_nextDiskFull{}; // storage thread
   boost::asio::io_context m_main{ 1 };
   boost::asio::signal_set m_signals;
-  boost::asio::signal_set m_hangup;
-  boost::asio::steady_timer m_reload;
+  std::unique_ptr<net::ReloadWatch> m_reload;
   boost::asio::steady_timer m_limit;
   std::unique_ptr<storage::FileSystem> m_files;
   Channels m_channels;
--- a/apps/wigeonfold-node/CallerSide.cpp
+++ b/apps/wigeonfold-node/CallerSide.cpp
@@ -231,22 +231,12 @@
 
 void CallerSide::OnGoaway(const std::string& aNodeName)
 {
-  if (!m_view) {
-    return;
-  }
-  for (const std::string& name : m_view->Settings().Children("services")) {
-    const routing::ServiceRoute* route = m_view->Find(name);
-    for (const routing::Endpoint& endpoint : route->m_endpoints) {
-      if (endpoint.m_nodeName == aNodeName) {
-        m_tracker.OnSent(endpoint);
-        m_tracker.OnEnded(*route,
-                          endpoint,
-                          routing::AttemptResult::Draining,
-                          nullptr,
-                          Clock::now());
-      }
-    }
-  }
+  m_tracker.OnDraining(aNodeName, Clock::now());
+}
+
+void CallerSide::OnUnreachable(const std::string& aNodeName)
+{
+  m_tracker.OnUnreachable(aNodeName, Clock::now());
 }
 
 // One line with what decided: the outcome, the target and its load as it was
@@ -283,11 +273,6 @@
   m_log.Record(aEvent, std::move(fields));
 }
 
-void CallerSide::OnUnreachable(const std::string& aNodeName)
-{
-  m_tracker.OnUnreachable(aNodeName, Clock::now());
-}
-
 // ---- Answers ---------------------------------------------------------------
 
 void CallerSide::Finish(uint64_t aId, Outcome aOutcome)
--- a/apps/wigeonfold-node/Node.cpp
+++ b/apps/wigeonfold-node/Node.cpp
@@ -96,8 +96,6 @@
              return m_httpToData.Push(std::move(aMessage));
            })
   , m_signals(m_dataIo, SIGTERM, SIGINT)
-  , m_hangup(m_controlIo, SIGHUP)
-  , m_reload(m_controlIo)
 {
 }
 
@@ -132,8 +130,10 @@
                  { "callers", ToString(m_settings.m_callerListen) },
                  { "peers", ToString(m_settings.m_peerListen) } });
   m_control.Start();
-  AwaitHangup();
-  ReloadLater();
+  m_reload =
+    net::WatchForReload(m_controlIo,
+                        kReloadPeriod,
+                        [this](net::ReloadCause aCause) { OnReload(aCause); });
   m_controlThread = std::thread([this] {
     const Guard guard(m_controlIo.get_executor());
     m_controlIo.run();
@@ -160,29 +160,13 @@
 
 // ---- Reload, on the control thread ------------------------------------------
 
-void Node::AwaitHangup()
+// Without a signal the file only matters to a node that reaches no control VM
+// that it knows.
+void Node::OnReload(net::ReloadCause aCause)
 {
-  m_hangup.async_wait([this](boost::system::error_code aCode, int) {
-    if (!aCode) {
-      Reload();
-      AwaitHangup();
-    }
-  });
-}
-
-// The file may also change without a signal; it only matters to a node that
-// reaches no control VM that it knows.
-void Node::ReloadLater()
-{
-  m_reload.expires_after(kReloadPeriod);
-  m_reload.async_wait([this](boost::system::error_code aCode) {
-    if (!aCode) {
-      if (!m_control.HasSession()) {
-        Reload();
-      }
-      ReloadLater();
-    }
-  });
+  if (aCause == net::ReloadCause::Hangup || !m_control.HasSession()) {
+    Reload();
+  }
 }
 
 // Takes over the control VMs; other changes take effect at the next start.
@@ -197,8 +181,7 @@
 {
   if (m_controlThread.joinable()) {
     boost::asio::post(m_controlIo, [this] {
-      m_hangup.cancel();
-      m_reload.cancel();
+      m_reload.reset();
       m_control.Stop();
       m_controlIo.stop();
     });
--- a/apps/wigeonfold-node/Node.h
+++ b/apps/wigeonfold-node/Node.h
@@ -6,9 +6,10 @@
 #include "LocalApi.h"
 #include "NodeSettings.h"
 
+#include "wigeonfold/net/ReloadWatch.h"
+
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <thread>
 
@@ -36,8 +37,7 @@
   bool SendToControl(DataToControl aMessage);
   void OnHttpMessage(const HttpToData& aMessage);
   void OnStopSignal();
-  void AwaitHangup();
-  void ReloadLater();
+  void OnReload(net::ReloadCause aCause);
   void Reload();
   void StopOtherThreads();
 
@@ -58,8 +58,7 @@
   ControlLink m_control;
   LocalApi m_http;
   boost::asio::signal_set m_signals;
-  boost::asio::signal_set m_hangup;
-  boost::asio::steady_timer m_reload;
+  std::unique_ptr<net::ReloadWatch> m_reload;
   std::thread m_controlThread;
   std::thread m_httpThread;
 };
--- a/apps/wigeonfold-node/TargetSide.cpp
+++ b/apps/wigeonfold-node/TargetSide.cpp
@@ -22,7 +22,7 @@
 
 // Order in the queue: calls of work under way by their depth, then requests
 // from outside by rank.
-int DepthOf(const wire::CallRequest& aRequest)
+int QueueDepth(const wire::CallRequest& aRequest)
 {
   return aRequest.depth > 0 ? aRequest.depth : -aRequest.priority;
 }
@@ -204,7 +204,7 @@
   admission::Request request;
   request.m_id = id;
   request.m_shares = SharesOf(aRequest->office);
-  request.m_depth = DepthOf(*aRequest);
+  request.m_depth = QueueDepth(*aRequest);
   request.m_deadline = aDeadline;
   request.m_arrived = aNow;
   request.m_work = m_work.Expected(aRequest->route);
--- a/apps/wigeonfold-node/test/TestNodes.h
+++ b/apps/wigeonfold-node/test/TestNodes.h
@@ -232,12 +232,8 @@
     aSettings.push_back({ "services/lots", "route.prefix", "/lots" });
     std::vector<wire::Operation> operations;
     for (const Setting& setting : aSettings) {
-      wire::Operation operation;
-      operation.kind = wire::OperationKind::Set;
-      operation.path = setting.m_path;
-      operation.key = setting.m_key;
-      operation.value = setting.m_value;
-      operations.push_back(operation);
+      operations.push_back(
+        settings::SetOperation(setting.m_path, setting.m_key, setting.m_value));
     }
     const auto tree = settings::Tree().Apply(operations, Version{ 1, 1 });
     ASSERT_TRUE(tree) << tree.error().ToString();
--- a/libs/base/include/wigeonfold/base/Events.h
+++ b/libs/base/include/wigeonfold/base/Events.h
@@ -24,6 +24,9 @@
   Error,
 };
 
+// "info", "warning" or "error".
+const char* ToString(EventLevel aLevel);
+
 // One line per event: identifier, number, level, meaning. docs/events.md holds
 // the same list; a test keeps the two equal. Number ranges: 1000 process,
 // 1100 storage, 1200 consensus, 1300 registry, 1400 discovery, 1500
--- a/libs/base/include/wigeonfold/base/Time.h
+++ b/libs/base/include/wigeonfold/base/Time.h
@@ -10,10 +10,10 @@
 // Monotonic time that also counts the time in which the machine was suspended
 // (CLOCK_BOOTTIME). std::chrono::steady_clock stands still meanwhile, so that a
 // lease held across a suspension would look valid. Thread safe.
-// The member names are those that std::chrono asks of a clock.
 struct Clock
 {
-  // NOLINTBEGIN(readability-identifier-naming)
+  // NOLINTBEGIN(readability-identifier-naming): std::chrono asks for these
+  // names
   using duration = std::chrono::nanoseconds;
   using rep = duration::rep;
   using period = duration::period;
--- a/libs/base/src/Events.cpp
+++ b/libs/base/src/Events.cpp
@@ -10,6 +10,19 @@
 
 // ---- Catalogue -------------------------------------------------------------
 
+const char* ToString(EventLevel aLevel)
+{
+  switch (aLevel) {
+    case EventLevel::Info:
+      return "info";
+    case EventLevel::Warning:
+      return "warning";
+    case EventLevel::Error:
+      return "error";
+  }
+  return "info";
+}
+
 const std::vector<EventInfo>& EventCatalogue()
 {
 #define WIGEONFOLD_EVENT_ROW(aName, aNumber, aLevel, aText)                    \
@@ -34,19 +47,6 @@
 
 namespace {
 
-const char* ToString(EventLevel aLevel)
-{
-  switch (aLevel) {
-    case EventLevel::Info:
-      return "info";
-    case EventLevel::Warning:
-      return "warning";
-    case EventLevel::Error:
-      return "error";
-  }
-  return "info";
-}
-
 // The physical part of a hybrid stamp as UTC.
 std::string TimeText(HybridTime aTime)
 {
--- a/libs/base/test/Events_test.cpp
+++ b/libs/base/test/Events_test.cpp
@@ -9,19 +9,6 @@
 namespace wigeonfold {
 namespace {
 
-std::string LevelName(EventLevel aLevel)
-{
-  switch (aLevel) {
-    case EventLevel::Info:
-      return "info";
-    case EventLevel::Warning:
-      return "warning";
-    case EventLevel::Error:
-      return "error";
-  }
-  return "";
-}
-
 TEST(EventsTest, CataloguePageEqualsCode)
 {
   std::ifstream page(WIGEONFOLD_SOURCE_DIR "/docs/events.md");
@@ -34,7 +21,7 @@
   std::vector<std::string> expected;
   for (const EventInfo& info : EventCatalogue()) {
     expected.push_back("| " + std::to_string(static_cast<int>(info.m_id)) +
-                       " | " + info.m_name + " | " + LevelName(info.m_level) +
+                       " | " + info.m_name + " | " + ToString(info.m_level) +
                        " | " + info.m_meaning + " |");
   }
   EXPECT_EQ(documented, expected);
--- a/libs/consensus/test/Raft_test.cpp
+++ b/libs/consensus/test/Raft_test.cpp
@@ -32,8 +32,8 @@
   int m_number = 0;
 };
 
-// RapidCheck requires this name.
-void showValue(const Incident& aIncident, std::ostream& aOut) // NOLINT
+void showValue(const Incident& aIncident,
+               std::ostream& aOut) // NOLINT: RapidCheck looks for this name
 {
   aOut << static_cast<int>(aIncident.m_fault) << ":" << aIncident.m_number;
 }
--- a/libs/distribution/src/NodeSessions.cpp
+++ b/libs/distribution/src/NodeSessions.cpp
@@ -499,8 +499,7 @@
   beat.freshnessAgeMs = ToMilliseconds(FreshnessAge(aNow));
   beat.newest = wire::ToWire(Newest().value_or(Version{}));
   const Payload payload = EncodeShared(beat);
-  beat.__set_controlVms(m_controlVms);
-  const Payload withVms = EncodeShared(beat);
+  Payload withVms; // encoded for the first session that needs the list
   std::vector<NodeSessionId> silent;
   for (auto& [id, session] : m_sessions) {
     if (aNow - session.m_lastFrame > m_options.m_silence) {
@@ -513,6 +512,10 @@
     if (aNow >= session.m_nextHeartbeat) {
       session.m_nextHeartbeat = aNow + m_options.m_heartbeat;
       const bool knowsVms = session.m_controlVmsSent == m_controlVmsVersion;
+      if (!knowsVms && !withVms) {
+        beat.__set_controlVms(m_controlVms);
+        withVms = EncodeShared(beat);
+      }
       session.m_controlVmsSent = m_controlVmsVersion;
       Send(id, FrameType::Heartbeat, knowsVms ? payload : withVms);
     }
--- a/libs/observe/src/DecisionLog.cpp
+++ b/libs/observe/src/DecisionLog.cpp
@@ -4,12 +4,8 @@
 
 namespace wigeonfold::observe {
 
-namespace {
-
 using namespace std::chrono_literals;
 
-} // namespace
-
 DecisionLog::DecisionLog(EventLog& aLog)
   : m_log(aLog)
 {
--- a/libs/routing/include/wigeonfold/routing/Tracker.h
+++ b/libs/routing/include/wigeonfold/routing/Tracker.h
@@ -36,6 +36,8 @@
                const wire::TargetLoad* aLoad,
                TimePoint aNow);
 
+  // The node takes no further calls.
+  void OnDraining(const std::string& aNodeName, TimePoint aNow);
   // The node could not be connected to, or fell silent. Its target takes no
   // calls for a second, however many others are in the same state: calls to a
   // part of the fleet that is cut off wait for nothing.
--- a/libs/routing/src/Tracker.cpp
+++ b/libs/routing/src/Tracker.cpp
@@ -102,6 +102,14 @@
   }
 }
 
+void Tracker::OnDraining(const std::string& aNodeName, TimePoint aNow)
+{
+  const auto state = m_states.find(aNodeName);
+  if (state != m_states.end()) {
+    state->second.m_drainingUntil = aNow + kDrainAvoidance;
+  }
+}
+
 void Tracker::OnUnreachable(const std::string& aNodeName, TimePoint aNow)
 {
   const auto state = m_states.find(aNodeName);
--- a/libs/routing/test/Splitter_test.cpp
+++ b/libs/routing/test/Splitter_test.cpp
@@ -62,29 +62,17 @@
 
 // ---- Matching --------------------------------------------------------------
 
-wire::Operation Set(const std::string& aPath,
-                    const std::string& aKey,
-                    const std::string& aValue)
-{
-  wire::Operation operation;
-  operation.kind = wire::OperationKind::Set;
-  operation.path = aPath;
-  operation.key = aKey;
-  operation.value = aValue;
-  return operation;
-}
-
 TEST(HostRoutes, TheLongestPrefixOfTheHostWins)
 {
-  const auto tree =
-    settings::Tree().Apply({ Set("services/s", "health.path", "/h"),
-                             Set("routes/short", "route.host", "a.example"),
-                             Set("routes/short", "route.path", "/x/"),
-                             Set("routes/short", "route.services", "s"),
-                             Set("routes/long", "route.host", "A.example"),
-                             Set("routes/long", "route.path", "/x/y/"),
-                             Set("routes/long", "route.services", "s:1") },
-                           Version{ 1, 1 });
+  const auto tree = settings::Tree().Apply(
+    { settings::SetOperation("services/s", "health.path", "/h"),
+      settings::SetOperation("routes/short", "route.host", "a.example"),
+      settings::SetOperation("routes/short", "route.path", "/x/"),
+      settings::SetOperation("routes/short", "route.services", "s"),
+      settings::SetOperation("routes/long", "route.host", "A.example"),
+      settings::SetOperation("routes/long", "route.path", "/x/y/"),
+      settings::SetOperation("routes/long", "route.services", "s:1") },
+    Version{ 1, 1 });
   ASSERT_TRUE(tree) << tree.error().ToString();
   const auto view = View::Build(tree.value(), {});
   ASSERT_TRUE(view);
--- a/libs/routing/test/View_test.cpp
+++ b/libs/routing/test/View_test.cpp
@@ -8,18 +8,6 @@
 namespace wigeonfold::routing {
 namespace {
 
-wire::Operation Set(const std::string& aPath,
-                    const std::string& aKey,
-                    const std::string& aText)
-{
-  wire::Operation operation;
-  operation.kind = wire::OperationKind::Set;
-  operation.path = aPath;
-  operation.key = aKey;
-  operation.value = aText;
-  return operation;
-}
-
 settings::Tree TreeOf(const std::vector<wire::Operation>& aOperations)
 {
   return settings::Tree().Apply(aOperations, Version{ 1, 1 }).value();
@@ -41,8 +29,9 @@
 {
   const auto view =
     View::Build(
-      TreeOf({ Set("services/lots", "route.prefix", "/lots"),
-               Set("services/archive", "route.prefix", "/lots/old") }),
+      TreeOf({ settings::SetOperation("services/lots", "route.prefix", "/lots"),
+               settings::SetOperation(
+                 "services/archive", "route.prefix", "/lots/old") }),
       {})
       .value();
   EXPECT_EQ(view->Match("/lots")->m_name, "lots");
@@ -57,7 +46,8 @@
 TEST(ViewTest, UnknownAccountsFallBackToTheDeepestKnownOffice)
 {
   const auto view =
-    View::Build(TreeOf({ Set("offices/arita/shop", "share.weight", "300") }),
+    View::Build(TreeOf({ settings::SetOperation(
+                  "offices/arita/shop", "share.weight", "300") }),
                 {})
       .value();
   EXPECT_EQ(view->OfficeChain("arita/shop/till").size(), 3U);
@@ -74,7 +64,8 @@
   const auto configured = *rc::gen::unique<std::vector<std::string>>(service);
   std::vector<wire::Operation> operations;
   for (const std::string& name : configured) {
-    operations.push_back(Set("services/" + name, "route.prefix", "/" + name));
+    operations.push_back(
+      settings::SetOperation("services/" + name, "route.prefix", "/" + name));
   }
   const auto announced = *rc::gen::container<
     std::vector<std::pair<std::string, wire::EndpointState::type>>>(
--- a/libs/settings/include/wigeonfold/settings/Tree.h
+++ b/libs/settings/include/wigeonfold/settings/Tree.h
@@ -29,6 +29,11 @@
 // offices) needs less than 3 MiB.
 inline constexpr size_t kMaxTreeBytes = size_t{ 4 } << 20;
 
+// The operation that sets one value. Thread safe.
+wire::Operation SetOperation(const std::string& aPath,
+                             const std::string& aKey,
+                             std::string aValue);
+
 // A value and where it comes from.
 struct EffectiveValue
 {
--- a/libs/settings/src/Tree.cpp
+++ b/libs/settings/src/Tree.cpp
@@ -292,6 +292,18 @@
 
 } // namespace
 
+wire::Operation SetOperation(const std::string& aPath,
+                             const std::string& aKey,
+                             std::string aValue)
+{
+  wire::Operation operation;
+  operation.kind = wire::OperationKind::Set;
+  operation.path = aPath;
+  operation.key = aKey;
+  operation.value = std::move(aValue);
+  return operation;
+}
+
 // ---- Reading ---------------------------------------------------------------
 
 bool Tree::Has(const std::string& aPath) const
--- a/libs/settings/test/Tree_test.cpp
+++ b/libs/settings/test/Tree_test.cpp
@@ -29,7 +29,7 @@
                     const std::string& aKey,
                     const std::string& aValue)
 {
-  return Op(wire::OperationKind::Set, aPath, aKey, aValue);
+  return SetOperation(aPath, aKey, aValue);
 }
 
 Tree Applied(const Tree& aTree, const std::vector<wire::Operation>& aOperations)
--- a/libs/wire/include/wigeonfold/wire/Codec.h
+++ b/libs/wire/include/wigeonfold/wire/Codec.h
@@ -32,9 +32,8 @@
 {
   using Buffer = apache::thrift::transport::TMemoryBuffer;
   try {
-    // The buffer only observes the bytes; Thrift's interface is not const.
-    auto* data =
-      reinterpret_cast<uint8_t*>(const_cast<char*>(aBytes.data())); // NOLINT
+    // NOLINTNEXTLINE: Thrift's interface is not const, but only observes.
+    auto* data = reinterpret_cast<uint8_t*>(const_cast<char*>(aBytes.data()));
     auto buffer = std::make_shared<Buffer>(
       data, static_cast<uint32_t>(aBytes.size()), Buffer::OBSERVE);
     apache::thrift::protocol::TCompactProtocolT<Buffer> protocol(
