--- a/libs/net/test/Http_test.cpp
+++ b/libs/net/test/Http_test.cpp
@@ -115,7 +115,8 @@
     ++handled;
     aRespond({ 200, {}, "" });
   });
-  const std::string smuggled = "GET /smuggled HTTP/1.1\r\nHost: x\r\n\r\n";
+  const std::string smuggled =
+    "GET /smuggled HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
   struct Row
   {
     const char* m_head;
