Send no configuration before an empty control VM has caught up

Ruled out: a node that goes back (none had a configuration); the age that the learner reports (it was right: never current), since nodes below it serve after a second when no current control VM is there.

Change: a control VM whose folder was empty at the start sends no tree until it was confirmed as current once. A node in front of the first accepted change answers 503 instead of 404. A control VM that has become current again tells its nodes at once instead of at the next heartbeat. The two new tests fail without their guards.

--- a/apps/wigeonfold-control/Core.cpp
+++ b/apps/wigeonfold-control/Core.cpp
@@ -34,14 +34,14 @@
   return "unknown";
 }
 
+} // namespace
+
 bool IsEmpty(const consensus::RaftInitialState& aInitial)
 {
   return aInitial.m_hardState.m_term == 0 && !aInitial.m_snapshot &&
          aInitial.m_entries.empty();
 }
 
-} // namespace
-
 Core::Core(boost::asio::io_context& aIo,
            const ControlSettings& aSettings,
            consensus::RaftInitialState aInitial,
--- a/apps/wigeonfold-control/Core.h
+++ b/apps/wigeonfold-control/Core.h
@@ -122,6 +122,9 @@
   uint64_t m_conflicts = 0;
 };
 
+// Nothing was ever stored in the data folder.
+bool IsEmpty(const consensus::RaftInitialState& aInitial);
+
 // The single change that leads from one membership to the next; nothing when
 // they are equal or differ by more than one step.
 std::optional<consensus::MembershipChange> ChangeBetween(
--- a/apps/wigeonfold-control/Network.cpp
+++ b/apps/wigeonfold-control/Network.cpp
@@ -36,6 +36,7 @@
                  const ControlSettings& aSettings,
                  int64_t aMemberId,
                  int64_t aIncarnation,
+                 bool aStartedEmpty,
                  uint64_t aSeed,
                  Channels& aChannels,
                  EventLog& aLog)
@@ -49,6 +50,7 @@
       [&] {
         auto options = aSettings.m_nodes;
         options.m_memberId = aMemberId;
+        options.m_startedEmpty = aStartedEmpty;
         return options;
       }(),
       m_table,
@@ -145,7 +147,7 @@
   } else if (auto* tree = std::get_if<DistributeTree>(&aOrder)) {
     Carry(m_sessions.SetTree(*tree->m_tree, Clock::now()));
   } else if (auto* age = std::get_if<SetFreshness>(&aOrder)) {
-    m_sessions.SetFreshness(age->m_age, age->m_at);
+    Carry(m_sessions.SetFreshness(age->m_age, age->m_at));
   }
 }
 
--- a/apps/wigeonfold-control/Network.h
+++ b/apps/wigeonfold-control/Network.h
@@ -21,11 +21,13 @@
 class Network
 {
 public:
-  // aIncarnation grows with each start of the process.
+  // aIncarnation grows with each start of the process. aStartedEmpty: nothing
+  // was stored before this start.
   Network(boost::asio::io_context& aIo,
           const ControlSettings& aSettings,
           int64_t aMemberId,
           int64_t aIncarnation,
+          bool aStartedEmpty,
           uint64_t aSeed,
           Channels& aChannels,
           EventLog& aLog);
--- a/apps/wigeonfold-control/Process.cpp
+++ b/apps/wigeonfold-control/Process.cpp
@@ -139,6 +139,7 @@
       return Refuse(ExitStatus::DamagedData, initial.error());
     }
     const int64_t self = initial.value().m_self;
+    const bool startedEmpty = IsEmpty(initial.value());
     const auto fail = [this](const Error& aError) { Fail(aError); };
     m_storage = std::make_unique<StorageWorker>(
       std::move(opened.value()), m_channels, fail);
@@ -153,6 +154,7 @@
                                       m_settings,
                                       self,
                                       StartTime(),
+                                      startedEmpty,
                                       RandomSeed(),
                                       m_channels,
                                       m_log);
--- a/apps/wigeonfold-node/CallerSide.cpp
+++ b/apps/wigeonfold-node/CallerSide.cpp
@@ -46,7 +46,9 @@
                            net::HttpRespond aRespond,
                            const net::HttpOnAbandon& aOnAbandon)
 {
-  if (!m_view || !m_ready) {
+  // Version 0 is the tree before the first accepted change: a missing route
+  // means nothing yet, so it is no reason for 404.
+  if (!m_view || !m_ready || m_view->Settings().At().m_number == 0) {
     Reject(Outcome::NoConfiguration, aRespond);
     return;
   }
--- a/libs/distribution/include/wigeonfold/distribution/NodeSessions.h
+++ b/libs/distribution/include/wigeonfold/distribution/NodeSessions.h
@@ -29,6 +29,9 @@
 struct NodeSessionsOptions
 {
   int64_t m_memberId = 0;
+  // The data folder was empty at the start. Until it has caught up once, such a
+  // control VM holds an arbitrarily old tree, so it sends none.
+  bool m_startedEmpty = false;
   Duration m_heartbeat = std::chrono::seconds(1);
   // A session without a frame for this long is closed.
   Duration m_silence = std::chrono::seconds(4);
@@ -141,8 +144,9 @@
   // ---- State to distribute ----
   // The newest committed tree. An older one than the present is ignored.
   NodeActions SetTree(const settings::Tree& aTree, TimePoint aNow);
-  // Time since this control VM was last confirmed as current.
-  void SetFreshness(Duration aAge, TimePoint aNow);
+  // Time since this control VM was last confirmed as current. Nodes are told at
+  // once when it has become current again.
+  NodeActions SetFreshness(Duration aAge, TimePoint aNow);
   // Control VMs that are members; told to the nodes with the next heartbeat.
   void SetControlVms(std::vector<wire::ControlEndpoint> aVms);
   // While false, nodes keep the endpoints they have: a control VM that has just
@@ -254,6 +258,7 @@
 
   std::optional<settings::Tree> m_tree;
   Duration m_age = Duration::max();
+  bool m_wasCurrent = false; // confirmed as current at least once
   TimePoint m_ageAt;
   std::vector<wire::ControlEndpoint> m_controlVms;
   uint64_t m_controlVmsVersion = 1;
--- a/libs/distribution/src/NodeSessions.cpp
+++ b/libs/distribution/src/NodeSessions.cpp
@@ -390,7 +390,8 @@
 
 bool NodeSessions::NeedsConfig(const Session& aSession) const
 {
-  if (!m_tree || aSession.m_config ||
+  const bool mayBeOld = m_options.m_startedEmpty && !m_wasCurrent;
+  if (!m_tree || mayBeOld || aSession.m_config ||
       aSession.m_info.m_refused == m_tree->At()) {
     return false;
   }
@@ -540,10 +541,21 @@
   return Take();
 }
 
-void NodeSessions::SetFreshness(Duration aAge, TimePoint aNow)
+NodeActions NodeSessions::SetFreshness(Duration aAge, TimePoint aNow)
 {
+  const bool isCurrent = aAge < kNeverCurrent;
+  const bool regained =
+    isCurrent && aAge + m_options.m_heartbeat < FreshnessAge(aNow);
   m_age = aAge;
   m_ageAt = aNow;
+  m_wasCurrent |= isCurrent;
+  if (!regained) {
+    return {};
+  }
+  for (auto& [id, session] : m_sessions) {
+    session.m_nextHeartbeat = aNow;
+  }
+  return OnTick(aNow);
 }
 
 Duration NodeSessions::FreshnessAge(TimePoint aNow) const
--- a/libs/distribution/test/NodeSessions_test.cpp
+++ b/libs/distribution/test/NodeSessions_test.cpp
@@ -170,6 +170,9 @@
       if (send && send->m_type == wire::FrameType::ConfigUpdate) {
         m_updates.push_back(
           wire::Decode<wire::ConfigUpdate>(*send->m_payload, "").value());
+      } else if (send && send->m_type == wire::FrameType::Heartbeat) {
+        m_beats.push_back(
+          wire::Decode<wire::Heartbeat>(*send->m_payload, "").value());
       } else if (send && send->m_type == wire::FrameType::HelloReply) {
         m_reply = wire::Decode<wire::HelloReply>(*send->m_payload, "").value();
       }
@@ -181,6 +184,7 @@
   std::vector<settings::Tree> m_trees;
   TimePoint m_now = TimePoint() + 1h;
   std::vector<wire::ConfigUpdate> m_updates;
+  std::vector<wire::Heartbeat> m_beats;
   wire::HelloReply m_reply;
 };
 
@@ -225,6 +229,47 @@
   EXPECT_EQ(wire::FromWire(m_reply.floor), Version({ 1, 17 }));
 }
 
+// A control VM whose data folder was empty receives the log from its start. A
+// node that starts meanwhile must not take over the tree of an early entry.
+TEST(NodeSessions, SendsNoConfigurationBeforeItHasCaughtUpFromAnEmptyFolder)
+{
+  const auto trees = MakeTrees(9);
+  const TimePoint now = TimePoint() + 1h;
+  discovery::EndpointTable table(1, 1);
+  NodeSessionsOptions options;
+  options.m_startedEmpty = true;
+  NodeSessions sessions(options, table, 1);
+  const auto configs = [](const NodeActions& aActions) {
+    return std::count_if(
+      aActions.begin(), aActions.end(), [](const NodeAction& aAction) {
+        const auto* send = std::get_if<SendToNode>(&aAction);
+        return send && send->m_type == wire::FrameType::ConfigUpdate;
+      });
+  };
+  sessions.SetTree(trees[0], now);
+  sessions.SetFreshness(Duration::max(), now);
+  sessions.OnOpened(1, now);
+  EXPECT_EQ(configs(sessions.OnFrame(
+              1, MakeFrame(wire::FrameType::NodeHello, Hello("n")), now)),
+            0);
+  EXPECT_EQ(configs(sessions.SetTree(trees[8], now)), 0);
+  EXPECT_EQ(configs(sessions.SetFreshness(50ms, now)), 1);
+}
+
+// After an outage of the whole control plane every node waits for the first
+// word from a current control VM.
+TEST_F(OneNode, IsToldAtOnceWhenTheControlVmIsCurrentAgain)
+{
+  m_now += 2s;
+  Carry(m_sessions.OnTick(m_now));
+  m_beats.clear();
+  Carry(m_sessions.SetFreshness(20ms, m_now));
+  ASSERT_EQ(m_beats.size(), 1U);
+  EXPECT_EQ(m_beats[0].freshnessAgeMs, 20);
+  Carry(m_sessions.SetFreshness(40ms, m_now));
+  EXPECT_EQ(m_beats.size(), 1U);
+}
+
 TEST(HelloLimit, TakesABurstAndSpreadsTheRestByTheRate)
 {
   HelloLimit limit(100, 50);
--- a/libs/distribution/test/TestWorld.h
+++ b/libs/distribution/test/TestWorld.h
@@ -144,7 +144,7 @@
     for (size_t index = 0; index < kControls; ++index) {
       TestControl& control = *m_controls[index];
       if (control.m_fresh) {
-        control.m_sessions.SetFreshness(100ms, m_now);
+        Carry(index, control.m_sessions.SetFreshness(100ms, m_now));
       }
       control.m_table.Tick(m_now);
       Carry(index, control.m_sessions.OnTick(m_now));
--- a/tests/scenario/World.cpp
+++ b/tests/scenario/World.cpp
@@ -208,7 +208,8 @@
     Bootstrap(control);
     Run(control);
     control.m_table->Tick(m_now);
-    control.m_sessions->SetFreshness(control.m_raft->Age(m_now), m_now);
+    Run(control,
+        control.m_sessions->SetFreshness(control.m_raft->Age(m_now), m_now));
     Run(control, control.m_sessions->OnTick(m_now));
   }
   for (auto& [name, node] : m_nodes) {
