Take callers as soon as a current control VM confirms the state held

Change: a node that is not ready puts a number into its status, and the control VM answers with a heartbeat that carries it. When the control VM was current at some moment after the node's start, and the node holds what it held then, no earlier run of the node can have had a newer version, so there is no floor to wait for. On the users' platform elections take 0.6 to 1 s and the lease 0.45 s. Ruled out: a shorter floor wait without a confirmation, which could go back behind an earlier run.

New tests: ready by a confirmation, not by one that is too old, of a newer version or unasked.

--- a/idl/control.thrift
+++ b/idl/control.thrift
@@ -87,6 +87,9 @@
   2: common.WireVersion newest,
   // Set when the members changed since the last heartbeat of the session.
   3: optional list<ControlEndpoint> controlVms,
+  // The number of the status that this heartbeat answers, so that the node
+  // knows that it was sent later.
+  4: optional i64 confirm,
 }
 
 struct NodeStatus {
@@ -106,6 +109,8 @@
   // The node serves although it is below its floor: no fresh control VM
   // answered.
   10: bool belowFloor,
+  // Asks for a heartbeat that carries this number; absent: no request.
+  11: optional i64 confirm,
 }
 
 // The control VM has no capacity for this session now.
--- a/libs/distribution/include/wigeonfold/distribution/NodeSessions.h
+++ b/libs/distribution/include/wigeonfold/distribution/NodeSessions.h
@@ -227,6 +227,7 @@
   void NoteRefusal(Session& aSession, const wire::NodeStatus& aStatus);
   void Confirm(Session& aSession, const wire::NodeStatus& aStatus);
 
+  wire::Heartbeat MakeHeartbeat(TimePoint aNow) const;
   void SendUpdates(Session& aSession, TimePoint aNow);
   void SendConfig(Session& aSession, TimePoint aNow);
   void SendEndpoints(Session& aSession, TimePoint aNow);
--- a/libs/distribution/include/wigeonfold/distribution/Subscriber.h
+++ b/libs/distribution/include/wigeonfold/distribution/Subscriber.h
@@ -195,7 +195,7 @@
   void Send(const Session& aSession, wire::FrameType aType, const T& aMessage);
   void SendHello(const Session& aSession, bool aProbe);
   wire::NodeStatus MakeStatus() const;
-  void SendStatus();
+  void SendStatus(TimePoint aNow);
   void AskResync(bool aFull, TimePoint aNow);
   void SendAnnouncement(TimePoint aNow);
   void CheckAnnouncement(TimePoint aNow);
@@ -219,9 +219,12 @@
   void RefuseDelta(const wire::ConfigUpdate& aUpdate,
                    const Error& aError,
                    TimePoint aNow);
-  void Refuse(const Version& aVersion, const std::string& aReason);
+  void Refuse(const Version& aVersion,
+              const std::string& aReason,
+              TimePoint aNow);
   void Apply(NodeState aState);
   void RaiseFloor(const Version& aVersion);
+  bool IsConfirmed(const wire::Heartbeat& aBeat) const;
   void CheckReady(TimePoint aNow);
   void CheckFreshness(TimePoint aNow);
   void NoteFreshness(TimePoint aNow);
@@ -254,6 +257,10 @@
 
   std::optional<Version> m_floor;
   std::optional<TimePoint> m_floorEnd;
+  // The state includes every version that was committed before the start, so
+  // no earlier run of this node had a newer one.
+  bool m_confirmed = false;
+  TimePoint m_started;
   TimePoint m_lastFresh;
   bool m_ready = false;
   bool m_belowFloor = false;
--- a/libs/distribution/src/NodeSessions.cpp
+++ b/libs/distribution/src/NodeSessions.cpp
@@ -296,6 +296,11 @@
   }
   Confirm(aSession, aStatus);
   SendUpdates(aSession, aNow);
+  if (aStatus.__isset.confirm) {
+    wire::Heartbeat beat = MakeHeartbeat(aNow);
+    beat.__set_confirm(aStatus.confirm);
+    Send(aSession.m_id, FrameType::Heartbeat, EncodeShared(beat));
+  }
   return true;
 }
 
@@ -494,11 +499,17 @@
   }
 }
 
-NodeActions NodeSessions::OnTick(TimePoint aNow)
+wire::Heartbeat NodeSessions::MakeHeartbeat(TimePoint aNow) const
 {
   wire::Heartbeat beat;
   beat.freshnessAgeMs = ToMilliseconds(FreshnessAge(aNow));
   beat.newest = wire::ToWire(Newest().value_or(Version{}));
+  return beat;
+}
+
+NodeActions NodeSessions::OnTick(TimePoint aNow)
+{
+  wire::Heartbeat beat = MakeHeartbeat(aNow);
   const Payload payload = EncodeShared(beat);
   Payload withVms; // encoded for the first session that needs the list
   std::vector<NodeSessionId> silent;
--- a/libs/distribution/src/Subscriber.cpp
+++ b/libs/distribution/src/Subscriber.cpp
@@ -177,6 +177,7 @@
 
 SubscriberActions Subscriber::Start(TimePoint aNow)
 {
+  m_started = aNow;
   m_lastFresh = aNow;
   ConnectMain(Duration::zero(), aNow);
   return Take();
@@ -232,6 +233,9 @@
   CheckAnnouncement(aNow);
   CheckFreshness(aNow);
   CheckReady(aNow);
+  if (!m_ready && m_state) {
+    SendStatus(aNow); // asks again for a confirmation
+  }
   return Take();
 }
 
@@ -335,8 +339,11 @@
     Learn(aBeat.controlVms);
   }
   NoteFreshness(aNow);
-  SendStatus();
+  m_confirmed |= IsConfirmed(aBeat);
   CheckReady(aNow);
+  if (!aBeat.__isset.confirm) {
+    SendStatus(aNow);
+  }
   CheckFreshness(aNow);
 }
 
@@ -399,11 +406,16 @@
   return status;
 }
 
-void Subscriber::SendStatus()
+void Subscriber::SendStatus(TimePoint aNow)
 {
-  if (HasSession()) {
-    Send(*m_main, FrameType::NodeStatus, MakeStatus());
+  if (!HasSession()) {
+    return;
   }
+  wire::NodeStatus status = MakeStatus();
+  if (!m_ready && m_state) {
+    status.__set_confirm(ToMicroseconds(aNow.time_since_epoch()));
+  }
+  Send(*m_main, FrameType::NodeStatus, status);
 }
 
 // Requests are spaced, so that a control VM that can't help is not asked in a
--- a/libs/distribution/src/SubscriberState.cpp
+++ b/libs/distribution/src/SubscriberState.cpp
@@ -35,11 +35,11 @@
   const Version target = wire::FromWire(aUpdate.target);
   const auto held = InForce();
   if (held && target == *held) {
-    SendStatus(); // a duplicate; confirms once more
+    SendStatus(aNow); // a duplicate; confirms once more
     return;
   }
   if (m_refused == target) {
-    SendStatus();
+    SendStatus(aNow);
     return;
   }
   const bool wrongBase =
@@ -56,19 +56,19 @@
   }
   const auto problems = patched.value().Problems();
   if (!problems.empty()) {
-    Refuse(target, problems.front());
+    Refuse(target, problems.front(), aNow);
     return;
   }
   NodeState next{ patched.value(),
                   m_state ? m_state->m_endpoints : m_earlyEndpoints };
   if (const Status checked = m_check(next); !checked) {
-    Refuse(target, checked.error().m_detail);
+    Refuse(target, checked.error().m_detail, aNow);
     return;
   }
   m_refused.reset();
   m_refusal.clear();
   Apply(std::move(next));
-  SendStatus();
+  SendStatus(aNow);
   CheckReady(aNow);
 }
 
@@ -82,15 +82,17 @@
     AskResync(true, aNow);
     return;
   }
-  Refuse(wire::FromWire(aUpdate.target), aError.ToString());
+  Refuse(wire::FromWire(aUpdate.target), aError.ToString(), aNow);
 }
 
-void Subscriber::Refuse(const Version& aVersion, const std::string& aReason)
+void Subscriber::Refuse(const Version& aVersion,
+                        const std::string& aReason,
+                        TimePoint aNow)
 {
   m_refused = aVersion;
   m_refusal = aReason;
   m_actions.emplace_back(ReportRefusal{ aVersion, aReason });
-  SendStatus();
+  SendStatus(aNow);
 }
 
 void Subscriber::Apply(NodeState aState)
@@ -105,7 +107,7 @@
 {
   const bool sameSource = aUpdate.source == m_endpointSource;
   if (sameSource && aUpdate.cursor <= m_endpointCursor) {
-    SendStatus();
+    SendStatus(aNow);
     return;
   }
   if (!aUpdate.full && (!sameSource || aUpdate.baseCursor > m_endpointCursor)) {
@@ -119,7 +121,7 @@
   } else {
     m_earlyEndpoints = m_earlyEndpoints.With(aUpdate);
   }
-  SendStatus();
+  SendStatus(aNow);
 }
 
 SubscriberActions Subscriber::Announce(wire::EndpointRecord aEndpoint,
@@ -180,9 +182,25 @@
   }
 }
 
+// The control VM was current at some moment after this start, and the state is
+// at least as new as what it had then. The heartbeat was sent after the status
+// that it answers; its age reaches back from there.
+bool Subscriber::IsConfirmed(const wire::Heartbeat& aBeat) const
+{
+  if (!aBeat.__isset.confirm || !m_state) {
+    return false;
+  }
+  const TimePoint asked{ std::chrono::microseconds(aBeat.confirm) };
+  // Ages are rounded down to whole milliseconds.
+  const Duration age = std::chrono::milliseconds(aBeat.freshnessAgeMs + 1);
+  return m_state->m_tree.At() >= wire::FromWire(aBeat.newest) &&
+         asked - age > m_started;
+}
+
 void Subscriber::CheckReady(TimePoint aNow)
 {
-  if (m_ready || !m_state || !m_floorEnd || aNow < *m_floorEnd) {
+  const bool floorsKnown = m_floorEnd && aNow >= *m_floorEnd;
+  if (m_ready || !m_state || (!m_confirmed && !floorsKnown)) {
     return;
   }
   const bool below = m_floor && m_state->m_tree.At() < *m_floor;
@@ -192,7 +210,7 @@
   m_ready = true;
   m_belowFloor = below;
   m_actions.emplace_back(BecomeReady{ m_floor, below });
-  SendStatus();
+  SendStatus(aNow);
 }
 
 void Subscriber::NoteFreshness(TimePoint aNow)
--- a/libs/distribution/test/Subscriber_test.cpp
+++ b/libs/distribution/test/Subscriber_test.cpp
@@ -169,6 +169,50 @@
   EXPECT_EQ(StatusIn(actions)->endpointCursor, 10);
 }
 
+wire::Heartbeat Beat(Duration aAge, const Version& aNewest, int64_t aConfirm)
+{
+  wire::Heartbeat beat;
+  beat.freshnessAgeMs = ToMilliseconds(aAge);
+  beat.newest = wire::ToWire(aNewest);
+  beat.__set_confirm(aConfirm);
+  return beat;
+}
+
+// After a restart callers wait for the node; what was committed before the
+// start must be in force, and nothing else has to be waited for.
+TEST(Subscriber, IsReadyOnceACurrentControlVmConfirmsTheStateHeld)
+{
+  Fixture fixture;
+  fixture.m_now += 100ms;
+  const auto asked = StatusIn(fixture.m_node.OnTick(fixture.m_now));
+  ASSERT_TRUE(asked && asked->__isset.confirm);
+  const auto beat = Beat(50ms, { 1, 1 }, asked->confirm);
+  const auto actions = fixture.Feed(wire::FrameType::Heartbeat, beat);
+  EXPECT_EQ(CountOf<BecomeReady>(actions), 1U);
+}
+
+// A control VM that was last current before the start may lack a version that
+// the earlier run had in force; one with a newer version has not sent it yet.
+TEST(Subscriber, IsNotReadyByAConfirmationThatIsTooOldOrOfANewerVersion)
+{
+  Fixture fixture;
+  fixture.m_now += 100ms;
+  const auto asked = StatusIn(fixture.m_node.OnTick(fixture.m_now));
+  ASSERT_TRUE(asked && asked->__isset.confirm);
+  const auto old = Beat(500ms, { 1, 1 }, asked->confirm);
+  EXPECT_EQ(CountOf<BecomeReady>(fixture.Feed(wire::FrameType::Heartbeat, old)),
+            0U);
+  const auto newer = Beat(10ms, { 1, 2 }, asked->confirm);
+  EXPECT_EQ(
+    CountOf<BecomeReady>(fixture.Feed(wire::FrameType::Heartbeat, newer)), 0U);
+  wire::Heartbeat unasked = Beat(10ms, { 1, 1 }, 0);
+  unasked.__isset.confirm = false;
+  EXPECT_EQ(
+    CountOf<BecomeReady>(fixture.Feed(wire::FrameType::Heartbeat, unasked)),
+    0U);
+  EXPECT_FALSE(fixture.m_node.IsReady());
+}
+
 TEST(Subscriber, BacksOffWithFullJitterWhileNoControlVmAnswers)
 {
   SubscriberOptions options;
--- a/libs/wire/gen/include/wigeonfold/wire/gen/control_types.h
+++ b/libs/wire/gen/include/wigeonfold/wire/gen/control_types.h
@@ -571,10 +571,11 @@
 std::ostream& operator<<(std::ostream& out, const EndpointUpdate& obj);
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : freshnessAgeMs(false), newest(false), controlVms(false) {}
+  _Heartbeat__isset() : freshnessAgeMs(false), newest(false), controlVms(false), confirm(false) {}
   bool freshnessAgeMs :1;
   bool newest :1;
   bool controlVms :1;
+  bool confirm :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -585,13 +586,15 @@
   Heartbeat& operator=(const Heartbeat&);
   Heartbeat& operator=(Heartbeat&&) noexcept;
   Heartbeat() noexcept
-            : freshnessAgeMs(0) {
+            : freshnessAgeMs(0),
+              confirm(0) {
   }
 
   virtual ~Heartbeat() noexcept;
   int64_t freshnessAgeMs;
    ::wigeonfold::wire::WireVersion newest;
   std::vector<ControlEndpoint>  controlVms;
+  int64_t confirm;
 
   _Heartbeat__isset __isset;
 
@@ -601,6 +604,8 @@
 
   void __set_controlVms(const std::vector<ControlEndpoint> & val);
 
+  void __set_confirm(const int64_t val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(freshnessAgeMs == rhs.freshnessAgeMs))
@@ -611,6 +616,10 @@
       return false;
     else if (__isset.controlVms && !(controlVms == rhs.controlVms))
       return false;
+    if (__isset.confirm != rhs.__isset.confirm)
+      return false;
+    else if (__isset.confirm && !(confirm == rhs.confirm))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
@@ -630,7 +639,7 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 typedef struct _NodeStatus__isset {
-  _NodeStatus__isset() : inForce(false), refused(false), refusal(false), controlBytesReceived(false), controlBytesSent(false), endpointSource(false), endpointCursor(false), resync(false), resyncFull(false), belowFloor(false) {}
+  _NodeStatus__isset() : inForce(false), refused(false), refusal(false), controlBytesReceived(false), controlBytesSent(false), endpointSource(false), endpointCursor(false), resync(false), resyncFull(false), belowFloor(false), confirm(false) {}
   bool inForce :1;
   bool refused :1;
   bool refusal :1;
@@ -641,6 +650,7 @@
   bool resync :1;
   bool resyncFull :1;
   bool belowFloor :1;
+  bool confirm :1;
 } _NodeStatus__isset;
 
 class NodeStatus : public virtual ::apache::thrift::TBase {
@@ -658,7 +668,8 @@
                endpointCursor(0),
                resync(0),
                resyncFull(0),
-               belowFloor(0) {
+               belowFloor(0),
+               confirm(0) {
   }
 
   virtual ~NodeStatus() noexcept;
@@ -672,6 +683,7 @@
   bool resync;
   bool resyncFull;
   bool belowFloor;
+  int64_t confirm;
 
   _NodeStatus__isset __isset;
 
@@ -695,6 +707,8 @@
 
   void __set_belowFloor(const bool val);
 
+  void __set_confirm(const int64_t val);
+
   bool operator == (const NodeStatus & rhs) const
   {
     if (__isset.inForce != rhs.__isset.inForce)
@@ -721,6 +735,10 @@
       return false;
     if (!(belowFloor == rhs.belowFloor))
       return false;
+    if (__isset.confirm != rhs.__isset.confirm)
+      return false;
+    else if (__isset.confirm && !(confirm == rhs.confirm))
+      return false;
     return true;
   }
   bool operator != (const NodeStatus &rhs) const {
--- a/libs/wire/gen/src/control_types.cpp
+++ b/libs/wire/gen/src/control_types.cpp
@@ -1470,6 +1470,11 @@
   this->controlVms = val;
 __isset.controlVms = true;
 }
+
+void Heartbeat::__set_confirm(const int64_t val) {
+  this->confirm = val;
+__isset.confirm = true;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -1534,6 +1539,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->confirm);
+          this->__isset.confirm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1572,6 +1585,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.confirm) {
+    xfer += oprot->writeFieldBegin("confirm", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->confirm);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1582,6 +1600,7 @@
   swap(a.freshnessAgeMs, b.freshnessAgeMs);
   swap(a.newest, b.newest);
   swap(a.controlVms, b.controlVms);
+  swap(a.confirm, b.confirm);
   swap(a.__isset, b.__isset);
 }
 
@@ -1589,18 +1608,21 @@
   freshnessAgeMs = other59.freshnessAgeMs;
   newest = other59.newest;
   controlVms = other59.controlVms;
+  confirm = other59.confirm;
   __isset = other59.__isset;
 }
 Heartbeat::Heartbeat(Heartbeat&& other60) noexcept {
   freshnessAgeMs = other60.freshnessAgeMs;
   newest = std::move(other60.newest);
   controlVms = std::move(other60.controlVms);
+  confirm = other60.confirm;
   __isset = other60.__isset;
 }
 Heartbeat& Heartbeat::operator=(const Heartbeat& other61) {
   freshnessAgeMs = other61.freshnessAgeMs;
   newest = other61.newest;
   controlVms = other61.controlVms;
+  confirm = other61.confirm;
   __isset = other61.__isset;
   return *this;
 }
@@ -1608,6 +1630,7 @@
   freshnessAgeMs = other62.freshnessAgeMs;
   newest = std::move(other62.newest);
   controlVms = std::move(other62.controlVms);
+  confirm = other62.confirm;
   __isset = other62.__isset;
   return *this;
 }
@@ -1617,6 +1640,7 @@
   out << "freshnessAgeMs=" << to_string(freshnessAgeMs);
   out << ", " << "newest=" << to_string(newest);
   out << ", " << "controlVms="; (__isset.controlVms ? (out << to_string(controlVms)) : (out << "<null>"));
+  out << ", " << "confirm="; (__isset.confirm ? (out << to_string(confirm)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1666,6 +1690,11 @@
 void NodeStatus::__set_belowFloor(const bool val) {
   this->belowFloor = val;
 }
+
+void NodeStatus::__set_confirm(const int64_t val) {
+  this->confirm = val;
+__isset.confirm = true;
+}
 std::ostream& operator<<(std::ostream& out, const NodeStatus& obj)
 {
   obj.printTo(out);
@@ -1774,6 +1803,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->confirm);
+          this->__isset.confirm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1833,6 +1870,11 @@
   xfer += oprot->writeBool(this->belowFloor);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.confirm) {
+    xfer += oprot->writeFieldBegin("confirm", ::apache::thrift::protocol::T_I64, 11);
+    xfer += oprot->writeI64(this->confirm);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1850,6 +1892,7 @@
   swap(a.resync, b.resync);
   swap(a.resyncFull, b.resyncFull);
   swap(a.belowFloor, b.belowFloor);
+  swap(a.confirm, b.confirm);
   swap(a.__isset, b.__isset);
 }
 
@@ -1864,6 +1907,7 @@
   resync = other63.resync;
   resyncFull = other63.resyncFull;
   belowFloor = other63.belowFloor;
+  confirm = other63.confirm;
   __isset = other63.__isset;
 }
 NodeStatus::NodeStatus(NodeStatus&& other64) noexcept {
@@ -1877,6 +1921,7 @@
   resync = other64.resync;
   resyncFull = other64.resyncFull;
   belowFloor = other64.belowFloor;
+  confirm = other64.confirm;
   __isset = other64.__isset;
 }
 NodeStatus& NodeStatus::operator=(const NodeStatus& other65) {
@@ -1890,6 +1935,7 @@
   resync = other65.resync;
   resyncFull = other65.resyncFull;
   belowFloor = other65.belowFloor;
+  confirm = other65.confirm;
   __isset = other65.__isset;
   return *this;
 }
@@ -1904,6 +1950,7 @@
   resync = other66.resync;
   resyncFull = other66.resyncFull;
   belowFloor = other66.belowFloor;
+  confirm = other66.confirm;
   __isset = other66.__isset;
   return *this;
 }
@@ -1920,6 +1967,7 @@
   out << ", " << "resync=" << to_string(resync);
   out << ", " << "resyncFull=" << to_string(resyncFull);
   out << ", " << "belowFloor=" << to_string(belowFloor);
+  out << ", " << "confirm="; (__isset.confirm ? (out << to_string(confirm)) : (out << "<null>"));
   out << ")";
 }
 
