Keep only what differs of a release in the log and the history

On nodes, a whole tree is copied twice on its way from the message into the tree.

Change: the leader reduces a release to the operations that change the tree, when nothing is in the log behind the tree that it compares with, and checks the result by the digest. The hash of the whole release goes along, so that the same release sent again is recognized. Nodes move the branches.

Tests: compacted and whole releases give equal trees and answers, also when sent again; one changed value of 1,000 is one operation.

--- a/apps/wigeonfold-control/CoreCalls.cpp
+++ b/apps/wigeonfold-control/CoreCalls.cpp
@@ -117,7 +117,10 @@
     std::chrono::duration_cast<std::chrono::milliseconds>(
       std::chrono::system_clock::now().time_since_epoch())
       .count();
-  command.__set_change(aCall.m_change);
+  const bool appliedNext =
+    m_raft.AppliedIndex() == m_raft.LastPosition().m_index;
+  command.__set_change(appliedNext ? m_registry.Compacted(aCall.m_change)
+                                   : aCall.m_change);
   const auto position = m_raft.Propose(aNow, wire::Encode(command));
   if (!position) {
     AnswerUnknown(aCall.m_ticket, format, position.error().ToString());
--- a/idl/registry.thrift
+++ b/idl/registry.thrift
@@ -15,6 +15,9 @@
   // greater than the newest one. Both are 0 for other changes.
   7: i64 label,
   8: i64 baseLabel,
+  // Set when operations holds only what differs from base: the hash of the
+  // whole change, by which a change that is sent again is recognized.
+  9: i64 contentHash,
 }
 
 enum AcceptOutcome {
--- a/libs/distribution/include/wigeonfold/distribution/Subscriber.h
+++ b/libs/distribution/include/wigeonfold/distribution/Subscriber.h
@@ -210,7 +210,8 @@
   void HandleMain(const wire::Frame& aFrame, TimePoint aNow);
   void HandleProbe(const wire::Frame& aFrame, TimePoint aNow);
   void Handle(const wire::HelloReply& aReply, TimePoint aNow);
-  void Handle(const wire::ConfigUpdate& aUpdate, TimePoint aNow);
+  // Takes the branches out of aUpdate.
+  void Handle(wire::ConfigUpdate& aUpdate, TimePoint aNow);
   void Handle(const wire::EndpointUpdate& aUpdate, TimePoint aNow);
   void Handle(const wire::Heartbeat& aBeat, TimePoint aNow);
   void Handle(const wire::RetryLater& aRetry, TimePoint aNow);
--- a/libs/distribution/src/Subscriber.cpp
+++ b/libs/distribution/src/Subscriber.cpp
@@ -244,7 +244,7 @@
 template<class T>
 bool Subscriber::Dispatch(const wire::Frame& aFrame, TimePoint aNow)
 {
-  const auto message = DecodeFrame<T>(aFrame);
+  auto message = DecodeFrame<T>(aFrame);
   if (message) {
     Handle(*message, aNow);
   }
--- a/libs/distribution/src/SubscriberState.cpp
+++ b/libs/distribution/src/SubscriberState.cpp
@@ -10,13 +10,14 @@
 
 namespace {
 
-settings::TreeDelta ToDelta(const wire::ConfigUpdate& aUpdate)
+// A whole tree is large, so its branches are moved and not copied.
+settings::TreeDelta TakeDelta(wire::ConfigUpdate& aUpdate)
 {
   settings::TreeDelta delta;
   delta.m_full = aUpdate.full;
   delta.m_base = wire::FromWire(aUpdate.base);
   delta.m_target = wire::FromWire(aUpdate.target);
-  delta.m_branches = aUpdate.branches;
+  delta.m_branches = std::move(aUpdate.branches);
   delta.m_digest = static_cast<uint64_t>(aUpdate.digest);
   return delta;
 }
@@ -30,7 +31,7 @@
   return m_state ? std::optional<Version>(m_state->m_tree.At()) : std::nullopt;
 }
 
-void Subscriber::Handle(const wire::ConfigUpdate& aUpdate, TimePoint aNow)
+void Subscriber::Handle(wire::ConfigUpdate& aUpdate, TimePoint aNow)
 {
   const Version target = wire::FromWire(aUpdate.target);
   const auto held = InForce();
@@ -49,7 +50,7 @@
     return;
   }
   const settings::Tree tree = m_state ? m_state->m_tree : settings::Tree();
-  const auto patched = tree.Patch(ToDelta(aUpdate));
+  const auto patched = tree.Patch(TakeDelta(aUpdate));
   if (!patched) {
     RefuseDelta(aUpdate, patched.error(), aNow);
     return;
--- a/libs/registry/include/wigeonfold/registry/Registry.h
+++ b/libs/registry/include/wigeonfold/registry/Registry.h
@@ -59,6 +59,12 @@
   // effect, when the bytes are no command.
   Result<std::optional<wire::AcceptResult>> Apply(std::string_view aCommand);
 
+  // The same release with only the operations that change the present tree, so
+  // that the log and the history do not hold every configuration as a whole.
+  // Other changes, and releases that would not be accepted, come back as they
+  // are. Precondition: the change is applied next, with no other in between.
+  wire::Change Compacted(const wire::Change& aChange) const;
+
   bool IsBootstrapped() const { return !m_clusterId.empty(); }
   const std::string& ClusterId() const { return m_clusterId; }
   const std::shared_ptr<const settings::Tree>& Newest() const { return m_tree; }
--- a/libs/registry/src/Registry.cpp
+++ b/libs/registry/src/Registry.cpp
@@ -17,6 +17,9 @@
 // The time of the proposal differs when a change is sent again.
 int64_t ContentHash(const wire::Change& aChange)
 {
+  if (aChange.contentHash != 0) {
+    return aChange.contentHash;
+  }
   wire::Change content = aChange;
   content.acceptedAtMs = 0;
   return static_cast<int64_t>(Hash64(wire::Encode(content)));
@@ -104,6 +107,32 @@
   return edits;
 }
 
+std::vector<wire::Operation> OperationsBetween(const Tree& aBefore,
+                                               const Tree& aAfter)
+{
+  std::vector<wire::Operation> operations;
+  for (const wire::Edit& edit : EditsBetween(aBefore, aAfter)) {
+    wire::Operation operation;
+    operation.path = edit.path;
+    operation.key = edit.key;
+    if (edit.__isset.after) {
+      operation.kind = wire::OperationKind::Set;
+      operation.value = edit.after;
+    } else {
+      operation.kind = edit.key.empty() ? wire::OperationKind::ClearBranch
+                                        : wire::OperationKind::Unset;
+    }
+    // A removed branch takes its keys along; a new one comes with its first
+    // key.
+    const bool branchIsGone = aAfter.Branches().count(edit.path) == 0;
+    const bool isBranch = edit.key.empty();
+    if (isBranch == branchIsGone) {
+      operations.push_back(std::move(operation));
+    }
+  }
+  return operations;
+}
+
 Error DamagedSnapshot(const std::string& aDetail)
 {
   return Error{ ErrorCode::Corrupt, "restore registry", "", aDetail };
@@ -177,16 +206,35 @@
   return result;
 }
 
+wire::Change Registry::Compacted(const wire::Change& aChange) const
+{
+  if (aChange.label == 0 || aChange.baseLabel != m_label || !IsBootstrapped()) {
+    return aChange;
+  }
+  const Version next{ At().m_generation, At().m_number + 1 };
+  const auto whole = m_tree->Apply(aChange.operations, next);
+  if (!whole) {
+    return aChange;
+  }
+  wire::Change compact = aChange;
+  compact.contentHash = ContentHash(aChange);
+  compact.base = wire::ToWire(At());
+  compact.operations = OperationsBetween(*m_tree, whole.value());
+  const auto same = m_tree->Apply(compact.operations, next);
+  const bool isSame = same && same.value().Digest() == whole.value().Digest();
+  return isSame ? compact : aChange;
+}
+
 wire::AcceptResult Registry::Decide(const wire::Change& aChange)
 {
   // Operators number releases themselves; an invalid number or an old base
   // loses as an old base version does.
   const bool isRelease = aChange.label != 0;
-  const Version base = isRelease ? At() : wire::FromWire(aChange.base);
-  const bool fits = isRelease
-                      ? aChange.baseLabel == m_label && aChange.label > m_label
-                      : base == At();
-  if (!fits) {
+  const bool isWhole = isRelease && aChange.contentHash == 0;
+  const Version base = isWhole ? At() : wire::FromWire(aChange.base);
+  const bool labelFits =
+    !isRelease || (aChange.baseLabel == m_label && aChange.label > m_label);
+  if (!labelFits || base != At()) {
     return Conflict(*m_tree, base);
   }
   const Version nextVersion{ base.m_generation, base.m_number + 1 };
--- a/libs/registry/test/Registry_test.cpp
+++ b/libs/registry/test/Registry_test.cpp
@@ -197,6 +197,77 @@
   EXPECT_EQ(registry.At(), (Version{ 1, 1 }));
 }
 
+// A release of random routes that replaces all others.
+wire::Change Release(const std::string& aId, int64_t aLabel, int64_t aBase)
+{
+  wire::Change change;
+  change.changeId = aId;
+  change.label = aLabel;
+  change.baseLabel = aBase;
+  change.operations.push_back(
+    Operation(wire::OperationKind::ClearBranch, "offices", ""));
+  change.operations.back().key.clear();
+  const auto count = *rc::gen::inRange(1, 30);
+  for (int i = 0; i < count; ++i) {
+    change.operations.push_back(
+      Operation(wire::OperationKind::Set,
+                "offices/o" + std::to_string(*rc::gen::inRange(0, 40)),
+                std::to_string(*rc::gen::inRange(1, 4))));
+  }
+  return change;
+}
+
+// Replicas apply what the leader has compacted. The tree, the answer and the
+// answers to the same release sent again, whole or compacted, must be those of
+// the whole release.
+RC_GTEST_PROP(RegistryProperty, CompactedReleaseIsTheWholeRelease, ())
+{
+  Registry whole = Fresh();
+  Registry compacted = Fresh();
+  int64_t label = 0;
+  for (int step = 0; step < 8; ++step) {
+    const int64_t base =
+      *rc::gen::weightedElement<int64_t>({ { 5, label }, { 1, label + 1 } });
+    const auto release = Release("r" + std::to_string(step), label + 1, base);
+    const auto small = compacted.Compacted(release);
+    const auto answer = Send(whole, release);
+    RC_ASSERT(Send(compacted, small) == answer);
+    RC_ASSERT(compacted.Newest()->Digest() == whole.Newest()->Digest());
+    RC_ASSERT(Send(compacted, release) == answer);
+    RC_ASSERT(Send(compacted, small) == answer);
+    label = whole.Label();
+    RC_ASSERT(compacted.Label() == label);
+  }
+}
+
+// Each configuration of a large deployment would otherwise stay in the log and
+// the history as a whole.
+TEST(RegistryTest, CompactedReleaseHoldsOnlyWhatDiffers)
+{
+  Registry registry = Fresh();
+  wire::Change first;
+  first.changeId = "first";
+  first.label = 1;
+  for (int i = 0; i < 1000; ++i) {
+    first.operations.push_back(Operation(
+      wire::OperationKind::Set, "offices/o" + std::to_string(i), "1"));
+  }
+  Send(registry, registry.Compacted(first));
+  wire::Change second = first;
+  second.changeId = "second";
+  second.label = 2;
+  second.baseLabel = 1;
+  second.operations.insert(
+    second.operations.begin(),
+    Operation(wire::OperationKind::ClearBranch, "offices", ""));
+  second.operations.front().key.clear();
+  second.operations.back().value = "2";
+  EXPECT_EQ(registry.Compacted(second).operations.size(), 1U);
+  wire::Change conflict = second;
+  conflict.baseLabel = 7;
+  EXPECT_EQ(registry.Compacted(conflict), conflict);
+}
+
 TEST(RegistryTest, ForgetsTheOldestIdsOnly)
 {
   Registry registry = Fresh(kSmallLimits);
--- a/libs/settings/include/wigeonfold/settings/Tree.h
+++ b/libs/settings/include/wigeonfold/settings/Tree.h
@@ -113,7 +113,7 @@
   // Applies a delta; fails with Corrupt when the digest of the result differs,
   // with Conflict when the delta's base is not this tree's version or its
   // target is lower. The result keeps the tombstones of this delta only.
-  Result<Tree> Patch(const TreeDelta& aDelta) const;
+  Result<Tree> Patch(TreeDelta aDelta) const;
 
   // Paths that changed after aBase, removed ones included.
   std::vector<std::string> ChangedSince(const Version& aBase) const;
@@ -152,7 +152,7 @@
     const std::map<std::string,
                    std::optional<std::map<std::string, std::string>>>& aWorking,
     const Version& aNext);
-  void Take(const wire::BranchState& aBranch);
+  void Take(wire::BranchState&& aBranch);
 
   Version m_version;
   Version m_horizon;
--- a/libs/settings/src/Tree.cpp
+++ b/libs/settings/src/Tree.cpp
@@ -482,18 +482,18 @@
   return delta;
 }
 
-void Tree::Take(const wire::BranchState& aBranch)
+void Tree::Take(wire::BranchState&& aBranch)
 {
   const Version modified = wire::FromWire(aBranch.modified);
   if (aBranch.removed) {
     Erase(aBranch.path);
     m_state->m_tombstones[aBranch.path] = modified;
   } else {
-    Put(aBranch.path, Branch{ aBranch.settings, modified });
+    Put(aBranch.path, Branch{ std::move(aBranch.settings), modified });
   }
 }
 
-Result<Tree> Tree::Patch(const TreeDelta& aDelta) const
+Result<Tree> Tree::Patch(TreeDelta aDelta) const
 {
   const bool fits = aDelta.m_full || aDelta.m_base == m_version;
   if (!fits || aDelta.m_target < m_version) {
@@ -509,8 +509,8 @@
   next.m_version = aDelta.m_target;
   next.m_horizon = aDelta.m_full ? aDelta.m_target : aDelta.m_base;
   next.m_state->m_tombstones.clear();
-  for (const wire::BranchState& branch : aDelta.m_branches) {
-    next.Take(branch);
+  for (wire::BranchState& branch : aDelta.m_branches) {
+    next.Take(std::move(branch));
   }
   if (next.Digest() != aDelta.m_digest) {
     return Error{ ErrorCode::Corrupt,
@@ -603,7 +603,7 @@
                     "",
                     "bad branch '" + branch.path + "'" };
     }
-    tree.Take(branch);
+    tree.Take(wire::BranchState(branch));
   }
   return tree;
 }
--- a/libs/wire/gen/include/wigeonfold/wire/gen/registry_types.h
+++ b/libs/wire/gen/include/wigeonfold/wire/gen/registry_types.h
@@ -53,7 +53,7 @@
 class RegistrySnapshot;
 
 typedef struct _Change__isset {
-  _Change__isset() : changeId(false), base(false), operations(false), author(false), comment(false), acceptedAtMs(false), label(false), baseLabel(false) {}
+  _Change__isset() : changeId(false), base(false), operations(false), author(false), comment(false), acceptedAtMs(false), label(false), baseLabel(false), contentHash(false) {}
   bool changeId :1;
   bool base :1;
   bool operations :1;
@@ -62,6 +62,7 @@
   bool acceptedAtMs :1;
   bool label :1;
   bool baseLabel :1;
+  bool contentHash :1;
 } _Change__isset;
 
 class Change : public virtual ::apache::thrift::TBase {
@@ -77,7 +78,8 @@
            comment(),
            acceptedAtMs(0),
            label(0),
-           baseLabel(0) {
+           baseLabel(0),
+           contentHash(0) {
   }
 
   virtual ~Change() noexcept;
@@ -89,6 +91,7 @@
   int64_t acceptedAtMs;
   int64_t label;
   int64_t baseLabel;
+  int64_t contentHash;
 
   _Change__isset __isset;
 
@@ -108,6 +111,8 @@
 
   void __set_baseLabel(const int64_t val);
 
+  void __set_contentHash(const int64_t val);
+
   bool operator == (const Change & rhs) const
   {
     if (!(changeId == rhs.changeId))
@@ -126,6 +131,8 @@
       return false;
     if (!(baseLabel == rhs.baseLabel))
       return false;
+    if (!(contentHash == rhs.contentHash))
+      return false;
     return true;
   }
   bool operator != (const Change &rhs) const {
--- a/libs/wire/gen/src/registry_types.cpp
+++ b/libs/wire/gen/src/registry_types.cpp
@@ -80,6 +80,10 @@
 void Change::__set_baseLabel(const int64_t val) {
   this->baseLabel = val;
 }
+
+void Change::__set_contentHash(const int64_t val) {
+  this->contentHash = val;
+}
 std::ostream& operator<<(std::ostream& out, const Change& obj)
 {
   obj.printTo(out);
@@ -184,6 +188,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->contentHash);
+          this->__isset.contentHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -241,6 +253,10 @@
   xfer += oprot->writeI64(this->baseLabel);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("contentHash", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->contentHash);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -256,6 +272,7 @@
   swap(a.acceptedAtMs, b.acceptedAtMs);
   swap(a.label, b.label);
   swap(a.baseLabel, b.baseLabel);
+  swap(a.contentHash, b.contentHash);
   swap(a.__isset, b.__isset);
 }
 
@@ -268,6 +285,7 @@
   acceptedAtMs = other6.acceptedAtMs;
   label = other6.label;
   baseLabel = other6.baseLabel;
+  contentHash = other6.contentHash;
   __isset = other6.__isset;
 }
 Change::Change(Change&& other7) noexcept {
@@ -279,6 +297,7 @@
   acceptedAtMs = other7.acceptedAtMs;
   label = other7.label;
   baseLabel = other7.baseLabel;
+  contentHash = other7.contentHash;
   __isset = other7.__isset;
 }
 Change& Change::operator=(const Change& other8) {
@@ -290,6 +309,7 @@
   acceptedAtMs = other8.acceptedAtMs;
   label = other8.label;
   baseLabel = other8.baseLabel;
+  contentHash = other8.contentHash;
   __isset = other8.__isset;
   return *this;
 }
@@ -302,6 +322,7 @@
   acceptedAtMs = other9.acceptedAtMs;
   label = other9.label;
   baseLabel = other9.baseLabel;
+  contentHash = other9.contentHash;
   __isset = other9.__isset;
   return *this;
 }
@@ -316,6 +337,7 @@
   out << ", " << "acceptedAtMs=" << to_string(acceptedAtMs);
   out << ", " << "label=" << to_string(label);
   out << ", " << "baseLabel=" << to_string(baseLabel);
+  out << ", " << "contentHash=" << to_string(contentHash);
   out << ")";
 }
 
