Wait for answers that are held up; leave a silent peer by a second attempt

A connection without a frame for 0.5 s was closed with everything on it, but lost packets and busy machines of a tenth of a core cause such pauses too.

Change: after 0.5 s the node is avoided and new calls to it open another connection. Idempotent calls get a second attempt within the budget, the first answer counts; without one the caller is told at once, as before. The others wait on: their callers can't repeat them, and the answer may be ready. The connection is given up after 1.5 s.

--- a/apps/wigeonfold-node/CallerSide.cpp
+++ b/apps/wigeonfold-node/CallerSide.cpp
@@ -249,6 +249,24 @@
   m_tracker.OnUnreachable(aNodeName, Clock::now());
 }
 
+// An idempotent request is sent elsewhere too, and the first answer counts. If
+// that can't be, its caller is told at once and may try again. The caller of
+// another request can't, so the answer is waited for.
+void CallerSide::OnSilent(const AttemptKey& aKey)
+{
+  const auto found = m_calls.find(aKey.m_call);
+  if (found == m_calls.end() || !found->second.m_request->idempotent) {
+    return;
+  }
+  const CallStep step = found->second.m_call.Hedge(Clock::now());
+  if (step.m_start) {
+    Execute(aKey.m_call, step);
+    return;
+  }
+  Withdraw(found->second, aKey.m_attempt);
+  OnAttemptEnded(aKey, Outcome::PeerLost, {});
+}
+
 // One line with what decided: the outcome, the target and its load as it was
 // last reported, and the version of the configuration in use.
 void CallerSide::Log(EventId aEvent,
--- a/apps/wigeonfold-node/PeerClient.cpp
+++ b/apps/wigeonfold-node/PeerClient.cpp
@@ -15,10 +15,14 @@
 
 // A peer that has said nothing for this long is asked for a sign of life.
 constexpr Duration kHeartbeatAfter = 150ms;
-// A connection with calls under way but without a frame for this long is taken
-// as lost: a VM that vanished sends no reset. Three heartbeats fit, and an
-// idempotent request still has time for another target.
+// A connection with calls under way but without a frame for this long gets no
+// further ones, and idempotent calls on it try another target. Three heartbeats
+// fit. Lost packets and a busy peer cause such pauses too, so the others wait
+// on.
 constexpr Duration kSilenceLimit = 500ms;
+// After this silence the connection is taken as lost: a VM that vanished sends
+// no reset.
+constexpr Duration kLossLimit = 1500ms;
 constexpr Duration kIdleLimit = 60s;
 // A peer that reads more slowly than this is not given further calls.
 constexpr size_t kMaxQueuedBytes = size_t{ 4 } << 20;
@@ -302,9 +306,28 @@
   }
 }
 
+// New calls to the node open another connection, since a connection may be
+// silent for good while new ones work.
+void PeerClient::LeaveSilent(uint64_t aLink)
+{
+  Link& link = m_links.at(aLink);
+  link.m_silent = true;
+  link.m_leaving = true;
+  const auto current = m_current.find(link.m_nodeName);
+  if (current != m_current.end() && current->second == aLink) {
+    m_current.erase(current);
+  }
+  const auto open = link.m_calls.Open();
+  m_handlers.m_onUnreachable(std::string(link.m_nodeName));
+  for (const forwarding::LostAttempt& call : open) {
+    m_handlers.m_onSilent(call.m_key);
+  }
+}
+
 void PeerClient::Tick(TimePoint aNow)
 {
   std::vector<uint64_t> lost;
+  std::vector<uint64_t> silent;
   std::vector<uint64_t> idle;
   for (auto& [id, link] : m_links) {
     if (!link.m_connection) {
@@ -315,13 +338,20 @@
       if (aNow - link.m_lastUsed > kIdleLimit) {
         idle.push_back(id);
       }
-    } else if (silence > kSilenceLimit) {
+    } else if (silence > kLossLimit) {
       lost.push_back(id);
+    } else if (silence > kSilenceLimit) {
+      if (!link.m_silent) {
+        silent.push_back(id);
+      }
     } else if (silence > kHeartbeatAfter) {
       link.m_connection->Send(FrameType::PeerHello,
                               MakeHello(m_identity, m_lastEpoch));
     }
   }
+  for (const uint64_t id : silent) {
+    LeaveSilent(id);
+  }
   for (const uint64_t id : lost) {
     // First, so that the calls that are lost do not choose the node again.
     m_handlers.m_onUnreachable(std::string(m_links.at(id).m_nodeName));
--- a/apps/wigeonfold-node/PeerClient.h
+++ b/apps/wigeonfold-node/PeerClient.h
@@ -48,6 +48,9 @@
   std::function<void(const Version&)> m_onPeerVersion;
   // The node could not be connected to, or its connection fell silent.
   std::function<void(const std::string& aNodeName)> m_onUnreachable;
+  // The attempt's connection is silent; the answer may still come. The attempt
+  // may be withdrawn from inside the call.
+  std::function<void(const forwarding::AttemptKey&)> m_onSilent;
 };
 
 // One multiplexed connection to each node that is called, opened on demand.
@@ -97,6 +100,7 @@
     TimePoint m_lastReceived{};
     TimePoint m_lastUsed{};
     bool m_leaving = false; // takes no further calls
+    bool m_silent = false;  // nothing received for kSilenceLimit
   };
 
   uint64_t LinkTo(const routing::Endpoint& aEndpoint);
@@ -106,6 +110,7 @@
   bool Write(Link& aLink, const Waiting& aCall);
   void RetireIfDone(uint64_t aLink);
   void Lose(uint64_t aLink);
+  void LeaveSilent(uint64_t aLink);
 
   boost::asio::io_context& m_io;
   const PeerIdentity& m_identity;
--- a/apps/wigeonfold-node/test/Forwarding_test.cpp
+++ b/apps/wigeonfold-node/test/Forwarding_test.cpp
@@ -174,6 +174,72 @@
   }
 }
 
+// Passes bytes on to a port; those of the way back are held for a while, as
+// when packets are lost.
+class SlowRelay
+{
+public:
+  SlowRelay(asio::io_context& aIo, uint16_t aPort, Duration aHold)
+    : m_acceptor(aIo, { asio::ip::make_address("127.0.0.1"), 0 })
+    , m_near(aIo)
+    , m_far(aIo)
+    , m_timer(aIo)
+  {
+    m_acceptor.async_accept(m_near, [this, aPort, aHold](auto aCode) {
+      if (aCode) {
+        return;
+      }
+      m_far.connect({ asio::ip::make_address("127.0.0.1"), aPort });
+      Copy(m_near, m_far, m_out);
+      m_timer.expires_after(aHold);
+      m_timer.async_wait([this](auto) { Copy(m_far, m_near, m_back); });
+    });
+  }
+
+  uint16_t Port() const { return m_acceptor.local_endpoint().port(); }
+
+private:
+  using Bytes = std::array<char, 4096>;
+
+  void Copy(asio::ip::tcp::socket& aFrom,
+            asio::ip::tcp::socket& aTo,
+            Bytes& aBytes)
+  {
+    aFrom.async_read_some(
+      asio::buffer(aBytes),
+      [this, &aFrom, &aTo, &aBytes](auto aCode, auto aSize) {
+        if (!aCode) {
+          asio::write(aTo, asio::buffer(aBytes.data(), aSize));
+          Copy(aFrom, aTo, aBytes);
+        }
+      });
+  }
+
+  asio::ip::tcp::acceptor m_acceptor;
+  asio::ip::tcp::socket m_near;
+  asio::ip::tcp::socket m_far;
+  asio::steady_timer m_timer;
+  Bytes m_out{};
+  Bytes m_back{};
+};
+
+// Guards against a 502 for a request that ran once and may not be repeated,
+// only because the answer was held up on the way.
+TEST_F(Forwarding, AnswerThatIsHeldUpIsDeliveredToACallerThatCannotRepeat)
+{
+  TestTarget& target = ServeAtPeer(
+    [](int, const std::string&) { return Reaction{ WholeAnswer("x") }; });
+  std::unique_ptr<SlowRelay> relay;
+  Do([&] {
+    relay = std::make_unique<SlowRelay>(m_io, m_nodes[1]->PeerPort(), 900ms);
+  });
+  SetView({ Endpoint("n1", relay->Port()) });
+  const auto answer = Call(0, Post("/lots", { { kDeadlineHeader, "5000" } }));
+  EXPECT_EQ(answer.m_status, 200);
+  EXPECT_EQ(target.m_requests, 1);
+  Do([&] { relay.reset(); });
+}
+
 TEST_F(Forwarding, TargetGetsMetadataAndNoHopByHopFields)
 {
   std::string seen;
--- a/libs/forwarding/include/wigeonfold/forwarding/CallTable.h
+++ b/libs/forwarding/include/wigeonfold/forwarding/CallTable.h
@@ -44,6 +44,8 @@
   bool Cancel(int64_t aId);
   // Ends all calls, in the order in which they were opened.
   std::vector<LostAttempt> Lose();
+  // All calls, in the order in which they were opened.
+  std::vector<LostAttempt> Open() const;
 
   size_t Size() const { return m_calls.size(); }
 
--- a/libs/forwarding/src/CallTable.cpp
+++ b/libs/forwarding/src/CallTable.cpp
@@ -40,20 +40,26 @@
   return written;
 }
 
-std::vector<LostAttempt> CallTable::Lose()
+std::vector<LostAttempt> CallTable::Open() const
 {
   std::vector<std::pair<int64_t, Entry>> entries(m_calls.begin(),
                                                  m_calls.end());
-  m_calls.clear();
   std::sort(
     entries.begin(), entries.end(), [](const auto& aLeft, const auto& aRight) {
       return aLeft.first < aRight.first;
     });
-  std::vector<LostAttempt> lost;
-  lost.reserve(entries.size());
+  std::vector<LostAttempt> open;
+  open.reserve(entries.size());
   for (const auto& [id, entry] : entries) {
-    lost.push_back(LostAttempt{ entry.m_key, entry.m_written });
+    open.push_back(LostAttempt{ entry.m_key, entry.m_written });
   }
+  return open;
+}
+
+std::vector<LostAttempt> CallTable::Lose()
+{
+  std::vector<LostAttempt> lost = Open();
+  m_calls.clear();
   return lost;
 }
 
