Pack configurations of many branches on their way to nodes

Change: 16 branches or more are sent compressed by zlib, once for all nodes with the same base. Damaged bytes are handled like a damaged delta; a stated length beyond twice the bound of a tree is refused before memory is taken.

A tree of 1,000 branches has less than 20 KB on the wire (test).

--- a/cmake/Layout.cmake
+++ b/cmake/Layout.cmake
@@ -10,7 +10,7 @@
 endif()
 
 wigeonfold_library(base LINK glog::glog inih xxhash docopt)
-wigeonfold_library(wire USES base LINK thrift)
+wigeonfold_library(wire USES base LINK thrift ZLIB::ZLIB)
 wigeonfold_library(settings USES base wire)
 wigeonfold_library(net USES base wire)
 wigeonfold_library(storage USES base)
--- a/idl/control.thrift
+++ b/idl/control.thrift
@@ -67,6 +67,14 @@
   3: common.WireVersion target,
   4: list<common.BranchState> branches,
   5: i64 digest,
+  // In place of branches when there are many: an encoded BranchList, compressed,
+  // and its length before that.
+  6: binary packedBranches,
+  7: i64 packedLength,
+}
+
+struct BranchList {
+  1: list<common.BranchState> branches,
 }
 
 // Changes of the endpoint table after baseCursor up to cursor. Cursors of
--- a/libs/distribution/src/NodeSessions.cpp
+++ b/libs/distribution/src/NodeSessions.cpp
@@ -1,6 +1,7 @@
 #include "wigeonfold/distribution/NodeSessions.h"
 
 #include "wigeonfold/wire/Codec.h"
+#include "wigeonfold/wire/Packing.h"
 
 #include <algorithm>
 
@@ -16,6 +17,8 @@
   return std::make_shared<const std::string>(wire::Encode(aMessage));
 }
 
+// Fewer branches fit into one or two packets.
+constexpr size_t kMinPackedBranches = 16;
 // Age reported before this control VM was ever confirmed as current.
 constexpr std::chrono::hours kNeverCurrent{ 24 };
 
@@ -25,7 +28,15 @@
   update.full = aDelta.m_full;
   update.base = wire::ToWire(aDelta.m_base);
   update.target = wire::ToWire(aDelta.m_target);
-  update.branches = aDelta.m_branches;
+  if (aDelta.m_branches.size() < kMinPackedBranches) {
+    update.branches = aDelta.m_branches;
+  } else {
+    wire::BranchList list;
+    list.branches = aDelta.m_branches;
+    const std::string bytes = wire::Encode(list);
+    update.packedLength = static_cast<int64_t>(bytes.size());
+    update.packedBranches = wire::Pack(bytes);
+  }
   update.digest = static_cast<int64_t>(aDelta.m_digest);
   return update;
 }
--- a/libs/distribution/src/SubscriberState.cpp
+++ b/libs/distribution/src/SubscriberState.cpp
@@ -3,6 +3,7 @@
 #include "wigeonfold/distribution/Subscriber.h"
 
 #include "wigeonfold/wire/Codec.h"
+#include "wigeonfold/wire/Packing.h"
 
 #include <algorithm>
 
@@ -10,6 +11,25 @@
 
 namespace {
 
+// More than the encoding of any tree: names and lengths add less than half.
+constexpr size_t kMaxUnpackedBytes = 2 * settings::kMaxTreeBytes;
+
+// Puts packed branches in their place.
+Status UnpackBranches(wire::ConfigUpdate& aUpdate)
+{
+  if (aUpdate.packedBranches.empty()) {
+    return Ok();
+  }
+  const std::string packed = std::exchange(aUpdate.packedBranches, {});
+  const auto length =
+    static_cast<size_t>(std::max<int64_t>(aUpdate.packedLength, 0));
+  BOOST_OUTCOME_TRY(
+    bytes, wire::Unpack(packed, length, kMaxUnpackedBytes, "control VM"));
+  BOOST_OUTCOME_TRY(list, wire::Decode<wire::BranchList>(bytes, "control VM"));
+  aUpdate.branches = std::move(list.branches);
+  return Ok();
+}
+
 // A whole tree is large, so its branches are moved and not copied.
 settings::TreeDelta TakeDelta(wire::ConfigUpdate& aUpdate)
 {
@@ -49,6 +69,10 @@
     AskResync(false, aNow);
     return;
   }
+  if (const Status unpacked = UnpackBranches(aUpdate); !unpacked) {
+    RefuseDelta(aUpdate, unpacked.error(), aNow);
+    return;
+  }
   const settings::Tree tree = m_state ? m_state->m_tree : settings::Tree();
   const auto patched = tree.Patch(TakeDelta(aUpdate));
   if (!patched) {
--- a/libs/distribution/test/NodeSessions_test.cpp
+++ b/libs/distribution/test/NodeSessions_test.cpp
@@ -202,6 +202,36 @@
   EXPECT_FALSE(m_updates[1].full);
 }
 
+// A node behind a link of 2 Mbit/s waits for its first configuration after a
+// restart; a thousand routes take it more than a second unless they are packed.
+TEST_F(OneNode, LargeConfigurationIsPackedAndTakenWhole)
+{
+  std::vector<wire::Operation> operations;
+  for (int i = 0; i < 1000; ++i) {
+    operations.push_back(settings::SetOperation(
+      "offices/o" + std::to_string(i), "share.weight", "7"));
+  }
+  const auto tree = m_trees[0].Apply(operations, Version{ 1, 1 }).value();
+  m_sessions.SetTree(tree, m_now);
+  m_updates.clear();
+  Greet(2);
+  ASSERT_EQ(m_updates.size(), 1U);
+  EXPECT_LT(wire::Encode(m_updates[0]).size(), 20'000U);
+  SubscriberOptions options;
+  options.m_nodeName = "n";
+  options.m_controlVms.push_back({ { "127.0.0.1", 1 }, "a" });
+  Subscriber node(
+    options, [](const NodeState&) { return Ok(); }, 1);
+  const auto session = std::get<ConnectTo>(node.Start(m_now)[0]).m_session;
+  node.OnConnected(session, m_now);
+  node.OnFrame(
+    session, MakeFrame(wire::FrameType::HelloReply, wire::HelloReply()), m_now);
+  node.OnFrame(
+    session, MakeFrame(wire::FrameType::ConfigUpdate, m_updates[0]), m_now);
+  ASSERT_TRUE(node.State());
+  EXPECT_EQ(node.State()->m_tree.Digest(), tree.Digest());
+}
+
 TEST_F(OneNode, RefusedVersionIsNotSentAgain)
 {
   Status(StatusOf({ 1, 0 }));
--- a/libs/wire/gen/include/wigeonfold/wire/gen/control_types.h
+++ b/libs/wire/gen/include/wigeonfold/wire/gen/control_types.h
@@ -48,6 +48,8 @@
 
 class ConfigUpdate;
 
+class BranchList;
+
 class EndpointUpdate;
 
 class Heartbeat;
@@ -423,12 +425,14 @@
 std::ostream& operator<<(std::ostream& out, const Announce& obj);
 
 typedef struct _ConfigUpdate__isset {
-  _ConfigUpdate__isset() : full(false), base(false), target(false), branches(false), digest(false) {}
+  _ConfigUpdate__isset() : full(false), base(false), target(false), branches(false), digest(false), packedBranches(false), packedLength(false) {}
   bool full :1;
   bool base :1;
   bool target :1;
   bool branches :1;
   bool digest :1;
+  bool packedBranches :1;
+  bool packedLength :1;
 } _ConfigUpdate__isset;
 
 class ConfigUpdate : public virtual ::apache::thrift::TBase {
@@ -440,7 +444,9 @@
   ConfigUpdate& operator=(ConfigUpdate&&) noexcept;
   ConfigUpdate() noexcept
                : full(0),
-                 digest(0) {
+                 digest(0),
+                 packedBranches(),
+                 packedLength(0) {
   }
 
   virtual ~ConfigUpdate() noexcept;
@@ -449,6 +455,8 @@
    ::wigeonfold::wire::WireVersion target;
   std::vector< ::wigeonfold::wire::BranchState>  branches;
   int64_t digest;
+  std::string packedBranches;
+  int64_t packedLength;
 
   _ConfigUpdate__isset __isset;
 
@@ -462,6 +470,10 @@
 
   void __set_digest(const int64_t val);
 
+  void __set_packedBranches(const std::string& val);
+
+  void __set_packedLength(const int64_t val);
+
   bool operator == (const ConfigUpdate & rhs) const
   {
     if (!(full == rhs.full))
@@ -474,6 +486,10 @@
       return false;
     if (!(digest == rhs.digest))
       return false;
+    if (!(packedBranches == rhs.packedBranches))
+      return false;
+    if (!(packedLength == rhs.packedLength))
+      return false;
     return true;
   }
   bool operator != (const ConfigUpdate &rhs) const {
@@ -492,6 +508,50 @@
 
 std::ostream& operator<<(std::ostream& out, const ConfigUpdate& obj);
 
+typedef struct _BranchList__isset {
+  _BranchList__isset() : branches(false) {}
+  bool branches :1;
+} _BranchList__isset;
+
+class BranchList : public virtual ::apache::thrift::TBase {
+ public:
+
+  BranchList(const BranchList&);
+  BranchList(BranchList&&) noexcept;
+  BranchList& operator=(const BranchList&);
+  BranchList& operator=(BranchList&&) noexcept;
+  BranchList() noexcept {
+  }
+
+  virtual ~BranchList() noexcept;
+  std::vector< ::wigeonfold::wire::BranchState>  branches;
+
+  _BranchList__isset __isset;
+
+  void __set_branches(const std::vector< ::wigeonfold::wire::BranchState> & val);
+
+  bool operator == (const BranchList & rhs) const
+  {
+    if (!(branches == rhs.branches))
+      return false;
+    return true;
+  }
+  bool operator != (const BranchList &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const BranchList & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(BranchList &a, BranchList &b);
+
+std::ostream& operator<<(std::ostream& out, const BranchList& obj);
+
 typedef struct _EndpointUpdate__isset {
   _EndpointUpdate__isset() : source(false), cursor(false), full(false), records(false), removedNodes(false), baseCursor(false) {}
   bool source :1;
--- a/libs/wire/gen/src/control_types.cpp
+++ b/libs/wire/gen/src/control_types.cpp
@@ -1017,6 +1017,14 @@
 void ConfigUpdate::__set_digest(const int64_t val) {
   this->digest = val;
 }
+
+void ConfigUpdate::__set_packedBranches(const std::string& val) {
+  this->packedBranches = val;
+}
+
+void ConfigUpdate::__set_packedLength(const int64_t val) {
+  this->packedLength = val;
+}
 std::ostream& operator<<(std::ostream& out, const ConfigUpdate& obj)
 {
   obj.printTo(out);
@@ -1097,6 +1105,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->packedBranches);
+          this->__isset.packedBranches = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->packedLength);
+          this->__isset.packedLength = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1142,6 +1166,14 @@
   xfer += oprot->writeI64(this->digest);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("packedBranches", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeBinary(this->packedBranches);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("packedLength", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->packedLength);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1154,6 +1186,8 @@
   swap(a.target, b.target);
   swap(a.branches, b.branches);
   swap(a.digest, b.digest);
+  swap(a.packedBranches, b.packedBranches);
+  swap(a.packedLength, b.packedLength);
   swap(a.__isset, b.__isset);
 }
 
@@ -1163,6 +1197,8 @@
   target = other33.target;
   branches = other33.branches;
   digest = other33.digest;
+  packedBranches = other33.packedBranches;
+  packedLength = other33.packedLength;
   __isset = other33.__isset;
 }
 ConfigUpdate::ConfigUpdate(ConfigUpdate&& other34) noexcept {
@@ -1171,6 +1207,8 @@
   target = std::move(other34.target);
   branches = std::move(other34.branches);
   digest = other34.digest;
+  packedBranches = std::move(other34.packedBranches);
+  packedLength = other34.packedLength;
   __isset = other34.__isset;
 }
 ConfigUpdate& ConfigUpdate::operator=(const ConfigUpdate& other35) {
@@ -1179,6 +1217,8 @@
   target = other35.target;
   branches = other35.branches;
   digest = other35.digest;
+  packedBranches = other35.packedBranches;
+  packedLength = other35.packedLength;
   __isset = other35.__isset;
   return *this;
 }
@@ -1188,6 +1228,8 @@
   target = std::move(other36.target);
   branches = std::move(other36.branches);
   digest = other36.digest;
+  packedBranches = std::move(other36.packedBranches);
+  packedLength = other36.packedLength;
   __isset = other36.__isset;
   return *this;
 }
@@ -1199,6 +1241,129 @@
   out << ", " << "target=" << to_string(target);
   out << ", " << "branches=" << to_string(branches);
   out << ", " << "digest=" << to_string(digest);
+  out << ", " << "packedBranches=" << to_string(packedBranches);
+  out << ", " << "packedLength=" << to_string(packedLength);
+  out << ")";
+}
+
+
+BranchList::~BranchList() noexcept {
+}
+
+
+void BranchList::__set_branches(const std::vector< ::wigeonfold::wire::BranchState> & val) {
+  this->branches = val;
+}
+std::ostream& operator<<(std::ostream& out, const BranchList& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t BranchList::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->branches.clear();
+            uint32_t _size37;
+            ::apache::thrift::protocol::TType _etype40;
+            xfer += iprot->readListBegin(_etype40, _size37);
+            this->branches.resize(_size37);
+            uint32_t _i41;
+            for (_i41 = 0; _i41 < _size37; ++_i41)
+            {
+              xfer += this->branches[_i41].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.branches = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t BranchList::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("BranchList");
+
+  xfer += oprot->writeFieldBegin("branches", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->branches.size()));
+    std::vector< ::wigeonfold::wire::BranchState> ::const_iterator _iter42;
+    for (_iter42 = this->branches.begin(); _iter42 != this->branches.end(); ++_iter42)
+    {
+      xfer += (*_iter42).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(BranchList &a, BranchList &b) {
+  using ::std::swap;
+  swap(a.branches, b.branches);
+  swap(a.__isset, b.__isset);
+}
+
+BranchList::BranchList(const BranchList& other43) {
+  branches = other43.branches;
+  __isset = other43.__isset;
+}
+BranchList::BranchList(BranchList&& other44) noexcept {
+  branches = std::move(other44.branches);
+  __isset = other44.__isset;
+}
+BranchList& BranchList::operator=(const BranchList& other45) {
+  branches = other45.branches;
+  __isset = other45.__isset;
+  return *this;
+}
+BranchList& BranchList::operator=(BranchList&& other46) noexcept {
+  branches = std::move(other46.branches);
+  __isset = other46.__isset;
+  return *this;
+}
+void BranchList::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "BranchList(";
+  out << "branches=" << to_string(branches);
   out << ")";
 }
 
@@ -1286,14 +1451,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size37;
-            ::apache::thrift::protocol::TType _etype40;
-            xfer += iprot->readListBegin(_etype40, _size37);
-            this->records.resize(_size37);
-            uint32_t _i41;
-            for (_i41 = 0; _i41 < _size37; ++_i41)
+            uint32_t _size47;
+            ::apache::thrift::protocol::TType _etype50;
+            xfer += iprot->readListBegin(_etype50, _size47);
+            this->records.resize(_size47);
+            uint32_t _i51;
+            for (_i51 = 0; _i51 < _size47; ++_i51)
             {
-              xfer += this->records[_i41].read(iprot);
+              xfer += this->records[_i51].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1306,14 +1471,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removedNodes.clear();
-            uint32_t _size42;
-            ::apache::thrift::protocol::TType _etype45;
-            xfer += iprot->readListBegin(_etype45, _size42);
-            this->removedNodes.resize(_size42);
-            uint32_t _i46;
-            for (_i46 = 0; _i46 < _size42; ++_i46)
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _etype55;
+            xfer += iprot->readListBegin(_etype55, _size52);
+            this->removedNodes.resize(_size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
             {
-              xfer += iprot->readString(this->removedNodes[_i46]);
+              xfer += iprot->readString(this->removedNodes[_i56]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1362,10 +1527,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<EndpointRecord> ::const_iterator _iter47;
-    for (_iter47 = this->records.begin(); _iter47 != this->records.end(); ++_iter47)
+    std::vector<EndpointRecord> ::const_iterator _iter57;
+    for (_iter57 = this->records.begin(); _iter57 != this->records.end(); ++_iter57)
     {
-      xfer += (*_iter47).write(oprot);
+      xfer += (*_iter57).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1374,10 +1539,10 @@
   xfer += oprot->writeFieldBegin("removedNodes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removedNodes.size()));
-    std::vector<std::string> ::const_iterator _iter48;
-    for (_iter48 = this->removedNodes.begin(); _iter48 != this->removedNodes.end(); ++_iter48)
+    std::vector<std::string> ::const_iterator _iter58;
+    for (_iter58 = this->removedNodes.begin(); _iter58 != this->removedNodes.end(); ++_iter58)
     {
-      xfer += oprot->writeString((*_iter48));
+      xfer += oprot->writeString((*_iter58));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1403,42 +1568,42 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointUpdate::EndpointUpdate(const EndpointUpdate& other49) {
-  source = other49.source;
-  cursor = other49.cursor;
-  full = other49.full;
-  records = other49.records;
-  removedNodes = other49.removedNodes;
-  baseCursor = other49.baseCursor;
-  __isset = other49.__isset;
-}
-EndpointUpdate::EndpointUpdate(EndpointUpdate&& other50) noexcept {
-  source = other50.source;
-  cursor = other50.cursor;
-  full = other50.full;
-  records = std::move(other50.records);
-  removedNodes = std::move(other50.removedNodes);
-  baseCursor = other50.baseCursor;
-  __isset = other50.__isset;
-}
-EndpointUpdate& EndpointUpdate::operator=(const EndpointUpdate& other51) {
-  source = other51.source;
-  cursor = other51.cursor;
-  full = other51.full;
-  records = other51.records;
-  removedNodes = other51.removedNodes;
-  baseCursor = other51.baseCursor;
-  __isset = other51.__isset;
+EndpointUpdate::EndpointUpdate(const EndpointUpdate& other59) {
+  source = other59.source;
+  cursor = other59.cursor;
+  full = other59.full;
+  records = other59.records;
+  removedNodes = other59.removedNodes;
+  baseCursor = other59.baseCursor;
+  __isset = other59.__isset;
+}
+EndpointUpdate::EndpointUpdate(EndpointUpdate&& other60) noexcept {
+  source = other60.source;
+  cursor = other60.cursor;
+  full = other60.full;
+  records = std::move(other60.records);
+  removedNodes = std::move(other60.removedNodes);
+  baseCursor = other60.baseCursor;
+  __isset = other60.__isset;
+}
+EndpointUpdate& EndpointUpdate::operator=(const EndpointUpdate& other61) {
+  source = other61.source;
+  cursor = other61.cursor;
+  full = other61.full;
+  records = other61.records;
+  removedNodes = other61.removedNodes;
+  baseCursor = other61.baseCursor;
+  __isset = other61.__isset;
   return *this;
 }
-EndpointUpdate& EndpointUpdate::operator=(EndpointUpdate&& other52) noexcept {
-  source = other52.source;
-  cursor = other52.cursor;
-  full = other52.full;
-  records = std::move(other52.records);
-  removedNodes = std::move(other52.removedNodes);
-  baseCursor = other52.baseCursor;
-  __isset = other52.__isset;
+EndpointUpdate& EndpointUpdate::operator=(EndpointUpdate&& other62) noexcept {
+  source = other62.source;
+  cursor = other62.cursor;
+  full = other62.full;
+  records = std::move(other62.records);
+  removedNodes = std::move(other62.removedNodes);
+  baseCursor = other62.baseCursor;
+  __isset = other62.__isset;
   return *this;
 }
 void EndpointUpdate::printTo(std::ostream& out) const {
@@ -1523,14 +1688,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->controlVms.clear();
-            uint32_t _size53;
-            ::apache::thrift::protocol::TType _etype56;
-            xfer += iprot->readListBegin(_etype56, _size53);
-            this->controlVms.resize(_size53);
-            uint32_t _i57;
-            for (_i57 = 0; _i57 < _size53; ++_i57)
+            uint32_t _size63;
+            ::apache::thrift::protocol::TType _etype66;
+            xfer += iprot->readListBegin(_etype66, _size63);
+            this->controlVms.resize(_size63);
+            uint32_t _i67;
+            for (_i67 = 0; _i67 < _size63; ++_i67)
             {
-              xfer += this->controlVms[_i57].read(iprot);
+              xfer += this->controlVms[_i67].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1576,10 +1741,10 @@
     xfer += oprot->writeFieldBegin("controlVms", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->controlVms.size()));
-      std::vector<ControlEndpoint> ::const_iterator _iter58;
-      for (_iter58 = this->controlVms.begin(); _iter58 != this->controlVms.end(); ++_iter58)
+      std::vector<ControlEndpoint> ::const_iterator _iter68;
+      for (_iter68 = this->controlVms.begin(); _iter68 != this->controlVms.end(); ++_iter68)
       {
-        xfer += (*_iter58).write(oprot);
+        xfer += (*_iter68).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1604,34 +1769,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other59) {
-  freshnessAgeMs = other59.freshnessAgeMs;
-  newest = other59.newest;
-  controlVms = other59.controlVms;
-  confirm = other59.confirm;
-  __isset = other59.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other69) {
+  freshnessAgeMs = other69.freshnessAgeMs;
+  newest = other69.newest;
+  controlVms = other69.controlVms;
+  confirm = other69.confirm;
+  __isset = other69.__isset;
 }
-Heartbeat::Heartbeat(Heartbeat&& other60) noexcept {
-  freshnessAgeMs = other60.freshnessAgeMs;
-  newest = std::move(other60.newest);
-  controlVms = std::move(other60.controlVms);
-  confirm = other60.confirm;
-  __isset = other60.__isset;
+Heartbeat::Heartbeat(Heartbeat&& other70) noexcept {
+  freshnessAgeMs = other70.freshnessAgeMs;
+  newest = std::move(other70.newest);
+  controlVms = std::move(other70.controlVms);
+  confirm = other70.confirm;
+  __isset = other70.__isset;
 }
-Heartbeat& Heartbeat::operator=(const Heartbeat& other61) {
-  freshnessAgeMs = other61.freshnessAgeMs;
-  newest = other61.newest;
-  controlVms = other61.controlVms;
-  confirm = other61.confirm;
-  __isset = other61.__isset;
+Heartbeat& Heartbeat::operator=(const Heartbeat& other71) {
+  freshnessAgeMs = other71.freshnessAgeMs;
+  newest = other71.newest;
+  controlVms = other71.controlVms;
+  confirm = other71.confirm;
+  __isset = other71.__isset;
   return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other62) noexcept {
-  freshnessAgeMs = other62.freshnessAgeMs;
-  newest = std::move(other62.newest);
-  controlVms = std::move(other62.controlVms);
-  confirm = other62.confirm;
-  __isset = other62.__isset;
+Heartbeat& Heartbeat::operator=(Heartbeat&& other72) noexcept {
+  freshnessAgeMs = other72.freshnessAgeMs;
+  newest = std::move(other72.newest);
+  controlVms = std::move(other72.controlVms);
+  confirm = other72.confirm;
+  __isset = other72.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -1896,62 +2061,62 @@
   swap(a.__isset, b.__isset);
 }
 
-NodeStatus::NodeStatus(const NodeStatus& other63) {
-  inForce = other63.inForce;
-  refused = other63.refused;
-  refusal = other63.refusal;
-  controlBytesReceived = other63.controlBytesReceived;
-  controlBytesSent = other63.controlBytesSent;
-  endpointSource = other63.endpointSource;
-  endpointCursor = other63.endpointCursor;
-  resync = other63.resync;
-  resyncFull = other63.resyncFull;
-  belowFloor = other63.belowFloor;
-  confirm = other63.confirm;
-  __isset = other63.__isset;
-}
-NodeStatus::NodeStatus(NodeStatus&& other64) noexcept {
-  inForce = std::move(other64.inForce);
-  refused = std::move(other64.refused);
-  refusal = std::move(other64.refusal);
-  controlBytesReceived = other64.controlBytesReceived;
-  controlBytesSent = other64.controlBytesSent;
-  endpointSource = other64.endpointSource;
-  endpointCursor = other64.endpointCursor;
-  resync = other64.resync;
-  resyncFull = other64.resyncFull;
-  belowFloor = other64.belowFloor;
-  confirm = other64.confirm;
-  __isset = other64.__isset;
-}
-NodeStatus& NodeStatus::operator=(const NodeStatus& other65) {
-  inForce = other65.inForce;
-  refused = other65.refused;
-  refusal = other65.refusal;
-  controlBytesReceived = other65.controlBytesReceived;
-  controlBytesSent = other65.controlBytesSent;
-  endpointSource = other65.endpointSource;
-  endpointCursor = other65.endpointCursor;
-  resync = other65.resync;
-  resyncFull = other65.resyncFull;
-  belowFloor = other65.belowFloor;
-  confirm = other65.confirm;
-  __isset = other65.__isset;
+NodeStatus::NodeStatus(const NodeStatus& other73) {
+  inForce = other73.inForce;
+  refused = other73.refused;
+  refusal = other73.refusal;
+  controlBytesReceived = other73.controlBytesReceived;
+  controlBytesSent = other73.controlBytesSent;
+  endpointSource = other73.endpointSource;
+  endpointCursor = other73.endpointCursor;
+  resync = other73.resync;
+  resyncFull = other73.resyncFull;
+  belowFloor = other73.belowFloor;
+  confirm = other73.confirm;
+  __isset = other73.__isset;
+}
+NodeStatus::NodeStatus(NodeStatus&& other74) noexcept {
+  inForce = std::move(other74.inForce);
+  refused = std::move(other74.refused);
+  refusal = std::move(other74.refusal);
+  controlBytesReceived = other74.controlBytesReceived;
+  controlBytesSent = other74.controlBytesSent;
+  endpointSource = other74.endpointSource;
+  endpointCursor = other74.endpointCursor;
+  resync = other74.resync;
+  resyncFull = other74.resyncFull;
+  belowFloor = other74.belowFloor;
+  confirm = other74.confirm;
+  __isset = other74.__isset;
+}
+NodeStatus& NodeStatus::operator=(const NodeStatus& other75) {
+  inForce = other75.inForce;
+  refused = other75.refused;
+  refusal = other75.refusal;
+  controlBytesReceived = other75.controlBytesReceived;
+  controlBytesSent = other75.controlBytesSent;
+  endpointSource = other75.endpointSource;
+  endpointCursor = other75.endpointCursor;
+  resync = other75.resync;
+  resyncFull = other75.resyncFull;
+  belowFloor = other75.belowFloor;
+  confirm = other75.confirm;
+  __isset = other75.__isset;
   return *this;
 }
-NodeStatus& NodeStatus::operator=(NodeStatus&& other66) noexcept {
-  inForce = std::move(other66.inForce);
-  refused = std::move(other66.refused);
-  refusal = std::move(other66.refusal);
-  controlBytesReceived = other66.controlBytesReceived;
-  controlBytesSent = other66.controlBytesSent;
-  endpointSource = other66.endpointSource;
-  endpointCursor = other66.endpointCursor;
-  resync = other66.resync;
-  resyncFull = other66.resyncFull;
-  belowFloor = other66.belowFloor;
-  confirm = other66.confirm;
-  __isset = other66.__isset;
+NodeStatus& NodeStatus::operator=(NodeStatus&& other76) noexcept {
+  inForce = std::move(other76.inForce);
+  refused = std::move(other76.refused);
+  refusal = std::move(other76.refusal);
+  controlBytesReceived = other76.controlBytesReceived;
+  controlBytesSent = other76.controlBytesSent;
+  endpointSource = other76.endpointSource;
+  endpointCursor = other76.endpointCursor;
+  resync = other76.resync;
+  resyncFull = other76.resyncFull;
+  belowFloor = other76.belowFloor;
+  confirm = other76.confirm;
+  __isset = other76.__isset;
   return *this;
 }
 void NodeStatus::printTo(std::ostream& out) const {
@@ -2047,22 +2212,22 @@
   swap(a.__isset, b.__isset);
 }
 
-RetryLater::RetryLater(const RetryLater& other67) noexcept {
-  afterMs = other67.afterMs;
-  __isset = other67.__isset;
+RetryLater::RetryLater(const RetryLater& other77) noexcept {
+  afterMs = other77.afterMs;
+  __isset = other77.__isset;
 }
-RetryLater::RetryLater(RetryLater&& other68) noexcept {
-  afterMs = other68.afterMs;
-  __isset = other68.__isset;
+RetryLater::RetryLater(RetryLater&& other78) noexcept {
+  afterMs = other78.afterMs;
+  __isset = other78.__isset;
 }
-RetryLater& RetryLater::operator=(const RetryLater& other69) noexcept {
-  afterMs = other69.afterMs;
-  __isset = other69.__isset;
+RetryLater& RetryLater::operator=(const RetryLater& other79) noexcept {
+  afterMs = other79.afterMs;
+  __isset = other79.__isset;
   return *this;
 }
-RetryLater& RetryLater::operator=(RetryLater&& other70) noexcept {
-  afterMs = other70.afterMs;
-  __isset = other70.__isset;
+RetryLater& RetryLater::operator=(RetryLater&& other80) noexcept {
+  afterMs = other80.afterMs;
+  __isset = other80.__isset;
   return *this;
 }
 void RetryLater::printTo(std::ostream& out) const {
@@ -2156,14 +2321,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size71;
-            ::apache::thrift::protocol::TType _etype74;
-            xfer += iprot->readListBegin(_etype74, _size71);
-            this->records.resize(_size71);
-            uint32_t _i75;
-            for (_i75 = 0; _i75 < _size71; ++_i75)
+            uint32_t _size81;
+            ::apache::thrift::protocol::TType _etype84;
+            xfer += iprot->readListBegin(_etype84, _size81);
+            this->records.resize(_size81);
+            uint32_t _i85;
+            for (_i85 = 0; _i85 < _size81; ++_i85)
             {
-              xfer += this->records[_i75].read(iprot);
+              xfer += this->records[_i85].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2176,14 +2341,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removedNodes.clear();
-            uint32_t _size76;
-            ::apache::thrift::protocol::TType _etype79;
-            xfer += iprot->readListBegin(_etype79, _size76);
-            this->removedNodes.resize(_size76);
-            uint32_t _i80;
-            for (_i80 = 0; _i80 < _size76; ++_i80)
+            uint32_t _size86;
+            ::apache::thrift::protocol::TType _etype89;
+            xfer += iprot->readListBegin(_etype89, _size86);
+            this->removedNodes.resize(_size86);
+            uint32_t _i90;
+            for (_i90 = 0; _i90 < _size86; ++_i90)
             {
-              xfer += iprot->readString(this->removedNodes[_i80]);
+              xfer += iprot->readString(this->removedNodes[_i90]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2252,10 +2417,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<EndpointRecord> ::const_iterator _iter81;
-    for (_iter81 = this->records.begin(); _iter81 != this->records.end(); ++_iter81)
+    std::vector<EndpointRecord> ::const_iterator _iter91;
+    for (_iter91 = this->records.begin(); _iter91 != this->records.end(); ++_iter91)
     {
-      xfer += (*_iter81).write(oprot);
+      xfer += (*_iter91).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2264,10 +2429,10 @@
   xfer += oprot->writeFieldBegin("removedNodes", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removedNodes.size()));
-    std::vector<std::string> ::const_iterator _iter82;
-    for (_iter82 = this->removedNodes.begin(); _iter82 != this->removedNodes.end(); ++_iter82)
+    std::vector<std::string> ::const_iterator _iter92;
+    for (_iter92 = this->removedNodes.begin(); _iter92 != this->removedNodes.end(); ++_iter92)
     {
-      xfer += oprot->writeString((*_iter82));
+      xfer += oprot->writeString((*_iter92));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2307,50 +2472,50 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointSync::EndpointSync(const EndpointSync& other83) {
-  owner = other83.owner;
-  full = other83.full;
-  records = other83.records;
-  removedNodes = other83.removedNodes;
-  incarnation = other83.incarnation;
-  baseCursor = other83.baseCursor;
-  cursor = other83.cursor;
-  request = other83.request;
-  __isset = other83.__isset;
-}
-EndpointSync::EndpointSync(EndpointSync&& other84) noexcept {
-  owner = other84.owner;
-  full = other84.full;
-  records = std::move(other84.records);
-  removedNodes = std::move(other84.removedNodes);
-  incarnation = other84.incarnation;
-  baseCursor = other84.baseCursor;
-  cursor = other84.cursor;
-  request = other84.request;
-  __isset = other84.__isset;
-}
-EndpointSync& EndpointSync::operator=(const EndpointSync& other85) {
-  owner = other85.owner;
-  full = other85.full;
-  records = other85.records;
-  removedNodes = other85.removedNodes;
-  incarnation = other85.incarnation;
-  baseCursor = other85.baseCursor;
-  cursor = other85.cursor;
-  request = other85.request;
-  __isset = other85.__isset;
+EndpointSync::EndpointSync(const EndpointSync& other93) {
+  owner = other93.owner;
+  full = other93.full;
+  records = other93.records;
+  removedNodes = other93.removedNodes;
+  incarnation = other93.incarnation;
+  baseCursor = other93.baseCursor;
+  cursor = other93.cursor;
+  request = other93.request;
+  __isset = other93.__isset;
+}
+EndpointSync::EndpointSync(EndpointSync&& other94) noexcept {
+  owner = other94.owner;
+  full = other94.full;
+  records = std::move(other94.records);
+  removedNodes = std::move(other94.removedNodes);
+  incarnation = other94.incarnation;
+  baseCursor = other94.baseCursor;
+  cursor = other94.cursor;
+  request = other94.request;
+  __isset = other94.__isset;
+}
+EndpointSync& EndpointSync::operator=(const EndpointSync& other95) {
+  owner = other95.owner;
+  full = other95.full;
+  records = other95.records;
+  removedNodes = other95.removedNodes;
+  incarnation = other95.incarnation;
+  baseCursor = other95.baseCursor;
+  cursor = other95.cursor;
+  request = other95.request;
+  __isset = other95.__isset;
   return *this;
 }
-EndpointSync& EndpointSync::operator=(EndpointSync&& other86) noexcept {
-  owner = other86.owner;
-  full = other86.full;
-  records = std::move(other86.records);
-  removedNodes = std::move(other86.removedNodes);
-  incarnation = other86.incarnation;
-  baseCursor = other86.baseCursor;
-  cursor = other86.cursor;
-  request = other86.request;
-  __isset = other86.__isset;
+EndpointSync& EndpointSync::operator=(EndpointSync&& other96) noexcept {
+  owner = other96.owner;
+  full = other96.full;
+  records = std::move(other96.records);
+  removedNodes = std::move(other96.removedNodes);
+  incarnation = other96.incarnation;
+  baseCursor = other96.baseCursor;
+  cursor = other96.cursor;
+  request = other96.request;
+  __isset = other96.__isset;
   return *this;
 }
 void EndpointSync::printTo(std::ostream& out) const {
@@ -2596,58 +2761,58 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlHello::ControlHello(const ControlHello& other87) {
-  memberId = other87.memberId;
-  name = other87.name;
-  clusterId = other87.clusterId;
-  availabilityZone = other87.availabilityZone;
-  peerAddress = other87.peerAddress;
-  apiAddress = other87.apiAddress;
-  nodeAddress = other87.nodeAddress;
-  operatorAddress = other87.operatorAddress;
-  hasLog = other87.hasLog;
-  mayBootstrap = other87.mayBootstrap;
-  __isset = other87.__isset;
-}
-ControlHello::ControlHello(ControlHello&& other88) noexcept {
-  memberId = other88.memberId;
-  name = std::move(other88.name);
-  clusterId = std::move(other88.clusterId);
-  availabilityZone = std::move(other88.availabilityZone);
-  peerAddress = std::move(other88.peerAddress);
-  apiAddress = std::move(other88.apiAddress);
-  nodeAddress = std::move(other88.nodeAddress);
-  operatorAddress = std::move(other88.operatorAddress);
-  hasLog = other88.hasLog;
-  mayBootstrap = other88.mayBootstrap;
-  __isset = other88.__isset;
-}
-ControlHello& ControlHello::operator=(const ControlHello& other89) {
-  memberId = other89.memberId;
-  name = other89.name;
-  clusterId = other89.clusterId;
-  availabilityZone = other89.availabilityZone;
-  peerAddress = other89.peerAddress;
-  apiAddress = other89.apiAddress;
-  nodeAddress = other89.nodeAddress;
-  operatorAddress = other89.operatorAddress;
-  hasLog = other89.hasLog;
-  mayBootstrap = other89.mayBootstrap;
-  __isset = other89.__isset;
+ControlHello::ControlHello(const ControlHello& other97) {
+  memberId = other97.memberId;
+  name = other97.name;
+  clusterId = other97.clusterId;
+  availabilityZone = other97.availabilityZone;
+  peerAddress = other97.peerAddress;
+  apiAddress = other97.apiAddress;
+  nodeAddress = other97.nodeAddress;
+  operatorAddress = other97.operatorAddress;
+  hasLog = other97.hasLog;
+  mayBootstrap = other97.mayBootstrap;
+  __isset = other97.__isset;
+}
+ControlHello::ControlHello(ControlHello&& other98) noexcept {
+  memberId = other98.memberId;
+  name = std::move(other98.name);
+  clusterId = std::move(other98.clusterId);
+  availabilityZone = std::move(other98.availabilityZone);
+  peerAddress = std::move(other98.peerAddress);
+  apiAddress = std::move(other98.apiAddress);
+  nodeAddress = std::move(other98.nodeAddress);
+  operatorAddress = std::move(other98.operatorAddress);
+  hasLog = other98.hasLog;
+  mayBootstrap = other98.mayBootstrap;
+  __isset = other98.__isset;
+}
+ControlHello& ControlHello::operator=(const ControlHello& other99) {
+  memberId = other99.memberId;
+  name = other99.name;
+  clusterId = other99.clusterId;
+  availabilityZone = other99.availabilityZone;
+  peerAddress = other99.peerAddress;
+  apiAddress = other99.apiAddress;
+  nodeAddress = other99.nodeAddress;
+  operatorAddress = other99.operatorAddress;
+  hasLog = other99.hasLog;
+  mayBootstrap = other99.mayBootstrap;
+  __isset = other99.__isset;
   return *this;
 }
-ControlHello& ControlHello::operator=(ControlHello&& other90) noexcept {
-  memberId = other90.memberId;
-  name = std::move(other90.name);
-  clusterId = std::move(other90.clusterId);
-  availabilityZone = std::move(other90.availabilityZone);
-  peerAddress = std::move(other90.peerAddress);
-  apiAddress = std::move(other90.apiAddress);
-  nodeAddress = std::move(other90.nodeAddress);
-  operatorAddress = std::move(other90.operatorAddress);
-  hasLog = other90.hasLog;
-  mayBootstrap = other90.mayBootstrap;
-  __isset = other90.__isset;
+ControlHello& ControlHello::operator=(ControlHello&& other100) noexcept {
+  memberId = other100.memberId;
+  name = std::move(other100.name);
+  clusterId = std::move(other100.clusterId);
+  availabilityZone = std::move(other100.availabilityZone);
+  peerAddress = std::move(other100.peerAddress);
+  apiAddress = std::move(other100.apiAddress);
+  nodeAddress = std::move(other100.nodeAddress);
+  operatorAddress = std::move(other100.operatorAddress);
+  hasLog = other100.hasLog;
+  mayBootstrap = other100.mayBootstrap;
+  __isset = other100.__isset;
   return *this;
 }
 void ControlHello::printTo(std::ostream& out) const {
--- a/libs/wire/test/Frame_test.cpp
+++ b/libs/wire/test/Frame_test.cpp
@@ -2,6 +2,7 @@
 // stream.
 #include "wigeonfold/wire/Codec.h"
 #include "wigeonfold/wire/Frame.h"
+#include "wigeonfold/wire/Packing.h"
 #include "wigeonfold/wire/gen/control_types.h"
 
 #include <gtest/gtest.h>
@@ -66,5 +67,19 @@
   EXPECT_TRUE(decoded.value() == record);
 }
 
+// A damaged or lying sender must neither crash the receiver nor make it take
+// memory beyond the limit.
+RC_GTEST_PROP(Packing, RestoresWhatWasPackedAndRefusesTheRest, ())
+{
+  constexpr size_t kLimit = 100'000;
+  const auto bytes = *rc::gen::arbitrary<std::string>();
+  std::string packed = Pack(bytes);
+  RC_ASSERT(Unpack(packed, bytes.size(), kLimit, "peer").value() == bytes);
+  RC_ASSERT(!Unpack(packed, bytes.size() + 1, kLimit, "peer"));
+  RC_ASSERT(!Unpack(packed, kLimit + 1, kLimit, "peer"));
+  packed.resize(packed.size() / 2);
+  RC_ASSERT(!Unpack(packed, bytes.size(), kLimit, "peer"));
+}
+
 } // namespace
 } // namespace wigeonfold::wire
