Build the view of a new version once; do not wait for unfinished requests

A node checks a new configuration by building a routing view and then builds it again with the endpoints. The checked view is now built with the endpoints and kept. On drain, connections with an unfinished request were closed at the drain limit only (seen with 300 unfinished heads). They are closed 0.2 s after the linger.

--- a/apps/wigeonfold-node/ControlLink.cpp
+++ b/apps/wigeonfold-node/ControlLink.cpp
@@ -30,16 +30,6 @@
   return records;
 }
 
-// The settings decide whether a view can be built; endpoints can't break it.
-Status CheckState(const distribution::NodeState& aState)
-{
-  const auto view = routing::View::Build(aState.m_tree, {});
-  if (!view) {
-    return view.error();
-  }
-  return Ok();
-}
-
 std::vector<distribution::ControlVm> ToControlVms(
   const std::vector<NodeSettings::ControlVm>& aVms)
 {
@@ -77,9 +67,12 @@
   , m_metrics(aMetrics)
   , m_log(aLog)
   , m_publish(std::move(aPublish))
-  , m_subscriber(MakeOptions(aSettings, aNodeEpoch),
-                 CheckState,
-                 std::random_device{}())
+  , m_subscriber(
+      MakeOptions(aSettings, aNodeEpoch),
+      [this](const distribution::NodeState& aState) {
+        return CheckState(aState);
+      },
+      std::random_device{}())
   , m_tick(aIo)
 {
 }
@@ -249,6 +242,29 @@
 
 // ---- Views -----------------------------------------------------------------
 
+// Keeps the view, since the state that passes the check is applied next and a
+// view of some thousand routes takes a small VM a good part of a second.
+Status ControlLink::CheckState(const distribution::NodeState& aState)
+{
+  auto view = routing::View::Build(aState.m_tree, Records(aState.m_endpoints));
+  if (!view) {
+    return view.error();
+  }
+  m_checkedView = std::move(view.value());
+  return Ok();
+}
+
+// The view of the state, which is not null.
+Result<std::shared_ptr<const routing::View>> ControlLink::ViewOf(
+  const distribution::NodeState& aState)
+{
+  const auto checked = std::exchange(m_checkedView, nullptr);
+  if (checked && checked->Settings().At() == aState.m_tree.At()) {
+    return checked;
+  }
+  return routing::View::Build(aState.m_tree, Records(aState.m_endpoints));
+}
+
 // A new version is built at once; changed endpoints wait for the pause to end.
 void ControlLink::BuildWhenDue(TimePoint aNow)
 {
@@ -261,7 +277,7 @@
     return;
   }
   const auto state = std::exchange(m_unbuilt, nullptr);
-  auto view = routing::View::Build(state->m_tree, Records(state->m_endpoints));
+  auto view = ViewOf(*state);
   const TimePoint end = Clock::now();
   m_nextBuild = end + (end - aNow) * kBuildPauseFactor;
   if (!view) {
--- a/apps/wigeonfold-node/ControlLink.h
+++ b/apps/wigeonfold-node/ControlLink.h
@@ -56,6 +56,9 @@
   void Do(const distribution::BecomeReady& aAction);
   void Connect(distribution::SessionId aId, const SocketAddress& aAddress);
   void OnClosed(distribution::SessionId aId, const Error& aError);
+  Status CheckState(const distribution::NodeState& aState);
+  Result<std::shared_ptr<const routing::View>> ViewOf(
+    const distribution::NodeState& aState);
   void BuildWhenDue(TimePoint aNow);
   void Publish();
   void Tick();
@@ -68,6 +71,7 @@
   distribution::Subscriber m_subscriber;
   std::map<distribution::SessionId, Session> m_sessions;
   boost::asio::steady_timer m_tick;
+  std::shared_ptr<const routing::View> m_checkedView; // not applied yet
   distribution::NodeStatePtr m_unbuilt; // applied, but not in a view yet
   TimePoint m_nextBuild{};
   Version m_builtVersion;
--- a/libs/net/src/Http.cpp
+++ b/libs/net/src/Http.cpp
@@ -19,6 +19,9 @@
 
 constexpr std::chrono::minutes kIdleTimeout{ 5 };
 constexpr std::chrono::milliseconds kAcceptRetry{ 100 };
+// A request that has begun to arrive when a drain ends its linger may be
+// completed in this time: a few round trips between zones.
+constexpr std::chrono::milliseconds kUnfinishedRequestWait{ 200 };
 
 using ParsedRequest = http::request<http::string_body>;
 using PlainResponse = http::response<http::string_body>;
@@ -86,6 +89,8 @@
   void Close();
   // Closes the connection if no request is under way or has begun to arrive.
   void CloseIfIdle();
+  // Closes the connection if no whole request has arrived.
+  void CloseIfReading();
   void Detach() { m_server = nullptr; }
   bool IsAttached() const { return m_server != nullptr; }
 
@@ -251,6 +256,24 @@
     }
     if (m_sessions.empty() && m_onDrained) {
       std::exchange(m_onDrained, nullptr)();
+      return;
+    }
+    m_timer.expires_after(kUnfinishedRequestWait);
+    m_timer.async_wait(
+      [this, alive = m_alive](boost::system::error_code aCode) {
+        if (!aCode && *alive) {
+          CloseUnfinished();
+        }
+      });
+  }
+
+  // Callers that never end their request must not hold up the end of the
+  // process.
+  void CloseUnfinished()
+  {
+    const auto sessions = m_sessions;
+    for (const auto& session : sessions) {
+      session->CloseIfReading();
     }
   }
 
@@ -434,6 +457,13 @@
   }
 }
 
+void Session::CloseIfReading()
+{
+  if (m_reading) {
+    Close();
+  }
+}
+
 void Session::Close()
 {
   const auto self = shared_from_this();
--- a/libs/net/test/Http_test.cpp
+++ b/libs/net/test/Http_test.cpp
@@ -80,6 +80,28 @@
   EXPECT_NE(answer.find("Connection: close"), std::string::npos);
 }
 
+// Callers that have sent a part of a request and no more would keep a node from
+// ending until its drain limit.
+TEST_F(HttpTest, DrainDoesNotWaitForRequestsThatNeverEnd)
+{
+  Serve([](HttpRequest, const HttpRespond& aRespond, const HttpOnAbandon&) {
+    aRespond({ 200, {}, "x" });
+  });
+  asio::io_context io;
+  std::vector<asio::ip::tcp::socket> callers;
+  for (int i = 0; i < 20; ++i) {
+    auto& caller = callers.emplace_back(io);
+    caller.connect({ asio::ip::make_address("127.0.0.1"), m_port });
+    asio::write(caller, asio::buffer(std::string("GET / HTTP/1.1\r\nHo")));
+  }
+  EXPECT_EQ(Count(Exchange(m_port, "GET / HTTP/1.0\r\n\r\n"), "200 OK"), 1U);
+  std::promise<void> drained;
+  asio::post(m_io,
+             [&] { m_server->Drain(50ms, [&] { drained.set_value(); }); });
+  // The limit is far above the wait, so that a busy machine does not matter.
+  EXPECT_EQ(drained.get_future().wait_for(20s), std::future_status::ready);
+}
+
 TEST_F(HttpTest, PipelinedRequestsAreAnsweredInOrder)
 {
   Serve([](HttpRequest aRequest, HttpRespond aRespond, const auto&) {
