Ask unreachable nodes whether they are back without a request

A zone is cut off from 31.5 to 36 s. A node that fell silent was avoided for one second; then requests found out that it was still away, and those that may not be repeated were lost: 18 of 158 lines with peer-lost are from 33.0 s on.

Change: an unreachable node stays avoided until it answers. Each half second it is asked over a new connection. Events 2115 and 2116 say when a node took another one for unreachable and reachable.

The new test fails with 5 s between probes.

--- a/apps/wigeonfold-node/CallerSide.cpp
+++ b/apps/wigeonfold-node/CallerSide.cpp
@@ -246,7 +246,19 @@
 
 void CallerSide::OnUnreachable(const std::string& aNodeName)
 {
-  m_tracker.OnUnreachable(aNodeName, Clock::now());
+  const TimePoint now = Clock::now();
+  if (m_tracker.OnUnreachable(aNodeName, now) &&
+      m_log.Admits(EventId::PeerUnreachable, now)) {
+    m_log.Record(EventId::PeerUnreachable, { { "peer", aNodeName } });
+  }
+}
+
+void CallerSide::OnReachable(const std::string& aNodeName)
+{
+  if (m_tracker.OnReachable(aNodeName) &&
+      m_log.Admits(EventId::PeerReachable, Clock::now())) {
+    m_log.Record(EventId::PeerReachable, { { "peer", aNodeName } });
+  }
 }
 
 // An idempotent request is sent elsewhere too, and the first answer counts. If
--- a/apps/wigeonfold-node/CallerSide.h
+++ b/apps/wigeonfold-node/CallerSide.h
@@ -44,6 +44,7 @@
                       wire::CallResponse aResponse);
   void OnGoaway(const std::string& aNodeName);
   void OnUnreachable(const std::string& aNodeName);
+  void OnReachable(const std::string& aNodeName);
   void OnSilent(const forwarding::AttemptKey& aKey);
 
   // Ends calls past their deadline. Call each 10 ms.
--- a/apps/wigeonfold-node/DataPlane.cpp
+++ b/apps/wigeonfold-node/DataPlane.cpp
@@ -90,6 +90,9 @@
   handlers.m_onUnreachable = [this](const std::string& aNodeName) {
     m_callerSide.OnUnreachable(aNodeName);
   };
+  handlers.m_onReachable = [this](const std::string& aNodeName) {
+    m_callerSide.OnReachable(aNodeName);
+  };
   handlers.m_onSilent = [this](const forwarding::AttemptKey& aKey) {
     m_callerSide.OnSilent(aKey);
   };
--- a/apps/wigeonfold-node/PeerClient.cpp
+++ b/apps/wigeonfold-node/PeerClient.cpp
@@ -23,6 +23,10 @@
 // After this silence the connection is taken as lost: a VM that vanished sends
 // no reset.
 constexpr Duration kLossLimit = 1500ms;
+// An unreachable node is asked this often whether it is back, so that no
+// request has to find out.
+constexpr Duration kProbePause = 500ms;
+constexpr Duration kProbeLimit = 30s;
 constexpr Duration kIdleLimit = 60s;
 // A peer that reads more slowly than this is not given further calls.
 constexpr size_t kMaxQueuedBytes = size_t{ 4 } << 20;
@@ -141,8 +145,7 @@
       return current->second;
     }
     const uint64_t old = current->second;
-    link.m_leaving = true;
-    m_current.erase(current);
+    Leave(old);
     RetireIfDone(old);
   }
   const uint64_t id = ++m_lastLink;
@@ -189,7 +192,7 @@
     return;
   }
   if (!aConnection) {
-    m_handlers.m_onUnreachable(std::string(found->second.m_nodeName));
+    NoteUnreachable(found->second);
     Lose(aLink);
     return;
   }
@@ -218,6 +221,9 @@
   }
   Link& link = found->second;
   link.m_lastReceived = Clock::now();
+  if (m_probes.erase(link.m_nodeName) > 0) {
+    m_handlers.m_onReachable(std::string(link.m_nodeName));
+  }
   switch (aFrame.m_type) {
     case FrameType::CallResponse:
       if (OnResponse(link, aFrame)) {
@@ -227,12 +233,8 @@
       }
       break;
     case FrameType::PeerGoaway: {
-      link.m_leaving = true;
       const std::string name = link.m_nodeName;
-      const auto current = m_current.find(name);
-      if (current != m_current.end() && current->second == aLink) {
-        m_current.erase(current);
-      }
+      Leave(aLink);
       m_handlers.m_onGoaway(name);
       RetireIfDone(aLink);
       break;
@@ -306,24 +308,74 @@
   }
 }
 
-// New calls to the node open another connection, since a connection may be
-// silent for good while new ones work.
-void PeerClient::LeaveSilent(uint64_t aLink)
+// New calls to the node open another connection.
+void PeerClient::Leave(uint64_t aLink)
 {
   Link& link = m_links.at(aLink);
-  link.m_silent = true;
   link.m_leaving = true;
   const auto current = m_current.find(link.m_nodeName);
   if (current != m_current.end() && current->second == aLink) {
     m_current.erase(current);
   }
+}
+
+// A connection may be silent for good while new ones work, so it is left.
+void PeerClient::LeaveSilent(uint64_t aLink)
+{
+  Link& link = m_links.at(aLink);
+  link.m_silent = true;
+  Leave(aLink);
   const auto open = link.m_calls.Open();
-  m_handlers.m_onUnreachable(std::string(link.m_nodeName));
+  NoteUnreachable(link);
   for (const forwarding::LostAttempt& call : open) {
     m_handlers.m_onSilent(call.m_key);
   }
 }
 
+// ---- Unreachable nodes -----------------------------------------------------
+
+void PeerClient::NoteUnreachable(const Link& aLink)
+{
+  const TimePoint now = Clock::now();
+  Probe probe;
+  probe.m_endpoint.m_nodeName = aLink.m_nodeName;
+  probe.m_endpoint.m_nodeEpoch = aLink.m_nodeEpoch;
+  probe.m_endpoint.m_nodeAddress = aLink.m_address;
+  probe.m_next = now + kProbePause;
+  probe.m_end = now + kProbeLimit;
+  m_probes.try_emplace(aLink.m_nodeName, probe);
+  m_handlers.m_onUnreachable(std::string(aLink.m_nodeName));
+}
+
+// The node stays unreachable until it answers, so its state is renewed with
+// each probe.
+void PeerClient::SendProbes(TimePoint aNow)
+{
+  std::erase_if(m_probes,
+                [aNow](const auto& aOne) { return aNow >= aOne.second.m_end; });
+  std::vector<routing::Endpoint> due;
+  for (auto& [name, probe] : m_probes) {
+    if (aNow >= probe.m_next) {
+      probe.m_next = aNow + kProbePause;
+      due.push_back(probe.m_endpoint);
+    }
+  }
+  for (const routing::Endpoint& endpoint : due) {
+    m_handlers.m_onUnreachable(endpoint.m_nodeName);
+    const auto current = m_current.find(endpoint.m_nodeName);
+    if (current != m_current.end()) {
+      const uint64_t id = current->second;
+      if (!m_links.at(id).m_connection) {
+        continue; // still connecting
+      }
+      Leave(id);
+      RetireIfDone(id);
+    }
+    Link& link = m_links.at(LinkTo(endpoint));
+    link.m_lastUsed = aNow;
+  }
+}
+
 void PeerClient::Tick(TimePoint aNow)
 {
   std::vector<uint64_t> lost;
@@ -354,12 +406,13 @@
   }
   for (const uint64_t id : lost) {
     // First, so that the calls that are lost do not choose the node again.
-    m_handlers.m_onUnreachable(std::string(m_links.at(id).m_nodeName));
+    NoteUnreachable(m_links.at(id));
     Lose(id);
   }
   for (const uint64_t id : idle) {
     Lose(id); // no calls on it, so nothing is reported
   }
+  SendProbes(aNow);
 }
 
 void PeerClient::CloseAll()
--- a/apps/wigeonfold-node/PeerClient.h
+++ b/apps/wigeonfold-node/PeerClient.h
@@ -48,6 +48,8 @@
   std::function<void(const Version&)> m_onPeerVersion;
   // The node could not be connected to, or its connection fell silent.
   std::function<void(const std::string& aNodeName)> m_onUnreachable;
+  // A node that was unreachable has answered.
+  std::function<void(const std::string& aNodeName)> m_onReachable;
   // The attempt's connection is silent; the answer may still come. The attempt
   // may be withdrawn from inside the call.
   std::function<void(const forwarding::AttemptKey&)> m_onSilent;
@@ -103,6 +105,14 @@
     bool m_silent = false;  // nothing received for kSilenceLimit
   };
 
+  // A node that could not be reached, and when it is asked again.
+  struct Probe
+  {
+    routing::Endpoint m_endpoint;
+    TimePoint m_next{};
+    TimePoint m_end{};
+  };
+
   uint64_t LinkTo(const routing::Endpoint& aEndpoint);
   void OnConnected(uint64_t aLink, Result<net::ConnectionPtr> aConnection);
   void OnFrame(uint64_t aLink, const wire::Frame& aFrame);
@@ -111,6 +121,9 @@
   void RetireIfDone(uint64_t aLink);
   void Lose(uint64_t aLink);
   void LeaveSilent(uint64_t aLink);
+  void Leave(uint64_t aLink);
+  void NoteUnreachable(const Link& aLink);
+  void SendProbes(TimePoint aNow);
 
   boost::asio::io_context& m_io;
   const PeerIdentity& m_identity;
@@ -120,6 +133,7 @@
   uint64_t m_lastLink = 0;
   std::unordered_map<uint64_t, Link> m_links;
   std::unordered_map<std::string, uint64_t> m_current; // by node name
+  std::unordered_map<std::string, Probe> m_probes;     // by node name
   std::shared_ptr<bool> m_alive; // false once this object is destroyed
 };
 
--- a/apps/wigeonfold-node/test/Forwarding_test.cpp
+++ b/apps/wigeonfold-node/test/Forwarding_test.cpp
@@ -174,6 +174,30 @@
   }
 }
 
+// Guards against requests that serve as probes of a part of the fleet that is
+// cut off: those that can't be repeated are lost there, again each second.
+TEST_F(Forwarding, NoRequestIsSentToAnUnreachableNodeToSeeWhetherItIsBack)
+{
+  asio::ip::tcp::acceptor silent(m_io,
+                                 { asio::ip::make_address("127.0.0.1"), 0 });
+  Do([&] {
+    m_target = std::make_unique<TestTarget>(m_io, [](int, const std::string&) {
+      return Reaction{ WholeAnswer("x") };
+    });
+  });
+  Announce(0, m_target->Port());
+  SetView({ Endpoint("n9", silent.local_endpoint().port()), EndpointOf(0) });
+  for (int i = 0; i < 2; ++i) {
+    Call(0, Get("/lots", { { kDeadlineHeader, "2500" } }));
+  }
+  int served = 0;
+  for (int i = 0; i < 60; ++i) {
+    served += Call(0, Post("/lots")).m_status == 200 ? 1 : 0;
+    std::this_thread::sleep_for(50ms);
+  }
+  EXPECT_EQ(served, 60);
+}
+
 // Passes bytes on to a port; those of the way back are held for a while, as
 // when packets are lost.
 class SlowRelay
--- a/libs/base/include/wigeonfold/base/Events.h
+++ b/libs/base/include/wigeonfold/base/Events.h
@@ -84,7 +84,9 @@
   X(RequestFailed,          2111, Info,    "a caller got an answer of the system itself, or a target's failure") \
   X(AttemptRepeated,        2112, Info,    "an attempt ended without success and the request is tried elsewhere") \
   X(RequestNotAdmitted,     2113, Info,    "the node of a target refused a request") \
-  X(DecisionsOmitted,       2114, Warning, "lines about requests were left out to bound the log")
+  X(DecisionsOmitted,       2114, Warning, "lines about requests were left out to bound the log") \
+  X(PeerUnreachable,        2115, Warning, "another node could not be connected to or fell silent; its target is avoided") \
+  X(PeerReachable,          2116, Info,    "an unreachable node answered again")
 // clang-format on
 
 enum class EventId : int
--- a/libs/routing/include/wigeonfold/routing/Tracker.h
+++ b/libs/routing/include/wigeonfold/routing/Tracker.h
@@ -41,7 +41,10 @@
   // The node could not be connected to, or fell silent. Its target takes no
   // calls for a second, however many others are in the same state: calls to a
   // part of the fleet that is cut off wait for nothing.
-  void OnUnreachable(const std::string& aNodeName, TimePoint aNow);
+  // True when the node was not in that state before.
+  bool OnUnreachable(const std::string& aNodeName, TimePoint aNow);
+  // The node answers again. True when it was unreachable before.
+  bool OnReachable(const std::string& aNodeName);
 
   // Estimated calls at the target per slot: own calls in flight plus what
   // others had there at the last answer, while that answer is recent.
--- a/libs/routing/src/Tracker.cpp
+++ b/libs/routing/src/Tracker.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace wigeonfold::routing {
 
@@ -110,12 +111,26 @@
   }
 }
 
-void Tracker::OnUnreachable(const std::string& aNodeName, TimePoint aNow)
+bool Tracker::OnUnreachable(const std::string& aNodeName, TimePoint aNow)
 {
   const auto state = m_states.find(aNodeName);
-  if (state != m_states.end()) {
-    state->second.m_unreachableUntil = aNow + kUnreachableAvoidance;
+  if (state == m_states.end()) {
+    return false;
+  }
+  TimePoint& until = state->second.m_unreachableUntil;
+  const bool isNew = until == TimePoint{};
+  until = aNow + kUnreachableAvoidance;
+  return isNew;
+}
+
+bool Tracker::OnReachable(const std::string& aNodeName)
+{
+  const auto state = m_states.find(aNodeName);
+  if (state == m_states.end()) {
+    return false;
   }
+  const TimePoint until = std::exchange(state->second.m_unreachableUntil, {});
+  return until != TimePoint{};
 }
 
 double Tracker::LoadOf(const Endpoint& aEndpoint, TimePoint aNow) const
--- a/libs/routing/test/Chooser_test.cpp
+++ b/libs/routing/test/Chooser_test.cpp
@@ -176,6 +176,9 @@
     EXPECT_EQ(chooser.Choose(route, {}, tracker, {}, kStart),
               &route.m_endpoints[0]);
   }
+  tracker.OnReachable(route.m_endpoints[2].m_nodeName);
+  EXPECT_FALSE(tracker.IsAvoided(route.m_endpoints[2], kStart));
+  EXPECT_TRUE(tracker.IsAvoided(route.m_endpoints[1], kStart));
   EXPECT_FALSE(tracker.IsAvoided(route.m_endpoints[1], kStart + 1s));
 }
 
