--- a/apps/wigeonfold-node/CallerSide.cpp
+++ b/apps/wigeonfold-node/CallerSide.cpp
@@ -155,9 +155,6 @@
 {
   m_metrics.CountAttempt(aStart.m_attempt > 0);
   aCall.m_request->repeat |= aStart.m_repeat;
-  aCall.m_request->__isset.maxWaitUs = aStart.m_maxWait.has_value();
-  aCall.m_request->maxWaitUs =
-    ToMicroseconds(aStart.m_maxWait.value_or(Duration::zero()));
   aCall.m_lastTarget = aStart.m_endpoint->m_nodeName;
   if (aStart.m_endpoint->m_nodeName == m_nodeName) {
     StartLocal(aId, aCall, aStart.m_attempt);
--- a/apps/wigeonfold-node/TargetSide.cpp
+++ b/apps/wigeonfold-node/TargetSide.cpp
@@ -223,9 +223,6 @@
                         std::chrono::microseconds(aRequest->objectiveLeadUs) -
                         request.m_work;
   }
-  if (aRequest->__isset.maxWaitUs) {
-    request.m_maxWait = std::chrono::microseconds(aRequest->maxWaitUs);
-  }
   ServedCall call{ forwarding::TargetCall(aDeadline) };
   m_bytes += aRequest->body.size();
   call.m_request = std::move(aRequest);
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -39,9 +39,6 @@
   15: string requestId,
   // The request, or the work that made it, may have run before.
   16: bool repeat,
-  // Refuse the request as busy when it would wait longer for a slot, since
-  // another target may have a free one; absent: no such bound.
-  17: optional i64 maxWaitUs,
 }
 
 enum RunState {
--- a/libs/admission/include/wigeonfold/admission/Admission.h
+++ b/libs/admission/include/wigeonfold/admission/Admission.h
@@ -18,7 +18,6 @@
   Draining,     // the target takes no new work
   Displaced,    // gave way to an office with fewer waiting requests
   TooLate,      // no slot would be free in time for an answer of full value
-  Busy,         // no slot is free within the wait that the request allows
 };
 
 const char* ToString(RejectReason aReason);
@@ -88,10 +87,6 @@
   Room CheckRoom(const Request& aRequest) const;
   RejectReason MakeRoom(const Request& aRequest,
                         std::vector<Decision>& aDecisions);
-  // Why a request that finds no free slot may not wait for one.
-  RejectReason CheckExpectedWait(const Request& aRequest,
-                                 Duration aWait,
-                                 TimePoint aNow) const;
   bool IsTooLate(const Request& aRequest, Duration aWait, TimePoint aNow) const;
   Duration RetryAfter(const Request& aRequest,
                       Duration aWait,
--- a/libs/admission/include/wigeonfold/admission/Queue.h
+++ b/libs/admission/include/wigeonfold/admission/Queue.h
@@ -31,8 +31,6 @@
   // Latest start that still makes the answer worth its full value; zero: the
   // deadline alone bounds the wait.
   TimePoint m_startBy{};
-  // Longest wait before the request is better off at another target.
-  Duration m_maxWait = Duration::max();
 };
 
 // Strategy that orders waiting requests. Not thread safe.
--- a/libs/admission/src/Admission.cpp
+++ b/libs/admission/src/Admission.cpp
@@ -30,8 +30,6 @@
       return "displaced";
     case RejectReason::TooLate:
       return "too-late";
-    case RejectReason::Busy:
-      return "busy";
   }
   return "none";
 }
@@ -73,10 +71,8 @@
   Duration wait{};
   if (reason == RejectReason::None && !slotFree) {
     wait = ExpectedWait(aRequest.m_depth, aNow);
-    reason = CheckExpectedWait(aRequest, wait, aNow);
-    if (reason == RejectReason::None) {
-      reason = MakeRoom(aRequest, decisions);
-    }
+    reason = IsTooLate(aRequest, wait, aNow) ? RejectReason::TooLate
+                                             : MakeRoom(aRequest, decisions);
   }
   if (reason != RejectReason::None) {
     decisions.push_back(
@@ -201,17 +197,6 @@
   return std::max(aWait - allowed, kShortestRetryAfter);
 }
 
-RejectReason Admission::CheckExpectedWait(const Request& aRequest,
-                                          Duration aWait,
-                                          TimePoint aNow) const
-{
-  if (aWait > aRequest.m_maxWait) {
-    return RejectReason::Busy;
-  }
-  return IsTooLate(aRequest, aWait, aNow) ? RejectReason::TooLate
-                                          : RejectReason::None;
-}
-
 // A request without a bound, or one that waits for nothing, is never too late:
 // a late answer is worth more than none.
 bool Admission::IsTooLate(const Request& aRequest,
--- a/libs/forwarding/include/wigeonfold/forwarding/Call.h
+++ b/libs/forwarding/include/wigeonfold/forwarding/Call.h
@@ -35,8 +35,6 @@
   int m_attempt = 0;
   const routing::Endpoint* m_endpoint = nullptr;
   bool m_repeat = false; // a target may have run the request before
-  // The endpoint refuses as busy when the request would wait longer for a slot.
-  std::optional<Duration> m_maxWait;
 };
 
 // What the owner does next, in this order: withdraw attempts, start one, end.
@@ -58,11 +56,6 @@
 // paid from the service's budget. A refusal by a target's node costs neither,
 // since the target saw nothing; at most kMaxRefusals are followed by another
 // try. All of it ends at the deadline.
-//
-// A node hears of the load at a target only with its own answers, which are
-// rare in a large fleet. So a request first looks for a free slot: up to
-// kMaxSearches endpoints may only take it if it starts at once. When all are
-// busy it waits where the answers promise the shortest time.
 class Call
 {
 public:
@@ -93,10 +86,6 @@
 
   // Refusals by targets' nodes after which the request is tried elsewhere.
   static constexpr size_t kMaxRefusals = 3;
-  // Busy endpoints after which a request waits for a slot.
-  static constexpr size_t kMaxSearches = 2;
-  // A shorter wait ends before another node would have answered.
-  static constexpr Duration kSearchWait = std::chrono::milliseconds(5);
   // With less time left until the deadline no other target can answer: the way
   // there and back across zones takes this long.
   static constexpr Duration kMinRepeatTime = std::chrono::milliseconds(20);
@@ -118,9 +107,6 @@
   routing::AttemptResult ResultOf(Outcome aOutcome, TimePoint aNow) const;
   Duration UntilObjective(TimePoint aNow) const;
   std::optional<StartAttempt> StartNext(TimePoint aNow);
-  const routing::Endpoint* Choose(const std::vector<std::string>& aExcluded,
-                                  TimePoint aNow) const;
-  const routing::Endpoint* ChooseForSearch(TimePoint aNow) const;
   CallStep End(
     Outcome aOutcome,
     TimePoint aNow,
@@ -132,8 +118,6 @@
   RetryBudget& m_budget;
   CallContext m_context;
   std::vector<std::string> m_tried;
-  std::vector<std::string> m_busy; // had no free slot; may be tried again
-  int m_started = 0;               // attempts so far
   std::vector<Attempt> m_outstanding;
   // First attempt whose fate is unknown. Once set, no later rejection may
   // claim that the request did not run.
--- a/libs/forwarding/include/wigeonfold/forwarding/Outcome.h
+++ b/libs/forwarding/include/wigeonfold/forwarding/Outcome.h
@@ -33,7 +33,6 @@
   QueueTimeout,
   Displaced,
   TooLate, // an answer would come after the latency objective
-  Busy,    // no free slot; only told to nodes that look for one
   Draining,
   // Failed on the way.
   ExpiredBeforeWrite,
--- a/libs/forwarding/src/Call.cpp
+++ b/libs/forwarding/src/Call.cpp
@@ -58,10 +58,6 @@
   const OutcomeInfo& info = InfoOf(aOutcome);
   m_context.m_tracker.OnEnded(
     m_route, *attempt->m_endpoint, ResultOf(aOutcome, aNow), aLoad, aNow);
-  if (aOutcome == Outcome::Busy) {
-    m_busy.push_back(attempt->m_endpoint->m_nodeName);
-    m_tried.erase(std::find(m_tried.begin(), m_tried.end(), m_busy.back()));
-  }
   m_outstanding.erase(attempt);
   if (aOutcome == Outcome::Answered) {
     return End(aOutcome, aNow);
@@ -70,9 +66,7 @@
     m_unknown = aOutcome;
   }
   m_failureAnswered |= aOutcome == Outcome::AnsweredFailure;
-  if (aOutcome != Outcome::Busy) {
-    ++(MayHaveArrived(aOutcome) ? m_arrivals : m_refusals);
-  }
+  ++(MayHaveArrived(aOutcome) ? m_arrivals : m_refusals);
   if (!m_outstanding.empty()) {
     return {};
   }
@@ -134,52 +128,25 @@
   return std::max(m_spec.m_objective - aNow, Duration::zero());
 }
 
-const routing::Endpoint* Call::Choose(const std::vector<std::string>& aExcluded,
-                                      TimePoint aNow) const
-{
-  return m_context.m_chooser.Choose(
-    m_route, aExcluded, m_context.m_tracker, UntilObjective(aNow), aNow);
-}
-
-// Endpoint that may take the request only if it starts at once, or nullptr when
-// the request has to wait where it is sent next.
-const routing::Endpoint* Call::ChooseForSearch(TimePoint aNow) const
-{
-  const size_t left = m_route.m_endpoints.size() - m_tried.size();
-  if (m_busy.size() >= kMaxSearches || left < 2) {
-    return nullptr;
-  }
-  std::vector<std::string> excluded = m_tried;
-  excluded.insert(excluded.end(), m_busy.begin(), m_busy.end());
-  return Choose(excluded, aNow);
-}
-
-// Next attempt at an endpoint not tried yet, or one that was only busy.
+// Next attempt at an endpoint not tried yet.
 std::optional<StartAttempt> Call::StartNext(TimePoint aNow)
 {
+  const int number = static_cast<int>(m_tried.size());
   const size_t arrivals = m_arrivals + m_outstanding.size();
   if (arrivals >= static_cast<size_t>(m_spec.m_maxAttempts) ||
       m_refusals > kMaxRefusals) {
     return std::nullopt;
   }
-  const routing::Endpoint* endpoint = ChooseForSearch(aNow);
-  StartAttempt start;
-  if (endpoint != nullptr) {
-    start.m_maxWait = kSearchWait;
-  } else {
-    endpoint = Choose(m_tried, aNow);
-  }
+  const routing::Endpoint* endpoint = m_context.m_chooser.Choose(
+    m_route, m_tried, m_context.m_tracker, UntilObjective(aNow), aNow);
   if (endpoint == nullptr ||
       (arrivals > 0 && !m_budget.TryRetry(m_route.m_retryBudgetPercent))) {
     return std::nullopt;
   }
-  start.m_attempt = m_started++;
-  start.m_endpoint = endpoint;
-  start.m_repeat = arrivals > 0;
   m_tried.push_back(endpoint->m_nodeName);
-  m_outstanding.push_back(Attempt{ start.m_attempt, endpoint, false });
+  m_outstanding.push_back(Attempt{ number, endpoint, false });
   m_context.m_tracker.OnSent(*endpoint);
-  return start;
+  return StartAttempt{ number, endpoint, arrivals > 0 };
 }
 
 // Ends the call; attempts still under way are withdrawn and count as
--- a/libs/forwarding/src/Outcome.cpp
+++ b/libs/forwarding/src/Outcome.cpp
@@ -32,7 +32,6 @@
     { Outcome::QueueTimeout,         "queue-timeout",         RunState::NotRun,  503, true,  true,  Result::Refused },
     { Outcome::Displaced,            "displaced",             RunState::NotRun,  503, true,  true,  Result::Refused },
     { Outcome::TooLate,              "too-late",              RunState::NotRun,  503, true,  true,  Result::Refused },
-    { Outcome::Busy,                 "busy",                  RunState::NotRun,  503, true,  true,  Result::Refused },
     { Outcome::Draining,             "draining",              RunState::NotRun,  503, true,  true,  Result::Draining },
     { Outcome::ExpiredBeforeWrite,   "expired-before-write",  RunState::NotRun,  504, false, false, Result::Refused },
     { Outcome::ExpiredAfterWrite,    "expired-after-write",   RunState::Unknown, 504, false, false, Result::Failed },
@@ -96,8 +95,6 @@
       return Outcome::Displaced;
     case admission::RejectReason::TooLate:
       return Outcome::TooLate;
-    case admission::RejectReason::Busy:
-      return Outcome::Busy;
   }
   return Outcome::QueueFull;
 }
--- a/libs/wire/gen/include/wigeonfold/wire/gen/peer_types.h
+++ b/libs/wire/gen/include/wigeonfold/wire/gen/peer_types.h
@@ -170,7 +170,7 @@
 std::ostream& operator<<(std::ostream& out, const PeerHello& obj);
 
 typedef struct _CallRequest__isset {
-  _CallRequest__isset() : callId(false), serviceName(false), office(false), method(false), path(false), headers(false), body(false), deadlineUs(false), depth(false), idempotent(false), callerService(false), priority(false), objectiveLeadUs(false), route(false), requestId(false), repeat(false), maxWaitUs(false) {}
+  _CallRequest__isset() : callId(false), serviceName(false), office(false), method(false), path(false), headers(false), body(false), deadlineUs(false), depth(false), idempotent(false), callerService(false), priority(false), objectiveLeadUs(false), route(false), requestId(false), repeat(false) {}
   bool callId :1;
   bool serviceName :1;
   bool office :1;
@@ -187,7 +187,6 @@
   bool route :1;
   bool requestId :1;
   bool repeat :1;
-  bool maxWaitUs :1;
 } _CallRequest__isset;
 
 class CallRequest : public virtual ::apache::thrift::TBase {
@@ -212,8 +211,7 @@
                 objectiveLeadUs(0),
                 route(),
                 requestId(),
-                repeat(0),
-                maxWaitUs(0) {
+                repeat(0) {
   }
 
   virtual ~CallRequest() noexcept;
@@ -233,7 +231,6 @@
   std::string route;
   std::string requestId;
   bool repeat;
-  int64_t maxWaitUs;
 
   _CallRequest__isset __isset;
 
@@ -269,8 +266,6 @@
 
   void __set_repeat(const bool val);
 
-  void __set_maxWaitUs(const int64_t val);
-
   bool operator == (const CallRequest & rhs) const
   {
     if (!(callId == rhs.callId))
@@ -307,10 +302,6 @@
       return false;
     if (!(repeat == rhs.repeat))
       return false;
-    if (__isset.maxWaitUs != rhs.__isset.maxWaitUs)
-      return false;
-    else if (__isset.maxWaitUs && !(maxWaitUs == rhs.maxWaitUs))
-      return false;
     return true;
   }
   bool operator != (const CallRequest &rhs) const {
--- a/libs/wire/gen/src/peer_types.cpp
+++ b/libs/wire/gen/src/peer_types.cpp
@@ -405,11 +405,6 @@
 void CallRequest::__set_repeat(const bool val) {
   this->repeat = val;
 }
-
-void CallRequest::__set_maxWaitUs(const int64_t val) {
-  this->maxWaitUs = val;
-__isset.maxWaitUs = true;
-}
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj)
 {
   obj.printTo(out);
@@ -578,14 +573,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 17:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->maxWaitUs);
-          this->__isset.maxWaitUs = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -676,11 +663,6 @@
   xfer += oprot->writeBool(this->repeat);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.maxWaitUs) {
-    xfer += oprot->writeFieldBegin("maxWaitUs", ::apache::thrift::protocol::T_I64, 17);
-    xfer += oprot->writeI64(this->maxWaitUs);
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -704,7 +686,6 @@
   swap(a.route, b.route);
   swap(a.requestId, b.requestId);
   swap(a.repeat, b.repeat);
-  swap(a.maxWaitUs, b.maxWaitUs);
   swap(a.__isset, b.__isset);
 }
 
@@ -725,7 +706,6 @@
   route = other14.route;
   requestId = other14.requestId;
   repeat = other14.repeat;
-  maxWaitUs = other14.maxWaitUs;
   __isset = other14.__isset;
 }
 CallRequest::CallRequest(CallRequest&& other15) noexcept {
@@ -745,7 +725,6 @@
   route = std::move(other15.route);
   requestId = std::move(other15.requestId);
   repeat = other15.repeat;
-  maxWaitUs = other15.maxWaitUs;
   __isset = other15.__isset;
 }
 CallRequest& CallRequest::operator=(const CallRequest& other16) {
@@ -765,7 +744,6 @@
   route = other16.route;
   requestId = other16.requestId;
   repeat = other16.repeat;
-  maxWaitUs = other16.maxWaitUs;
   __isset = other16.__isset;
   return *this;
 }
@@ -786,7 +764,6 @@
   route = std::move(other17.route);
   requestId = std::move(other17.requestId);
   repeat = other17.repeat;
-  maxWaitUs = other17.maxWaitUs;
   __isset = other17.__isset;
   return *this;
 }
@@ -809,7 +786,6 @@
   out << ", " << "route=" << to_string(route);
   out << ", " << "requestId=" << to_string(requestId);
   out << ", " << "repeat=" << to_string(repeat);
-  out << ", " << "maxWaitUs="; (__isset.maxWaitUs ? (out << to_string(maxWaitUs)) : (out << "<null>"));
   out << ")";
 }
 
