Let a repeated replacement of a member go on where it stopped

'members replace' of a lost control VM that was broken off after the old member's removal can't be repeated: the name then belongs to the new member ('the new member needs another id') or to nobody ('no member'), though the command itself asks to be run again.

Change: a replacement without the member to replace goes on with the steps that are left; the client asks for that when the name is the new member's, or when nobody has the name that the new member takes over. A mistyped name is refused.

ClientTest.RepeatedReplacementGoesOnWhereItStopped and the new part of OperatorApiTest.ParsesMemberRequests failed before, and pass now.

--- a/apps/wigeonfold/ClusterCommands.cpp
+++ b/apps/wigeonfold/ClusterCommands.cpp
@@ -124,15 +124,22 @@
                      : arguments.m_command == Command::MembersPromote
                        ? registry::MemberAction::Promote
                        : registry::MemberAction::Replace;
+  request.m_member.memberId =
+    settings::ParseInteger(arguments.m_newId).value_or(0);
   if (!arguments.m_member.empty()) {
     const auto id = FindMember(aSession, arguments.m_member);
-    if (!id) {
+    // An earlier run may have removed the member whose name the new one takes
+    // over, and may have added the new one.
+    const bool isRemoved =
+      request.m_action == registry::MemberAction::Replace &&
+      (id ? id.value() == request.m_member.memberId
+          : id.error().m_code == ErrorCode::NotFound &&
+              arguments.m_member == arguments.m_name);
+    if (!id && !isRemoved) {
       return id.error();
     }
-    request.m_memberId = id.value();
+    request.m_memberId = isRemoved ? 0 : id.value();
   }
-  request.m_member.memberId =
-    settings::ParseInteger(arguments.m_newId).value_or(0);
   request.m_member.name = arguments.m_name;
   request.m_member.availabilityZone = arguments.m_zone;
   request.m_member.peerAddress = arguments.m_peerAddress;
--- a/apps/wigeonfold/test/Client_test.cpp
+++ b/apps/wigeonfold/test/Client_test.cpp
@@ -124,6 +124,7 @@
   std::deque<Fault> m_faults; // of the next POSTs to the leader
   std::function<void()> m_beforePost = [] {};
   bool m_secondDown = false;
+  std::string m_posted; // body of the last POST that the leader took
   std::string m_draft;
   std::ostringstream m_out;
   std::ostringstream m_err;
@@ -182,6 +183,7 @@
       reply = *redirect;
     } else {
       m_beforePost();
+      m_posted = aRequest.m_body;
       reply = Post(aRequest.m_body);
     }
     if (fault == Fault::LostAnswer) {
@@ -373,6 +375,43 @@
   EXPECT_EQ(fake.Run({ "members", "remove", "c9" }), ExitStatus::Failed);
 }
 
+// ---- Members ---------------------------------------------------------------
+
+// A replacement that is broken off after the lost member was removed: its name
+// is then that of the new member, or nobody's. Repeating the command must go on
+// with the steps that are left.
+TEST(ClientTest, RepeatedReplacementGoesOnWhereItStopped)
+{
+  Fake fake;
+  const auto replace = [&](const char* aOld, const char* aName) {
+    fake.m_posted.clear();
+    fake.Run({ "members",
+               "replace",
+               aOld,
+               "9",
+               aName,
+               "az2",
+               "127.0.0.1:12",
+               "127.0.0.1:2" });
+    return fake.m_posted;
+  };
+  const std::string rest = R"({"action":"replace","member":{"memberId":"9",)"
+                           R"("name":"c2","availabilityZone":"az2",)"
+                           R"("peerAddress":"127.0.0.1:12",)"
+                           R"("apiAddress":"127.0.0.1:2"}})";
+  fake.m_cluster.m_members.pop_back();
+  EXPECT_EQ(replace("c2", "c2"), rest);
+  wire::Member added = fake.m_cluster.m_members.front().m_member;
+  added.memberId = 9;
+  added.name = "c2";
+  fake.m_cluster.m_members.push_back({ added, 0ms, true });
+  EXPECT_EQ(replace("c2", "c2"), rest);
+  // A name that nobody has and that the new member does not take over is a
+  // mistake.
+  EXPECT_EQ(replace("c7", "c2"), "");
+  EXPECT_NE(fake.m_err.str().find("no member c7"), std::string::npos);
+}
+
 // ---- Draft file ------------------------------------------------------------
 
 TEST(DraftTest, DamagedFileIsNeverADraft)
--- a/libs/registry/include/wigeonfold/registry/OperatorApi.h
+++ b/libs/registry/include/wigeonfold/registry/OperatorApi.h
@@ -104,8 +104,9 @@
 struct MemberRequest
 {
   MemberAction m_action = MemberAction::Add;
-  int64_t m_memberId = 0; // Promote, Remove, Replace: the present member
-  wire::Member m_member;  // Add, Replace: the new one; voter is ignored
+  // Promote, Remove, Replace: the present member; 0: it is removed already.
+  int64_t m_memberId = 0;
+  wire::Member m_member; // Add, Replace: the new one; voter is ignored
 };
 
 // The body of POST /v1/members. Fails like ParseAccept.
--- a/libs/registry/src/OperatorChange.cpp
+++ b/libs/registry/src/OperatorChange.cpp
@@ -252,7 +252,8 @@
   } else {
     reader.AddProblem("action", "not add, promote, remove or replace");
   }
-  if (!add) {
+  // A replacement without a member to replace goes on after its removal.
+  if (replace ? reader.Find("memberId") != nullptr : !add) {
     request.m_memberId = reader.Id("memberId");
   }
   if (replace && request.m_memberId == request.m_member.memberId) {
@@ -281,10 +282,13 @@
       return Dump({ { "action", "promote" }, { "memberId", present } });
     case MemberAction::Remove:
       return Dump({ { "action", "remove" }, { "memberId", present } });
-    case MemberAction::Replace:
-      return Dump({ { "action", "replace" },
-                    { "memberId", present },
-                    { "member", added } });
+    case MemberAction::Replace: {
+      Json replace{ { "action", "replace" }, { "member", added } };
+      if (aRequest.m_memberId != 0) {
+        replace["memberId"] = present;
+      }
+      return Dump(replace);
+    }
   }
   return "{}";
 }
--- a/libs/registry/test/OperatorApi_test.cpp
+++ b/libs/registry/test/OperatorApi_test.cpp
@@ -235,6 +235,14 @@
                                           "add c3 (4) as a learner",
                                           "promote c3 (4) to voter." };
   EXPECT_EQ(Steps(three, Replacement(samePlace)), inPlace);
+
+  wire::Membership two;
+  two.members = { Member(1, true), Member(2, true) };
+  MemberRequest rest = Replacement(samePlace);
+  rest.m_memberId = 0; // removed by an earlier run
+  const std::vector<std::string> left{ "add c3 (4) as a learner",
+                                       "promote c3 (4) to voter." };
+  EXPECT_EQ(Steps(two, rest), left);
 }
 
 TEST(OperatorApiTest, RefusesUnsafeMembershipSteps)
@@ -266,6 +274,12 @@
     "apiAddress":"127.0.0.1:7104"}})");
   ASSERT_TRUE(request.has_value());
   EXPECT_EQ(request.value().m_member, Member(4, false));
+  const auto goneOn = ParseMemberRequest(
+    R"({"action":"replace","member":{"memberId":"4",
+    "name":"c4","availabilityZone":"az1","peerAddress":"127.0.0.1:7004",
+    "apiAddress":"127.0.0.1:7104"}})");
+  ASSERT_TRUE(goneOn.has_value());
+  EXPECT_EQ(goneOn.value().m_memberId, 0);
   const auto bad = ParseMemberRequest(
     R"({"action":"add","memberId":"3","member":{"memberId":"x",
     "name":"c4","availabilityZone":"az1","peerAddress":"here"}})");
