Leave connections between control VMs that fell silent

Change: the side that opened a connection repeats its hello twice a second, the other side answers. A connection without a frame for 2 s is closed and opened anew. A process that stood still itself starts to count anew. Ruled out: TCP keep-alive, which a VM that is busy or suspended answers too.

PeerLinksTest.LeavesAConnectionThatFellSilent does not end with a limit of 2 hours (timed out after 6 s), and passes with 2 s.

--- a/apps/wigeonfold-control/ControlSettings.cpp
+++ b/apps/wigeonfold-control/ControlSettings.cpp
@@ -142,6 +142,7 @@
   ReadLimits(aFile, settings);
   settings.m_linkFaults =
     net::ReadLinkFaults(aFile, settings.m_peerListen.m_host);
+  settings.m_diskRules = aFile.String("fault-injection", "disk-rules", "");
   const auto& voters = settings.m_initialVoters;
   if (!voters.empty() && !settings.m_bootstrap) {
     aFile.AddProblem(kControl, "initial-voters", "needs bootstrap = true");
--- a/apps/wigeonfold-control/ControlSettings.h
+++ b/apps/wigeonfold-control/ControlSettings.h
@@ -45,6 +45,7 @@
   // The platform's interface for operators, and its address told to others.
   std::optional<SocketAddress> m_operatorListen;
   net::LinkFaults m_linkFaults; // for tests of whole processes
+  std::string m_diskRules;      // file with a disk fault; empty: none
 
   consensus::RaftSettings m_raft;
   discovery::EndpointTableOptions m_endpoints;
--- a/apps/wigeonfold-control/PeerLinks.cpp
+++ b/apps/wigeonfold-control/PeerLinks.cpp
@@ -11,6 +11,13 @@
 constexpr Duration kBackoffBase = 50ms;
 // Short enough that a returned VM takes part again within an election timeout.
 constexpr Duration kBackoffMax = 1s;
+// Pause between questions for a sign of life.
+constexpr Duration kAskPause = 500ms;
+// Three questions fit. A VM that is busy or behind lossy links answers in time.
+constexpr Duration kSilenceLimit = 2s;
+// After a longer pause between ticks this process stood still itself, which
+// says nothing of the connections.
+constexpr Duration kMaxTickPause = 500ms;
 // Raft messages are dropped beyond this backlog: 8 appends of 256 KiB.
 constexpr size_t kCongestedBytes = size_t{ 4 } << 20;
 
@@ -54,9 +61,7 @@
                               m_settings.m_peerListen,
                               Handlers(),
                               [this](const net::ConnectionPtr& aConnection) {
-                                Link link;
-                                link.m_connection = aConnection;
-                                m_links[aConnection.get()] = link;
+                                AddLink(aConnection, false);
                                 SendHello(aConnection);
                               });
   if (!listener) {
@@ -66,6 +71,11 @@
   return Ok();
 }
 
+SocketAddress PeerLinks::Address() const
+{
+  return { m_settings.m_peerListen.m_host, m_listener->Port() };
+}
+
 void PeerLinks::Stop()
 {
   m_stopped = true;
@@ -129,8 +139,41 @@
 
 // ---- Outgoing connections --------------------------------------------------
 
+PeerLinks::Link& PeerLinks::AddLink(const net::ConnectionPtr& aConnection,
+                                    bool aOutgoing)
+{
+  Link& link = m_links[aConnection.get()];
+  link.m_connection = aConnection;
+  link.m_outgoing = aOutgoing;
+  link.m_heard = Clock::now();
+  link.m_asked = link.m_heard;
+  return link;
+}
+
+void PeerLinks::CheckLinks(TimePoint aNow)
+{
+  const bool stoodStill = aNow - m_lastTick > kMaxTickPause;
+  m_lastTick = aNow;
+  std::vector<net::ConnectionPtr> silent;
+  for (auto& [key, link] : m_links) {
+    if (stoodStill) {
+      link.m_heard = aNow;
+    }
+    if (aNow - link.m_heard > kSilenceLimit) {
+      silent.push_back(link.m_connection);
+    } else if (link.m_outgoing && aNow - link.m_asked >= kAskPause) {
+      link.m_asked = aNow;
+      SendHello(link.m_connection);
+    }
+  }
+  for (const net::ConnectionPtr& connection : silent) {
+    Drop(connection);
+  }
+}
+
 void PeerLinks::Tick(TimePoint aNow)
 {
+  CheckLinks(aNow);
   for (auto& [key, dial] : m_dials) {
     if (!dial.m_busy && !dial.m_self && aNow >= dial.m_next && !m_stopped) {
       Open(dial);
@@ -162,11 +205,8 @@
     Retry(dial);
     return;
   }
-  Link link;
-  link.m_connection = aResult.value();
-  link.m_outgoing = true;
+  const Link& link = AddLink(aResult.value(), true);
   dial.m_connection = link.m_connection.get();
-  m_links[link.m_connection.get()] = link;
   SendHello(link.m_connection);
 }
 
@@ -217,6 +257,7 @@
     return;
   }
   const std::string& peer = aConnection->Peer();
+  found->second.m_heard = Clock::now();
   const bool known = found->second.m_memberId != 0;
   bool good = false;
   if (aFrame.m_type == FrameType::ControlHello) {
@@ -272,6 +313,9 @@
                    { "member", std::to_string(aHello.memberId) },
                    { "peer", aConnection->Peer() } });
   }
+  if (link.m_memberId != 0 && !link.m_outgoing) {
+    SendHello(aConnection); // the other side asks for a sign of life
+  }
   link.m_memberId = aHello.memberId;
   link.m_name = aHello.name;
   if (dial) {
--- a/apps/wigeonfold-control/PeerLinks.h
+++ b/apps/wigeonfold-control/PeerLinks.h
@@ -33,7 +33,9 @@
 
 // A connection may be opened by either side, and by both. Each side says
 // ControlHello first; messages to a member use the connection that this VM
-// opened if there is one. All methods run on the thread of the io_context.
+// opened if there is one. The side that opened a connection repeats its hello,
+// which the other one answers, so that both notice a connection that fell
+// silent. All methods run on the thread of the io_context.
 class PeerLinks
 {
 public:
@@ -57,7 +59,10 @@
   // Further addresses to connect to.
   void AddSeeds(const std::vector<SocketAddress>& aSeeds);
 
-  // Opens connections that are due. Call every 50 ms.
+  // Address that others connect to. Precondition: Start() succeeded.
+  SocketAddress Address() const;
+
+  // Opens connections that are due and leaves silent ones. Call every 50 ms.
   void Tick(TimePoint aNow);
 
   // Drops the message when there is no connection or it is congested; Raft
@@ -77,6 +82,8 @@
     int64_t m_memberId = 0;
     std::string m_name;
     bool m_outgoing = false;
+    TimePoint m_heard; // last frame
+    TimePoint m_asked; // last hello for a sign of life
   };
   // An address that this VM connects to.
   struct Dial
@@ -89,6 +96,8 @@
     net::Connection* m_connection = nullptr;
   };
 
+  Link& AddLink(const net::ConnectionPtr& aConnection, bool aOutgoing);
+  void CheckLinks(TimePoint aNow);
   void AddDial(const SocketAddress& aAddress);
   void Open(Dial& aDial);
   void OnOpened(const std::string& aKey, Result<net::ConnectionPtr> aResult);
@@ -114,6 +123,7 @@
   std::unique_ptr<net::Listener> m_listener;
   std::map<std::string, Dial> m_dials; // by address
   std::map<net::Connection*, Link> m_links;
+  TimePoint m_lastTick;
   bool m_stopped = false;
 };
 
--- a/apps/wigeonfold-control/Process.cpp
+++ b/apps/wigeonfold-control/Process.cpp
@@ -6,6 +6,7 @@
 #include "StorageWorker.h"
 
 #include "wigeonfold/net/ReloadWatch.h"
+#include "wigeonfold/storage/FaultyFileSystem.h"
 
 #include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
@@ -120,12 +121,18 @@
 
   bool OpenStorage()
   {
-    m_files = storage::MakePosixFileSystem(
-      [this](const Error& aError) { return WaitForSpace(aError); });
+    const auto onNoSpace = [this](const Error& aError) {
+      return WaitForSpace(aError);
+    };
+    m_disk = storage::MakePosixFileSystem(onNoSpace);
+    if (!m_settings.m_diskRules.empty()) {
+      m_faultyDisk = storage::MakeFaultyFileSystem(
+        *m_disk, m_settings.m_diskRules, onNoSpace);
+    }
     storage::StorageSettings settings;
     settings.m_folder = m_settings.m_dataFolder;
     auto opened = storage::Storage::Open(
-      *m_files,
+      m_faultyDisk ? *m_faultyDisk : *m_disk,
       settings,
       RandomSeed(),
       [this](EventId aId, std::vector<EventField> aFields) {
@@ -311,7 +318,8 @@
   boost::asio::signal_set m_signals;
   std::unique_ptr<net::ReloadWatch> m_reload;
   boost::asio::steady_timer m_limit;
-  std::unique_ptr<storage::FileSystem> m_files;
+  std::unique_ptr<storage::FileSystem> m_disk;
+  std::unique_ptr<storage::FileSystem> m_faultyDisk; // for tests; uses m_disk
   Channels m_channels;
   Loop m_coreLoop;
   Loop m_storageLoop;
--- /dev/null
+++ b/apps/wigeonfold-control/test/PeerLinks_test.cpp
@@ -0,0 +1,135 @@
+// Guards against control VMs that stay apart because a connection between them
+// fell silent without a reset, as when a middlebox forgets it.
+#include "PeerLinks.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <gtest/gtest.h>
+
+namespace wigeonfold::control {
+namespace {
+
+using namespace std::chrono_literals;
+using wire::FrameType;
+
+// A control VM that accepts connections and says hello once on each, if at all.
+class SilentPeer
+{
+public:
+  SilentPeer(boost::asio::io_context& aIo, bool aSaysHello)
+  {
+    net::ConnectionHandlers handlers;
+    handlers.m_onFrame = [](const auto&, const auto&) {};
+    m_listener = std::move(
+      net::Listen(aIo,
+                  { "127.0.0.1", 0 },
+                  std::move(handlers),
+                  [this, aSaysHello](const net::ConnectionPtr& aConnection) {
+                    m_connections.push_back(aConnection);
+                    if (aSaysHello) {
+                      wire::ControlHello hello;
+                      hello.memberId = 2;
+                      hello.name = "c2";
+                      aConnection->Send(FrameType::ControlHello, hello);
+                    }
+                  })
+        .value());
+  }
+
+  SocketAddress Address() const { return { "127.0.0.1", m_listener->Port() }; }
+  size_t Connections() const { return m_connections.size(); }
+
+private:
+  std::unique_ptr<net::Listener> m_listener;
+  std::vector<net::ConnectionPtr> m_connections;
+};
+
+class PeerLinksTest : public testing::Test
+{
+protected:
+  PeerLinksTest()
+  {
+    m_settings.m_name = "c1";
+    m_settings.m_peerListen = { "127.0.0.1", 0 };
+  }
+
+  PeerLinks Make(int64_t aMemberId)
+  {
+    return PeerLinks(m_io,
+                     m_settings,
+                     aMemberId,
+                     1,
+                     m_log,
+                     { [](const auto&) {}, [](auto) {}, [](auto&, auto&) {} });
+  }
+
+  // Ticks like the network thread until the condition holds.
+  template<class Condition>
+  void RunUntil(const std::vector<PeerLinks*>& aLinks, Condition aCondition)
+  {
+    boost::asio::steady_timer timer(m_io);
+    std::function<void()> tick = [&] {
+      for (PeerLinks* links : aLinks) {
+        links->Tick(Clock::now());
+      }
+      if (aCondition()) {
+        m_io.stop();
+        return;
+      }
+      timer.expires_after(50ms);
+      timer.async_wait([&](boost::system::error_code) { tick(); });
+    };
+    tick();
+    m_io.run();
+    m_io.restart();
+  }
+
+  EventLog m_log{ "test", 100 };
+  boost::asio::io_context m_io;
+  ControlSettings m_settings;
+};
+
+TEST_F(PeerLinksTest, LeavesAConnectionThatFellSilent)
+{
+  SilentPeer peer(m_io, true);
+  m_settings.m_seeds = { peer.Address() };
+  PeerLinks links = Make(1);
+  ASSERT_TRUE(links.Start());
+  RunUntil({ &links }, [&] { return links.Members().count(2) == 1; });
+  RunUntil({ &links }, [&] { return peer.Connections() >= 2; });
+}
+
+TEST_F(PeerLinksTest, LeavesAConnectionThatNeverSaidHello)
+{
+  SilentPeer peer(m_io, false);
+  m_settings.m_seeds = { peer.Address() };
+  PeerLinks links = Make(1);
+  ASSERT_TRUE(links.Start());
+  RunUntil({ &links }, [&] { return peer.Connections() >= 2; });
+}
+
+// Both sides ask for signs of life, so an idle connection is kept.
+TEST_F(PeerLinksTest, KeepsAnIdleConnection)
+{
+  PeerLinks first = Make(1);
+  ASSERT_TRUE(first.Start());
+  ControlSettings other = m_settings;
+  other.m_seeds = { first.Address() };
+  PeerLinks second(m_io,
+                   other,
+                   2,
+                   1,
+                   m_log,
+                   { [](const auto&) {}, [](auto) {}, [](auto&, auto&) {} });
+  ASSERT_TRUE(second.Start());
+  int ticks = 0;
+  constexpr int kTicks = 50; // more than the time after which silence counts
+  RunUntil({ &first, &second }, [&] { return ++ticks > kTicks; });
+  EXPECT_EQ(first.Members().count(2), 1U);
+  EXPECT_EQ(second.Members().count(1), 1U);
+  for (const Event& event : m_log.Since(HybridTime{})) {
+    EXPECT_NE(event.m_id, EventId::PeerLost);
+  }
+}
+
+} // namespace
+} // namespace wigeonfold::control
