Ask other nodes for their version before a node that starts is ready

The control VM that it asks has just started too and knows only what was committed when it last wrote; a node heard of other nodes' versions only with the calls that it got or made, and made none while it was not ready.

Change: a node that is not ready greets up to eight other nodes that its configuration names; their hello carries the version that they have in force, which raises the floor. Ruled out: waiting for a control VM that is current, since a zone that is cut off has to go on serving.

Forwarding.ANodeThatIsNotReadyAsksOthersForTheirVersion does not end without the greeting, and passes with it.

--- a/apps/wigeonfold-node/DataPlane.cpp
+++ b/apps/wigeonfold-node/DataPlane.cpp
@@ -1,5 +1,6 @@
 #include "DataPlane.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace wigeonfold::node {
@@ -11,6 +12,9 @@
 // Bounds how late deadlines and queue timeouts are noticed.
 constexpr Duration kTick = 10ms;
 constexpr int kTicksPerSecond = 100;
+// Nodes asked for their version before this one is ready. Some of them may be
+// gone or have started just now as well.
+constexpr size_t kGreetedPeers = 8;
 constexpr int kTicksPerPeerCheck = 5;
 constexpr Duration kPeerCloseWait = 2s;
 
@@ -66,6 +70,7 @@
                  m_target,
                  aLog,
                  [this](const Version& aVersion) { OnPeerVersion(aVersion); })
+  , m_random(SeedOf(aSettings, aNodeEpoch))
   , m_tick(aIo)
   , m_linger(aIo)
 {
@@ -210,6 +215,33 @@
   }
 }
 
+// A node that starts must not serve an older version than an earlier run of it
+// did. The control VM may not know the newest one when it has just started
+// itself, so other nodes are asked too.
+void DataPlane::GreetPeers()
+{
+  if (m_ready || !m_view) {
+    return;
+  }
+  std::vector<const routing::Endpoint*> others;
+  for (const std::string& name : m_view->Settings().Children("services")) {
+    for (const routing::Endpoint& endpoint : m_view->Find(name)->m_endpoints) {
+      if (endpoint.m_nodeName != m_settings.m_name &&
+          m_greeted.count(endpoint.m_nodeName) == 0) {
+        others.push_back(&endpoint);
+      }
+    }
+  }
+  std::shuffle(others.begin(), others.end(), m_random);
+  for (const routing::Endpoint* endpoint : others) {
+    if (m_greeted.size() >= kGreetedPeers) {
+      return;
+    }
+    m_greeted.insert(endpoint->m_nodeName);
+    m_peerClient.Greet(*endpoint);
+  }
+}
+
 // ---- Timers ----------------------------------------------------------------
 
 void DataPlane::Tick()
@@ -223,6 +255,7 @@
   ++m_ticks;
   if (m_ticks % kTicksPerPeerCheck == 0) {
     m_peerClient.Tick(now);
+    GreetPeers();
   }
   if (m_ticks % kTicksPerSecond == 0) {
     Each100Ticks();
--- a/apps/wigeonfold-node/DataPlane.h
+++ b/apps/wigeonfold-node/DataPlane.h
@@ -10,6 +10,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <random>
+#include <set>
 
 namespace wigeonfold::node {
 
@@ -57,6 +59,7 @@
   void Each100Ticks();
   void AnnounceEndpoint();
   void OnPeerVersion(const Version& aVersion);
+  void GreetPeers();
   void OnLingerOver();
   void FinishIfDrained(TimePoint aNow);
 
@@ -78,6 +81,8 @@
   bool m_ready = false;
   TargetState m_lastState = TargetState::Absent;
   bool m_announcePending = false;
+  std::mt19937_64 m_random;
+  std::set<std::string> m_greeted; // nodes asked for their version
   boost::asio::steady_timer m_tick;
   int m_ticks = 0;
   // Graceful shutdown.
--- a/apps/wigeonfold-node/PeerClient.cpp
+++ b/apps/wigeonfold-node/PeerClient.cpp
@@ -97,6 +97,11 @@
   return ticket;
 }
 
+void PeerClient::Greet(const routing::Endpoint& aEndpoint)
+{
+  m_links.at(LinkTo(aEndpoint)).m_lastUsed = Clock::now();
+}
+
 void PeerClient::Cancel(const PeerTicket& aTicket)
 {
   const auto found = m_links.find(aTicket.m_link);
--- a/apps/wigeonfold-node/PeerClient.h
+++ b/apps/wigeonfold-node/PeerClient.h
@@ -74,6 +74,9 @@
                                  std::shared_ptr<wire::CallRequest> aRequest,
                                  TimePoint aDeadline,
                                  const forwarding::AttemptKey& aKey);
+  // Opens a connection to the node without a call, so that both hear which
+  // version the other one has in force.
+  void Greet(const routing::Endpoint& aEndpoint);
   // Withdraws an attempt; it is not reported any more.
   void Cancel(const PeerTicket& aTicket);
 
--- a/apps/wigeonfold-node/test/Forwarding_test.cpp
+++ b/apps/wigeonfold-node/test/Forwarding_test.cpp
@@ -324,5 +324,30 @@
   EXPECT_EQ(wrong, 0);
 }
 
+// A node that starts with an older configuration, from a control VM that has
+// just started too, must hear of a newer one that another node has in force
+// before it is ready. No call needs to come first.
+TEST_F(Forwarding, ANodeThatIsNotReadyAsksOthersForTheirVersion)
+{
+  const auto viewAt = [this](int64_t aNumber) {
+    const std::vector<wire::Operation> operations{ settings::SetOperation(
+      "services/lots", "route.prefix", "/lots") };
+    const auto tree =
+      settings::Tree().Apply(operations, Version{ 1, aNumber }).value();
+    auto view = routing::View::Build(tree, { EndpointOf(0) }).value();
+    return ViewUpdate{ std::move(view), tree.Digest(), false };
+  };
+  Do([&] {
+    m_nodes[0]->OnView(viewAt(2));
+    m_nodes[1]->OnView(viewAt(1));
+  });
+  std::vector<Version> heard;
+  while (heard.empty()) {
+    std::this_thread::sleep_for(10ms);
+    Do([&] { heard = m_peerVersions; });
+  }
+  EXPECT_EQ(heard.front(), (Version{ 1, 2 }));
+}
+
 } // namespace
 } // namespace wigeonfold::node
--- a/apps/wigeonfold-node/test/TestNodes.h
+++ b/apps/wigeonfold-node/test/TestNodes.h
@@ -177,7 +177,9 @@
         m_metrics,
         m_log,
         DataPlane::Hooks{ [](const wire::EndpointRecord&) { return true; },
-                          [](const Version&) {} }));
+                          [this](const Version& aVersion) {
+                            m_peerVersions.push_back(aVersion);
+                          } }));
       EXPECT_TRUE(m_nodes.back()->Start());
     }
     m_thread = std::thread([this] { m_io.run(); });
@@ -317,6 +319,7 @@
   NodeMetrics m_metrics;
   std::vector<std::unique_ptr<DataPlane>> m_nodes;
   std::unique_ptr<TestTarget> m_target;
+  std::vector<Version> m_peerVersions; // that nodes heard of; io thread only
   std::thread m_thread;
 };
 
