Say in the log line of a request how long it waited and ran at its target

Cause: with elapsed time alone, the slow part of a request can't be told: the queue at the target's node, the target, or the way between nodes.

--- a/apps/wigeonfold-node/CallerSide.cpp
+++ b/apps/wigeonfold-node/CallerSide.cpp
@@ -14,6 +14,7 @@
 // The target's node rejects expired requests itself, and only it knows whether
 // one was written. This covers its 10 ms tick and the way back between zones.
 constexpr Duration kVerdictGrace = 20ms;
+constexpr int64_t kMicrosecondsPerMillisecond = 1000;
 
 } // namespace
 
@@ -302,6 +303,14 @@
       std::to_string(ToMilliseconds(aCall.m_call.Deadline() - aNow)) },
     { "version", ToString(aCall.m_view->Settings().At()) },
   };
+  if (aCall.m_response.__isset.targetUs) {
+    // What is left of the elapsed time is spent between nodes.
+    const auto milliseconds = [](int64_t aUs) {
+      return std::to_string(aUs / kMicrosecondsPerMillisecond);
+    };
+    fields.push_back({ "queued-ms", milliseconds(aCall.m_response.queuedUs) });
+    fields.push_back({ "target-ms", milliseconds(aCall.m_response.targetUs) });
+  }
   if (aCall.m_response.__isset.load) {
     const wire::TargetLoad& load = aCall.m_response.load;
     fields.push_back({ "slots", std::to_string(load.slots) });
--- a/apps/wigeonfold-node/TargetSide.cpp
+++ b/apps/wigeonfold-node/TargetSide.cpp
@@ -227,6 +227,7 @@
   m_bytes += aRequest->body.size();
   call.m_request = std::move(aRequest);
   call.m_deadline = aDeadline;
+  call.m_arrived = aNow;
   call.m_reply = std::move(aReply);
   m_calls.emplace(id, std::move(call));
   m_deadlines.Add(aDeadline, id);
@@ -478,6 +479,11 @@
     reply.m_outcome = *aStep.m_end;
     FillResponse(reply, call.m_exchange, call.m_request->method == "HEAD");
     reply.m_response.retryAfterUs = ToMicroseconds(call.m_retryAfter);
+    if (call.m_started != TimePoint{}) {
+      reply.m_response.__set_queuedUs(
+        ToMicroseconds(call.m_started - call.m_arrived));
+      reply.m_response.__set_targetUs(ToMicroseconds(aNow - call.m_started));
+    }
     call.m_reply(std::move(reply));
   }
   Apply(std::move(next), aNow);
--- a/apps/wigeonfold-node/TargetSide.h
+++ b/apps/wigeonfold-node/TargetSide.h
@@ -87,6 +87,7 @@
     forwarding::TargetCall m_call;
     std::shared_ptr<const wire::CallRequest> m_request;
     TimePoint m_deadline{};
+    TimePoint m_arrived{};
     TimePoint m_started{};
     Duration m_retryAfter{};
     OnTargetReply m_reply;
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -71,6 +71,10 @@
   7: string reason,
   // Not-run responses: when the caller should come back; 0 for no advice.
   8: i64 retryAfterUs,
+  // Time in the queue at the target's node and at the target; absent when the
+  // request was not sent to the target.
+  9: optional i64 queuedUs,
+  10: optional i64 targetUs,
 }
 
 struct CallCancel {
--- a/libs/wire/gen/include/wigeonfold/wire/gen/peer_types.h
+++ b/libs/wire/gen/include/wigeonfold/wire/gen/peer_types.h
@@ -408,7 +408,7 @@
 std::ostream& operator<<(std::ostream& out, const TargetLoad& obj);
 
 typedef struct _CallResponse__isset {
-  _CallResponse__isset() : callId(false), run(false), status(false), headers(false), body(false), load(false), reason(false), retryAfterUs(false) {}
+  _CallResponse__isset() : callId(false), run(false), status(false), headers(false), body(false), load(false), reason(false), retryAfterUs(false), queuedUs(false), targetUs(false) {}
   bool callId :1;
   bool run :1;
   bool status :1;
@@ -417,6 +417,8 @@
   bool load :1;
   bool reason :1;
   bool retryAfterUs :1;
+  bool queuedUs :1;
+  bool targetUs :1;
 } _CallResponse__isset;
 
 class CallResponse : public virtual ::apache::thrift::TBase {
@@ -432,7 +434,9 @@
                  status(0),
                  body(),
                  reason(),
-                 retryAfterUs(0) {
+                 retryAfterUs(0),
+                 queuedUs(0),
+                 targetUs(0) {
   }
 
   virtual ~CallResponse() noexcept;
@@ -448,6 +452,8 @@
   TargetLoad load;
   std::string reason;
   int64_t retryAfterUs;
+  int64_t queuedUs;
+  int64_t targetUs;
 
   _CallResponse__isset __isset;
 
@@ -467,6 +473,10 @@
 
   void __set_retryAfterUs(const int64_t val);
 
+  void __set_queuedUs(const int64_t val);
+
+  void __set_targetUs(const int64_t val);
+
   bool operator == (const CallResponse & rhs) const
   {
     if (!(callId == rhs.callId))
@@ -485,6 +495,14 @@
       return false;
     if (!(retryAfterUs == rhs.retryAfterUs))
       return false;
+    if (__isset.queuedUs != rhs.__isset.queuedUs)
+      return false;
+    else if (__isset.queuedUs && !(queuedUs == rhs.queuedUs))
+      return false;
+    if (__isset.targetUs != rhs.__isset.targetUs)
+      return false;
+    else if (__isset.targetUs && !(targetUs == rhs.targetUs))
+      return false;
     return true;
   }
   bool operator != (const CallResponse &rhs) const {
--- a/libs/wire/gen/src/peer_types.cpp
+++ b/libs/wire/gen/src/peer_types.cpp
@@ -1058,6 +1058,16 @@
 void CallResponse::__set_retryAfterUs(const int64_t val) {
   this->retryAfterUs = val;
 }
+
+void CallResponse::__set_queuedUs(const int64_t val) {
+  this->queuedUs = val;
+__isset.queuedUs = true;
+}
+
+void CallResponse::__set_targetUs(const int64_t val) {
+  this->targetUs = val;
+__isset.targetUs = true;
+}
 std::ostream& operator<<(std::ostream& out, const CallResponse& obj)
 {
   obj.printTo(out);
@@ -1164,6 +1174,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->queuedUs);
+          this->__isset.queuedUs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->targetUs);
+          this->__isset.targetUs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1221,6 +1247,16 @@
   xfer += oprot->writeI64(this->retryAfterUs);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.queuedUs) {
+    xfer += oprot->writeFieldBegin("queuedUs", ::apache::thrift::protocol::T_I64, 9);
+    xfer += oprot->writeI64(this->queuedUs);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.targetUs) {
+    xfer += oprot->writeFieldBegin("targetUs", ::apache::thrift::protocol::T_I64, 10);
+    xfer += oprot->writeI64(this->targetUs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1236,6 +1272,8 @@
   swap(a.load, b.load);
   swap(a.reason, b.reason);
   swap(a.retryAfterUs, b.retryAfterUs);
+  swap(a.queuedUs, b.queuedUs);
+  swap(a.targetUs, b.targetUs);
   swap(a.__isset, b.__isset);
 }
 
@@ -1248,6 +1286,8 @@
   load = other29.load;
   reason = other29.reason;
   retryAfterUs = other29.retryAfterUs;
+  queuedUs = other29.queuedUs;
+  targetUs = other29.targetUs;
   __isset = other29.__isset;
 }
 CallResponse::CallResponse(CallResponse&& other30) noexcept {
@@ -1259,6 +1299,8 @@
   load = std::move(other30.load);
   reason = std::move(other30.reason);
   retryAfterUs = other30.retryAfterUs;
+  queuedUs = other30.queuedUs;
+  targetUs = other30.targetUs;
   __isset = other30.__isset;
 }
 CallResponse& CallResponse::operator=(const CallResponse& other31) {
@@ -1270,6 +1312,8 @@
   load = other31.load;
   reason = other31.reason;
   retryAfterUs = other31.retryAfterUs;
+  queuedUs = other31.queuedUs;
+  targetUs = other31.targetUs;
   __isset = other31.__isset;
   return *this;
 }
@@ -1282,6 +1326,8 @@
   load = std::move(other32.load);
   reason = std::move(other32.reason);
   retryAfterUs = other32.retryAfterUs;
+  queuedUs = other32.queuedUs;
+  targetUs = other32.targetUs;
   __isset = other32.__isset;
   return *this;
 }
@@ -1296,6 +1342,8 @@
   out << ", " << "load=" << to_string(load);
   out << ", " << "reason=" << to_string(reason);
   out << ", " << "retryAfterUs=" << to_string(retryAfterUs);
+  out << ", " << "queuedUs="; (__isset.queuedUs ? (out << to_string(queuedUs)) : (out << "<null>"));
+  out << ", " << "targetUs="; (__isset.targetUs ? (out << to_string(targetUs)) : (out << "<null>"));
   out << ")";
 }
 
