Draw two targets by their rates instead of four at random

Each of 79 nodes calls a target about three times a second, so what it knows of the target's load is old, and the best of four is the same for all nodes that share the old news.

Change: two candidates of the zone, drawn in proportion to slots per time of a call, and the better of them.

--- a/libs/routing/src/Chooser.cpp
+++ b/libs/routing/src/Chooser.cpp
@@ -68,11 +68,16 @@
       const bool isLocal = endpoint->m_availabilityZone == m_zone;
       (isLocal ? local : remote).push_back(endpoint);
     }
-    const Choice near = Best(local, cost);
+    const auto latency = [&](const Endpoint& aEndpoint) {
+      const Duration reported = aTracker.ReportedLatency(aEndpoint);
+      return std::max(reported > Duration::zero() ? reported : unknown,
+                      kShortestLatency);
+    };
+    const Choice near = Best(local, cost, latency);
     if (near.m_endpoint != nullptr && near.m_cost * kSafetyFactor <= aLeft) {
       return near.m_endpoint;
     }
-    const Choice far = Best(remote, cost);
+    const Choice far = Best(remote, cost, latency);
     const bool goFar =
       far.m_endpoint != nullptr &&
       (near.m_endpoint == nullptr ||
@@ -87,22 +92,26 @@
     Duration m_cost{};
   };
 
-  // The best of a few random candidates.
-  template<class Cost>
-  Choice Best(const CandidateList& aCandidates, const Cost& aCost)
+  // The better of two random candidates, drawn by the calls that they can take
+  // in a time.
+  template<class Cost, class Latency>
+  Choice Best(const CandidateList& aCandidates,
+              const Cost& aCost,
+              const Latency& aLatency)
   {
-    CandidateList sample;
-    std::sample(aCandidates.begin(),
-                aCandidates.end(),
-                std::back_inserter(sample),
-                kSample,
-                m_random);
-    std::shuffle(sample.begin(), sample.end(), m_random);
     Choice best;
-    for (const Endpoint* endpoint : sample) {
-      const Duration cost = aCost(*endpoint);
+    std::vector<double> rates;
+    for (const Endpoint* endpoint : aCandidates) {
+      const std::chrono::duration<double> latency = aLatency(*endpoint);
+      rates.push_back(endpoint->m_slots / latency.count());
+    }
+    for (size_t draw = 0; draw < std::min(kSample, rates.size()); ++draw) {
+      std::discrete_distribution<size_t> any(rates.begin(), rates.end());
+      const size_t drawn = any(m_random);
+      rates[drawn] = 0;
+      const Duration cost = aCost(*aCandidates[drawn]);
       if (best.m_endpoint == nullptr || cost < best.m_cost) {
-        best = { endpoint, cost };
+        best = { aCandidates[drawn], cost };
       }
     }
     return best;
@@ -122,9 +131,12 @@
     return count == 0 ? kAssumedLatency : sum / count;
   }
 
-  // Enough to find a good endpoint of a large service, few enough that not
-  // every node sends to the same one.
-  static constexpr size_t kSample = 4;
+  // What a node knows of a target is old when the target's load swings faster
+  // than the node calls it. With more candidates, all nodes that share the same
+  // old news send to the same target.
+  static constexpr size_t kSample = 2;
+  // Keeps the rates of targets without measurable latency finite.
+  static constexpr Duration kShortestLatency = std::chrono::microseconds(100);
   // An expected time of half of what is left until the objective: requests of
   // one route differ, and few take more than twice the expected time.
   static constexpr int kSafetyFactor = 2;
