Elect a leader early when every voter has just started

Cause: after a loss of power everywhere, members that start wait for an election timeout (0.6 to 1 s on the users' platform), since each may have confirmed a lease before it was stopped.

Change: a member that has heard of no leader since its start asks for pre-votes after 50 to 150 ms and goes on only when every voter grants, which a leader, or a member that hears from one, does not. Voters that have heard of no leader since their start grant these votes without the wait. Ruled out: a shorter election timeout, which would have to be shorter than the lease.

--- a/idl/raft.thrift
+++ b/idl/raft.thrift
@@ -81,4 +81,7 @@
   15: i64 quorumAgeMs,
   // AppendReply without grant: the request's logIndex that did not match.
   16: i64 rejectedIndex,
+  // PreVoteRequest and VoteRequest: the sender has heard of no leader since its
+  // start and campaigns with the grants of all voters.
+  17: bool early,
 }
--- a/libs/consensus/include/wigeonfold/consensus/Raft.h
+++ b/libs/consensus/include/wigeonfold/consensus/Raft.h
@@ -293,12 +293,14 @@
   void SetTerm(int64_t aTerm);
   void BecomeFollower(int64_t aTerm, MemberId aLeader);
   bool MayCampaign() const;
-  void StartPreVote();
+  void ResetEarlyTimer();
+  void StartPreVote(bool aEarly);
   void StartElection();
   void BecomeLeader();
   void RequestVotes(wire::RaftMessageKind::type aKind, int64_t aTerm);
   void CountVotes();
   bool HeardFromLeader() const;
+  bool RefusesVotes(const wire::RaftMessage& aMessage) const;
   bool UpToDate(const wire::RaftMessage& aMessage) const;
   void HandlePreVoteRequest(const wire::RaftMessage& aMessage);
   void HandlePreVoteReply(const wire::RaftMessage& aMessage);
@@ -378,6 +380,10 @@
   TimePoint m_electionDeadline;
   TimePoint m_leaderContactAt;
   std::set<MemberId> m_votes;
+  // Early election, see StartPreVote().
+  bool m_isFresh = true;         // no leader since the start, this one included
+  bool m_campaignsEarly = false; // the campaign needs the grants of all voters
+  TimePoint m_earlyDeadline;
 
   // Follower.
   int64_t m_verified = 0; // the log equals the leader's up to here
--- a/libs/consensus/src/Election.cpp
+++ b/libs/consensus/src/Election.cpp
@@ -12,6 +12,15 @@
   m_electionDeadline = m_now + Duration(timeout(m_random));
 }
 
+// Voters that start at the same moment campaign one after the other, and again
+// soon, since some of them may not listen yet.
+void Raft::ResetEarlyTimer()
+{
+  std::uniform_int_distribution<Duration::rep> pause(
+    m_settings.m_heartbeat.count() / 2, m_settings.m_heartbeat.count() * 3 / 2);
+  m_earlyDeadline = m_now + Duration(pause(m_random));
+}
+
 void Raft::SetTerm(int64_t aTerm)
 {
   m_hard.m_term = aTerm;
@@ -69,8 +78,15 @@
 
 // Asks whether an election could be won before it raises the term, so that a
 // member that returns from a partition deposes no working leader.
-void Raft::StartPreVote()
-{
+//
+// A member that has just started may have confirmed a lease before, and grants
+// no vote for an election timeout. After a loss of power everywhere that is a
+// pause for nothing: when every voter grants its vote, none of them leads, and a
+// leader would be one of them. So a member that has heard of no leader since its
+// start campaigns early, and then needs the grants of all voters.
+void Raft::StartPreVote(bool aEarly)
+{
+  m_campaignsEarly = aEarly;
   SetRole(Role::PreCandidate);
   m_votes = { m_self };
   RequestVotes(wire::RaftMessageKind::PreVoteRequest, m_hard.m_term + 1);
@@ -95,6 +111,7 @@
     }
     wire::RaftMessage message = MakeMessage(aKind, member.memberId);
     message.term = aTerm;
+    message.early = m_campaignsEarly;
     message.logIndex = m_log.Last().m_index;
     message.logTerm = m_log.Last().m_term;
     Send(std::move(message));
@@ -112,7 +129,10 @@
     std::count_if(m_votes.begin(), m_votes.end(), [&](MemberId aId) {
       return IsVoter(membership, aId);
     });
-  if (static_cast<size_t>(granted) < QuorumSize(membership)) {
+  const bool needsAll = m_role == Role::PreCandidate && m_campaignsEarly;
+  const auto needed =
+    needsAll ? VoterCount(membership) : QuorumSize(membership);
+  if (static_cast<size_t>(granted) < needed) {
     return;
   }
   if (m_role == Role::PreCandidate) {
@@ -127,6 +147,7 @@
   SetRole(Role::Leader);
   SetLeader(m_self);
   m_leaderSince = m_now;
+  m_isFresh = false;
   m_progress.clear();
   m_rounds.clear();
   UpdateProgressSet();
@@ -147,6 +168,12 @@
   return m_now - contact < m_settings.m_electionMin;
 }
 
+// Whether the candidate gets no vote however good its log is.
+bool Raft::RefusesVotes(const wire::RaftMessage& aMessage) const
+{
+  return HeardFromLeader() && !(aMessage.early && m_isFresh);
+}
+
 bool Raft::UpToDate(const wire::RaftMessage& aMessage) const
 {
   const LogPosition last = m_log.Last();
@@ -162,7 +189,8 @@
   wire::RaftMessage reply =
     MakeMessage(wire::RaftMessageKind::PreVoteReply, aMessage.fromMember);
   reply.granted =
-    aMessage.term > m_hard.m_term && !HeardFromLeader() && UpToDate(aMessage);
+    aMessage.term > m_hard.m_term && !RefusesVotes(aMessage) &&
+    UpToDate(aMessage);
   if (reply.granted) {
     reply.term = aMessage.term;
   }
@@ -187,7 +215,7 @@
 
 void Raft::HandleVoteRequest(const wire::RaftMessage& aMessage)
 {
-  if (!InMembership() || HeardFromLeader()) {
+  if (!InMembership() || RefusesVotes(aMessage)) {
     return;
   }
   if (aMessage.term > m_hard.m_term) {
--- a/libs/consensus/src/Follower.cpp
+++ b/libs/consensus/src/Follower.cpp
@@ -46,6 +46,7 @@
     BecomeFollower(aMessage.term, aMessage.fromMember);
   }
   m_leaderContactAt = m_now;
+  m_isFresh = false;
   ResetElectionTimer();
   return true;
 }
--- a/libs/consensus/src/Raft.cpp
+++ b/libs/consensus/src/Raft.cpp
@@ -59,6 +59,7 @@
     m_restoreReady = true;
   }
   ResetElectionTimer();
+  ResetEarlyTimer();
 }
 
 Status Raft::Bootstrap(TimePoint aNow, const wire::Membership& aMembership)
@@ -99,13 +100,18 @@
     }
     return;
   }
-  if (m_now < m_electionDeadline) {
+  const bool isDue = m_now >= m_electionDeadline;
+  const bool isEarly = !isDue && m_isFresh && m_now >= m_earlyDeadline;
+  if (!isDue && !isEarly) {
     return;
   }
-  ResetElectionTimer();
-  SetLeader(0);
+  if (isDue) {
+    ResetElectionTimer();
+    SetLeader(0);
+  }
+  ResetEarlyTimer();
   if (MayCampaign()) {
-    StartPreVote();
+    StartPreVote(isEarly);
   }
 }
 
@@ -455,7 +461,11 @@
 
 TimePoint Raft::NextDeadline() const
 {
-  return m_role == Role::Leader ? m_heartbeatDue : m_electionDeadline;
+  if (m_role == Role::Leader) {
+    return m_heartbeatDue;
+  }
+  return m_isFresh ? std::min(m_electionDeadline, m_earlyDeadline)
+                   : m_electionDeadline;
 }
 
 } // namespace wigeonfold::consensus
--- a/libs/consensus/test/Rules_test.cpp
+++ b/libs/consensus/test/Rules_test.cpp
@@ -53,10 +53,22 @@
                int64_t aTerm,
                LogPosition aPosition,
                int64_t aRound = 0)
+  {
+    ReceiveFrom(2, aNow, aKind, aTerm, aPosition, aRound);
+  }
+
+  void ReceiveFrom(int64_t aMember,
+                   TimePoint aNow,
+                   Kind::type aKind,
+                   int64_t aTerm,
+                   LogPosition aPosition,
+                   int64_t aRound = 0,
+                   bool aEarly = false)
   {
     wire::RaftMessage message;
     message.kind = aKind;
-    message.fromMember = 2;
+    message.fromMember = aMember;
+    message.early = aEarly;
     message.toMember = 1;
     message.term = aTerm;
     message.granted = true;
@@ -118,6 +130,48 @@
   EXPECT_TRUE(member.m_raft.TakeActions().NeedsPersistence());
 }
 
+// After a loss of power everywhere, waiting for leases that nobody holds keeps
+// callers waiting. With one voter that does not answer, it may be the leader.
+TEST(RulesTest, EarlyCampaignNeedsTheGrantsOfAllVoters)
+{
+  const TimePoint early = kStart + milliseconds(200);
+  Driven member;
+  member.m_raft.Tick(early);
+  for (const wire::RaftMessage& request : member.m_raft.TakeActions().m_send) {
+    EXPECT_EQ(request.kind, Kind::PreVoteRequest);
+    EXPECT_TRUE(request.early);
+  }
+  member.Receive(early, Kind::PreVoteReply, 2, {});
+  EXPECT_EQ(member.m_raft.GetRole(), Role::PreCandidate);
+  member.ReceiveFrom(3, early, Kind::PreVoteReply, 2, {});
+  EXPECT_EQ(member.m_raft.GetRole(), Role::Candidate);
+  member.Sync();
+  member.Receive(early, Kind::VoteReply, 2, {});
+  EXPECT_EQ(member.m_raft.GetRole(), Role::Leader);
+}
+
+TEST(RulesTest, OnlyAMemberWithoutALeaderSinceItsStartGrantsEarlyVotes)
+{
+  const TimePoint early = kStart + milliseconds(200);
+  const auto grants = [&](Driven& aMember, bool aEarly) {
+    aMember.ReceiveFrom(
+      3, early, Kind::PreVoteRequest, 5, { 1, 1 }, 0, aEarly);
+    const wire::RaftMessage reply = aMember.m_raft.TakeActions().m_send.back();
+    EXPECT_EQ(reply.kind, Kind::PreVoteReply);
+    return reply.granted;
+  };
+  Driven fresh;
+  EXPECT_TRUE(grants(fresh, true));
+  EXPECT_FALSE(grants(fresh, false));
+  Driven follower;
+  follower.Receive(early, Kind::AppendRequest, 2, { 1, 1 }, 1);
+  follower.Sync();
+  EXPECT_FALSE(grants(follower, true));
+  Driven leader;
+  leader.Elect();
+  EXPECT_FALSE(grants(leader, true));
+}
+
 TEST(RulesTest, LeaseEndsAfterItsTime)
 {
   Driven member;
--- a/libs/wire/gen/include/wigeonfold/wire/gen/raft_types.h
+++ b/libs/wire/gen/include/wigeonfold/wire/gen/raft_types.h
@@ -331,7 +331,7 @@
 std::ostream& operator<<(std::ostream& out, const SnapshotContent& obj);
 
 typedef struct _RaftMessage__isset {
-  _RaftMessage__isset() : kind(false), fromMember(false), toMember(false), term(false), logIndex(false), logTerm(false), commitIndex(false), entries(false), granted(false), round(false), snapshotOffset(false), snapshotSize(false), snapshotData(false), quorumAgeMs(false), rejectedIndex(false) {}
+  _RaftMessage__isset() : kind(false), fromMember(false), toMember(false), term(false), logIndex(false), logTerm(false), commitIndex(false), entries(false), granted(false), round(false), snapshotOffset(false), snapshotSize(false), snapshotData(false), quorumAgeMs(false), rejectedIndex(false), early(false) {}
   bool kind :1;
   bool fromMember :1;
   bool toMember :1;
@@ -347,6 +347,7 @@
   bool snapshotData :1;
   bool quorumAgeMs :1;
   bool rejectedIndex :1;
+  bool early :1;
 } _RaftMessage__isset;
 
 class RaftMessage : public virtual ::apache::thrift::TBase {
@@ -370,7 +371,8 @@
                 snapshotSize(0),
                 snapshotData(),
                 quorumAgeMs(0),
-                rejectedIndex(0) {
+                rejectedIndex(0),
+                early(0) {
   }
 
   virtual ~RaftMessage() noexcept;
@@ -393,6 +395,7 @@
   std::string snapshotData;
   int64_t quorumAgeMs;
   int64_t rejectedIndex;
+  bool early;
 
   _RaftMessage__isset __isset;
 
@@ -426,6 +429,8 @@
 
   void __set_rejectedIndex(const int64_t val);
 
+  void __set_early(const bool val);
+
   bool operator == (const RaftMessage & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -458,6 +463,8 @@
       return false;
     if (!(rejectedIndex == rhs.rejectedIndex))
       return false;
+    if (!(early == rhs.early))
+      return false;
     return true;
   }
   bool operator != (const RaftMessage &rhs) const {
--- a/libs/wire/gen/src/raft_types.cpp
+++ b/libs/wire/gen/src/raft_types.cpp
@@ -839,6 +839,10 @@
 void RaftMessage::__set_rejectedIndex(const int64_t val) {
   this->rejectedIndex = val;
 }
+
+void RaftMessage::__set_early(const bool val) {
+  this->early = val;
+}
 std::ostream& operator<<(std::ostream& out, const RaftMessage& obj)
 {
   obj.printTo(out);
@@ -1001,6 +1005,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->early);
+          this->__isset.early = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1086,6 +1098,10 @@
   xfer += oprot->writeI64(this->rejectedIndex);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("early", ::apache::thrift::protocol::T_BOOL, 17);
+  xfer += oprot->writeBool(this->early);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1108,6 +1124,7 @@
   swap(a.snapshotData, b.snapshotData);
   swap(a.quorumAgeMs, b.quorumAgeMs);
   swap(a.rejectedIndex, b.rejectedIndex);
+  swap(a.early, b.early);
   swap(a.__isset, b.__isset);
 }
 
@@ -1127,6 +1144,7 @@
   snapshotData = other30.snapshotData;
   quorumAgeMs = other30.quorumAgeMs;
   rejectedIndex = other30.rejectedIndex;
+  early = other30.early;
   __isset = other30.__isset;
 }
 RaftMessage::RaftMessage(RaftMessage&& other31) noexcept {
@@ -1145,6 +1163,7 @@
   snapshotData = std::move(other31.snapshotData);
   quorumAgeMs = other31.quorumAgeMs;
   rejectedIndex = other31.rejectedIndex;
+  early = other31.early;
   __isset = other31.__isset;
 }
 RaftMessage& RaftMessage::operator=(const RaftMessage& other32) {
@@ -1163,6 +1182,7 @@
   snapshotData = other32.snapshotData;
   quorumAgeMs = other32.quorumAgeMs;
   rejectedIndex = other32.rejectedIndex;
+  early = other32.early;
   __isset = other32.__isset;
   return *this;
 }
@@ -1182,6 +1202,7 @@
   snapshotData = std::move(other33.snapshotData);
   quorumAgeMs = other33.quorumAgeMs;
   rejectedIndex = other33.rejectedIndex;
+  early = other33.early;
   __isset = other33.__isset;
   return *this;
 }
@@ -1203,6 +1224,7 @@
   out << ", " << "snapshotData=" << to_string(snapshotData);
   out << ", " << "quorumAgeMs=" << to_string(quorumAgeMs);
   out << ", " << "rejectedIndex=" << to_string(rejectedIndex);
+  out << ", " << "early=" << to_string(early);
   out << ")";
 }
 
