Hold callers to the limits that operators set

A caller that never ends its head held a connection for five minutes.

Change: heads above the limit are answered 431, bodies 413, heads that take too long 408, and connections that are idle for longer are closed; checked each second, changed with the configuration.

HttpTest.CallersAreHeldToTheirLimits and Forwarding.CallersAreHeldToTheLimitsOfTheTree; both need the new calls, so they could not fail before.

--- a/apps/wigeonfold-node/DataPlane.cpp
+++ b/apps/wigeonfold-node/DataPlane.cpp
@@ -24,6 +24,20 @@
          std::hash<std::string>{}(aSettings.m_name);
 }
 
+// Limits on callers apply to all services, so they stand at the root.
+net::CallerLimits LimitsIn(const settings::Tree& aTree)
+{
+  const auto bytes = [&aTree](const char* aKey) {
+    return static_cast<size_t>(aTree.Integer("", aKey));
+  };
+  net::CallerLimits limits;
+  limits.m_headBytes = bytes("caller.header-bytes");
+  limits.m_bodyBytes = std::min(bytes("caller.body-bytes"), net::kMaxBodyBytes);
+  limits.m_headTimeout = aTree.Time("", "caller.header-timeout");
+  limits.m_idleTimeout = aTree.Time("", "caller.idle-timeout");
+  return limits;
+}
+
 } // namespace
 
 DataPlane::DataPlane(boost::asio::io_context& aIo,
@@ -141,6 +155,7 @@
     m_identity.m_inForce = m_view->Settings().At();
     m_target.SetView(m_view, Clock::now());
     m_callerSide.SetView(m_view);
+    m_callers->SetCallerLimits(LimitsIn(m_view->Settings()));
   }
   if (aUpdate.m_ready && !m_ready) {
     m_ready = true;
--- a/apps/wigeonfold-node/test/Forwarding_test.cpp
+++ b/apps/wigeonfold-node/test/Forwarding_test.cpp
@@ -324,6 +324,19 @@
   EXPECT_EQ(wrong, 0);
 }
 
+TEST_F(Forwarding, CallersAreHeldToTheLimitsOfTheTree)
+{
+  ServeAtPeer(
+    [](int, const std::string&) { return Reaction{ WholeAnswer("x") }; },
+    4,
+    { { "", "caller.body-bytes", "10" } });
+  net::HttpRequest request = Post("/lots/1");
+  request.m_body = std::string(11, 'x');
+  EXPECT_EQ(Call(0, request).m_status, 413);
+  request.m_body.pop_back();
+  EXPECT_EQ(Call(0, request).m_status, 200);
+}
+
 // A node that starts with an older configuration, from a control VM that has
 // just started too, must hear of a newer one that another node has in force
 // before it is ready. No call needs to come first.
--- a/libs/net/include/wigeonfold/net/Http.h
+++ b/libs/net/include/wigeonfold/net/Http.h
@@ -53,6 +53,16 @@
 using HttpHandler =
   std::function<void(HttpRequest, HttpRespond, const HttpOnAbandon&)>;
 
+// What callers may send, and how long they may take. Times are checked each
+// second, so that they may be exceeded by as much.
+struct CallerLimits
+{
+  size_t m_headBytes = size_t{ 16 } << 10;           // else 431
+  size_t m_bodyBytes = kMaxBodyBytes;                // else 413
+  Duration m_headTimeout = std::chrono::seconds(10); // else 408
+  Duration m_idleTimeout = std::chrono::minutes(5);  // else closed
+};
+
 // Serves HTTP/1.1 with keep-alive and pipelining, one request of a connection
 // at a time. All methods and handlers run on the thread of the io_context.
 class HttpServer
@@ -67,6 +77,8 @@
   virtual void Drain(Duration aLinger, std::function<void()> aDone) = 0;
   // Closes everything at once.
   virtual void Close() = 0;
+  // Takes effect with the next request of each connection.
+  virtual void SetCallerLimits(const CallerLimits& aLimits) = 0;
 
   virtual uint16_t Port() const = 0;
   virtual size_t Connections() const = 0;
@@ -78,11 +90,11 @@
 {
   size_t m_connections = 0; // further ones are closed at once; 0: no limit
   Duration m_connectionCost = Duration::zero(); // delay before the first read
-  size_t m_bodyBytes = kMaxBodyBytes;           // greatest body that is taken
+  CallerLimits m_caller;
 };
 
 // Fails with Io when the address can't be bound. aRejectFields are added to
-// the answers the server gives by itself (400 malformed, 413 body too large).
+// the answers the server gives by itself (400, 408, 413, 431).
 Result<std::unique_ptr<HttpServer>> ServeHttp(
   boost::asio::io_context& aIo,
   const SocketAddress& aAddress,
--- a/libs/net/src/Http.cpp
+++ b/libs/net/src/Http.cpp
@@ -20,8 +20,7 @@
 
 namespace {
 
-constexpr std::chrono::minutes kIdleTimeout{ 5 };
-constexpr std::chrono::seconds kIdleCheck{ 1 };
+constexpr std::chrono::seconds kSilenceCheck{ 1 };
 constexpr std::chrono::milliseconds kAcceptRetry{ 100 };
 // A request that has begun to arrive when a drain ends its linger may be
 // completed in this time: a few round trips between zones.
@@ -104,8 +103,8 @@
   void CloseIfReading();
   void Detach() { m_server = nullptr; }
   bool IsAttached() const { return m_server != nullptr; }
-  // Closes the connection if it has waited for bytes of a request for longer.
-  void CloseIfSilent(TimePoint aNow, Duration aLimit);
+  // Ends the connection if its caller takes too long.
+  void CheckSilence(TimePoint aNow, const CallerLimits& aLimits);
 
 private:
   void WaitForBytes();
@@ -127,8 +126,9 @@
   std::string m_body;
   std::string m_peer; // IP number
   std::function<void()> m_onAbandon;
-  Server* m_server; // null after the server is gone
-  TimePoint m_waitingSince{};
+  Server* m_server;       // null after the server is gone
+  TimePoint m_heardAt{};  // last bytes, or the answer before them
+  TimePoint m_beganAt{};  // first bytes of the request
   bool m_waiting = false; // for the socket to become readable
   bool m_reading = false;
   bool m_handling = false;
@@ -151,11 +151,11 @@
     , m_limits(aLimits)
     , m_acceptor(std::move(aAcceptor))
     , m_timer(m_acceptor.get_executor())
-    , m_idleTimer(m_acceptor.get_executor())
+    , m_silenceTimer(m_acceptor.get_executor())
     , m_alive(std::make_shared<bool>(true))
   {
     Accept();
-    CheckIdle();
+    CheckSilence();
   }
 
   ~Server() override
@@ -183,7 +183,7 @@
     boost::system::error_code ignored;
     m_acceptor.close(ignored);
     m_timer.cancel();
-    m_idleTimer.cancel();
+    m_silenceTimer.cancel();
     const auto sessions = std::move(m_sessions);
     m_sessions.clear();
     for (const auto& session : sessions) {
@@ -199,6 +199,11 @@
   }
 
   size_t Connections() const override { return m_sessions.size(); }
+  void SetCallerLimits(const CallerLimits& aLimits) override
+  {
+    m_limits.m_caller = aLimits;
+  }
+  const CallerLimits& GetCallerLimits() const { return m_limits.m_caller; }
   bool IsDraining() const { return m_draining; }
   // True once idle connections are to be closed.
   bool IsLingerOver() const { return m_lingerOver; }
@@ -214,7 +219,6 @@
 
   const HttpHandler m_handler;
   const std::vector<HttpField> m_rejectFields;
-  const HttpLimits m_limits;
 
 private:
   void Accept()
@@ -268,10 +272,10 @@
       });
   }
 
-  void CheckIdle()
+  void CheckSilence()
   {
-    m_idleTimer.expires_after(kIdleCheck);
-    m_idleTimer.async_wait(
+    m_silenceTimer.expires_after(kSilenceCheck);
+    m_silenceTimer.async_wait(
       [this, alive = m_alive](boost::system::error_code aCode) {
         if (aCode || !*alive) {
           return;
@@ -279,9 +283,9 @@
         const TimePoint now = Clock::now();
         const auto sessions = m_sessions;
         for (const auto& session : sessions) {
-          session->CloseIfSilent(now, kIdleTimeout);
+          session->CheckSilence(now, m_limits.m_caller);
         }
-        CheckIdle();
+        CheckSilence();
       });
   }
 
@@ -317,9 +321,10 @@
     }
   }
 
+  HttpLimits m_limits;
   tcp::acceptor m_acceptor;
   asio::steady_timer m_timer;
-  asio::steady_timer m_idleTimer;
+  asio::steady_timer m_silenceTimer;
   std::set<std::shared_ptr<Session>> m_sessions;
   std::function<void()> m_onDrained;
   bool m_draining = false;
@@ -337,8 +342,11 @@
     }
   }
   m_parser.emplace();
-  m_parser->body_limit(m_server->m_limits.m_bodyBytes);
-  m_waitingSince = Clock::now();
+  const CallerLimits& limits = m_server->GetCallerLimits();
+  m_parser->header_limit(static_cast<uint32_t>(limits.m_headBytes));
+  m_parser->body_limit(limits.m_bodyBytes);
+  m_heardAt = Clock::now();
+  m_beganAt = m_heardAt;
   m_reading = true;
   if (m_received.empty()) {
     WaitForBytes();
@@ -395,6 +403,10 @@
     OnRead(code);
     return;
   }
+  m_heardAt = Clock::now();
+  if (m_received.empty() && !m_parser->got_some()) {
+    m_beganAt = m_heardAt;
+  }
   m_received.append(bytes);
   Parse();
 }
@@ -415,9 +427,17 @@
   OnRead(code);
 }
 
-void Session::CloseIfSilent(TimePoint aNow, Duration aLimit)
+void Session::CheckSilence(TimePoint aNow, const CallerLimits& aLimits)
 {
-  if (m_reading && aNow - m_waitingSince > aLimit) {
+  if (!m_reading) {
+    return;
+  }
+  const bool began = !m_received.empty() || m_parser->got_some();
+  if (began && !m_parser->is_header_done() &&
+      aNow - m_beganAt > aLimits.m_headTimeout) {
+    m_reading = false;
+    Reject(http::status::request_timeout);
+  } else if (aNow - m_heardAt > aLimits.m_idleTimeout) {
     Close();
   }
 }
@@ -431,6 +451,10 @@
     Reject(http::status::payload_too_large);
     return;
   }
+  if (aCode == http::error::header_limit) {
+    Reject(http::status::request_header_fields_too_large);
+    return;
+  }
   const bool malformed =
     aCode.category() == make_error_code(http::error::bad_method).category();
   if (malformed && aCode != http::error::end_of_stream &&
--- a/libs/net/test/Http_test.cpp
+++ b/libs/net/test/Http_test.cpp
@@ -128,6 +128,30 @@
   EXPECT_NE(large.find(" 413 "), std::string::npos);
 }
 
+// Guards against callers that hold connections, or memory of a request that
+// never ends, for longer than operators allow.
+TEST_F(HttpTest, CallersAreHeldToTheirLimits)
+{
+  Serve([](HttpRequest, HttpRespond aRespond, const auto&) {
+    aRespond({ 200, {}, "" });
+  });
+  const std::string large =
+    "GET / HTTP/1.1\r\nHost: x\r\nX-Fill: " + std::string(9000, 'f') + "\r\n" +
+    "Connection: close\r\n\r\n";
+  EXPECT_NE(Exchange(m_port, large).find(" 200 "), std::string::npos);
+  asio::post(m_io, [this] {
+    m_server->SetCallerLimits({ 8000, 100, 100ms, 200ms });
+  });
+  EXPECT_NE(Exchange(m_port, large).find(" 431 "), std::string::npos);
+  const std::string body = Exchange(
+    m_port, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 101\r\n\r\n");
+  EXPECT_NE(body.find(" 413 "), std::string::npos);
+  const std::string unfinished = Exchange(m_port, "GET / HTTP/1.1\r\nHos");
+  EXPECT_NE(unfinished.find(" 408 "), std::string::npos);
+  EXPECT_NE(unfinished.find("Wigeonfold-Run: not-run"), std::string::npos);
+  EXPECT_EQ(Exchange(m_port, ""), ""); // closed, though it sent nothing
+}
+
 // Guards against requests whose length or host two readers read differently:
 // what one takes for a body the other would take for a request of its own.
 TEST_F(HttpTest, AmbiguousFramingIsRejectedAndNothingOfItIsHandled)
