Send no configuration right after a start unless the control VM is current

The control VM that comes back first has .1 in its log but does not know yet that it was committed, and the tree before it names no nodes that could be asked.

Change: a control VM that was not current since its start sends no configuration for 5 s. After that a zone without a quorum goes on with what it has. Ruled out: waiting for ever, which leaves a zone that is cut off without service; writing the commit index with each entry, which costs a sync per change.

NodeSessions.SendsNoConfigurationRightAfterAStartUnlessItIsCurrent fails without the wait (its options did not exist before).

--- a/apps/wigeonfold-control/Network.cpp
+++ b/apps/wigeonfold-control/Network.cpp
@@ -13,6 +13,8 @@
 // After this time nodes receive endpoints even though not all other control
 // VMs were reached: some may be down for long.
 constexpr Duration kCompleteWait = 2s;
+// Longer than an election in which one of three voters is slow to return.
+constexpr Duration kUnconfirmedWait = 5s;
 // Nodes leave a stopping VM spread over this time.
 constexpr Duration kAwaySpread = 500ms;
 
@@ -51,6 +53,8 @@
         auto options = aSettings.m_nodes;
         options.m_memberId = aMemberId;
         options.m_startedEmpty = aStartedEmpty;
+        options.m_unconfirmedWait = kUnconfirmedWait;
+        options.m_startedAt = Clock::now();
         return options;
       }(),
       m_table,
--- a/libs/distribution/include/wigeonfold/distribution/NodeSessions.h
+++ b/libs/distribution/include/wigeonfold/distribution/NodeSessions.h
@@ -32,6 +32,12 @@
   // The data folder was empty at the start. Until it has caught up once, such a
   // control VM holds an arbitrarily old tree, so it sends none.
   bool m_startedEmpty = false;
+  // After a start it does not know which of its last log entries were
+  // committed, so its tree may be older than what nodes had in force. In this
+  // time it sends none unless it was confirmed as current; later a zone that is
+  // cut off has to go on with what it has.
+  Duration m_unconfirmedWait{};
+  TimePoint m_startedAt{};
   Duration m_heartbeat = std::chrono::seconds(1);
   // A session without a frame for this long is closed.
   Duration m_silence = std::chrono::seconds(4);
@@ -231,7 +237,7 @@
   void SendUpdates(Session& aSession, TimePoint aNow);
   void SendConfig(Session& aSession, TimePoint aNow);
   void SendEndpoints(Session& aSession, TimePoint aNow);
-  bool NeedsConfig(const Session& aSession) const;
+  bool NeedsConfig(const Session& aSession, TimePoint aNow) const;
   bool NeedsFullEndpoints(const Session& aSession) const;
   const EncodedConfig& ConfigFrom(const std::optional<Version>& aBase);
   const EncodedEndpoints& EndpointsFrom(int64_t aSource, int64_t aCursor);
--- a/libs/distribution/src/NodeUpdates.cpp
+++ b/libs/distribution/src/NodeUpdates.cpp
@@ -84,9 +84,12 @@
   SendConfig(aSession, aNow);
 }
 
-bool NodeSessions::NeedsConfig(const Session& aSession) const
+bool NodeSessions::NeedsConfig(const Session& aSession, TimePoint aNow) const
 {
-  const bool mayBeOld = m_options.m_startedEmpty && !m_wasCurrent;
+  const bool startedJustNow =
+    aNow - m_options.m_startedAt < m_options.m_unconfirmedWait;
+  const bool mayBeOld =
+    !m_wasCurrent && (m_options.m_startedEmpty || startedJustNow);
   if (!m_tree || mayBeOld || aSession.m_config ||
       aSession.m_info.m_refused == m_tree->At()) {
     return false;
@@ -96,7 +99,7 @@
 
 void NodeSessions::SendConfig(Session& aSession, TimePoint aNow)
 {
-  if (!NeedsConfig(aSession)) {
+  if (!NeedsConfig(aSession, aNow)) {
     return;
   }
   const EncodedConfig& update =
--- a/libs/distribution/test/NodeSessions_test.cpp
+++ b/libs/distribution/test/NodeSessions_test.cpp
@@ -259,31 +259,65 @@
   EXPECT_EQ(wire::FromWire(m_reply.floor), Version({ 1, 17 }));
 }
 
-// A control VM whose data folder was empty receives the log from its start. A
-// node that starts meanwhile must not take over the tree of an early entry.
-TEST(NodeSessions, SendsNoConfigurationBeforeItHasCaughtUpFromAnEmptyFolder)
+// One node's session with a control VM that was not current since its start.
+struct UnconfirmedControl
 {
-  const auto trees = MakeTrees(9);
-  const TimePoint now = TimePoint() + 1h;
-  discovery::EndpointTable table(1, 1);
-  NodeSessionsOptions options;
-  options.m_startedEmpty = true;
-  NodeSessions sessions(options, table, 1);
-  const auto configs = [](const NodeActions& aActions) {
+  explicit UnconfirmedControl(NodeSessionsOptions aOptions)
+    : m_sessions(aOptions, m_table, 1)
+  {
+    m_sessions.SetTree(m_trees[0], kStart);
+    m_sessions.SetFreshness(Duration::max(), kStart);
+    m_sessions.OnOpened(1, kStart);
+    m_first = Configs(m_sessions.OnFrame(
+      1, MakeFrame(wire::FrameType::NodeHello, Hello("n")), kStart));
+  }
+
+  static long Configs(const NodeActions& aActions)
+  {
     return std::count_if(
       aActions.begin(), aActions.end(), [](const NodeAction& aAction) {
         const auto* send = std::get_if<SendToNode>(&aAction);
         return send && send->m_type == wire::FrameType::ConfigUpdate;
       });
-  };
-  sessions.SetTree(trees[0], now);
-  sessions.SetFreshness(Duration::max(), now);
-  sessions.OnOpened(1, now);
-  EXPECT_EQ(configs(sessions.OnFrame(
-              1, MakeFrame(wire::FrameType::NodeHello, Hello("n")), now)),
-            0);
-  EXPECT_EQ(configs(sessions.SetTree(trees[8], now)), 0);
-  EXPECT_EQ(configs(sessions.SetFreshness(50ms, now)), 1);
+  }
+
+  static constexpr TimePoint kStart{ 1h };
+  std::vector<settings::Tree> m_trees = MakeTrees(9);
+  discovery::EndpointTable m_table{ 1, 1 };
+  NodeSessions m_sessions;
+  long m_first = 0; // configurations sent as the answer to the node's hello
+};
+
+// A control VM whose data folder was empty receives the log from its start. A
+// node that starts meanwhile must not take over the tree of an early entry.
+TEST(NodeSessions, SendsNoConfigurationBeforeItHasCaughtUpFromAnEmptyFolder)
+{
+  NodeSessionsOptions options;
+  options.m_startedEmpty = true;
+  UnconfirmedControl control(options);
+  const TimePoint now = UnconfirmedControl::kStart;
+  EXPECT_EQ(control.m_first, 0);
+  EXPECT_EQ(
+    control.Configs(control.m_sessions.SetTree(control.m_trees[8], now)), 0);
+  EXPECT_EQ(control.Configs(control.m_sessions.SetFreshness(50ms, now)), 1);
+}
+
+// After a start, the last entries of the log may have been committed and in
+// force. A node that starts too must not take over the tree before them, but a
+// zone without a quorum has to go on after a while.
+TEST(NodeSessions, SendsNoConfigurationRightAfterAStartUnlessItIsCurrent)
+{
+  NodeSessionsOptions options;
+  options.m_startedAt = UnconfirmedControl::kStart;
+  options.m_unconfirmedWait = 2s;
+  const TimePoint start = options.m_startedAt;
+  UnconfirmedControl confirmed(options);
+  EXPECT_EQ(confirmed.m_first, 0);
+  EXPECT_EQ(confirmed.Configs(confirmed.m_sessions.SetFreshness(50ms, start)),
+            1);
+  UnconfirmedControl cutOff(options);
+  EXPECT_EQ(cutOff.Configs(cutOff.m_sessions.OnTick(start + 1s)), 0);
+  EXPECT_EQ(cutOff.Configs(cutOff.m_sessions.OnTick(start + 2s)), 1);
 }
 
 // After an outage of the whole control plane every node waits for the first
