--- a/libs/consensus/src/Election.cpp
+++ b/libs/consensus/src/Election.cpp
@@ -81,9 +81,9 @@
 //
 // A member that has just started may have confirmed a lease before, and grants
 // no vote for an election timeout. After a loss of power everywhere that is a
-// pause for nothing: when every voter grants its vote, none of them leads, and a
-// leader would be one of them. So a member that has heard of no leader since its
-// start campaigns early, and then needs the grants of all voters.
+// pause for nothing: when every voter grants its vote, none of them leads, and
+// a leader would be one of them. So a member that has heard of no leader since
+// its start campaigns early, and then needs the grants of all voters.
 void Raft::StartPreVote(bool aEarly)
 {
   m_campaignsEarly = aEarly;
@@ -188,9 +188,8 @@
   }
   wire::RaftMessage reply =
     MakeMessage(wire::RaftMessageKind::PreVoteReply, aMessage.fromMember);
-  reply.granted =
-    aMessage.term > m_hard.m_term && !RefusesVotes(aMessage) &&
-    UpToDate(aMessage);
+  reply.granted = aMessage.term > m_hard.m_term && !RefusesVotes(aMessage) &&
+                  UpToDate(aMessage);
   if (reply.granted) {
     reply.term = aMessage.term;
   }
--- a/libs/consensus/test/Rules_test.cpp
+++ b/libs/consensus/test/Rules_test.cpp
@@ -154,8 +154,7 @@
 {
   const TimePoint early = kStart + milliseconds(200);
   const auto grants = [&](Driven& aMember, bool aEarly) {
-    aMember.ReceiveFrom(
-      3, early, Kind::PreVoteRequest, 5, { 1, 1 }, 0, aEarly);
+    aMember.ReceiveFrom(3, early, Kind::PreVoteRequest, 5, { 1, 1 }, 0, aEarly);
     const wire::RaftMessage reply = aMember.m_raft.TakeActions().m_send.back();
     EXPECT_EQ(reply.kind, Kind::PreVoteReply);
     return reply.granted;
