--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -11,6 +11,7 @@
 import time
 
 ZONES = ["arita", "hasami", "imari"]
+STARTUP_SECONDS = 0.5
 
 
 def host(zone, vm=0):
@@ -61,6 +62,7 @@
         self.bin = os.path.abspath(os.path.join(build, "bin"))
         self.work = work
         self.processes = {}
+        self.started_at = {}
         self.leaving = {}  # end of the time in which the end of a node is graceful
         self.unclean = []
 
@@ -89,6 +91,7 @@
 
     def start(self, name, *arguments):
         self.leaving.pop(name, None)
+        self.started_at[name] = time.monotonic()
         log = open(self.path(name + ".log"), "ab")
         self.processes[name] = subprocess.Popen(arguments, stdout=log, stderr=log)
         log.close()
@@ -103,6 +106,7 @@
     def terminate(self, name, limit=45):
         """Graceful shutdown; an exit status other than 0 is noted."""
         self.leaving[name] = math.inf
+        asked = time.monotonic()
         self.send(name, signal.SIGTERM)
         process = self.processes.pop(name)
         try:
@@ -112,7 +116,9 @@
             status = process.wait()
         # Callers notice the end of their connections a little later.
         self.leaving[name] = time.monotonic() + 0.5
-        if status != 0:
+        # Before its handlers are in place, the signal itself ends a process.
+        starting = asked - self.started_at[name] < STARTUP_SECONDS
+        if status != 0 and not (starting and status == -signal.SIGTERM):
             self.unclean.append("%s: %d" % (name, status))
 
     def is_leaving(self, name):
