Wait for the versions of other nodes also when the configuration comes late

A node that starts asks a control VM that is cut off, or has just started. Its configuration comes after the wait for floors has run out, and the node is ready 1 ms later, before the nodes that the configuration names could tell theirs.

Change: without a confirmation, a node is ready 0.3 s after its first configuration at the earliest. A confirmation by a current control VM still ends the wait at once.

Subscriber.WaitsForTheVersionsOfTheNodesThatALateConfigurationNames fails without the wait.

--- a/libs/distribution/include/wigeonfold/distribution/Subscriber.h
+++ b/libs/distribution/include/wigeonfold/distribution/Subscriber.h
@@ -55,6 +55,9 @@
   Duration m_maxFreshnessAge = std::chrono::seconds(3);
   // Time after the first HelloReply in which version floors are collected.
   Duration m_floorWait = std::chrono::seconds(1);
+  // Time after the first configuration, which names other nodes, in which these
+  // are asked for their versions.
+  Duration m_peerFloorWait = std::chrono::milliseconds(300);
   // Time without a fresh control VM after which a node below its floor serves.
   Duration m_floorGiveUp = std::chrono::seconds(10);
   // A session without a frame for this long is closed.
@@ -258,6 +261,7 @@
 
   std::optional<Version> m_floor;
   std::optional<TimePoint> m_floorEnd;
+  std::optional<TimePoint> m_configuredAt; // first configuration
   // The state includes every version that was committed before the start, so
   // no earlier run of this node had a newer one.
   bool m_confirmed = false;
--- a/libs/distribution/src/SubscriberState.cpp
+++ b/libs/distribution/src/SubscriberState.cpp
@@ -93,6 +93,9 @@
   m_refused.reset();
   m_refusal.clear();
   Apply(std::move(next));
+  if (!m_configuredAt) {
+    m_configuredAt = aNow;
+  }
   SendStatus(aNow);
   CheckReady(aNow);
 }
@@ -224,7 +227,9 @@
 
 void Subscriber::CheckReady(TimePoint aNow)
 {
-  const bool floorsKnown = m_floorEnd && aNow >= *m_floorEnd;
+  const bool floorsKnown = m_floorEnd && aNow >= *m_floorEnd &&
+                           m_configuredAt &&
+                           aNow >= *m_configuredAt + m_options.m_peerFloorWait;
   if (m_ready || !m_state || (!m_confirmed && !floorsKnown)) {
     return;
   }
--- a/libs/distribution/test/Subscriber_test.cpp
+++ b/libs/distribution/test/Subscriber_test.cpp
@@ -9,7 +9,10 @@
 class Fixture
 {
 public:
-  explicit Fixture(StateCheck aCheck = [](const NodeState&) { return Ok(); })
+  // The configuration comes that long after the answer to the hello.
+  explicit Fixture(
+    StateCheck aCheck = [](const NodeState&) { return Ok(); },
+    Duration aConfigAfter = {})
     : m_node(
         [] {
           SubscriberOptions options;
@@ -24,6 +27,7 @@
     m_session = std::get<ConnectTo>(m_node.Start(m_now)[0]).m_session;
     m_node.OnConnected(m_session, m_now);
     Feed(wire::FrameType::HelloReply, wire::HelloReply());
+    m_now += aConfigAfter;
     Feed(wire::FrameType::ConfigUpdate, Update(std::nullopt, 1));
   }
 
@@ -213,6 +217,20 @@
   EXPECT_FALSE(fixture.m_node.IsReady());
 }
 
+// A control VM that is cut off, or has just started, sends its configuration
+// after the wait for floors. The nodes that it names must still be heard.
+TEST(Subscriber, WaitsForTheVersionsOfTheNodesThatALateConfigurationNames)
+{
+  const auto accept = [](const NodeState&) { return Ok(); };
+  Fixture alone(accept, 1200ms);
+  EXPECT_FALSE(alone.m_node.IsReady());
+  EXPECT_EQ(CountOf<BecomeReady>(alone.m_node.OnTick(alone.m_now + 299ms)), 0U);
+  EXPECT_EQ(CountOf<BecomeReady>(alone.m_node.OnTick(alone.m_now + 300ms)), 1U);
+  Fixture told(accept, 1200ms);
+  told.m_node.OnPeerVersion({ 1, 3 }, told.m_now + 50ms);
+  EXPECT_EQ(CountOf<BecomeReady>(told.m_node.OnTick(told.m_now + 500ms)), 0U);
+}
+
 TEST(Subscriber, BacksOffWithFullJitterWhileNoControlVmAnswers)
 {
   SubscriberOptions options;
