Excuse an end by SIGTERM only where the process had not started

Cause: the soak excused every end by SIGTERM in the first half second of a process.

Change: such an end is excused only when the process has written nothing since its start, so that its handlers were not in place yet.

Reproduced: a node that is ended right after its start has status -15 and an empty log; after 0.3 s it ends with 0; one that has started and ends with -15 is noted as unclean.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -11,7 +11,6 @@
 import time
 
 ZONES = ["arita", "hasami", "imari"]
-STARTUP_SECONDS = 0.5
 
 
 def host(zone, vm=0):
@@ -62,7 +61,7 @@
         self.bin = os.path.abspath(os.path.join(build, "bin"))
         self.work = work
         self.processes = {}
-        self.started_at = {}
+        self.log_sizes = {}  # before the latest start
         self.leaving = {}  # end of the time in which the end of a node is graceful
         self.unclean = []
 
@@ -91,8 +90,8 @@
 
     def start(self, name, *arguments):
         self.leaving.pop(name, None)
-        self.started_at[name] = time.monotonic()
         log = open(self.path(name + ".log"), "ab")
+        self.log_sizes[name] = log.tell()
         self.processes[name] = subprocess.Popen(arguments, stdout=log, stderr=log)
         log.close()
 
@@ -106,7 +105,6 @@
     def terminate(self, name, limit=45):
         """Graceful shutdown; an exit status other than 0 is noted."""
         self.leaving[name] = math.inf
-        asked = time.monotonic()
         self.send(name, signal.SIGTERM)
         process = self.processes.pop(name)
         try:
@@ -116,9 +114,10 @@
             status = process.wait()
         # Callers notice the end of their connections a little later.
         self.leaving[name] = time.monotonic() + 0.5
-        # Before its handlers are in place, the signal itself ends a process.
-        starting = asked - self.started_at[name] < STARTUP_SECONDS
-        if status != 0 and not (starting and status == -signal.SIGTERM):
+        # Before its handlers are in place, the signal itself ends a process; it
+        # has not said that it started then.
+        said_nothing = os.path.getsize(self.path(name + ".log")) == self.log_sizes[name]
+        if status != 0 and not (said_nothing and status == -signal.SIGTERM):
             self.unclean.append("%s: %d" % (name, status))
 
     def is_leaving(self, name):
