--- a/libs/settings/src/Schema.cpp
+++ b/libs/settings/src/Schema.cpp
@@ -177,6 +177,8 @@
       "host that selects the route" },
     { "route.idempotent",           Boolean,      "",   0, 0,          "false", Scope::Routes,
       "requests of the route may run more than once" },
+    { "route.large-answers",        Boolean,      "",   0, 0,          "false", Scope::Routes,
+      "answers of the route are large, such as downloads" },
     { "route.objective",            Milliseconds, "ms", 0, kMaxTimeMs, "0",    Scope::Routes,
       "latency objective of the route's answers; 0 for none" },
     { "route.path",                 Prefix,       "",   0, 0,          "/",    Scope::OneRoute,
