Count a control VM as current only with all committed entries applied

By the code: after all control VMs have restarted, the first change is in the new leader's log but its commit index was never stored, since a commit index alone causes no write. Followers confirm the leader's round before they have synced the first entry of its term, so the leader reported an age near zero while its tree was still at version 0, and a restarted node took that for a confirmation. A follower with a slow disk reported itself as current while a committed entry waited for its sync. Change: the age is unknown until an entry of the leader's term is committed, and at least as great as the age of the oldest committed entry that is not applied. Tests: RulesTest.LeaderIsCurrentOnlyWithACommittedEntryOfItsTerm and MemberIsAsOldAsItsOldestUnappliedEntry; both fail without the change.

--- a/libs/consensus/include/wigeonfold/consensus/Raft.h
+++ b/libs/consensus/include/wigeonfold/consensus/Raft.h
@@ -297,6 +297,7 @@
   void AppendToLog(wire::LogEntry aEntry);
   void TruncateLog(int64_t aIndex);
   void CommitTo(int64_t aIndex);
+  void MarkUnapplied();
   void CollectApply(RaftActions& aActions);
   void CollectPersist(RaftActions& aActions);
   void RequestSnapshot(RaftActions& aActions);
@@ -345,7 +346,8 @@
   // Sending time of the last round that a quorum has answered, TimePoint::min()
   // when there is none. With aGrace, m_leaderSince counts as answered by all.
   TimePoint QuorumConfirmedAt(TimePoint aNow, bool aGrace) const;
-  // Milliseconds since that round, without grace; -1 when there is none.
+  // Milliseconds since that round, without grace; -1 when there is none or the
+  // leader may not know all committed entries.
   int64_t QuorumAgeMs() const;
   void HandleAppendReply(const wire::RaftMessage& aMessage);
 
@@ -377,6 +379,8 @@
   // In log order; the last one is the current one.
   std::vector<IndexedMembership> m_memberships;
   int64_t m_applied = 0;
+  // Since when a committed entry or an installed snapshot is not applied.
+  std::optional<TimePoint> m_unappliedSince;
 
   // Persistence.
   uint64_t m_nextSequence = 1;
--- a/libs/consensus/src/Election.cpp
+++ b/libs/consensus/src/Election.cpp
@@ -47,10 +47,10 @@
 void Raft::BecomeFollower(int64_t aTerm, MemberId aLeader)
 {
   if (m_role == Role::Leader) {
-    const TimePoint confirmed = QuorumConfirmedAt(m_now, false);
-    if (confirmed != TimePoint::min()) {
-      m_freshnessAt = confirmed;
-      m_freshnessAge = Duration::zero();
+    const Duration age = FreshnessAge(m_now);
+    if (age != Duration::max()) {
+      m_freshnessAt = m_now;
+      m_freshnessAge = age;
     }
     m_progress.clear();
     m_rounds.clear();
--- a/libs/consensus/src/Leader.cpp
+++ b/libs/consensus/src/Leader.cpp
@@ -351,9 +351,11 @@
 int64_t Raft::QuorumAgeMs() const
 {
   const TimePoint confirmed = QuorumConfirmedAt(m_now, false);
+  if (!CommittedEntryInCurrentTerm() || confirmed == TimePoint::min()) {
+    return -1;
+  }
   // Rounded up, so that a follower does not report too small an age.
-  return confirmed == TimePoint::min() ? -1
-                                       : ToMilliseconds(m_now - confirmed) + 1;
+  return ToMilliseconds(m_now - confirmed) + 1;
 }
 
 bool Raft::HasLease(TimePoint aNow) const
--- a/libs/consensus/src/Raft.cpp
+++ b/libs/consensus/src/Raft.cpp
@@ -293,6 +293,9 @@
     aActions.m_apply.push_back(m_log.At(m_applied));
     m_appliedBytes += aActions.m_apply.back().payload.size();
   }
+  if (m_applied >= m_hardState.m_commit) {
+    m_unappliedSince.reset();
+  }
 }
 
 void Raft::RequestSnapshot(RaftActions& aActions)
@@ -401,6 +404,7 @@
   }
   const bool wasCommitted = MembershipCommitted();
   m_hardState.m_commit = index;
+  MarkUnapplied();
   if (!wasCommitted && MembershipCommitted()) {
     AddEvent(EventId::MembershipChanged,
              { { "index", std::to_string(m_memberships.back().m_index) },
@@ -408,6 +412,13 @@
   }
 }
 
+void Raft::MarkUnapplied()
+{
+  if (!m_unappliedSince) {
+    m_unappliedSince = m_now;
+  }
+}
+
 // ---- Queries ---------------------------------------------------------------
 
 int64_t Raft::SnapshotIndex() const
@@ -450,16 +461,22 @@
   return member == nullptr ? std::nullopt : std::make_optional(*member);
 }
 
+// Until an entry of its term is committed, a leader does not know whether the
+// last entries of its log were committed, so its own contact with a quorum does
+// not count. Committed entries that are not applied yet are missing from the
+// state machine.
 Duration Raft::FreshnessAge(TimePoint aNow) const
 {
-  if (m_role == Role::Leader) {
+  Duration age = Duration::max();
+  if (CommittedEntryInCurrentTerm()) {
     const TimePoint confirmed = QuorumConfirmedAt(aNow, false);
-    return confirmed == TimePoint::min() ? Duration::max() : aNow - confirmed;
-  }
-  if (m_freshnessAge == Duration::max()) {
-    return Duration::max();
+    if (confirmed != TimePoint::min()) {
+      age = aNow - confirmed;
+    }
+  } else if (m_freshnessAge != Duration::max()) {
+    age = aNow - m_freshnessAt + m_freshnessAge;
   }
-  return aNow - m_freshnessAt + m_freshnessAge;
+  return m_unappliedSince ? std::max(age, aNow - *m_unappliedSince) : age;
 }
 
 TimePoint Raft::NextDeadline() const
--- a/libs/consensus/src/SnapshotTransfer.cpp
+++ b/libs/consensus/src/SnapshotTransfer.cpp
@@ -152,6 +152,7 @@
   }
   m_hardState.m_commit = position.m_index;
   m_applied = position.m_index;
+  MarkUnapplied(); // until the restore
   m_verified = std::max(m_verified, position.m_index);
   m_snapshotRequested = 0;
   m_appliedBytes = 0;
--- a/libs/consensus/test/Rules_test.cpp
+++ b/libs/consensus/test/Rules_test.cpp
@@ -200,6 +200,59 @@
   EXPECT_EQ(member.m_raft.CommitIndex(), 3);
 }
 
+// A restarted node takes the configuration of a control VM that is current for
+// complete. After a restart of all control VMs the new leader does not know yet
+// that the newest entry of its log was committed, and members acknowledge its
+// heartbeats before they have synced an entry of its term.
+TEST(RulesTest, LeaderIsCurrentOnlyWithACommittedEntryOfItsTerm)
+{
+  MemberUnderTest member({ 2 });
+  member.Elect();
+  member.Receive(kLater, Kind::AppendReply, 3, { 2, 2 }, 1);
+  EXPECT_TRUE(member.m_raft.HasLease(kLater));
+  EXPECT_EQ(member.m_raft.FreshnessAge(kLater), Duration::max());
+  member.m_raft.Tick(kLater + milliseconds(100));
+  for (const wire::RaftMessage& beat : member.m_raft.TakeActions().m_send) {
+    EXPECT_EQ(beat.quorumAgeMs, -1);
+  }
+  member.Receive(kLater, Kind::AppendReply, 3, { 3, 3 }, 1);
+  member.m_raft.TakeActions();
+  EXPECT_EQ(member.m_raft.FreshnessAge(kLater), Duration::zero());
+}
+
+// A follower with a slow disk knows of committed entries that its tree does not
+// contain yet.
+TEST(RulesTest, MemberIsAsOldAsItsOldestUnappliedEntry)
+{
+  MemberUnderTest member;
+  const auto append = [&](TimePoint aNow, int64_t aPrevious, size_t aEntries) {
+    wire::RaftMessage message;
+    message.kind = Kind::AppendRequest;
+    message.fromMember = 2;
+    message.toMember = 1;
+    message.term = 1;
+    message.logIndex = aPrevious;
+    message.logTerm = 1;
+    message.commitIndex = 2;
+    message.entries.resize(aEntries);
+    for (wire::LogEntry& entry : message.entries) {
+      entry.index = 2;
+      entry.term = 1;
+      entry.kind = wire::LogEntryKind::Noop;
+    }
+    member.m_raft.Receive(aNow, message);
+  };
+  append(kLater, 1, 1);
+  const RaftActions actions = member.m_raft.TakeActions();
+  ASSERT_TRUE(actions.NeedsPersistence());
+  const TimePoint later = kLater + milliseconds(500);
+  append(later, 2, 0);
+  EXPECT_EQ(member.m_raft.FreshnessAge(later), milliseconds(500));
+  member.m_raft.OnPersisted(later, actions.m_sequence);
+  EXPECT_EQ(member.m_raft.TakeActions().m_apply.back().index, 2);
+  EXPECT_EQ(member.m_raft.FreshnessAge(later), Duration::zero());
+}
+
 TEST(RulesTest, ChangeNeedsACommittedEntryOfTheTermAndNoPendingChange)
 {
   MemberUnderTest member;
