Take a peer for silent by bytes received and not by whole messages

A node that was paused itself gave up all its connections on waking. Change: forwarding::PeerLiveness counts silence by bytes and by checks, at most 100 ms for each, apart from sockets. Tests: PeerLiveness.

--- a/apps/wigeonfold-node/PeerClient.cpp
+++ b/apps/wigeonfold-node/PeerClient.cpp
@@ -8,22 +8,12 @@
 
 using forwarding::AttemptKey;
 using forwarding::Outcome;
+using forwarding::PeerCondition;
 using wire::FrameType;
 using namespace std::chrono_literals;
 
 namespace {
 
-// A connection with calls in progress on which nothing was received for this
-// long is sent a PeerHello, which the peer answers.
-constexpr Duration kHeartbeatAfter = 150ms;
-// A connection with calls in progress but without a received frame for this
-// long gets no further calls, and its idempotent calls try another target.
-// Three heartbeats fit into this time. Packet loss and a busy peer cause such
-// pauses too, so calls that aren't idempotent keep waiting.
-constexpr Duration kSilenceLimit = 500ms;
-// A connection with calls in progress but without a received frame for this
-// long counts as lost: a VM that disappeared sends no reset.
-constexpr Duration kLossLimit = 1500ms;
 // Interval of the probes of an unreachable node. They show when it is reachable
 // again, so that no request has to be risked for that.
 constexpr Duration kProbeInterval = 500ms;
@@ -79,11 +69,7 @@
 {
   const uint64_t id = GetOrOpenLink(aEndpoint);
   Link& link = m_links.at(id);
-  const TimePoint now = Clock::now();
-  if (link.m_calls.Size() == 0) {
-    link.m_lastReceived = now; // silence is measured only while calls wait
-  }
-  link.m_lastUsed = now;
+  link.m_lastUsed = Clock::now();
   PendingCall call{
     link.m_calls.Open(aKey), aKey, std::move(aRequest), aDeadline
   };
@@ -210,7 +196,6 @@
   }
   Link& link = found->second;
   link.m_connection = std::move(aConnection.value());
-  link.m_lastReceived = Clock::now();
   link.m_connection->Send(FrameType::PeerHello,
                           MakeHello(m_identity, ++m_lastEpoch));
   std::vector<AttemptKey> failed;
@@ -232,7 +217,6 @@
     return;
   }
   Link& link = found->second;
-  link.m_lastReceived = Clock::now();
   if (m_probes.erase(link.m_nodeName) > 0) {
     m_handlers.m_onReachable(std::string(link.m_nodeName));
   }
@@ -403,20 +387,26 @@
     if (!link.m_connection) {
       continue;
     }
-    const Duration silence = aNow - link.m_lastReceived;
-    if (link.m_calls.Size() == 0) {
-      if (aNow - link.m_lastUsed > kIdleLimit) {
-        idle.push_back(id);
-      }
-    } else if (silence > kLossLimit) {
-      lost.push_back(id);
-    } else if (silence > kSilenceLimit) {
-      if (!link.m_silent) {
-        silent.push_back(id);
-      }
-    } else if (silence > kHeartbeatAfter) {
-      link.m_connection->Send(FrameType::PeerHello,
-                              MakeHello(m_identity, m_lastEpoch));
+    const bool hasCalls = link.m_calls.Size() > 0;
+    if (!hasCalls && aNow - link.m_lastUsed > kIdleLimit) {
+      idle.push_back(id);
+    }
+    switch (link.m_liveness.Check(
+      link.m_connection->BytesReceived(), hasCalls, aNow)) {
+      case PeerCondition::Alive:
+        break;
+      case PeerCondition::Quiet:
+        link.m_connection->Send(FrameType::PeerHello,
+                                MakeHello(m_identity, m_lastEpoch));
+        break;
+      case PeerCondition::Silent:
+        if (!link.m_silent) {
+          silent.push_back(id);
+        }
+        break;
+      case PeerCondition::Lost:
+        lost.push_back(id);
+        break;
     }
   }
   for (const uint64_t id : silent) {
--- a/apps/wigeonfold-node/PeerClient.h
+++ b/apps/wigeonfold-node/PeerClient.h
@@ -4,6 +4,7 @@
 #include "wigeonfold/base/Version.h"
 #include "wigeonfold/forwarding/CallTable.h"
 #include "wigeonfold/forwarding/Outcome.h"
+#include "wigeonfold/forwarding/PeerLiveness.h"
 #include "wigeonfold/net/Connection.h"
 #include "wigeonfold/routing/View.h"
 
@@ -111,10 +112,10 @@
     net::ConnectionPtr m_connection; // null while connecting
     forwarding::CallTable m_calls;
     std::vector<PendingCall> m_pendingCalls;
-    TimePoint m_lastReceived{};
+    forwarding::PeerLiveness m_liveness;
     TimePoint m_lastUsed{};
     bool m_draining = false; // gets no further calls
-    bool m_silent = false;   // nothing received for kSilenceLimit
+    bool m_silent = false;   // was reported with m_onSilent
   };
 
   // An unreachable node and its next connection attempt.
