Pack the entries of Raft messages once for all followers

Cause: a configuration of 1,680 routes is an entry of 580 KB, which a leader with 14 followers encoded and sent 14 times: 8 MB over its link and the processor time of a tenth of a core for a second. Change: entries of 4 KiB or more are compressed once (wire::EntryPacker) and sent to members whose hello says that they read them, so a member of an older build gets them as before. Logs on disk are unchanged.

--- a/apps/wigeonfold-control/Network.cpp
+++ b/apps/wigeonfold-control/Network.cpp
@@ -139,7 +139,7 @@
 void Network::Handle(NetMessage aMessage)
 {
   if (auto* raft = std::get_if<SendRaft>(&aMessage)) {
-    m_peers.SendRaft(raft->m_message);
+    m_peers.SendRaft(std::move(raft->m_message));
   } else if (auto* peers = std::get_if<SetPeers>(&aMessage)) {
     m_peers.SetMembership(peers->m_membership);
     m_peers.SetClusterId(peers->m_clusterId);
--- a/apps/wigeonfold-control/PeerLinks.cpp
+++ b/apps/wigeonfold-control/PeerLinks.cpp
@@ -252,6 +252,7 @@
   wire::ControlHello hello = MakeHello(m_settings, m_memberId);
   hello.clusterId = m_clusterId;
   hello.hasLog = m_hasLog;
+  hello.readsPackedEntries = true;
   aConnection->Send(FrameType::ControlHello, hello);
 }
 
@@ -274,7 +275,7 @@
     }
   } else if (aFrame.m_type == FrameType::Raft && identified) {
     auto message = wire::Decode<wire::RaftMessage>(aFrame.m_payload, peer);
-    valid = static_cast<bool>(message);
+    valid = message && wire::UnpackEntries(message.value(), peer);
     if (valid) {
       m_handlers.m_onRaft(std::move(message.value()));
     }
@@ -324,6 +325,7 @@
   }
   link.m_memberId = aHello.memberId;
   link.m_name = aHello.name;
+  link.m_readsPackedEntries = aHello.readsPackedEntries;
   if (dialer) {
     dialer->m_backoff.Reset();
   }
@@ -367,14 +369,18 @@
   return members;
 }
 
-void PeerLinks::SendRaft(const wire::RaftMessage& aMessage)
+void PeerLinks::SendRaft(wire::RaftMessage aMessage)
 {
   const auto members = MemberConnections();
   const auto found = members.find(aMessage.toMember);
-  if (found != members.end() &&
-      found->second->QueuedBytes() < kCongestedBytes) {
-    found->second->Send(FrameType::Raft, aMessage);
+  if (found == members.end() ||
+      found->second->QueuedBytes() >= kCongestedBytes) {
+    return;
+  }
+  if (m_links.at(found->second.get()).m_readsPackedEntries) {
+    m_packer.Pack(aMessage);
   }
+  found->second->Send(FrameType::Raft, aMessage);
 }
 
 bool PeerLinks::AllConnected() const
--- a/apps/wigeonfold-control/PeerLinks.h
+++ b/apps/wigeonfold-control/PeerLinks.h
@@ -6,6 +6,7 @@
 #include "wigeonfold/base/Backoff.h"
 #include "wigeonfold/base/Events.h"
 #include "wigeonfold/net/Connection.h"
+#include "wigeonfold/wire/EntryPacking.h"
 #include "wigeonfold/wire/gen/control_types.h"
 #include "wigeonfold/wire/gen/raft_types.h"
 
@@ -71,7 +72,7 @@
 
   // Drops the message when there is no connection or it is congested, since
   // Raft repeats what is lost.
-  void SendRaft(const wire::RaftMessage& aMessage);
+  void SendRaft(wire::RaftMessage aMessage);
 
   // The connection to use for each connected control VM, by member id. Contains
   // VMs that have not joined the cluster yet.
@@ -88,6 +89,7 @@
     int64_t m_memberId = 0;
     std::string m_name;
     bool m_outgoing = false;
+    bool m_readsPackedEntries = false;
     TimePoint m_lastReceived;  // last frame
     TimePoint m_lastKeepalive; // last hello sent as a keepalive
   };
@@ -129,6 +131,7 @@
   std::unique_ptr<net::Listener> m_listener;
   std::map<std::string, Dialer> m_dialers; // by address
   std::map<net::Connection*, Link> m_links;
+  wire::EntryPacker m_packer;
   TimePoint m_lastTick;
   bool m_stopped = false;
 };
--- a/idl/control.thrift
+++ b/idl/control.thrift
@@ -159,4 +159,6 @@
   9: bool hasLog,
   // The VM may create the cluster.
   10: bool mayBootstrap,
+  // The sender reads RaftMessage.packedEntries.
+  11: bool readsPackedEntries,
 }
--- a/idl/raft.thrift
+++ b/idl/raft.thrift
@@ -43,6 +43,10 @@
   3: binary state,
 }
 
+struct LogEntryList {
+  1: list<LogEntry> entries,
+}
+
 enum RaftMessageKind {
   PreVoteRequest = 1,
   PreVoteReply = 2,
@@ -84,4 +88,9 @@
   // PreVoteRequest and VoteRequest: the sender has heard of no leader since its
   // start, campaigns early and needs the pre-votes of all voters.
   17: bool early,
+  // Used instead of entries when these are large: an encoded LogEntryList,
+  // compressed, and its uncompressed length. Sent only to members whose hello
+  // says that they read it.
+  18: binary packedEntries,
+  19: i64 packedLength,
 }
--- a/libs/wire/gen/include/wigeonfold/wire/gen/control_types.h
+++ b/libs/wire/gen/include/wigeonfold/wire/gen/control_types.h
@@ -955,7 +955,7 @@
 std::ostream& operator<<(std::ostream& out, const EndpointSync& obj);
 
 typedef struct _ControlHello__isset {
-  _ControlHello__isset() : memberId(false), name(false), clusterId(false), availabilityZone(false), peerAddress(false), apiAddress(false), nodeAddress(false), operatorAddress(false), hasLog(false), mayBootstrap(false) {}
+  _ControlHello__isset() : memberId(false), name(false), clusterId(false), availabilityZone(false), peerAddress(false), apiAddress(false), nodeAddress(false), operatorAddress(false), hasLog(false), mayBootstrap(false), readsPackedEntries(false) {}
   bool memberId :1;
   bool name :1;
   bool clusterId :1;
@@ -966,6 +966,7 @@
   bool operatorAddress :1;
   bool hasLog :1;
   bool mayBootstrap :1;
+  bool readsPackedEntries :1;
 } _ControlHello__isset;
 
 class ControlHello : public virtual ::apache::thrift::TBase {
@@ -985,7 +986,8 @@
                  nodeAddress(),
                  operatorAddress(),
                  hasLog(0),
-                 mayBootstrap(0) {
+                 mayBootstrap(0),
+                 readsPackedEntries(0) {
   }
 
   virtual ~ControlHello() noexcept;
@@ -999,6 +1001,7 @@
   std::string operatorAddress;
   bool hasLog;
   bool mayBootstrap;
+  bool readsPackedEntries;
 
   _ControlHello__isset __isset;
 
@@ -1022,6 +1025,8 @@
 
   void __set_mayBootstrap(const bool val);
 
+  void __set_readsPackedEntries(const bool val);
+
   bool operator == (const ControlHello & rhs) const
   {
     if (!(memberId == rhs.memberId))
@@ -1044,6 +1049,8 @@
       return false;
     if (!(mayBootstrap == rhs.mayBootstrap))
       return false;
+    if (!(readsPackedEntries == rhs.readsPackedEntries))
+      return false;
     return true;
   }
   bool operator != (const ControlHello &rhs) const {
--- a/libs/wire/gen/include/wigeonfold/wire/gen/raft_types.h
+++ b/libs/wire/gen/include/wigeonfold/wire/gen/raft_types.h
@@ -62,6 +62,8 @@
 
 class SnapshotContent;
 
+class LogEntryList;
+
 class RaftMessage;
 
 typedef struct _LogEntry__isset {
@@ -330,8 +332,52 @@
 
 std::ostream& operator<<(std::ostream& out, const SnapshotContent& obj);
 
+typedef struct _LogEntryList__isset {
+  _LogEntryList__isset() : entries(false) {}
+  bool entries :1;
+} _LogEntryList__isset;
+
+class LogEntryList : public virtual ::apache::thrift::TBase {
+ public:
+
+  LogEntryList(const LogEntryList&);
+  LogEntryList(LogEntryList&&) noexcept;
+  LogEntryList& operator=(const LogEntryList&);
+  LogEntryList& operator=(LogEntryList&&) noexcept;
+  LogEntryList() noexcept {
+  }
+
+  virtual ~LogEntryList() noexcept;
+  std::vector<LogEntry>  entries;
+
+  _LogEntryList__isset __isset;
+
+  void __set_entries(const std::vector<LogEntry> & val);
+
+  bool operator == (const LogEntryList & rhs) const
+  {
+    if (!(entries == rhs.entries))
+      return false;
+    return true;
+  }
+  bool operator != (const LogEntryList &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LogEntryList & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LogEntryList &a, LogEntryList &b);
+
+std::ostream& operator<<(std::ostream& out, const LogEntryList& obj);
+
 typedef struct _RaftMessage__isset {
-  _RaftMessage__isset() : kind(false), fromMember(false), toMember(false), term(false), logIndex(false), logTerm(false), commitIndex(false), entries(false), granted(false), round(false), snapshotOffset(false), snapshotSize(false), snapshotData(false), quorumAgeMs(false), rejectedIndex(false), early(false) {}
+  _RaftMessage__isset() : kind(false), fromMember(false), toMember(false), term(false), logIndex(false), logTerm(false), commitIndex(false), entries(false), granted(false), round(false), snapshotOffset(false), snapshotSize(false), snapshotData(false), quorumAgeMs(false), rejectedIndex(false), early(false), packedEntries(false), packedLength(false) {}
   bool kind :1;
   bool fromMember :1;
   bool toMember :1;
@@ -348,6 +394,8 @@
   bool quorumAgeMs :1;
   bool rejectedIndex :1;
   bool early :1;
+  bool packedEntries :1;
+  bool packedLength :1;
 } _RaftMessage__isset;
 
 class RaftMessage : public virtual ::apache::thrift::TBase {
@@ -372,7 +420,9 @@
                 snapshotData(),
                 quorumAgeMs(0),
                 rejectedIndex(0),
-                early(0) {
+                early(0),
+                packedEntries(),
+                packedLength(0) {
   }
 
   virtual ~RaftMessage() noexcept;
@@ -396,6 +446,8 @@
   int64_t quorumAgeMs;
   int64_t rejectedIndex;
   bool early;
+  std::string packedEntries;
+  int64_t packedLength;
 
   _RaftMessage__isset __isset;
 
@@ -431,6 +483,10 @@
 
   void __set_early(const bool val);
 
+  void __set_packedEntries(const std::string& val);
+
+  void __set_packedLength(const int64_t val);
+
   bool operator == (const RaftMessage & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -465,6 +521,10 @@
       return false;
     if (!(early == rhs.early))
       return false;
+    if (!(packedEntries == rhs.packedEntries))
+      return false;
+    if (!(packedLength == rhs.packedLength))
+      return false;
     return true;
   }
   bool operator != (const RaftMessage &rhs) const {
--- a/libs/wire/gen/src/control_types.cpp
+++ b/libs/wire/gen/src/control_types.cpp
@@ -2576,6 +2576,10 @@
 void ControlHello::__set_mayBootstrap(const bool val) {
   this->mayBootstrap = val;
 }
+
+void ControlHello::__set_readsPackedEntries(const bool val) {
+  this->readsPackedEntries = val;
+}
 std::ostream& operator<<(std::ostream& out, const ControlHello& obj)
 {
   obj.printTo(out);
@@ -2684,6 +2688,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->readsPackedEntries);
+          this->__isset.readsPackedEntries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2741,6 +2753,10 @@
   xfer += oprot->writeBool(this->mayBootstrap);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("readsPackedEntries", ::apache::thrift::protocol::T_BOOL, 11);
+  xfer += oprot->writeBool(this->readsPackedEntries);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2758,6 +2774,7 @@
   swap(a.operatorAddress, b.operatorAddress);
   swap(a.hasLog, b.hasLog);
   swap(a.mayBootstrap, b.mayBootstrap);
+  swap(a.readsPackedEntries, b.readsPackedEntries);
   swap(a.__isset, b.__isset);
 }
 
@@ -2772,6 +2789,7 @@
   operatorAddress = other97.operatorAddress;
   hasLog = other97.hasLog;
   mayBootstrap = other97.mayBootstrap;
+  readsPackedEntries = other97.readsPackedEntries;
   __isset = other97.__isset;
 }
 ControlHello::ControlHello(ControlHello&& other98) noexcept {
@@ -2785,6 +2803,7 @@
   operatorAddress = std::move(other98.operatorAddress);
   hasLog = other98.hasLog;
   mayBootstrap = other98.mayBootstrap;
+  readsPackedEntries = other98.readsPackedEntries;
   __isset = other98.__isset;
 }
 ControlHello& ControlHello::operator=(const ControlHello& other99) {
@@ -2798,6 +2817,7 @@
   operatorAddress = other99.operatorAddress;
   hasLog = other99.hasLog;
   mayBootstrap = other99.mayBootstrap;
+  readsPackedEntries = other99.readsPackedEntries;
   __isset = other99.__isset;
   return *this;
 }
@@ -2812,6 +2832,7 @@
   operatorAddress = std::move(other100.operatorAddress);
   hasLog = other100.hasLog;
   mayBootstrap = other100.mayBootstrap;
+  readsPackedEntries = other100.readsPackedEntries;
   __isset = other100.__isset;
   return *this;
 }
@@ -2828,6 +2849,7 @@
   out << ", " << "operatorAddress=" << to_string(operatorAddress);
   out << ", " << "hasLog=" << to_string(hasLog);
   out << ", " << "mayBootstrap=" << to_string(mayBootstrap);
+  out << ", " << "readsPackedEntries=" << to_string(readsPackedEntries);
   out << ")";
 }
 
--- a/libs/wire/gen/src/raft_types.cpp
+++ b/libs/wire/gen/src/raft_types.cpp
@@ -776,6 +776,127 @@
 }
 
 
+LogEntryList::~LogEntryList() noexcept {
+}
+
+
+void LogEntryList::__set_entries(const std::vector<LogEntry> & val) {
+  this->entries = val;
+}
+std::ostream& operator<<(std::ostream& out, const LogEntryList& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LogEntryList::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entries.clear();
+            uint32_t _size23;
+            ::apache::thrift::protocol::TType _etype26;
+            xfer += iprot->readListBegin(_etype26, _size23);
+            this->entries.resize(_size23);
+            uint32_t _i27;
+            for (_i27 = 0; _i27 < _size23; ++_i27)
+            {
+              xfer += this->entries[_i27].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LogEntryList::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LogEntryList");
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<LogEntry> ::const_iterator _iter28;
+    for (_iter28 = this->entries.begin(); _iter28 != this->entries.end(); ++_iter28)
+    {
+      xfer += (*_iter28).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LogEntryList &a, LogEntryList &b) {
+  using ::std::swap;
+  swap(a.entries, b.entries);
+  swap(a.__isset, b.__isset);
+}
+
+LogEntryList::LogEntryList(const LogEntryList& other29) {
+  entries = other29.entries;
+  __isset = other29.__isset;
+}
+LogEntryList::LogEntryList(LogEntryList&& other30) noexcept {
+  entries = std::move(other30.entries);
+  __isset = other30.__isset;
+}
+LogEntryList& LogEntryList::operator=(const LogEntryList& other31) {
+  entries = other31.entries;
+  __isset = other31.__isset;
+  return *this;
+}
+LogEntryList& LogEntryList::operator=(LogEntryList&& other32) noexcept {
+  entries = std::move(other32.entries);
+  __isset = other32.__isset;
+  return *this;
+}
+void LogEntryList::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LogEntryList(";
+  out << "entries=" << to_string(entries);
+  out << ")";
+}
+
+
 RaftMessage::~RaftMessage() noexcept {
 }
 
@@ -843,6 +964,14 @@
 void RaftMessage::__set_early(const bool val) {
   this->early = val;
 }
+
+void RaftMessage::__set_packedEntries(const std::string& val) {
+  this->packedEntries = val;
+}
+
+void RaftMessage::__set_packedLength(const int64_t val) {
+  this->packedLength = val;
+}
 std::ostream& operator<<(std::ostream& out, const RaftMessage& obj)
 {
   obj.printTo(out);
@@ -873,9 +1002,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast23;
-          xfer += iprot->readI32(ecast23);
-          this->kind = static_cast<RaftMessageKind::type>(ecast23);
+          int32_t ecast33;
+          xfer += iprot->readI32(ecast33);
+          this->kind = static_cast<RaftMessageKind::type>(ecast33);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -933,14 +1062,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size24;
-            ::apache::thrift::protocol::TType _etype27;
-            xfer += iprot->readListBegin(_etype27, _size24);
-            this->entries.resize(_size24);
-            uint32_t _i28;
-            for (_i28 = 0; _i28 < _size24; ++_i28)
+            uint32_t _size34;
+            ::apache::thrift::protocol::TType _etype37;
+            xfer += iprot->readListBegin(_etype37, _size34);
+            this->entries.resize(_size34);
+            uint32_t _i38;
+            for (_i38 = 0; _i38 < _size34; ++_i38)
             {
-              xfer += this->entries[_i28].read(iprot);
+              xfer += this->entries[_i38].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1013,6 +1142,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->packedEntries);
+          this->__isset.packedEntries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->packedLength);
+          this->__isset.packedLength = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1061,10 +1206,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter29;
-    for (_iter29 = this->entries.begin(); _iter29 != this->entries.end(); ++_iter29)
+    std::vector<LogEntry> ::const_iterator _iter39;
+    for (_iter39 = this->entries.begin(); _iter39 != this->entries.end(); ++_iter39)
     {
-      xfer += (*_iter29).write(oprot);
+      xfer += (*_iter39).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1102,6 +1247,14 @@
   xfer += oprot->writeBool(this->early);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("packedEntries", ::apache::thrift::protocol::T_STRING, 18);
+  xfer += oprot->writeBinary(this->packedEntries);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("packedLength", ::apache::thrift::protocol::T_I64, 19);
+  xfer += oprot->writeI64(this->packedLength);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1125,85 +1278,95 @@
   swap(a.quorumAgeMs, b.quorumAgeMs);
   swap(a.rejectedIndex, b.rejectedIndex);
   swap(a.early, b.early);
+  swap(a.packedEntries, b.packedEntries);
+  swap(a.packedLength, b.packedLength);
   swap(a.__isset, b.__isset);
 }
 
-RaftMessage::RaftMessage(const RaftMessage& other30) {
-  kind = other30.kind;
-  fromMember = other30.fromMember;
-  toMember = other30.toMember;
-  term = other30.term;
-  logIndex = other30.logIndex;
-  logTerm = other30.logTerm;
-  commitIndex = other30.commitIndex;
-  entries = other30.entries;
-  granted = other30.granted;
-  round = other30.round;
-  snapshotOffset = other30.snapshotOffset;
-  snapshotSize = other30.snapshotSize;
-  snapshotData = other30.snapshotData;
-  quorumAgeMs = other30.quorumAgeMs;
-  rejectedIndex = other30.rejectedIndex;
-  early = other30.early;
-  __isset = other30.__isset;
-}
-RaftMessage::RaftMessage(RaftMessage&& other31) noexcept {
-  kind = other31.kind;
-  fromMember = other31.fromMember;
-  toMember = other31.toMember;
-  term = other31.term;
-  logIndex = other31.logIndex;
-  logTerm = other31.logTerm;
-  commitIndex = other31.commitIndex;
-  entries = std::move(other31.entries);
-  granted = other31.granted;
-  round = other31.round;
-  snapshotOffset = other31.snapshotOffset;
-  snapshotSize = other31.snapshotSize;
-  snapshotData = std::move(other31.snapshotData);
-  quorumAgeMs = other31.quorumAgeMs;
-  rejectedIndex = other31.rejectedIndex;
-  early = other31.early;
-  __isset = other31.__isset;
-}
-RaftMessage& RaftMessage::operator=(const RaftMessage& other32) {
-  kind = other32.kind;
-  fromMember = other32.fromMember;
-  toMember = other32.toMember;
-  term = other32.term;
-  logIndex = other32.logIndex;
-  logTerm = other32.logTerm;
-  commitIndex = other32.commitIndex;
-  entries = other32.entries;
-  granted = other32.granted;
-  round = other32.round;
-  snapshotOffset = other32.snapshotOffset;
-  snapshotSize = other32.snapshotSize;
-  snapshotData = other32.snapshotData;
-  quorumAgeMs = other32.quorumAgeMs;
-  rejectedIndex = other32.rejectedIndex;
-  early = other32.early;
-  __isset = other32.__isset;
+RaftMessage::RaftMessage(const RaftMessage& other40) {
+  kind = other40.kind;
+  fromMember = other40.fromMember;
+  toMember = other40.toMember;
+  term = other40.term;
+  logIndex = other40.logIndex;
+  logTerm = other40.logTerm;
+  commitIndex = other40.commitIndex;
+  entries = other40.entries;
+  granted = other40.granted;
+  round = other40.round;
+  snapshotOffset = other40.snapshotOffset;
+  snapshotSize = other40.snapshotSize;
+  snapshotData = other40.snapshotData;
+  quorumAgeMs = other40.quorumAgeMs;
+  rejectedIndex = other40.rejectedIndex;
+  early = other40.early;
+  packedEntries = other40.packedEntries;
+  packedLength = other40.packedLength;
+  __isset = other40.__isset;
+}
+RaftMessage::RaftMessage(RaftMessage&& other41) noexcept {
+  kind = other41.kind;
+  fromMember = other41.fromMember;
+  toMember = other41.toMember;
+  term = other41.term;
+  logIndex = other41.logIndex;
+  logTerm = other41.logTerm;
+  commitIndex = other41.commitIndex;
+  entries = std::move(other41.entries);
+  granted = other41.granted;
+  round = other41.round;
+  snapshotOffset = other41.snapshotOffset;
+  snapshotSize = other41.snapshotSize;
+  snapshotData = std::move(other41.snapshotData);
+  quorumAgeMs = other41.quorumAgeMs;
+  rejectedIndex = other41.rejectedIndex;
+  early = other41.early;
+  packedEntries = std::move(other41.packedEntries);
+  packedLength = other41.packedLength;
+  __isset = other41.__isset;
+}
+RaftMessage& RaftMessage::operator=(const RaftMessage& other42) {
+  kind = other42.kind;
+  fromMember = other42.fromMember;
+  toMember = other42.toMember;
+  term = other42.term;
+  logIndex = other42.logIndex;
+  logTerm = other42.logTerm;
+  commitIndex = other42.commitIndex;
+  entries = other42.entries;
+  granted = other42.granted;
+  round = other42.round;
+  snapshotOffset = other42.snapshotOffset;
+  snapshotSize = other42.snapshotSize;
+  snapshotData = other42.snapshotData;
+  quorumAgeMs = other42.quorumAgeMs;
+  rejectedIndex = other42.rejectedIndex;
+  early = other42.early;
+  packedEntries = other42.packedEntries;
+  packedLength = other42.packedLength;
+  __isset = other42.__isset;
   return *this;
 }
-RaftMessage& RaftMessage::operator=(RaftMessage&& other33) noexcept {
-  kind = other33.kind;
-  fromMember = other33.fromMember;
-  toMember = other33.toMember;
-  term = other33.term;
-  logIndex = other33.logIndex;
-  logTerm = other33.logTerm;
-  commitIndex = other33.commitIndex;
-  entries = std::move(other33.entries);
-  granted = other33.granted;
-  round = other33.round;
-  snapshotOffset = other33.snapshotOffset;
-  snapshotSize = other33.snapshotSize;
-  snapshotData = std::move(other33.snapshotData);
-  quorumAgeMs = other33.quorumAgeMs;
-  rejectedIndex = other33.rejectedIndex;
-  early = other33.early;
-  __isset = other33.__isset;
+RaftMessage& RaftMessage::operator=(RaftMessage&& other43) noexcept {
+  kind = other43.kind;
+  fromMember = other43.fromMember;
+  toMember = other43.toMember;
+  term = other43.term;
+  logIndex = other43.logIndex;
+  logTerm = other43.logTerm;
+  commitIndex = other43.commitIndex;
+  entries = std::move(other43.entries);
+  granted = other43.granted;
+  round = other43.round;
+  snapshotOffset = other43.snapshotOffset;
+  snapshotSize = other43.snapshotSize;
+  snapshotData = std::move(other43.snapshotData);
+  quorumAgeMs = other43.quorumAgeMs;
+  rejectedIndex = other43.rejectedIndex;
+  early = other43.early;
+  packedEntries = std::move(other43.packedEntries);
+  packedLength = other43.packedLength;
+  __isset = other43.__isset;
   return *this;
 }
 void RaftMessage::printTo(std::ostream& out) const {
@@ -1225,6 +1388,8 @@
   out << ", " << "quorumAgeMs=" << to_string(quorumAgeMs);
   out << ", " << "rejectedIndex=" << to_string(rejectedIndex);
   out << ", " << "early=" << to_string(early);
+  out << ", " << "packedEntries=" << to_string(packedEntries);
+  out << ", " << "packedLength=" << to_string(packedLength);
   out << ")";
 }
 
