Send large answers in parts and admit them by the link

Cause: downloads of 90 KB fill the link of 17 Mbit/s of the nodes beside their targets. Whatever these nodes send later, answers of a few bytes to internal calls among it, waits behind all downloads that were given to the sockets, and requests for more of them were admitted although the link could not carry them. Change: admission::Link models the rate of the VM's link (link-mbps of the node's settings, from the platform's limits). Answers above 16 KiB go to nodes that read it in parts, one answer after the other, while the link has less than 20 ms left to carry. A request whose answer would wait for the link beyond its objective is refused at once, also when a slot is free.

--- a/apps/wigeonfold-node/CallerSide.cpp
+++ b/apps/wigeonfold-node/CallerSide.cpp
@@ -26,6 +26,7 @@
                        PeerClient& aPeers,
                        forwarding::Dialect& aDialect,
                        NodeMetrics& aMetrics,
+                       admission::Link& aLink,
                        observe::DecisionLog& aLog)
   : m_nodeName(std::move(aNodeName))
   , m_chooser(std::move(aChooser))
@@ -33,6 +34,7 @@
   , m_peers(aPeers)
   , m_dialect(aDialect)
   , m_metrics(aMetrics)
+  , m_link(aLink)
   , m_log(aLog)
 {
 }
@@ -345,6 +347,7 @@
   if (!call.m_respond) {
     return;
   }
+  m_link.OnSent(call.m_response.body.size(), now);
   if (aOutcome == Outcome::AnsweredFailure && call.m_failureResponse) {
     call.m_respond(m_dialect.TargetAnswer(
       aOutcome, std::move(*call.m_failureResponse), call.m_lastTarget));
--- a/apps/wigeonfold-node/CallerSide.h
+++ b/apps/wigeonfold-node/CallerSide.h
@@ -7,6 +7,7 @@
 #include "PeerClient.h"
 #include "TargetSide.h"
 
+#include "wigeonfold/admission/Link.h"
 #include "wigeonfold/forwarding/Call.h"
 #include "wigeonfold/forwarding/Dialect.h"
 #include "wigeonfold/net/Http.h"
@@ -28,6 +29,7 @@
              PeerClient& aPeers,
              forwarding::Dialect& aDialect,
              NodeMetrics& aMetrics,
+             admission::Link& aLink,
              observe::DecisionLog& aLog);
 
   // aView must not be null. Calls under way keep the view they started with.
@@ -106,6 +108,7 @@
   PeerClient& m_peers;
   forwarding::Dialect& m_dialect;
   NodeMetrics& m_metrics;
+  admission::Link& m_link;
   observe::DecisionLog& m_log;
   std::shared_ptr<const routing::View> m_view;
   bool m_ready = false;
--- a/apps/wigeonfold-node/DataPlane.cpp
+++ b/apps/wigeonfold-node/DataPlane.cpp
@@ -56,11 +56,15 @@
   , m_hooks(std::move(aHooks))
   , m_dialect(std::move(aDialect))
   , m_identity{ aSettings.m_name, aNodeEpoch, std::nullopt }
+  , m_link(aSettings.m_linkRate)
+  , m_largeAnswers(m_link)
   , m_target(
       { aSettings.m_name, aSettings.m_announceLease, aSettings.m_service },
       admission::MakeQueue(aSettings.m_queue),
       MakeTargetPool(aIo, aSettings.m_targetConnectTimeout),
       *m_dialect,
+      m_link,
+      m_largeAnswers,
       m_decisionLog,
       [this] { AnnounceEndpoint(); })
   , m_peerClient(aIo,
@@ -78,11 +82,14 @@
                  m_peerClient,
                  *m_dialect,
                  aMetrics,
+                 m_link,
                  m_decisionLog)
   , m_peerServer(aIo,
                  m_identity,
                  SeedOf(aSettings, aNodeEpoch),
                  m_target,
+                 m_link,
+                 m_largeAnswers,
                  aLog,
                  [this](const Version& aVersion) { OnPeerVersion(aVersion); })
   , m_random(SeedOf(aSettings, aNodeEpoch))
@@ -265,6 +272,7 @@
   const TimePoint now = Clock::now();
   m_target.Tick(now);
   m_callerSide.Tick(now);
+  m_peerServer.Tick(now);
   if (m_announcePending) {
     AnnounceEndpoint();
   }
--- a/apps/wigeonfold-node/DataPlane.h
+++ b/apps/wigeonfold-node/DataPlane.h
@@ -75,6 +75,8 @@
   const Hooks m_hooks;
   const std::unique_ptr<forwarding::Dialect> m_dialect;
   PeerIdentity m_identity;
+  admission::Link m_link;
+  forwarding::AnswerSendQueue m_largeAnswers;
   TargetSide m_target;
   PeerClient m_peerClient;
   CallerSide m_callerSide;
--- a/apps/wigeonfold-node/NodeSettings.cpp
+++ b/apps/wigeonfold-node/NodeSettings.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+constexpr double kMaxLinkMbps = 1'000'000;
+constexpr double kBytesPerMegabit = 1'000'000.0 / 8;
+
 void ReadSession(SettingsFile& aFile, NodeSettings& aSettings)
 {
   aSettings.m_sessionSilence = aFile.Time("session", "silence", 4s, 100ms, 60s);
@@ -83,6 +86,8 @@
   }
   settings.m_service = aFile.String("node", "service", "");
   settings.m_announceListen = aFile.Address("node", "announce-listen");
+  settings.m_linkRate = static_cast<uint64_t>(
+    aFile.Number("node", "link-mbps", 0, 0, kMaxLinkMbps) * kBytesPerMegabit);
   settings.m_readyListen = aFile.Address("node", "ready-listen");
   settings.m_controlVms = ReadControlVms(aFile);
   ReadSession(aFile, settings);
--- a/apps/wigeonfold-node/NodeSettings.h
+++ b/apps/wigeonfold-node/NodeSettings.h
@@ -27,6 +27,9 @@
   // node's readiness; not served when absent.
   std::optional<SocketAddress> m_announceListen;
   std::optional<SocketAddress> m_readyListen;
+  // Rate of the VM's network link in bytes per second; 0: unknown. Large
+  // answers are paced and admitted by it.
+  uint64_t m_linkRate = 0;
   // [control]
   struct ControlVm
   {
--- a/apps/wigeonfold-node/PeerClient.cpp
+++ b/apps/wigeonfold-node/PeerClient.cpp
@@ -6,6 +6,7 @@
 
 namespace wigeonfold::node {
 
+using forwarding::AnswerAssembly;
 using forwarding::AttemptKey;
 using forwarding::Outcome;
 using forwarding::PeerCondition;
@@ -33,6 +34,7 @@
   hello.nodeName = aIdentity.m_nodeName;
   hello.nodeEpoch = aIdentity.m_nodeEpoch;
   hello.epoch = aEpoch;
+  hello.readsBodyParts = true;
   if (aIdentity.m_inForce) {
     hello.__set_inForce(wire::ToWire(*aIdentity.m_inForce));
   }
@@ -101,6 +103,7 @@
     return;
   }
   Link& link = found->second;
+  link.m_answers.Forget(aTicket.m_callId);
   if (link.m_calls.Cancel(aTicket.m_callId)) {
     wire::CallCancel cancel;
     cancel.callId = aTicket.m_callId;
@@ -222,12 +225,17 @@
   }
   switch (aFrame.m_type) {
     case FrameType::CallResponse:
-      if (OnResponse(link, aFrame)) {
+    case FrameType::CallBodyPart: {
+      const bool valid = aFrame.m_type == FrameType::CallResponse
+                           ? OnResponse(link, aFrame)
+                           : OnBodyPart(link, aFrame);
+      if (valid) {
         CloseIfDrained(aLink);
       } else {
         Abort(aLink);
       }
       break;
+    }
     case FrameType::PeerGoaway: {
       const std::string name = link.m_nodeName;
       BeginDraining(aLink);
@@ -257,7 +265,24 @@
   if (!decoded) {
     return false;
   }
-  wire::CallResponse& response = decoded.value();
+  return Deliver(aLink, aLink.m_answers.OnResponse(std::move(decoded.value())));
+}
+
+bool PeerClient::OnBodyPart(Link& aLink, const wire::Frame& aFrame)
+{
+  auto decoded =
+    wire::Decode<wire::CallBodyPart>(aFrame.m_payload, aLink.m_nodeName);
+  return decoded &&
+         Deliver(aLink, aLink.m_answers.OnPart(std::move(decoded.value())));
+}
+
+// Reports the answer that is complete, if any; false when aResult is Invalid.
+bool PeerClient::Deliver(Link& aLink, AnswerAssembly::Result aResult)
+{
+  if (aResult != AnswerAssembly::Result::Complete) {
+    return aResult == AnswerAssembly::Result::Incomplete;
+  }
+  wire::CallResponse response = aLink.m_answers.TakeComplete();
   const auto key = aLink.m_calls.Answer(response.callId);
   if (key) {
     const Outcome outcome =
--- a/apps/wigeonfold-node/PeerClient.h
+++ b/apps/wigeonfold-node/PeerClient.h
@@ -2,10 +2,12 @@
 #pragma once
 
 #include "wigeonfold/base/Version.h"
+#include "wigeonfold/forwarding/AnswerParts.h"
 #include "wigeonfold/forwarding/CallTable.h"
 #include "wigeonfold/forwarding/Outcome.h"
 #include "wigeonfold/forwarding/PeerLiveness.h"
 #include "wigeonfold/net/Connection.h"
+#include "wigeonfold/net/Http.h"
 #include "wigeonfold/routing/View.h"
 
 #include <functional>
@@ -111,6 +113,7 @@
     SocketAddress m_address;
     net::ConnectionPtr m_connection; // null while connecting
     forwarding::CallTable m_calls;
+    forwarding::AnswerAssembly m_answers{ net::kMaxBodyBytes };
     std::vector<PendingCall> m_pendingCalls;
     forwarding::PeerLiveness m_liveness;
     TimePoint m_lastUsed{};
@@ -130,6 +133,8 @@
   void OnConnected(uint64_t aLink, Result<net::ConnectionPtr> aConnection);
   void OnFrame(uint64_t aLink, const wire::Frame& aFrame);
   bool OnResponse(Link& aLink, const wire::Frame& aFrame);
+  bool OnBodyPart(Link& aLink, const wire::Frame& aFrame);
+  bool Deliver(Link& aLink, forwarding::AnswerAssembly::Result aResult);
   bool Write(Link& aLink, const PendingCall& aCall);
   void CloseIfDrained(uint64_t aLink);
   void Abort(uint64_t aLink);
--- a/apps/wigeonfold-node/PeerServer.cpp
+++ b/apps/wigeonfold-node/PeerServer.cpp
@@ -1,7 +1,11 @@
 #include "PeerServer.h"
 
+#include "wigeonfold/wire/Codec.h"
+
 #include <utility>
 
+#include <algorithm>
+
 namespace wigeonfold::node {
 
 using wire::FrameType;
@@ -17,11 +21,15 @@
                        const PeerIdentity& aIdentity,
                        uint64_t aSeed,
                        TargetSide& aTarget,
+                       admission::Link& aLink,
+                       forwarding::AnswerSendQueue& aLargeAnswers,
                        EventLog& aLog,
                        std::function<void(const Version&)> aOnPeerVersion)
   : m_io(aIo)
   , m_identity(aIdentity)
   , m_target(aTarget)
+  , m_link(aLink)
+  , m_largeAnswers(aLargeAnswers)
   , m_log(aLog)
   , m_onPeerVersion(std::move(aOnPeerVersion))
   , m_lastEpoch(static_cast<int64_t>(aSeed >> 1))
@@ -148,6 +156,7 @@
     return false;
   }
   aPeer.m_helloReceived = true;
+  aPeer.m_readsBodyParts = hello.value().readsBodyParts;
   if (hello.value().__isset.inForce) {
     m_onPeerVersion(wire::FromWire(hello.value().inForce));
   }
@@ -202,6 +211,7 @@
   if (call != aPeer.m_calls.end()) {
     const uint64_t servedId = call->second;
     aPeer.m_calls.erase(call);
+    m_largeAnswers.DropCall(aPeer.m_connection.get(), cancel.value().callId);
     m_target.Cancel(servedId, Clock::now());
   }
   return true;
@@ -215,16 +225,63 @@
                          TargetReply aReply)
 {
   const auto peer = m_peers.find(aConnection);
-  if (peer == m_peers.end() || peer->second.m_calls.erase(aCallId) == 0) {
+  if (peer == m_peers.end()) {
+    return;
+  }
+  auto& calls = peer->second.m_calls;
+  const auto call = calls.find(aCallId);
+  if (call == calls.end()) {
     return;
   }
   wire::CallResponse& response = aReply.m_response;
   response.callId = aCallId;
-  if (!aConnection->Send(FrameType::CallResponse, response)) {
-    // The peer doesn't read its answers. Its calls end there as lost, outcome
-    // unknown.
-    aConnection->Close();
-    Drop(aConnection);
+  if (response.body.size() > forwarding::kPartBytes &&
+      peer->second.m_readsBodyParts) {
+    // The call stays in the table until its last part is sent.
+    m_largeAnswers.Add({ aConnection, std::move(response) });
+    Tick(Clock::now());
+    return;
+  }
+  calls.erase(call);
+  Send(*aConnection, FrameType::CallResponse, response);
+}
+
+// False if the peer doesn't read its answers. The connection is then closed,
+// and its calls end there as lost, outcome unknown.
+template<class T>
+bool PeerServer::Send(net::Connection& aConnection,
+                      wire::FrameType aType,
+                      const T& aMessage)
+{
+  const std::string payload = wire::Encode(aMessage);
+  m_link.OnSent(payload.size(), Clock::now());
+  if (aConnection.SendFrame(aType, payload)) {
+    return true;
+  }
+  aConnection.Close();
+  Drop(&aConnection);
+  return false;
+}
+
+void PeerServer::Tick(TimePoint aNow)
+{
+  while (const auto part = m_largeAnswers.Next(aNow)) {
+    const auto peer =
+      std::find_if(m_peers.begin(), m_peers.end(), [&part](const auto& aPeer) {
+        return aPeer.first == part->m_connection;
+      });
+    if (peer == m_peers.end()) {
+      continue;
+    }
+    if (part->m_last) {
+      peer->second.m_calls.erase(part->m_callId);
+    }
+    net::Connection& connection = *peer->second.m_connection;
+    if (part->m_head) {
+      Send(connection, FrameType::CallResponse, *part->m_head);
+    } else {
+      Send(connection, FrameType::CallBodyPart, *part->m_part);
+    }
   }
 }
 
@@ -235,6 +292,7 @@
   if (entry.empty()) {
     return;
   }
+  m_largeAnswers.DropConnection(aConnection);
   const TimePoint now = Clock::now();
   for (const auto& [callId, servedId] : entry.mapped().m_calls) {
     m_target.Cancel(servedId, now);
--- a/apps/wigeonfold-node/PeerServer.h
+++ b/apps/wigeonfold-node/PeerServer.h
@@ -22,6 +22,8 @@
              const PeerIdentity& aIdentity,
              uint64_t aSeed,
              TargetSide& aTarget,
+             admission::Link& aLink,
+             forwarding::AnswerSendQueue& aLargeAnswers,
              EventLog& aLog,
              std::function<void(const Version&)> aOnPeerVersion);
   ~PeerServer();
@@ -35,6 +37,9 @@
   // Accepts no further connections; open ones stay.
   void StopListening();
 
+  // Sends parts of large answers as far as the link is free. Call every 10 ms.
+  void Tick(TimePoint aNow);
+
   // Precondition: Listen() succeeded.
   uint16_t Port() const { return m_listener->Port(); }
   size_t Connections() const { return m_peers.size(); }
@@ -48,6 +53,7 @@
     int64_t m_epoch = 0;
     bool m_helloReceived = false;
     bool m_goawaySent = false;
+    bool m_readsBodyParts = false;
     // Id at the target side of each unanswered call, by the peer's call id.
     std::unordered_map<int64_t, uint64_t> m_calls;
   };
@@ -62,11 +68,17 @@
   void Respond(net::Connection* aConnection,
                int64_t aCallId,
                TargetReply aReply);
+  template<class T>
+  bool Send(net::Connection& aConnection,
+            wire::FrameType aType,
+            const T& aMessage);
   void Drop(net::Connection* aConnection);
 
   boost::asio::io_context& m_io;
   const PeerIdentity& m_identity;
   TargetSide& m_target;
+  admission::Link& m_link;
+  forwarding::AnswerSendQueue& m_largeAnswers;
   EventLog& m_log;
   const std::function<void(const Version&)> m_onPeerVersion;
   int64_t m_lastEpoch; // of the newest connection
--- a/apps/wigeonfold-node/TargetSide.cpp
+++ b/apps/wigeonfold-node/TargetSide.cpp
@@ -56,12 +56,16 @@
                        std::unique_ptr<admission::Queue> aQueue,
                        std::unique_ptr<TargetPool> aPool,
                        const forwarding::Dialect& aDialect,
+                       const admission::Link& aLink,
+                       const forwarding::AnswerSendQueue& aLargeAnswers,
                        observe::DecisionLog& aLog,
                        std::function<void()> aOnChange)
   : m_options(std::move(aOptions))
   , m_admission(std::move(aQueue))
   , m_pool(std::move(aPool))
   , m_dialect(aDialect)
+  , m_link(aLink)
+  , m_largeAnswers(aLargeAnswers)
   , m_log(aLog)
   , m_onChange(std::move(aOnChange))
 {
@@ -226,6 +230,9 @@
                         request.m_work;
   }
   ServedCall call{ forwarding::TargetCall(aDeadline) };
+  call.m_expectedBytes = ExpectedLargeAnswer(*aRequest);
+  request.m_linkWait = LinkWait(call.m_expectedBytes, request.m_work, aNow);
+  m_expectedBytes += call.m_expectedBytes;
   m_bytes += aRequest->body.size();
   call.m_request = std::move(aRequest);
   call.m_deadline = aDeadline;
@@ -256,6 +263,29 @@
   return std::nullopt;
 }
 
+// Size of the expected answer if it is a large one, else 0. Small answers don't
+// wait for large ones, and all of them together take little of the link.
+size_t TargetSide::ExpectedLargeAnswer(const wire::CallRequest& aRequest) const
+{
+  const size_t bytes = m_sizes.Expected(aRequest.route, aRequest.largeAnswer);
+  return bytes > forwarding::kPartBytes ? bytes : 0;
+}
+
+// Time by which an answer of that size would leave later than aWork from now,
+// since the large answers to earlier requests go first.
+Duration TargetSide::LinkWait(size_t aBytes,
+                              Duration aWork,
+                              TimePoint aNow) const
+{
+  if (aBytes == 0) {
+    return Duration::zero();
+  }
+  const Duration busy =
+    m_link.Backlog(aNow) +
+    m_link.TimeFor(m_largeAnswers.Bytes() + m_expectedBytes + aBytes);
+  return std::max(busy - aWork, Duration::zero());
+}
+
 const std::vector<admission::Share>& TargetSide::SharesOf(
   const std::string& aAccount)
 {
@@ -459,6 +489,7 @@
   m_deadlines.Remove(call.m_deadline, aId);
   m_running.erase(call.m_request->requestId);
   m_bytes -= call.m_request->body.size();
+  m_expectedBytes -= call.m_expectedBytes;
   if (aStep.m_dequeue) {
     m_admission.Cancel(aId);
   }
@@ -478,6 +509,7 @@
   }
   if (*aStep.m_end == Outcome::Answered) {
     m_work.Note(call.m_request->route, aNow - call.m_started);
+    m_sizes.Note(call.m_request->route, call.m_exchange.m_body.size());
   }
   if (call.m_reply) {
     TargetReply reply;
--- a/apps/wigeonfold-node/TargetSide.h
+++ b/apps/wigeonfold-node/TargetSide.h
@@ -6,6 +6,8 @@
 #include "TargetPool.h"
 
 #include "wigeonfold/admission/Admission.h"
+#include "wigeonfold/admission/Link.h"
+#include "wigeonfold/forwarding/AnswerParts.h"
 #include "wigeonfold/forwarding/Call.h"
 #include "wigeonfold/forwarding/Dialect.h"
 #include "wigeonfold/forwarding/TargetCall.h"
@@ -45,6 +47,8 @@
              std::unique_ptr<admission::Queue> aQueue,
              std::unique_ptr<TargetPool> aPool,
              const forwarding::Dialect& aDialect,
+             const admission::Link& aLink,
+             const forwarding::AnswerSendQueue& aLargeAnswers,
              observe::DecisionLog& aLog,
              std::function<void()> aOnChange);
 
@@ -97,6 +101,7 @@
     TimePoint m_arrived{};
     TimePoint m_started{};
     Duration m_retryAfter{};
+    size_t m_expectedBytes = 0; // of a large answer; 0 for a small one
     OnTargetReply m_reply;
     TargetConnectionPtr m_connection;
     Exchange m_exchange;
@@ -104,6 +109,8 @@
 
   std::optional<forwarding::Outcome> CheckServable(
     const wire::CallRequest& aRequest) const;
+  size_t ExpectedLargeAnswer(const wire::CallRequest& aRequest) const;
+  Duration LinkWait(size_t aBytes, Duration aWork, TimePoint aNow) const;
   const std::vector<admission::Share>& SharesOf(const std::string& aAccount);
   void Apply(std::vector<admission::Decision> aDecisions, TimePoint aNow);
   void Execute(uint64_t aId, forwarding::TargetStep aStep, TimePoint aNow);
@@ -125,6 +132,8 @@
   admission::Admission m_admission;
   std::unique_ptr<TargetPool> m_pool;
   const forwarding::Dialect& m_dialect;
+  const admission::Link& m_link;
+  const forwarding::AnswerSendQueue& m_largeAnswers;
   observe::DecisionLog& m_log;
   const std::function<void()> m_onChange;
   std::shared_ptr<const routing::View> m_view;
@@ -140,13 +149,15 @@
   std::unordered_map<std::string, std::shared_ptr<const wire::CallRequest>>
     m_running;
   uint64_t m_lastId = 0;
-  size_t m_bytes = 0; // of request bodies in memory
+  size_t m_bytes = 0;         // of request bodies in memory
+  size_t m_expectedBytes = 0; // of the large answers to requests in m_calls
   Deadlines m_deadlines;
   std::deque<admission::Decision> m_decisions; // not carried out yet
   bool m_applying = false;                     // Apply() is running
   forwarding::TargetHealth m_health;
   forwarding::WorkEstimates m_work; // time at the target, by route
-  int64_t m_latencyUs = 0;          // from write to answer, moving average
+  forwarding::AnswerSizes m_sizes;
+  int64_t m_latencyUs = 0; // from write to answer, moving average
 };
 
 } // namespace wigeonfold::node
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -13,6 +13,8 @@
   2: i64 nodeEpoch,
   3: i64 epoch,
   4: optional common.WireVersion inForce,
+  // The sender reads CallBodyPart.
+  5: bool readsBodyParts,
 }
 
 struct CallRequest {
@@ -40,6 +42,8 @@
   15: string requestId,
   // The request, or the work that issued it, may have been executed before.
   16: bool repeat,
+  // The answer is expected to be large.
+  17: bool largeAnswer,
 }
 
 enum RunState {
@@ -76,6 +80,15 @@
   // request was not sent to the target.
   9: optional i64 queuedUs,
   10: optional i64 targetUs,
+  // Length of the whole body, when body holds only its first part and
+  // CallBodyPart messages follow.
+  11: optional i64 bodyBytes,
+}
+
+// A further part of the body of an answer whose CallResponse has bodyBytes.
+struct CallBodyPart {
+  1: i64 callId,
+  2: binary body,
 }
 
 struct CallCancel {
--- a/libs/admission/include/wigeonfold/admission/Queue.h
+++ b/libs/admission/include/wigeonfold/admission/Queue.h
@@ -35,6 +35,10 @@
   // Latest start that still meets the latency objective; zero: only the
   // deadline limits the wait.
   TimePoint m_startBy{};
+  // Time by which the link is expected to be busy for longer than the slot
+  // time, if the request started now. Other answers on the link have to go
+  // first.
+  Duration m_linkWait{};
 };
 
 // Strategy that orders waiting requests. Not thread safe.
--- a/libs/admission/src/Admission.cpp
+++ b/libs/admission/src/Admission.cpp
@@ -69,10 +69,18 @@
     m_draining ? RejectReason::Draining : CheckExpiry(aRequest, aNow);
   const bool slotFree = Running() < m_limits.m_slots && m_queue->Size() == 0;
   Duration wait{};
-  if (reason == RejectReason::None && !slotFree) {
+  if (!slotFree) {
     wait = ExpectedWait(aRequest.m_priority, aNow);
-    reason = IsTooLate(aRequest, wait, aNow) ? RejectReason::TooLate
-                                             : MakeRoom(aRequest, decisions);
+  }
+  // The link carries other answers while the request waits for a slot.
+  wait = std::max(wait, aRequest.m_linkWait);
+  const bool waits = !slotFree || aRequest.m_linkWait > Duration::zero();
+  if (reason == RejectReason::None && waits &&
+      IsTooLate(aRequest, wait, aNow)) {
+    reason = RejectReason::TooLate;
+  }
+  if (reason == RejectReason::None && !slotFree) {
+    reason = MakeRoom(aRequest, decisions);
   }
   if (reason != RejectReason::None) {
     decisions.push_back(
@@ -202,8 +210,8 @@
 }
 
 // Whether a request that starts after aWait misses its latest start, if it has
-// one. Not applied to requests that get a slot: a late answer is worth more
-// than none.
+// one. Not applied to requests that get a slot at once and don't wait for the
+// link: a late answer is worth more than none.
 bool Admission::IsTooLate(const Request& aRequest,
                           Duration aWait,
                           TimePoint aNow) const
--- a/libs/base/include/wigeonfold/base/Settings.h
+++ b/libs/base/include/wigeonfold/base/Settings.h
@@ -47,6 +47,12 @@
                   int64_t aDefault,
                   int64_t aMin,
                   int64_t aMax);
+  // A decimal number such as 3.08.
+  double Number(const std::string& aSection,
+                const std::string& aKey,
+                double aDefault,
+                double aMin,
+                double aMax);
   bool Boolean(const std::string& aSection,
                const std::string& aKey,
                bool aDefault);
--- a/libs/base/src/Settings.cpp
+++ b/libs/base/src/Settings.cpp
@@ -230,6 +230,27 @@
   return *number;
 }
 
+double SettingsFile::Number(const std::string& aSection,
+                            const std::string& aKey,
+                            double aDefault,
+                            double aMin,
+                            double aMax)
+{
+  const Value* value = Find(aSection, aKey);
+  if (value == nullptr) {
+    return aDefault;
+  }
+  const auto number = ParseNumber<double>(value->m_text);
+  if (!number || !(*number >= aMin && *number <= aMax)) {
+    AddProblem(aSection,
+               aKey,
+               "'" + value->m_text + "' is not a number from " +
+                 std::to_string(aMin) + " to " + std::to_string(aMax));
+    return aDefault;
+  }
+  return *number;
+}
+
 bool SettingsFile::Boolean(const std::string& aSection,
                            const std::string& aKey,
                            bool aDefault)
--- a/libs/forwarding/include/wigeonfold/forwarding/TargetHealth.h
+++ b/libs/forwarding/include/wigeonfold/forwarding/TargetHealth.h
@@ -38,4 +38,17 @@
   std::unordered_map<std::string, Duration> m_work; // by route, smoothed
 };
 
+// Estimates the size of answers, by route. Not thread safe.
+class AnswerSizes
+{
+public:
+  void Note(const std::string& aRoute, size_t aBytes);
+  // aLarge: the route is configured to have large answers, which are assumed to
+  // have 64 KiB until one was seen.
+  size_t Expected(const std::string& aRoute, bool aLarge) const;
+
+private:
+  std::unordered_map<std::string, double> m_sizes; // by route, smoothed
+};
+
 } // namespace wigeonfold::forwarding
--- a/libs/forwarding/src/TargetHealth.cpp
+++ b/libs/forwarding/src/TargetHealth.cpp
@@ -12,7 +12,10 @@
 constexpr int kWorkDivisor = 16;
 // Assumed ratio of a latency objective to the usual response time.
 constexpr int kObjectiveDivisor = 4;
-// The table is cleared at this size, which drops routes that no longer exist.
+// Weight of the newest answer in the smoothed size.
+constexpr double kSizeWeight = 1.0 / 16;
+constexpr size_t kAssumedLargeBytes = size_t{ 64 } << 10;
+// The tables are cleared at this size, which drops routes that no longer exist.
 constexpr size_t kMaxRoutes = 10'000;
 
 } // namespace
@@ -49,4 +52,25 @@
   return std::max(aUntilObjective / kObjectiveDivisor, Duration::zero());
 }
 
+void AnswerSizes::Note(const std::string& aRoute, size_t aBytes)
+{
+  if (m_sizes.size() >= kMaxRoutes) {
+    m_sizes.clear();
+  }
+  const auto bytes = static_cast<double>(aBytes);
+  const auto [known, added] = m_sizes.emplace(aRoute, bytes);
+  if (!added) {
+    known->second += kSizeWeight * (bytes - known->second);
+  }
+}
+
+size_t AnswerSizes::Expected(const std::string& aRoute, bool aLarge) const
+{
+  const auto known = m_sizes.find(aRoute);
+  if (known != m_sizes.end()) {
+    return static_cast<size_t>(known->second);
+  }
+  return aLarge ? kAssumedLargeBytes : 0;
+}
+
 } // namespace wigeonfold::forwarding
--- a/libs/wire/gen/include/wigeonfold/wire/gen/peer_types.h
+++ b/libs/wire/gen/include/wigeonfold/wire/gen/peer_types.h
@@ -46,6 +46,8 @@
 
 class CallResponse;
 
+class CallBodyPart;
+
 class CallCancel;
 
 class PeerGoaway;
@@ -103,11 +105,12 @@
 std::ostream& operator<<(std::ostream& out, const HeaderField& obj);
 
 typedef struct _PeerHello__isset {
-  _PeerHello__isset() : nodeName(false), nodeEpoch(false), epoch(false), inForce(false) {}
+  _PeerHello__isset() : nodeName(false), nodeEpoch(false), epoch(false), inForce(false), readsBodyParts(false) {}
   bool nodeName :1;
   bool nodeEpoch :1;
   bool epoch :1;
   bool inForce :1;
+  bool readsBodyParts :1;
 } _PeerHello__isset;
 
 class PeerHello : public virtual ::apache::thrift::TBase {
@@ -120,7 +123,8 @@
   PeerHello() noexcept
             : nodeName(),
               nodeEpoch(0),
-              epoch(0) {
+              epoch(0),
+              readsBodyParts(0) {
   }
 
   virtual ~PeerHello() noexcept;
@@ -128,6 +132,7 @@
   int64_t nodeEpoch;
   int64_t epoch;
    ::wigeonfold::wire::WireVersion inForce;
+  bool readsBodyParts;
 
   _PeerHello__isset __isset;
 
@@ -139,6 +144,8 @@
 
   void __set_inForce(const  ::wigeonfold::wire::WireVersion& val);
 
+  void __set_readsBodyParts(const bool val);
+
   bool operator == (const PeerHello & rhs) const
   {
     if (!(nodeName == rhs.nodeName))
@@ -151,6 +158,8 @@
       return false;
     else if (__isset.inForce && !(inForce == rhs.inForce))
       return false;
+    if (!(readsBodyParts == rhs.readsBodyParts))
+      return false;
     return true;
   }
   bool operator != (const PeerHello &rhs) const {
@@ -170,7 +179,7 @@
 std::ostream& operator<<(std::ostream& out, const PeerHello& obj);
 
 typedef struct _CallRequest__isset {
-  _CallRequest__isset() : callId(false), serviceName(false), office(false), method(false), path(false), headers(false), body(false), deadlineUs(false), depth(false), idempotent(false), callerService(false), priority(false), objectiveLeadUs(false), route(false), requestId(false), repeat(false) {}
+  _CallRequest__isset() : callId(false), serviceName(false), office(false), method(false), path(false), headers(false), body(false), deadlineUs(false), depth(false), idempotent(false), callerService(false), priority(false), objectiveLeadUs(false), route(false), requestId(false), repeat(false), largeAnswer(false) {}
   bool callId :1;
   bool serviceName :1;
   bool office :1;
@@ -187,6 +196,7 @@
   bool route :1;
   bool requestId :1;
   bool repeat :1;
+  bool largeAnswer :1;
 } _CallRequest__isset;
 
 class CallRequest : public virtual ::apache::thrift::TBase {
@@ -211,7 +221,8 @@
                 objectiveLeadUs(0),
                 route(),
                 requestId(),
-                repeat(0) {
+                repeat(0),
+                largeAnswer(0) {
   }
 
   virtual ~CallRequest() noexcept;
@@ -231,6 +242,7 @@
   std::string route;
   std::string requestId;
   bool repeat;
+  bool largeAnswer;
 
   _CallRequest__isset __isset;
 
@@ -266,6 +278,8 @@
 
   void __set_repeat(const bool val);
 
+  void __set_largeAnswer(const bool val);
+
   bool operator == (const CallRequest & rhs) const
   {
     if (!(callId == rhs.callId))
@@ -302,6 +316,8 @@
       return false;
     if (!(repeat == rhs.repeat))
       return false;
+    if (!(largeAnswer == rhs.largeAnswer))
+      return false;
     return true;
   }
   bool operator != (const CallRequest &rhs) const {
@@ -408,7 +424,7 @@
 std::ostream& operator<<(std::ostream& out, const TargetLoad& obj);
 
 typedef struct _CallResponse__isset {
-  _CallResponse__isset() : callId(false), run(false), status(false), headers(false), body(false), load(false), reason(false), retryAfterUs(false), queuedUs(false), targetUs(false) {}
+  _CallResponse__isset() : callId(false), run(false), status(false), headers(false), body(false), load(false), reason(false), retryAfterUs(false), queuedUs(false), targetUs(false), bodyBytes(false) {}
   bool callId :1;
   bool run :1;
   bool status :1;
@@ -419,6 +435,7 @@
   bool retryAfterUs :1;
   bool queuedUs :1;
   bool targetUs :1;
+  bool bodyBytes :1;
 } _CallResponse__isset;
 
 class CallResponse : public virtual ::apache::thrift::TBase {
@@ -436,7 +453,8 @@
                  reason(),
                  retryAfterUs(0),
                  queuedUs(0),
-                 targetUs(0) {
+                 targetUs(0),
+                 bodyBytes(0) {
   }
 
   virtual ~CallResponse() noexcept;
@@ -454,6 +472,7 @@
   int64_t retryAfterUs;
   int64_t queuedUs;
   int64_t targetUs;
+  int64_t bodyBytes;
 
   _CallResponse__isset __isset;
 
@@ -477,6 +496,8 @@
 
   void __set_targetUs(const int64_t val);
 
+  void __set_bodyBytes(const int64_t val);
+
   bool operator == (const CallResponse & rhs) const
   {
     if (!(callId == rhs.callId))
@@ -503,6 +524,10 @@
       return false;
     else if (__isset.targetUs && !(targetUs == rhs.targetUs))
       return false;
+    if (__isset.bodyBytes != rhs.__isset.bodyBytes)
+      return false;
+    else if (__isset.bodyBytes && !(bodyBytes == rhs.bodyBytes))
+      return false;
     return true;
   }
   bool operator != (const CallResponse &rhs) const {
@@ -521,6 +546,58 @@
 
 std::ostream& operator<<(std::ostream& out, const CallResponse& obj);
 
+typedef struct _CallBodyPart__isset {
+  _CallBodyPart__isset() : callId(false), body(false) {}
+  bool callId :1;
+  bool body :1;
+} _CallBodyPart__isset;
+
+class CallBodyPart : public virtual ::apache::thrift::TBase {
+ public:
+
+  CallBodyPart(const CallBodyPart&);
+  CallBodyPart(CallBodyPart&&) noexcept;
+  CallBodyPart& operator=(const CallBodyPart&);
+  CallBodyPart& operator=(CallBodyPart&&) noexcept;
+  CallBodyPart() noexcept
+               : callId(0),
+                 body() {
+  }
+
+  virtual ~CallBodyPart() noexcept;
+  int64_t callId;
+  std::string body;
+
+  _CallBodyPart__isset __isset;
+
+  void __set_callId(const int64_t val);
+
+  void __set_body(const std::string& val);
+
+  bool operator == (const CallBodyPart & rhs) const
+  {
+    if (!(callId == rhs.callId))
+      return false;
+    if (!(body == rhs.body))
+      return false;
+    return true;
+  }
+  bool operator != (const CallBodyPart &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CallBodyPart & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CallBodyPart &a, CallBodyPart &b);
+
+std::ostream& operator<<(std::ostream& out, const CallBodyPart& obj);
+
 typedef struct _CallCancel__isset {
   _CallCancel__isset() : callId(false) {}
   bool callId :1;
--- a/libs/wire/gen/src/peer_types.cpp
+++ b/libs/wire/gen/src/peer_types.cpp
@@ -188,6 +188,10 @@
   this->inForce = val;
 __isset.inForce = true;
 }
+
+void PeerHello::__set_readsBodyParts(const bool val) {
+  this->readsBodyParts = val;
+}
 std::ostream& operator<<(std::ostream& out, const PeerHello& obj)
 {
   obj.printTo(out);
@@ -248,6 +252,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->readsBodyParts);
+          this->__isset.readsBodyParts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -282,6 +294,10 @@
     xfer += this->inForce.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("readsBodyParts", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->readsBodyParts);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -293,6 +309,7 @@
   swap(a.nodeEpoch, b.nodeEpoch);
   swap(a.epoch, b.epoch);
   swap(a.inForce, b.inForce);
+  swap(a.readsBodyParts, b.readsBodyParts);
   swap(a.__isset, b.__isset);
 }
 
@@ -301,6 +318,7 @@
   nodeEpoch = other4.nodeEpoch;
   epoch = other4.epoch;
   inForce = other4.inForce;
+  readsBodyParts = other4.readsBodyParts;
   __isset = other4.__isset;
 }
 PeerHello::PeerHello(PeerHello&& other5) noexcept {
@@ -308,6 +326,7 @@
   nodeEpoch = other5.nodeEpoch;
   epoch = other5.epoch;
   inForce = std::move(other5.inForce);
+  readsBodyParts = other5.readsBodyParts;
   __isset = other5.__isset;
 }
 PeerHello& PeerHello::operator=(const PeerHello& other6) {
@@ -315,6 +334,7 @@
   nodeEpoch = other6.nodeEpoch;
   epoch = other6.epoch;
   inForce = other6.inForce;
+  readsBodyParts = other6.readsBodyParts;
   __isset = other6.__isset;
   return *this;
 }
@@ -323,6 +343,7 @@
   nodeEpoch = other7.nodeEpoch;
   epoch = other7.epoch;
   inForce = std::move(other7.inForce);
+  readsBodyParts = other7.readsBodyParts;
   __isset = other7.__isset;
   return *this;
 }
@@ -333,6 +354,7 @@
   out << ", " << "nodeEpoch=" << to_string(nodeEpoch);
   out << ", " << "epoch=" << to_string(epoch);
   out << ", " << "inForce="; (__isset.inForce ? (out << to_string(inForce)) : (out << "<null>"));
+  out << ", " << "readsBodyParts=" << to_string(readsBodyParts);
   out << ")";
 }
 
@@ -405,6 +427,10 @@
 void CallRequest::__set_repeat(const bool val) {
   this->repeat = val;
 }
+
+void CallRequest::__set_largeAnswer(const bool val) {
+  this->largeAnswer = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj)
 {
   obj.printTo(out);
@@ -573,6 +599,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->largeAnswer);
+          this->__isset.largeAnswer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -663,6 +697,10 @@
   xfer += oprot->writeBool(this->repeat);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("largeAnswer", ::apache::thrift::protocol::T_BOOL, 17);
+  xfer += oprot->writeBool(this->largeAnswer);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -686,6 +724,7 @@
   swap(a.route, b.route);
   swap(a.requestId, b.requestId);
   swap(a.repeat, b.repeat);
+  swap(a.largeAnswer, b.largeAnswer);
   swap(a.__isset, b.__isset);
 }
 
@@ -706,6 +745,7 @@
   route = other14.route;
   requestId = other14.requestId;
   repeat = other14.repeat;
+  largeAnswer = other14.largeAnswer;
   __isset = other14.__isset;
 }
 CallRequest::CallRequest(CallRequest&& other15) noexcept {
@@ -725,6 +765,7 @@
   route = std::move(other15.route);
   requestId = std::move(other15.requestId);
   repeat = other15.repeat;
+  largeAnswer = other15.largeAnswer;
   __isset = other15.__isset;
 }
 CallRequest& CallRequest::operator=(const CallRequest& other16) {
@@ -744,6 +785,7 @@
   route = other16.route;
   requestId = other16.requestId;
   repeat = other16.repeat;
+  largeAnswer = other16.largeAnswer;
   __isset = other16.__isset;
   return *this;
 }
@@ -764,6 +806,7 @@
   route = std::move(other17.route);
   requestId = std::move(other17.requestId);
   repeat = other17.repeat;
+  largeAnswer = other17.largeAnswer;
   __isset = other17.__isset;
   return *this;
 }
@@ -786,6 +829,7 @@
   out << ", " << "route=" << to_string(route);
   out << ", " << "requestId=" << to_string(requestId);
   out << ", " << "repeat=" << to_string(repeat);
+  out << ", " << "largeAnswer=" << to_string(largeAnswer);
   out << ")";
 }
 
@@ -1068,6 +1112,11 @@
   this->targetUs = val;
 __isset.targetUs = true;
 }
+
+void CallResponse::__set_bodyBytes(const int64_t val) {
+  this->bodyBytes = val;
+__isset.bodyBytes = true;
+}
 std::ostream& operator<<(std::ostream& out, const CallResponse& obj)
 {
   obj.printTo(out);
@@ -1190,6 +1239,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->bodyBytes);
+          this->__isset.bodyBytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1257,6 +1314,11 @@
     xfer += oprot->writeI64(this->targetUs);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.bodyBytes) {
+    xfer += oprot->writeFieldBegin("bodyBytes", ::apache::thrift::protocol::T_I64, 11);
+    xfer += oprot->writeI64(this->bodyBytes);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1274,6 +1336,7 @@
   swap(a.retryAfterUs, b.retryAfterUs);
   swap(a.queuedUs, b.queuedUs);
   swap(a.targetUs, b.targetUs);
+  swap(a.bodyBytes, b.bodyBytes);
   swap(a.__isset, b.__isset);
 }
 
@@ -1288,6 +1351,7 @@
   retryAfterUs = other29.retryAfterUs;
   queuedUs = other29.queuedUs;
   targetUs = other29.targetUs;
+  bodyBytes = other29.bodyBytes;
   __isset = other29.__isset;
 }
 CallResponse::CallResponse(CallResponse&& other30) noexcept {
@@ -1301,6 +1365,7 @@
   retryAfterUs = other30.retryAfterUs;
   queuedUs = other30.queuedUs;
   targetUs = other30.targetUs;
+  bodyBytes = other30.bodyBytes;
   __isset = other30.__isset;
 }
 CallResponse& CallResponse::operator=(const CallResponse& other31) {
@@ -1314,6 +1379,7 @@
   retryAfterUs = other31.retryAfterUs;
   queuedUs = other31.queuedUs;
   targetUs = other31.targetUs;
+  bodyBytes = other31.bodyBytes;
   __isset = other31.__isset;
   return *this;
 }
@@ -1328,6 +1394,7 @@
   retryAfterUs = other32.retryAfterUs;
   queuedUs = other32.queuedUs;
   targetUs = other32.targetUs;
+  bodyBytes = other32.bodyBytes;
   __isset = other32.__isset;
   return *this;
 }
@@ -1344,25 +1411,30 @@
   out << ", " << "retryAfterUs=" << to_string(retryAfterUs);
   out << ", " << "queuedUs="; (__isset.queuedUs ? (out << to_string(queuedUs)) : (out << "<null>"));
   out << ", " << "targetUs="; (__isset.targetUs ? (out << to_string(targetUs)) : (out << "<null>"));
+  out << ", " << "bodyBytes="; (__isset.bodyBytes ? (out << to_string(bodyBytes)) : (out << "<null>"));
   out << ")";
 }
 
 
-CallCancel::~CallCancel() noexcept {
+CallBodyPart::~CallBodyPart() noexcept {
 }
 
 
-void CallCancel::__set_callId(const int64_t val) {
+void CallBodyPart::__set_callId(const int64_t val) {
   this->callId = val;
 }
-std::ostream& operator<<(std::ostream& out, const CallCancel& obj)
+
+void CallBodyPart::__set_body(const std::string& val) {
+  this->body = val;
+}
+std::ostream& operator<<(std::ostream& out, const CallBodyPart& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t CallCancel::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t CallBodyPart::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1391,6 +1463,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->body);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1403,44 +1483,155 @@
   return xfer;
 }
 
-uint32_t CallCancel::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t CallBodyPart::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("CallCancel");
+  xfer += oprot->writeStructBegin("CallBodyPart");
 
   xfer += oprot->writeFieldBegin("callId", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->callId);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->body);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(CallCancel &a, CallCancel &b) {
+void swap(CallBodyPart &a, CallBodyPart &b) {
   using ::std::swap;
   swap(a.callId, b.callId);
+  swap(a.body, b.body);
   swap(a.__isset, b.__isset);
 }
 
-CallCancel::CallCancel(const CallCancel& other33) noexcept {
+CallBodyPart::CallBodyPart(const CallBodyPart& other33) {
   callId = other33.callId;
+  body = other33.body;
   __isset = other33.__isset;
 }
-CallCancel::CallCancel(CallCancel&& other34) noexcept {
+CallBodyPart::CallBodyPart(CallBodyPart&& other34) noexcept {
   callId = other34.callId;
+  body = std::move(other34.body);
   __isset = other34.__isset;
 }
-CallCancel& CallCancel::operator=(const CallCancel& other35) noexcept {
+CallBodyPart& CallBodyPart::operator=(const CallBodyPart& other35) {
   callId = other35.callId;
+  body = other35.body;
   __isset = other35.__isset;
   return *this;
 }
-CallCancel& CallCancel::operator=(CallCancel&& other36) noexcept {
+CallBodyPart& CallBodyPart::operator=(CallBodyPart&& other36) noexcept {
   callId = other36.callId;
+  body = std::move(other36.body);
   __isset = other36.__isset;
   return *this;
 }
+void CallBodyPart::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CallBodyPart(";
+  out << "callId=" << to_string(callId);
+  out << ", " << "body=" << to_string(body);
+  out << ")";
+}
+
+
+CallCancel::~CallCancel() noexcept {
+}
+
+
+void CallCancel::__set_callId(const int64_t val) {
+  this->callId = val;
+}
+std::ostream& operator<<(std::ostream& out, const CallCancel& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CallCancel::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->callId);
+          this->__isset.callId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CallCancel::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CallCancel");
+
+  xfer += oprot->writeFieldBegin("callId", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->callId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CallCancel &a, CallCancel &b) {
+  using ::std::swap;
+  swap(a.callId, b.callId);
+  swap(a.__isset, b.__isset);
+}
+
+CallCancel::CallCancel(const CallCancel& other37) noexcept {
+  callId = other37.callId;
+  __isset = other37.__isset;
+}
+CallCancel::CallCancel(CallCancel&& other38) noexcept {
+  callId = other38.callId;
+  __isset = other38.__isset;
+}
+CallCancel& CallCancel::operator=(const CallCancel& other39) noexcept {
+  callId = other39.callId;
+  __isset = other39.__isset;
+  return *this;
+}
+CallCancel& CallCancel::operator=(CallCancel&& other40) noexcept {
+  callId = other40.callId;
+  __isset = other40.__isset;
+  return *this;
+}
 void CallCancel::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "CallCancel(";
@@ -1524,22 +1715,22 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerGoaway::PeerGoaway(const PeerGoaway& other37) {
-  reason = other37.reason;
-  __isset = other37.__isset;
+PeerGoaway::PeerGoaway(const PeerGoaway& other41) {
+  reason = other41.reason;
+  __isset = other41.__isset;
 }
-PeerGoaway::PeerGoaway(PeerGoaway&& other38) noexcept {
-  reason = std::move(other38.reason);
-  __isset = other38.__isset;
+PeerGoaway::PeerGoaway(PeerGoaway&& other42) noexcept {
+  reason = std::move(other42.reason);
+  __isset = other42.__isset;
 }
-PeerGoaway& PeerGoaway::operator=(const PeerGoaway& other39) {
-  reason = other39.reason;
-  __isset = other39.__isset;
+PeerGoaway& PeerGoaway::operator=(const PeerGoaway& other43) {
+  reason = other43.reason;
+  __isset = other43.__isset;
   return *this;
 }
-PeerGoaway& PeerGoaway::operator=(PeerGoaway&& other40) noexcept {
-  reason = std::move(other40.reason);
-  __isset = other40.__isset;
+PeerGoaway& PeerGoaway::operator=(PeerGoaway&& other44) noexcept {
+  reason = std::move(other44.reason);
+  __isset = other44.__isset;
   return *this;
 }
 void PeerGoaway::printTo(std::ostream& out) const {
--- a/libs/wire/include/wigeonfold/wire/Frame.h
+++ b/libs/wire/include/wigeonfold/wire/Frame.h
@@ -33,6 +33,7 @@
   CallResponse = 32,
   CallCancel = 33,
   PeerGoaway = 34,
+  CallBodyPart = 35,
 };
 
 struct Frame
