Limit answers and requests that never become whole

Cause: bytes that are no answer may come without end. Beast limits neither chunk sizes, chunk extensions nor trailers, and interim answers were skipped without end. A caller could do the same. Change: at most 64 KiB stay unparsed after a head, and at most 16 interim answers come to a request; then the connection is closed and the caller answered 502 at once (callers' requests: 400). Conclusion: the case could happen here and is mended.

--- a/apps/wigeonfold-node/TargetPool.cpp
+++ b/apps/wigeonfold-node/TargetPool.cpp
@@ -27,6 +27,8 @@
 constexpr int kNotModified = 304;
 // Answers to earlier requests that are skipped before the connection is closed.
 constexpr int kMaxSkipped = 2;
+// Interim answers (status 1xx) to one request before the connection is closed.
+constexpr int kMaxInterimAnswers = 16;
 const std::string kTimeoutParameter = "timeout=";
 constexpr int64_t kMaxKeepAliveSeconds = 3600;
 // For targets that don't announce when they close idle connections.
@@ -71,6 +73,7 @@
     m_done = std::move(aDone);
     m_written = false;
     m_skipped = 0;
+    m_interimAnswers = 0;
     PrepareHead(aRequest.m_extra);
     Read();
     const size_t sent = net::SendNow(m_socket, { m_head, m_request->body });
@@ -205,7 +208,11 @@
     const size_t used = net::FeedParser(*m_parser, m_received, code);
     m_received.erase(0, used);
     if (!code && !m_parser->is_done()) {
-      WaitForBytes();
+      if (m_received.size() > net::kMaxUnparsedBytes) {
+        FinishUnusable();
+      } else {
+        WaitForBytes();
+      }
       return;
     }
     OnRead(code);
@@ -238,7 +245,11 @@
     }
     const int status = m_parser->get().result_int();
     if (status < kFirstFinalStatus && status != kSwitchingProtocols) {
-      Read(); // an interim answer, status 1xx
+      if (++m_interimAnswers > kMaxInterimAnswers) {
+        FinishUnusable();
+      } else {
+        Read();
+      }
       return;
     }
     exchange.m_kind = status == kSwitchingProtocols ? Exchange::Kind::Unusable
@@ -255,6 +266,13 @@
     Finish(std::move(exchange));
   }
 
+  void FinishUnusable()
+  {
+    Exchange exchange;
+    exchange.m_kind = Exchange::Kind::Unusable;
+    Finish(std::move(exchange));
+  }
+
   // Discards an answer to another request and reads the next one.
   void Skip(bool aDelimited)
   {
@@ -326,6 +344,7 @@
   Duration m_idleLimit = kDefaultIdleLimit;
   TimePoint m_idleSince{};
   int m_skipped = 0;
+  int m_interimAnswers = 0; // answers of status 1xx to the request
   bool m_written = false;
   bool m_closed = false;
 };
--- a/apps/wigeonfold-node/test/TestNodes.h
+++ b/apps/wigeonfold-node/test/TestNodes.h
@@ -28,8 +28,9 @@
 {
   std::string m_bytes; // written in one piece
   bool m_close = false;
-  Duration m_delay{};   // before anything is written
-  bool m_reset = false; // the close is a reset
+  Duration m_delay{};    // before anything is written
+  bool m_reset = false;  // the close is a reset
+  std::string m_endless; // then written until the connection is closed
 };
 
 inline std::string CompleteAnswer(const std::string& aBody)
@@ -65,6 +66,7 @@
 
   std::atomic<int> m_requests{ 0 };
   std::atomic<int> m_connections{ 0 };
+  std::atomic<size_t> m_endlessBytes{ 0 }; // accepted by the sockets
 
 private:
   struct Client
@@ -123,6 +125,9 @@
                           }
                           if (aReaction.m_close) {
                             aClient->m_socket.close();
+                          } else if (!aReaction.m_endless.empty()) {
+                            aClient->m_out = aReaction.m_endless;
+                            WriteEndlessly(aClient);
                           } else {
                             Read(aClient);
                           }
@@ -130,6 +135,18 @@
     });
   }
 
+  void WriteEndlessly(const ClientPtr& aClient)
+  {
+    asio::async_write(aClient->m_socket,
+                      asio::buffer(aClient->m_out),
+                      [this, aClient](auto aCode, size_t aBytes) {
+                        m_endlessBytes += aBytes;
+                        if (!aCode) {
+                          WriteEndlessly(aClient);
+                        }
+                      });
+  }
+
   asio::ip::tcp::acceptor m_acceptor;
   Script m_script;
   std::vector<ClientPtr> m_clients;
--- a/libs/admission/test/Admission_test.cpp
+++ b/libs/admission/test/Admission_test.cpp
@@ -67,6 +67,26 @@
   EXPECT_EQ(ServedOfAccountA(MakeFifoQueue(), 22), 0);
 }
 
+// Load pattern: more downloads than the link can carry. All slots may be free
+// while the answers of earlier requests fill the link, so a request was
+// admitted whose answer could only be late.
+TEST(AdmissionTest, ALinkThatIsBusyBeyondTheObjectiveRejectsAtOnce)
+{
+  Admission admission(MakeFairQueue());
+  admission.SetLimits({ 4, 10, 1h }, kStart);
+  Request request = MakeRequest(1, "a", 0, kStart);
+  request.m_work = 100ms;
+  request.m_startBy = kStart + 400ms;
+  request.m_linkWait = 350ms;
+  EXPECT_TRUE(admission.Offer(request, kStart).front().m_start);
+  request.m_id = 2;
+  request.m_linkWait = 450ms;
+  const Decision decision = admission.Offer(request, kStart).front();
+  EXPECT_FALSE(decision.m_start);
+  EXPECT_EQ(decision.m_reason, RejectReason::TooLate);
+  EXPECT_EQ(decision.m_retryAfter, 50ms);
+}
+
 TEST(AdmissionTest, DeeperCallGoesFirst)
 {
   Admission admission(MakeFairQueue());
--- a/libs/net/src/Http.cpp
+++ b/libs/net/src/Http.cpp
@@ -425,7 +425,12 @@
     m_received.shrink_to_fit(); // saves memory: connections are idle for long
   }
   if (!code && !m_parser->is_done()) {
-    WaitForBytes();
+    if (m_parser->is_header_done() && m_received.size() > kMaxUnparsedBytes) {
+      m_reading = false;
+      Reject(http::status::bad_request);
+    } else {
+      WaitForBytes();
+    }
     return;
   }
   m_reading = false;
--- a/libs/net/test/Http_test.cpp
+++ b/libs/net/test/Http_test.cpp
@@ -131,6 +131,22 @@
 
 // Guards against clients that exceed the limits set by the operator: for the
 // size of a request, and for how long they hold a connection or send a request.
+// Beast limits neither chunk extensions nor trailers, so such a caller filled
+// the memory of the node.
+TEST_F(HttpTest, ChunksThatAreNeverWholeAreRejected)
+{
+  Serve([](const HttpRequest&, const HttpRespond&, const HttpOnAbandon&) {
+    ADD_FAILURE() << "the request is not complete";
+  });
+  const std::string head = "POST / HTTP/1.1\r\nHost: x\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string endless(64 << 10, 'a');
+  for (const char* begin : { "4;x=", "0\r\nX: " }) {
+    const std::string answer = Exchange(m_port, head + begin + endless);
+    EXPECT_EQ(answer.find("HTTP/1.1 400 "), 0U) << answer;
+  }
+}
+
 TEST_F(HttpTest, CallerLimitsAreEnforced)
 {
   Serve([](HttpRequest, HttpRespond aRespond, const auto&) {
