Mend four findings in settings and in the nodes' sessions

Cause: read earlier and left: a time of more than 153 million minutes overflowed and passed for a short one; a node that starts without a control VM never connects to one that is added later; a node probes the first other control VM although one of its own zone is as good; PeerServer kept a flag that nothing reads. Tests: SettingsTest.TimesThatDoNotFitAreAProblem, Subscriber.ConnectsOnceAControlVmIsKnown and ProbesTheOwnZoneFirst; each fails without its change.

--- a/apps/wigeonfold-node/PeerServer.cpp
+++ b/apps/wigeonfold-node/PeerServer.cpp
@@ -86,7 +86,6 @@
 
 void PeerServer::SendGoaway()
 {
-  m_stopping = true;
   wire::PeerGoaway goaway;
   goaway.reason = "stopping";
   for (auto& [connection, peer] : m_peers) {
--- a/apps/wigeonfold-node/PeerServer.h
+++ b/apps/wigeonfold-node/PeerServer.h
@@ -82,7 +82,6 @@
   EventLog& m_log;
   const std::function<void(const Version&)> m_onPeerVersion;
   int64_t m_lastEpoch; // of the newest connection
-  bool m_stopping = false;
   std::unique_ptr<net::Listener> m_listener;
   std::unordered_map<net::Connection*, Peer> m_peers;
   std::shared_ptr<bool> m_alive; // false once this object is destroyed
--- a/libs/base/src/Settings.cpp
+++ b/libs/base/src/Settings.cpp
@@ -49,8 +49,7 @@
     }
     const auto number = ParseNumber<int64_t>(
       boost::trim_copy(aText.substr(0, aText.size() - strlen(unit.m_suffix))));
-    constexpr int64_t kMaxCount = 1'000'000'000;
-    if (!number || *number < 0 || *number > kMaxCount) {
+    if (!number || *number < 0 || *number > Duration::max() / unit.m_length) {
       return std::nullopt;
     }
     return unit.m_length * *number;
--- a/libs/base/test/Settings_test.cpp
+++ b/libs/base/test/Settings_test.cpp
@@ -48,5 +48,24 @@
   EXPECT_TRUE(file.Finish().empty());
 }
 
+// 154 million minutes do not fit into 64 bits of nanoseconds; the product was
+// negative and passed for a short time.
+TEST(SettingsTest, TimesThatDoNotFitAreAProblem)
+{
+  SettingsFile file = SettingsFile::Parse("a.ini",
+                                          "[limits]\n"
+                                          "long = 999999999m\n"
+                                          "longer = 9223372036854775807s\n"
+                                          "rate = 3.08\n"
+                                          "text = 3,08\n");
+  EXPECT_EQ(file.Time("limits", "long", 1s, 1ms, Duration::max()),
+            Duration(1s));
+  EXPECT_EQ(file.Time("limits", "longer", 1s, 1ms, Duration::max()),
+            Duration(1s));
+  EXPECT_DOUBLE_EQ(file.Number("limits", "rate", 0, 0, 10), 3.08);
+  EXPECT_DOUBLE_EQ(file.Number("limits", "text", 7, 0, 10), 7);
+  EXPECT_EQ(file.Finish().size(), 3U);
+}
+
 } // namespace
 } // namespace wigeonfold
--- a/libs/distribution/src/Subscriber.cpp
+++ b/libs/distribution/src/Subscriber.cpp
@@ -137,12 +137,17 @@
 
 void Subscriber::StartProbe(TimePoint aNow)
 {
-  // The control VM that was probed longest ago; the first one among equals.
+  // The control VM that was probed longest ago; one of the own zone among
+  // equals.
+  const auto order = [this](size_t aVm) {
+    const Candidate& candidate = m_candidates[aVm];
+    return std::make_pair(candidate.m_lastProbe,
+                          candidate.m_vm.m_availabilityZone !=
+                            m_options.m_availabilityZone);
+  };
   std::optional<size_t> choice;
   for (size_t vm = 0; vm < m_candidates.size(); ++vm) {
-    if (vm != m_main->m_vm &&
-        (!choice ||
-         m_candidates[vm].m_lastProbe < m_candidates[*choice].m_lastProbe)) {
+    if (vm != m_main->m_vm && (!choice || order(vm) < order(*choice))) {
       choice = vm;
     }
   }
@@ -227,6 +232,9 @@
 
 SubscriberActions Subscriber::OnTick(TimePoint aNow)
 {
+  if (!m_main) {
+    ConnectMain(Duration::zero(), aNow); // no control VM was known so far
+  }
   if (m_main && aNow - m_main->m_lastFrame > m_options.m_silence) {
     m_actions.emplace_back(CloseSession{ m_main->m_id });
     ReconnectMain(aNow);
--- a/libs/distribution/test/Subscriber_test.cpp
+++ b/libs/distribution/test/Subscriber_test.cpp
@@ -261,5 +261,48 @@
   EXPECT_GT(delays.size(), 400U);
 }
 
+Subscriber MakeSubscriber(const std::vector<ControlVm>& aVms)
+{
+  SubscriberOptions options;
+  options.m_nodeName = "n";
+  options.m_availabilityZone = "b";
+  options.m_controlVms = aVms;
+  return Subscriber(
+    options, [](const NodeState&) { return Ok(); }, 1);
+}
+
+// A settings file may name no control VM yet; one that was added later was
+// never connected to.
+TEST(Subscriber, ConnectsOnceAControlVmIsKnown)
+{
+  Subscriber node = MakeSubscriber({});
+  TimePoint now = TimePoint() + 1h;
+  EXPECT_EQ(CountOf<ConnectTo>(node.Start(now)), 0U);
+  EXPECT_EQ(CountOf<ConnectTo>(node.OnTick(now += 100ms)), 0U);
+  node.AddControlVms({ { { "127.0.0.1", 1 }, "a" } });
+  EXPECT_EQ(CountOf<ConnectTo>(node.OnTick(now += 100ms)), 1U);
+  EXPECT_EQ(CountOf<ConnectTo>(node.OnTick(now += 100ms)), 0U);
+}
+
+// A node whose control VM is not current probed the first other one of its
+// list, although one of its own zone was as good and needs no traffic between
+// zones.
+TEST(Subscriber, ProbesTheOwnZoneFirst)
+{
+  Subscriber node = MakeSubscriber({ { { "127.0.0.1", 1 }, "b" },
+                                     { { "127.0.0.2", 1 }, "a" },
+                                     { { "127.0.0.3", 1 }, "b" } });
+  TimePoint now = TimePoint() + 1h;
+  const auto first = std::get<ConnectTo>(node.Start(now)[0]);
+  node.OnConnected(first.m_session, now);
+  wire::HelloReply stale;
+  stale.freshnessAgeMs = 60'000;
+  node.OnFrame(
+    first.m_session, MakeFrame(wire::FrameType::HelloReply, stale), now);
+  const auto probe = std::get<ConnectTo>(node.OnTick(now += 100ms)[0]);
+  EXPECT_NE(probe.m_address.m_host, first.m_address.m_host);
+  EXPECT_NE(probe.m_address.m_host, "127.0.0.2");
+}
+
 } // namespace
 } // namespace wigeonfold::distribution
