Tell a late copy of an answer by the request id in the native dialect too

Cause: a target may send a second copy of an answer late, on a connection that is in use again. In the native dialect answers carried no id, so the copy was given to the next caller. Change: a request without an id gets one from its node, and an answer that names another id is skipped, as in the platform's dialect. Test: Forwarding.LateCopyOfAnAnswerOnABusyConnectionIsSkipped, which fails without the change. Conclusion: the case could happen here and is mended. A target that does not send the id back is still told only by bytes that arrive while its connection is idle.

--- a/apps/wigeonfold-node/Node.cpp
+++ b/apps/wigeonfold-node/Node.cpp
@@ -29,7 +29,7 @@
   if (aSettings.m_dialect == "platform") {
     return platform::MakeCallerDialect(std::random_device{}());
   }
-  return forwarding::MakeNativeDialect();
+  return forwarding::MakeNativeDialect(std::random_device{}());
 }
 
 } // namespace
--- a/apps/wigeonfold-node/test/Forwarding_test.cpp
+++ b/apps/wigeonfold-node/test/Forwarding_test.cpp
@@ -88,6 +88,33 @@
   EXPECT_EQ(target.m_connections, 5);
 }
 
+// The second copy of an answer arrives when the connection is in use again: the
+// target writes it in front of the answer to the next request.
+TEST_F(Forwarding, LateCopyOfAnAnswerOnABusyConnectionIsSkipped)
+{
+  std::string lastAnswer;
+  TestTarget& target = ServeAtPeer([&](int, const std::string& aRequest) {
+    const std::string name = "Wigeonfold-Request-Id: ";
+    const size_t at = aRequest.find(name) + name.size();
+    const std::string id = aRequest.substr(at, aRequest.find('\r', at) - at);
+    const std::string answer =
+      "HTTP/1.1 200 OK\r\n" + name + id +
+      "\r\nContent-Length: " + std::to_string(id.size()) + "\r\n\r\n" + id;
+    return Reaction{ std::exchange(lastAnswer, answer) + answer };
+  });
+  std::set<std::string> bodies;
+  for (const char* id : { "a", "b", "c", "", "" }) {
+    net::HttpRequest request = Post("/lots");
+    if (*id != '\0') {
+      request.m_fields.push_back({ forwarding::kRequestIdHeader, id });
+    }
+    const std::string body = Call(0, request).m_body;
+    EXPECT_TRUE(*id == '\0' || body == id) << body;
+    EXPECT_TRUE(bodies.insert(body).second) << body;
+  }
+  EXPECT_EQ(target.m_connections, 1);
+}
+
 TEST_F(Forwarding, IdleConnectionClosedByTheTargetIsNotReused)
 {
   ServeAtPeer([](int, const std::string&) {
--- a/apps/wigeonfold-node/test/TestNodes.h
+++ b/apps/wigeonfold-node/test/TestNodes.h
@@ -192,7 +192,7 @@
       m_nodes.push_back(std::make_unique<DataPlane>(
         m_io,
         settings,
-        forwarding::MakeNativeDialect(),
+        forwarding::MakeNativeDialect(1),
         1,
         m_metrics,
         m_log,
--- a/libs/forwarding/include/wigeonfold/forwarding/NativeDialect.h
+++ b/libs/forwarding/include/wigeonfold/forwarding/NativeDialect.h
@@ -9,7 +9,8 @@
 inline constexpr const char* kDeadlineHeader = "Wigeonfold-Deadline-Ms";
 inline constexpr const char* kDepthHeader = "Wigeonfold-Depth";
 inline constexpr const char* kIdempotentHeader = "Wigeonfold-Idempotent";
-// Identifies the request in logs.
+// Identifies the request in logs. A target that sends it back with its answer
+// lets its node tell that answer from a late copy of an earlier one.
 inline constexpr const char* kRequestIdHeader = "Wigeonfold-Request-Id";
 inline constexpr const char* kRunHeader = "Wigeonfold-Run";
 inline constexpr const char* kTargetHeader = "Wigeonfold-Target";
@@ -18,6 +19,8 @@
 // Requests with a greater call depth are rejected.
 inline constexpr int kMaxDepth = 6;
 
-std::unique_ptr<Dialect> MakeNativeDialect();
+// aSeed begins the ids of requests that come without one; it should differ from
+// node to node.
+std::unique_ptr<Dialect> MakeNativeDialect(uint64_t aSeed);
 
 } // namespace wigeonfold::forwarding
--- a/libs/forwarding/src/NativeDialect.cpp
+++ b/libs/forwarding/src/NativeDialect.cpp
@@ -93,6 +93,11 @@
 class NativeDialect : public Dialect
 {
 public:
+  explicit NativeDialect(uint64_t aSeed)
+    : m_idPrefix(std::to_string(aSeed) + "-")
+  {
+  }
+
   std::optional<Outcome> ParseCall(net::HttpRequest&& aRequest,
                                    const routing::View& aView,
                                    const CallerInfo& aCaller,
@@ -109,11 +114,17 @@
     const std::string& aInstance) const override;
   bool IsShed(int aStatus,
               const std::vector<wire::HeaderField>& aFields) const override;
-  bool IsAnswerTo(const wire::CallRequest&,
-                  const std::vector<wire::HeaderField>&) const override
+  bool IsAnswerTo(const wire::CallRequest& aRequest,
+                  const std::vector<wire::HeaderField>& aFields) const override
   {
-    return true; // answers carry no request id
+    const std::string* answered = FindField(aFields, kRequestIdHeader);
+    const std::string* sent = FindField(aRequest.headers, kRequestIdHeader);
+    return answered == nullptr || sent == nullptr || *answered == *sent;
   }
+
+private:
+  const std::string m_idPrefix;
+  uint64_t m_lastId = 0;
 };
 
 std::optional<Outcome> NativeDialect::ParseCall(net::HttpRequest&& aRequest,
@@ -151,6 +162,10 @@
   request.path = std::move(aRequest.m_target);
   request.body = std::move(aRequest.m_body);
   MoveFields(aRequest.m_fields, request.headers);
+  if (request.requestId.empty()) {
+    request.requestId = m_idPrefix + std::to_string(++m_lastId);
+    request.headers.push_back(MakeField(kRequestIdHeader, request.requestId));
+  }
   return std::nullopt;
 }
 
@@ -222,9 +237,9 @@
 
 } // namespace
 
-std::unique_ptr<Dialect> MakeNativeDialect()
+std::unique_ptr<Dialect> MakeNativeDialect(uint64_t aSeed)
 {
-  return std::make_unique<NativeDialect>();
+  return std::make_unique<NativeDialect>(aSeed);
 }
 
 } // namespace wigeonfold::forwarding
