Keep calls on a silent connection during a graceful shutdown

Change: once the shutdown has begun, a call that can't be tried at a second target waits for its answer. Test: SilentPeer.APlannedStopDoesNotCutARequest, which gets 502 without the change.

--- a/apps/wigeonfold-node/CallerSide.cpp
+++ b/apps/wigeonfold-node/CallerSide.cpp
@@ -269,8 +269,9 @@
 
 // Sends an idempotent request to a second endpoint as well; the first answer
 // counts. If Hedge() allows no second attempt, this one ends as PeerLost, so
-// that the caller can retry at once. A caller must not retry a request that is
-// not idempotent, so its answer is waited for.
+// that the caller can retry at once, except during a graceful shutdown. A
+// caller must not retry a request that is not idempotent, so its answer is
+// waited for.
 void CallerSide::OnSilent(const AttemptKey& aKey)
 {
   const auto found = m_calls.find(aKey.m_call);
@@ -282,6 +283,9 @@
     Execute(aKey.m_call, step);
     return;
   }
+  if (m_stopping) {
+    return;
+  }
   CancelAttempt(found->second, aKey.m_attempt);
   OnAttemptEnded(aKey, Outcome::PeerLost, {});
 }
--- a/apps/wigeonfold-node/CallerSide.h
+++ b/apps/wigeonfold-node/CallerSide.h
@@ -37,6 +37,10 @@
   // Until this call, callers' requests are rejected with NoConfiguration.
   void SetReady() { m_ready = true; }
 
+  // The node shuts down gracefully: from now on a call whose target's node is
+  // silent keeps waiting for its answer, since a planned stop must not cut it.
+  void BeginStopping() { m_stopping = true; }
+
   // Calls aRespond once, unless the caller disconnects first.
   void OnRequest(net::HttpRequest aRequest,
                  net::HttpRespond aRespond,
@@ -112,6 +116,7 @@
   observe::DecisionLog& m_log;
   std::shared_ptr<const routing::View> m_view;
   bool m_ready = false;
+  bool m_stopping = false;
   // By service.
   std::unordered_map<std::string, forwarding::RetryBudget> m_retryBudgets;
   std::unordered_map<uint64_t, ActiveCall> m_calls;
--- a/apps/wigeonfold-node/DataPlane.cpp
+++ b/apps/wigeonfold-node/DataPlane.cpp
@@ -315,6 +315,7 @@
   m_drainEnd = Clock::now() + m_settings.m_drainLimit;
   m_log.Record(EventId::ProcessStopping, {});
   m_target.BeginStopping();
+  m_callerSide.BeginStopping();
   m_peerServer.SendGoaway();
   m_callerServer->Drain(m_settings.m_drainLinger,
                         [this] { m_callersDone = true; });
--- a/apps/wigeonfold-node/test/Forwarding_test.cpp
+++ b/apps/wigeonfold-node/test/Forwarding_test.cpp
@@ -200,6 +200,8 @@
       { Endpoint("n9", m_silent.local_endpoint().port()), EndpointOf(0) });
   }
 
+  uint16_t SilentPort() const { return m_silent.local_endpoint().port(); }
+
 private:
   asio::ip::tcp::acceptor m_silent;
 };
@@ -214,6 +216,20 @@
   }
 }
 
+// During a planned stop a request whose target was at work ended after half a
+// second of silence on a full link, although the answer was on its way.
+TEST_F(SilentPeer, APlannedStopDoesNotCutARequest)
+{
+  RunOnIoThread([&] { m_target->Stop(); });
+  SetView({ Endpoint("n9", SilentPort()) });
+  auto answer = CallLater(0, Get("/lots", { { kDeadlineHeader, "1200" } }));
+  for (size_t calls = 0; calls == 0;) {
+    RunOnIoThread([&] { calls = m_nodes[0]->Report(0).m_calls; });
+  }
+  RunOnIoThread([&] { m_nodes[0]->Drain([] {}); });
+  ExpectOutcome(answer.get(), 504, "unknown", "expired-after-write");
+}
+
 // Guards against callers' requests being used to probe unreachable nodes: again
 // and again, requests that can't be repeated would be lost there.
 TEST_F(SilentPeer, RequestsAreNotUsedAsProbes)
