--- a/libs/net/include/wigeonfold/net/SocketIo.h
+++ b/libs/net/include/wigeonfold/net/SocketIo.h
@@ -29,9 +29,9 @@
 size_t SendNow(boost::asio::ip::tcp::socket& aSocket,
                std::initializer_list<std::string_view> aParts);
 
-// Limit of the bytes that a parser leaves unconsumed after the head. Beast takes
-// chunk sizes, chunk extensions and trailers only as a whole and does not limit
-// them, so a sender that never completes one would fill the memory.
+// Limit of the bytes that a parser leaves unconsumed after the head. Beast
+// takes chunk sizes, chunk extensions and trailers only as a whole and does not
+// limit them, so a sender that never completes one would fill the memory.
 inline constexpr size_t kMaxUnparsedBytes = size_t{ 64 } << 10;
 
 // Feeds a Beast parser and returns how many bytes it consumed; pass the rest
