--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,5 +1,8 @@
-"""DRAIN: a target that has left is used again after its node was restarted."""
+"""CONFIG: one lost disk after a planned replacement, and an acknowledged
+configuration can't be read or followed any more."""
 import os
+import shutil
+import signal
 import sys
 import threading
 import time
@@ -8,62 +11,85 @@
 import deployment as d
 
 HOST = "shop.example"
+SYNC_S = 4
+RECOVERY_S = 15
+WATCH_S = 45  # three times recovery_s
 
 
-def case(folder, trouble):
-    fleet = d.Deployment(folder, ["shop", "shop", "office"])
-    try:
-        fleet.start(d.configuration(1, 0, [
-            d.route("r-shop", HOST, "shop", "unsafe"), d.service("shop"), d.service("office"), d.limits()]))
-        for upstream in fleet.upstreams:
-            upstream.work_s = 0.15
-        leaver = fleet.upstreams[0]
-        node, client_node = fleet.nodes[0], fleet.nodes[2]
-
-        stop = threading.Event()
+def config(version, base):
+    return d.configuration(version, base, [
+        d.route("r-shop", HOST, "shop", timeout_ms=1000 + version), d.service("shop"), d.service("office"), d.limits()])
 
-        answers = {}  # attempt id -> status or None
 
-        def send():
-            attempt, answer = fleet.request(client_node, HOST, "/a", "POST", b"one flawed piece")
-            answers[attempt] = answer.status if answer is not None else None
+def leader(fleet, machines):
+    """The machine that answers a read itself."""
+    end = d.now() + 10
+    while d.now() < end:
+        for machine in machines:
+            try:
+                if d.call(machine.control_address, "GET", "/api/config").status == 200:
+                    return machine
+            except (OSError, ValueError):
+                pass
+        time.sleep(0.1)
+    raise d.CannotRun("no control machine answers reads")
 
-        def client():
-            while not stop.is_set():
-                threading.Thread(target=send, daemon=True).start()
-                time.sleep(0.05)
 
-        threading.Thread(target=client, daemon=True).start()
-        time.sleep(2.0)
-        late = leaver.report()  # sent now, arrives late
-        if leaver.leave() != 200:
-            raise d.CannotRun("the DELETE was not acknowledged")
-        left = d.now()
-        time.sleep(0.3)
+def case(folder, trouble):
+    fleet = d.Deployment(folder, ["shop", "office"])
+    try:
+        fleet.start(config(1, 0))
+        # Planned replacement: the new machine first, with an empty disk at a new
+        # address; the old one leaves when its successor has had sync_s.
+        acting = leader(fleet, fleet.controls)
+        old = next(machine for machine in fleet.controls if machine is not acting)
+        successor = fleet.add_control(old)
+        successor.start()
+        time.sleep(SYNC_S + 1)
+        if fleet.put_config(config(2, 1))[0] != 200:
+            raise d.CannotRun("the second configuration was not acknowledged")
+        if leader(fleet, fleet.controls) is not acting:
+            raise d.CannotRun("another machine leads now")
+        fleet.record.line("machine %s: SIGTERM, it is taken away" % old.name)
+        old.send(signal.SIGTERM)
+        old.process.wait()
+        fleet.controls.remove(old)
+        fleet.record.line("machine %s has ended" % old.name)
+        status, acknowledged = fleet.put_config(config(3, 2))
+        if status != 200:
+            raise d.CannotRun("the third configuration was not acknowledged")
         if trouble:
-            node.kill()
+            acting.kill()
+            shutil.rmtree(acting.data, ignore_errors=True)
+            acting.bootstrap = False
+            fleet.record.line("machine %s has lost its disk, %.3f s after the acknowledgement"
+                              % (acting.name, d.now() - acknowledged))
             time.sleep(0.5)
-            node.start()
-        time.sleep(max(0.0, left + 2.5 - d.now()))
-        leaver.send_report(late, "(a heartbeat from before the DELETE, late)")
-        # The upstream goes on serving, as the pages allow ("at times many seconds").
-        time.sleep(8.0)
-        leaver.exit()
-        stop.set()
-        time.sleep(1.2)
-        # Machines are in touch again one stability window after the start.
-        in_touch = node.started + d.STABILITY_WINDOW_MS / 1000
-        bound = max(left + d.DRAIN_MS / 1000, in_touch)
-        late_runs = [run for run in leaver.runs if run[0] > bound]
-        before = [run for run in leaver.runs if run[0] < left]
-        if not before:
-            raise d.CannotRun("the upstream got no request before it left")
-        unanswered = [run for run in late_runs if answers.get(run[1]) != 200]
-        text = ("%d requests reached the upstream more than %.1f s after its DELETE was acknowledged; "
-                "%d of them were running there when it exited and got no success"
-                % (len(late_runs), bound - left, len(unanswered)))
+            acting.start()
+        back = d.now()
+        if trouble:
+            time.sleep(RECOVERY_S)
+        # Read back, again and again, and send one more change.
+        read = None
+        while read is None and d.now() < back + WATCH_S:
+            try:
+                read = fleet.get_config(3)
+                fleet.record.line("operator reads version %s" % read["version"])
+            except d.CannotRun:
+                fleet.record.line("operator: no machine answers the read with 200")
+        following = None
+        if read is not None:
+            following, _ = fleet.put_config(config(4, 3))
+        else:
+            following, _ = fleet.put_config(config(4, 3), 5)
+        ended = [m.name for m in fleet.machines if m is not old and m.process.poll() is not None]
+        if ended:
+            raise d.CannotRun("ended: %s" % ended)
+        good = read is not None and read["version"] == "00000003"
+        text = ("%.0f s after all machines were back the read gives %s; the next change is answered %s"
+                % (d.now() - back, "version " + read["version"] if read else "no configuration", following))
         fleet.record.line(text)
-        return bool(late_runs), text
+        return not good, text
     finally:
         fleet.close()
 
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -484,6 +484,16 @@
         wait_until(lambda: all(node.is_ready() for node in self.nodes), 20, "nodes are ready")
         time.sleep(1.5)  # endpoints spread
 
+    def add_control(self, like):
+        """A further control machine in the zone of another one, at a new address
+        and with an empty disk."""
+        address = like.ip.rsplit(".", 1)[0] + ".11"
+        machine = Machine(self, "control-%d" % len(self.controls), "control", like.zone, address)
+        machine.bootstrap = False
+        self.controls.append(machine)
+        self.machines.append(machine)
+        return machine
+
     # ---- Operator ----
 
     def operator_call(self, method, body, address, timeout=1.0):
