Log when a target says in an answer that it leaves

A target's heartbeat and its answers may differ on whether it leaves: a heartbeat can be late, lost or not sent. The log only showed the state from heartbeats, so that these cases could not be told apart. The event TargetLeaving gives the instance, the state known from heartbeats, and the request. The decision logic is unchanged.

--- a/apps/wigeonfold-node/TargetSide.cpp
+++ b/apps/wigeonfold-node/TargetSide.cpp
@@ -429,6 +429,7 @@
 void TargetSide::Write(uint64_t aId, ServedCall& aCall, TimePoint aNow)
 {
   aCall.m_started = aNow;
+  aCall.m_target = m_target->Start();
   if (!aCall.m_request->requestId.empty()) {
     m_running[aCall.m_request->requestId] = aCall.m_request;
   }
@@ -454,6 +455,21 @@
                                                  : AnswerKind::Final;
 }
 
+// Handles what the target says of itself beside an answer.
+void TargetSide::OnNotice(const ServedCall& aCall, const Exchange& aExchange)
+{
+  const forwarding::TargetNotice notice =
+    m_dialect.ReadNotice(aExchange.m_status, aExchange.m_headers);
+  if (!notice.m_leaving || aCall.m_target == m_leaving) {
+    return;
+  }
+  m_leaving = aCall.m_target;
+  m_log.Record(EventId::TargetLeaving,
+               { { "instance", m_leaving.m_instance },
+                 { "state", ToString(State()) },
+                 { "request", aCall.m_request->requestId } });
+}
+
 void TargetSide::OnExchange(uint64_t aId, Exchange aExchange)
 {
   const auto found = m_calls.find(aId);
@@ -462,6 +478,9 @@
   }
   const TimePoint now = Clock::now();
   ServedCall& call = found->second;
+  if (aExchange.m_kind == Exchange::Kind::Answer) {
+    OnNotice(call, aExchange);
+  }
   TargetStep step;
   switch (aExchange.m_kind) {
     case Exchange::Kind::Answer: {
--- a/apps/wigeonfold-node/TargetSide.h
+++ b/apps/wigeonfold-node/TargetSide.h
@@ -106,6 +106,7 @@
     size_t m_expectedBytes = 0; // of a large answer; 0 for a small one
     OnTargetReply m_reply;
     TargetConnectionPtr m_connection;
+    discovery::TargetStart m_target; // to which the request was written
     Exchange m_exchange;
   };
 
@@ -120,6 +121,7 @@
   void Write(uint64_t aId, ServedCall& aCall, TimePoint aNow);
   forwarding::AnswerKind Classify(const Exchange& aExchange) const;
   void OnExchange(uint64_t aId, Exchange aExchange);
+  void OnNotice(const ServedCall& aCall, const Exchange& aExchange);
   void End(uint64_t aId, const forwarding::TargetStep& aStep, TimePoint aNow);
   int MaxConnections() const;
   void LogRejection(const ServedCall& aCall,
@@ -144,6 +146,7 @@
   std::optional<Announcement> m_target;
   TimePoint m_leaseEnd{};
   bool m_leaseLost = false;
+  discovery::TargetStart m_leaving; // start that last said that it leaves
   bool m_stopping = false;
   bool m_rejectNew = false;
   std::unordered_map<uint64_t, ServedCall> m_calls;
--- a/libs/base/include/wigeonfold/base/Events.h
+++ b/libs/base/include/wigeonfold/base/Events.h
@@ -86,7 +86,8 @@
   X(RequestNotAdmitted,     2113, Info,    "the node of a target refused a request") \
   X(DecisionsOmitted,       2114, Warning, "log lines about requests were omitted to limit the size of the log") \
   X(PeerUnreachable,        2115, Warning, "connecting to another node failed or it stopped responding; its target is avoided") \
-  X(PeerReachable,          2116, Info,    "an unreachable node responded again")
+  X(PeerReachable,          2116, Info,    "an unreachable node responded again") \
+  X(TargetLeaving,          2117, Info,    "the node's own target said in an answer that it leaves")
 // clang-format on
 
 enum class EventId : int
--- a/libs/discovery/include/wigeonfold/discovery/TargetReport.h
+++ b/libs/discovery/include/wigeonfold/discovery/TargetReport.h
@@ -18,6 +18,14 @@
   Gone, // the target has announced its exit; it may still serve for a moment
 };
 
+// Identifies one start of a target.
+struct TargetStart
+{
+  std::string m_instance;    // target's id
+  int64_t m_startedAtMs = 0; // see TargetReport::m_startedAtMs
+  friend bool operator==(const TargetStart&, const TargetStart&) = default;
+};
+
 struct TargetReport
 {
   std::string m_service; // empty in a report of state Gone
@@ -33,6 +41,8 @@
   // reports.
   int64_t m_sequence = 0;
   Duration m_warmupRemaining{}; // time for which the target will be slow
+
+  TargetStart Start() const { return { m_instance, m_startedAtMs }; }
 };
 
 enum class ReportResult
--- a/libs/forwarding/include/wigeonfold/forwarding/Dialect.h
+++ b/libs/forwarding/include/wigeonfold/forwarding/Dialect.h
@@ -40,6 +40,12 @@
   Duration m_retryAfter{};
 };
 
+// What a target says of itself beside its answer to a request.
+struct TargetNotice
+{
+  bool m_leaving = false; // the target will exit
+};
+
 // Target name in the answer to a request that was sent to no target.
 inline constexpr const char* kNoTarget = "none";
 
@@ -74,6 +80,11 @@
   // True if the target's answer says that it did not run the request.
   virtual bool IsShed(int aStatus,
                       const std::vector<wire::HeaderField>& aFields) const = 0;
+  // What the target says of itself. Empty if the answer comes from another
+  // target than the one that the request named.
+  virtual TargetNotice ReadNotice(
+    int aStatus,
+    const std::vector<wire::HeaderField>& aFields) const = 0;
   // False if the answer names a request other than this one.
   virtual bool IsAnswerTo(
     const wire::CallRequest& aRequest,
--- a/libs/forwarding/include/wigeonfold/forwarding/NativeDialect.h
+++ b/libs/forwarding/include/wigeonfold/forwarding/NativeDialect.h
@@ -15,6 +15,8 @@
 inline constexpr const char* kRunHeader = "Wigeonfold-Run";
 inline constexpr const char* kTargetHeader = "Wigeonfold-Target";
 inline constexpr const char* kReasonHeader = "Wigeonfold-Reason";
+// "yes" in a target's answer: the target leaves.
+inline constexpr const char* kLeavingHeader = "Wigeonfold-Leaving";
 
 // Requests with a greater call depth are rejected.
 inline constexpr int kMaxDepth = 6;
--- a/libs/forwarding/src/NativeDialect.cpp
+++ b/libs/forwarding/src/NativeDialect.cpp
@@ -114,6 +114,9 @@
     const std::string& aInstance) const override;
   bool IsShed(int aStatus,
               const std::vector<wire::HeaderField>& aFields) const override;
+  TargetNotice ReadNotice(
+    int aStatus,
+    const std::vector<wire::HeaderField>& aFields) const override;
   bool IsAnswerTo(const wire::CallRequest& aRequest,
                   const std::vector<wire::HeaderField>& aFields) const override
   {
@@ -235,6 +238,16 @@
   return aStatus == kShedStatus && run != nullptr && *run == "not-run";
 }
 
+TargetNotice NativeDialect::ReadNotice(
+  int,
+  const std::vector<wire::HeaderField>& aFields) const
+{
+  TargetNotice notice;
+  const std::string* leaving = FindField(aFields, kLeavingHeader);
+  notice.m_leaving = leaving != nullptr && *leaving == "yes";
+  return notice;
+}
+
 } // namespace
 
 std::unique_ptr<Dialect> MakeNativeDialect(uint64_t aSeed)
