Send no requests to a target that says in its answers that it leaves

Callers saw their requests reach a target that had said that it leaves (DRAIN).

Cause: only heartbeats changed the state of a target. While one is late or lost, what the target says in its answers was passed on to the caller and otherwise ignored. A node that was restarted also forgot it, while the nodes at which the requests begin are bound by the answers that they passed on before.

Ruled out: another way to the target, since only its own node connects to it; requests that wait, since the queue is emptied when the target leaves.

Change: an answer with Server-Leaving (Wigeonfold-Leaving in the own dialect) marks the start that gave it as draining, for good.

Evidence: LeavingTarget.GetsNoRequestAfterAnAnswerThatSaysSo and GetsNoRequestFromThoseWhoKnowAfterItsNodeWasRestarted fail without the two calls of NoteLeaving (200 instead of 503, two requests instead of one) and pass with them. All tests pass.

--- a/apps/wigeonfold-node/PeerServer.cpp
+++ b/apps/wigeonfold-node/PeerServer.cpp
@@ -182,6 +182,10 @@
   const TimePoint now = Clock::now();
   const TimePoint deadline =
     now + std::chrono::microseconds(request->deadlineUs);
+  if (request->__isset.leaving) {
+    m_target.NoteLeaving(
+      { request->leaving.instance, request->leaving.startedAtMs }, now);
+  }
   net::Connection* connection = aConnection.get();
   const uint64_t servedId = m_target.Serve(
     std::move(request), deadline, now, [this, connection, callId](auto aReply) {
--- a/apps/wigeonfold-node/TargetSide.cpp
+++ b/apps/wigeonfold-node/TargetSide.cpp
@@ -108,6 +108,17 @@
   return result;
 }
 
+void TargetSide::NoteLeaving(const discovery::TargetStart& aStart,
+                             TimePoint aNow)
+{
+  if (!m_reports.NoteLeaving(aStart)) {
+    return;
+  }
+  m_target = m_reports.Current();
+  m_log.Record(EventId::TargetLeaving, { { "instance", aStart.m_instance } });
+  UpdateDraining(aNow);
+}
+
 // The limit announced by the target, or that of its service in the view.
 int TargetSide::MaxConnections() const
 {
@@ -456,18 +467,15 @@
 }
 
 // Handles what the target says of itself beside an answer.
-void TargetSide::OnNotice(const ServedCall& aCall, const Exchange& aExchange)
+void TargetSide::OnNotice(const ServedCall& aCall,
+                          const Exchange& aExchange,
+                          TimePoint aNow)
 {
   const forwarding::TargetNotice notice =
     m_dialect.ReadNotice(aExchange.m_status, aExchange.m_headers);
-  if (!notice.m_leaving || aCall.m_target == m_leaving) {
-    return;
+  if (notice.m_leaving) {
+    NoteLeaving(aCall.m_target, aNow);
   }
-  m_leaving = aCall.m_target;
-  m_log.Record(EventId::TargetLeaving,
-               { { "instance", m_leaving.m_instance },
-                 { "state", ToString(State()) },
-                 { "request", aCall.m_request->requestId } });
 }
 
 void TargetSide::OnExchange(uint64_t aId, Exchange aExchange)
@@ -479,7 +487,7 @@
   const TimePoint now = Clock::now();
   ServedCall& call = found->second;
   if (aExchange.m_kind == Exchange::Kind::Answer) {
-    OnNotice(call, aExchange);
+    OnNotice(call, aExchange, now);
   }
   TargetStep step;
   switch (aExchange.m_kind) {
@@ -553,6 +561,12 @@
   response.run = info.m_runState;
   response.status = info.m_status;
   response.__set_load(Load());
+  if (m_target && m_target->m_state != discovery::ReportedState::Ready) {
+    wire::TargetStart start;
+    start.instance = m_target->m_instance;
+    start.startedAtMs = m_target->m_startedAtMs;
+    response.__set_leaving(std::move(start));
+  }
   const bool failed = aReply.m_outcome == Outcome::AnsweredFailure;
   const bool answered = aReply.m_outcome == Outcome::Answered || failed;
   if (answered || aReply.m_outcome == Outcome::Shed) {
--- a/apps/wigeonfold-node/TargetSide.h
+++ b/apps/wigeonfold-node/TargetSide.h
@@ -57,6 +57,8 @@
   // has left are ignored.
   discovery::ReportResult Announce(const Announcement& aAnnouncement,
                                    TimePoint aNow);
+  // Another node knows that this start of the target leaves.
+  void NoteLeaving(const discovery::TargetStart& aStart, TimePoint aNow);
   // Begins a graceful shutdown: a ready target is reported as draining from now
   // on.
   void BeginStopping();
@@ -121,7 +123,9 @@
   void Write(uint64_t aId, ServedCall& aCall, TimePoint aNow);
   forwarding::AnswerKind Classify(const Exchange& aExchange) const;
   void OnExchange(uint64_t aId, Exchange aExchange);
-  void OnNotice(const ServedCall& aCall, const Exchange& aExchange);
+  void OnNotice(const ServedCall& aCall,
+                const Exchange& aExchange,
+                TimePoint aNow);
   void End(uint64_t aId, const forwarding::TargetStep& aStep, TimePoint aNow);
   int MaxConnections() const;
   void LogRejection(const ServedCall& aCall,
@@ -146,7 +150,6 @@
   std::optional<Announcement> m_target;
   TimePoint m_leaseEnd{};
   bool m_leaseLost = false;
-  discovery::TargetStart m_leaving; // start that last said that it leaves
   bool m_stopping = false;
   bool m_rejectNew = false;
   std::unordered_map<uint64_t, ServedCall> m_calls;
--- /dev/null
+++ b/apps/wigeonfold-node/test/LeavingTarget_test.cpp
@@ -0,0 +1,61 @@
+// Guards against requests that reach a target after it has said that it leaves.
+#include "TestNodes.h"
+
+namespace wigeonfold::node {
+namespace {
+
+using LeavingTarget = TestNodes;
+
+Reaction LeavingAnswer()
+{
+  return Reaction{ "HTTP/1.1 200 OK\r\nWigeonfold-Leaving: yes\r\n"
+                   "Content-Length: 1\r\n\r\nx" };
+}
+
+// The target's heartbeat is late or lost.
+TEST_F(LeavingTarget, GetsNoRequestAfterAnAnswerThatSaysSo)
+{
+  TestTarget& target =
+    ServeAtPeer([](int, const std::string&) { return LeavingAnswer(); });
+  EXPECT_EQ(Call(0, Post("/lots")).m_status, 200);
+  ExpectOutcome(Call(0, Post("/lots")), 503, "not-run", "draining");
+  EXPECT_EQ(Call(1, Post("/lots")).m_status, 503);
+  EXPECT_EQ(target.m_requests, 1);
+}
+
+// The node has forgotten that its target leaves, and a late heartbeat says that
+// it is ready.
+TEST_F(LeavingTarget, GetsNoRequestFromThoseWhoKnowAfterItsNodeWasRestarted)
+{
+  TestTarget& target =
+    ServeAtPeer([](int, const std::string&) { return LeavingAnswer(); });
+  EXPECT_EQ(Call(0, Post("/lots")).m_status, 200);
+  Restart(1);
+  Announce(1, target.Port());
+  SetView({ EndpointOf(1) });
+  ExpectOutcome(Call(0, Post("/lots")), 503, "not-run", "draining");
+  EXPECT_EQ(target.m_requests, 1);
+}
+
+// A new target beside the same node is used.
+TEST_F(LeavingTarget, SuccessorBesideTheSameNodeIsUsed)
+{
+  TestTarget& target = ServeAtPeer([](int aNumber, const std::string&) {
+    return aNumber == 0 ? LeavingAnswer() : Reaction{ CompleteAnswer("new") };
+  });
+  EXPECT_EQ(Call(0, Post("/lots")).m_status, 200);
+  RunOnIoThread([&] {
+    Announcement successor;
+    successor.m_service = "lots";
+    successor.m_address = { "127.0.0.1", target.Port() };
+    successor.m_slots = 4;
+    successor.m_connections = 10;
+    successor.m_instance = "j";
+    m_nodes[1]->OnAnnouncement(successor);
+  });
+  // A node of its own, since this one avoids the draining endpoint for a while.
+  EXPECT_EQ(Call(1, Post("/lots")).m_body, "new");
+}
+
+} // namespace
+} // namespace wigeonfold::node
--- a/apps/wigeonfold-node/test/TestNodes.h
+++ b/apps/wigeonfold-node/test/TestNodes.h
@@ -6,6 +6,7 @@
 
 #include "wigeonfold/forwarding/NativeDialect.h"
 
+#include <array>
 #include <boost/asio.hpp>
 #include <future>
 #include <gtest/gtest.h>
@@ -176,31 +177,8 @@
     , m_log("test", 100)
     , m_metrics(m_registry)
   {
-    for (const char* name : { "n0", "n1" }) {
-      NodeSettings settings;
-      settings.m_name = name;
-      settings.m_availabilityZone = "z";
-      settings.m_callerListen = { "127.0.0.1", 0 };
-      settings.m_peerListen = { "127.0.0.1", 0 };
-      settings.m_pickStrategy = "round-robin";
-      settings.m_queue = "fair";
-      settings.m_peerConnectTimeout = 250ms;
-      settings.m_targetConnectTimeout = 250ms;
-      settings.m_announceLease = 60s;
-      settings.m_drainLinger = 100ms;
-      settings.m_drainLimit = 10s;
-      m_nodes.push_back(std::make_unique<DataPlane>(
-        m_io,
-        settings,
-        forwarding::MakeNativeDialect(1),
-        1,
-        m_metrics,
-        m_log,
-        DataPlane::Hooks{ [](const wire::EndpointRecord&) { return true; },
-                          [this](const Version& aVersion) {
-                            m_peerVersions.push_back(aVersion);
-                          } }));
-      EXPECT_TRUE(m_nodes.back()->Start());
+    for (size_t node = 0; node < 2; ++node) {
+      m_nodes.push_back(StartNode(node, 1));
     }
     m_thread = std::thread([this] { m_io.run(); });
   }
@@ -212,6 +190,35 @@
     m_nodes.clear();
   }
 
+  std::unique_ptr<DataPlane> StartNode(size_t aNode, int64_t aEpoch)
+  {
+    NodeSettings settings;
+    settings.m_name = "n" + std::to_string(aNode);
+    settings.m_availabilityZone = "z";
+    settings.m_callerListen = { "127.0.0.1", 0 };
+    settings.m_peerListen = { "127.0.0.1", 0 };
+    settings.m_pickStrategy = "round-robin";
+    settings.m_queue = "fair";
+    settings.m_peerConnectTimeout = 250ms;
+    settings.m_targetConnectTimeout = 250ms;
+    settings.m_announceLease = 60s;
+    settings.m_drainLinger = 100ms;
+    settings.m_drainLimit = 10s;
+    auto node = std::make_unique<DataPlane>(
+      m_io,
+      settings,
+      forwarding::MakeNativeDialect(1),
+      aEpoch,
+      m_metrics,
+      m_log,
+      DataPlane::Hooks{ [](const wire::EndpointRecord&) { return true; },
+                        [this](const Version& aVersion) {
+                          m_peerVersions.push_back(aVersion);
+                        } });
+    EXPECT_TRUE(node->Start());
+    return node;
+  }
+
   // Runs aAction on the thread of the io_context and waits for its end.
   void RunOnIoThread(const std::function<void()>& aAction)
   {
@@ -225,7 +232,20 @@
 
   wire::EndpointRecord EndpointOf(size_t aNode)
   {
-    return Endpoint("n" + std::to_string(aNode), m_nodes[aNode]->PeerPort());
+    wire::EndpointRecord record =
+      Endpoint("n" + std::to_string(aNode), m_nodes[aNode]->PeerPort());
+    record.nodeEpoch = m_epochs[aNode];
+    return record;
+  }
+
+  // Ends the node's process without notice and starts it again. It has neither
+  // a view nor a target then.
+  void Restart(size_t aNode)
+  {
+    RunOnIoThread([&] {
+      m_nodes[aNode].reset();
+      m_nodes[aNode] = StartNode(aNode, ++m_epochs[aNode]);
+    });
   }
 
   static wire::EndpointRecord Endpoint(const std::string& aName, uint16_t aPort)
@@ -339,6 +359,7 @@
   observe::Metrics m_registry;
   NodeMetrics m_metrics;
   std::vector<std::unique_ptr<DataPlane>> m_nodes;
+  std::array<int64_t, 2> m_epochs{ 1, 1 };
   std::unique_ptr<TestTarget> m_target;
   // Versions that peers reported to the nodes. Only for the io_context's
   // thread.
--- a/apps/wigeonfold-target/Target.cpp
+++ b/apps/wigeonfold-target/Target.cpp
@@ -327,6 +327,9 @@
   const auto job = m_jobs.find(aJob);
   net::HttpRespond respond = std::move(job->second.m_respond);
   m_jobs.erase(job);
+  if (m_draining) {
+    aResponse.m_fields.push_back({ net::kLeavingField, "yes" });
+  }
   PostAfter(m_settings.m_oneWayDelay,
             [respond = std::move(respond), response = std::move(aResponse)] {
               respond(response);
--- a/idl/common.thrift
+++ b/idl/common.thrift
@@ -7,6 +7,13 @@
   2: i64 number,
 }
 
+// One start of a target: its id, and the wall clock at its start in ms since
+// 1970 (0 when it didn't report one).
+struct TargetStart {
+  1: string instance,
+  2: i64 startedAtMs,
+}
+
 // One branch of the settings tree, or its tombstone when removed is true.
 struct BranchState {
   1: string path,
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -46,6 +46,9 @@
   17: bool largeAnswer,
   // The caller was refused before and has returned.
   18: bool returned,
+  // The start of the node's target that, as far as the sender knows, leaves and
+  // must not get this request; absent when it knows none.
+  19: optional common.TargetStart leaving,
 }
 
 enum RunState {
@@ -85,6 +88,8 @@
   // Length of the whole body, when body holds only its first part and
   // CallBodyPart messages follow.
   11: optional i64 bodyBytes,
+  // Set while the node's target leaves.
+  12: optional common.TargetStart leaving,
 }
 
 // A further part of the body of an answer whose CallResponse has bodyBytes.
--- a/libs/base/include/wigeonfold/base/Events.h
+++ b/libs/base/include/wigeonfold/base/Events.h
@@ -87,7 +87,7 @@
   X(DecisionsOmitted,       2114, Warning, "log lines about requests were omitted to limit the size of the log") \
   X(PeerUnreachable,        2115, Warning, "connecting to another node failed or it stopped responding; its target is avoided") \
   X(PeerReachable,          2116, Info,    "an unreachable node responded again") \
-  X(TargetLeaving,          2117, Info,    "the node's own target said in an answer that it leaves")
+  X(TargetLeaving,          2117, Info,    "the node's own target leaves, as its answer or another node says")
 // clang-format on
 
 enum class EventId : int
--- a/libs/discovery/include/wigeonfold/discovery/TargetReport.h
+++ b/libs/discovery/include/wigeonfold/discovery/TargetReport.h
@@ -53,30 +53,27 @@
 };
 
 // Applies the reports of the target beside one node and rejects delayed,
-// reordered and repeated ones. A start that reported Draining never becomes
+// reordered and repeated ones. A start that is known to leave never becomes
 // Ready again, and one that reported Gone stays Gone. Deterministic; not thread
 // safe.
 class TargetReportTracker
 {
 public:
   ReportResult Apply(const TargetReport& aReport);
+  // The start leaves, as its answer or another node says; it may not have
+  // reported yet. Returns whether Current() has changed.
+  bool NoteLeaving(const TargetStart& aStart);
 
   // Last applied report of the newest start; nothing before the first report.
   // Its state is Gone once the start has left.
   const std::optional<TargetReport>& Current() const { return m_current; }
 
 private:
-  bool IsRetired(const TargetReport& aReport) const;
-  void Retire(const std::string& aInstance, int64_t aStartedAtMs);
-
-  struct RetiredStart
-  {
-    std::string m_instance;
-    int64_t m_startedAtMs = 0;
-  };
+  using Starts = std::deque<TargetStart>; // newest last
 
   std::optional<TargetReport> m_current;
-  std::deque<RetiredStart> m_retired; // newest last
+  Starts m_retired; // replaced or gone
+  Starts m_leaving; // from NoteLeaving()
 };
 
 } // namespace wigeonfold::discovery
--- a/libs/discovery/src/TargetReport.cpp
+++ b/libs/discovery/src/TargetReport.cpp
@@ -6,34 +6,48 @@
 
 namespace {
 
-// Number of retired starts that are remembered. Reports are delayed by seconds
-// and a target starts at most every few seconds, so this covers every report
-// that may still arrive.
-constexpr size_t kMaxRetired = 64;
+// Number of starts that are remembered. Reports are delayed by seconds and a
+// target starts at most every few seconds, so this covers every report that may
+// still arrive.
+constexpr size_t kMaxRemembered = 64;
 
-} // namespace
-
-bool TargetReportTracker::IsRetired(const TargetReport& aReport) const
+// Whether aStarts holds this start or a later one of the same instance.
+bool Covers(const std::deque<TargetStart>& aStarts, const TargetStart& aStart)
 {
   return std::any_of(
-    m_retired.begin(), m_retired.end(), [&](const RetiredStart& aStart) {
-      return aStart.m_instance == aReport.m_instance &&
-             aReport.m_startedAtMs <= aStart.m_startedAtMs;
+    aStarts.begin(), aStarts.end(), [&](const TargetStart& aOne) {
+      return aOne.m_instance == aStart.m_instance &&
+             aStart.m_startedAtMs <= aOne.m_startedAtMs;
     });
 }
 
-void TargetReportTracker::Retire(const std::string& aInstance,
-                                 int64_t aStartedAtMs)
+void Remember(std::deque<TargetStart>& aStarts, const TargetStart& aStart)
+{
+  aStarts.push_back(aStart);
+  if (aStarts.size() > kMaxRemembered) {
+    aStarts.pop_front();
+  }
+}
+
+} // namespace
+
+bool TargetReportTracker::NoteLeaving(const TargetStart& aStart)
 {
-  m_retired.push_back({ aInstance, aStartedAtMs });
-  if (m_retired.size() > kMaxRetired) {
-    m_retired.pop_front();
+  if (!Covers(m_leaving, aStart)) {
+    Remember(m_leaving, aStart);
+  }
+  const bool changes = m_current &&
+                       m_current->m_state == ReportedState::Ready &&
+                       Covers(m_leaving, m_current->Start());
+  if (changes) {
+    m_current->m_state = ReportedState::Draining;
   }
+  return changes;
 }
 
 ReportResult TargetReportTracker::Apply(const TargetReport& aReport)
 {
-  if (IsRetired(aReport)) {
+  if (Covers(m_retired, aReport.Start())) {
     return ReportResult::Retired;
   }
   const bool isCurrent =
@@ -46,7 +60,7 @@
     if (isCurrent && startedAt < m_current->m_startedAtMs) {
       return ReportResult::Stale;
     }
-    Retire(aReport.m_instance, startedAt);
+    Remember(m_retired, { aReport.m_instance, startedAt });
     if (!isCurrent) {
       return ReportResult::Stale;
     }
@@ -62,13 +76,14 @@
       aReport.m_sequence <= m_current->m_sequence) {
     return ReportResult::Stale;
   }
-  const bool staysDraining =
-    sameStart && m_current->m_state == ReportedState::Draining;
+  const bool isLeaving =
+    (sameStart && m_current->m_state == ReportedState::Draining) ||
+    Covers(m_leaving, aReport.Start());
   if (m_current && !sameStart) {
-    Retire(m_current->m_instance, m_current->m_startedAtMs);
+    Remember(m_retired, m_current->Start());
   }
   m_current = aReport;
-  if (staysDraining) {
+  if (isLeaving) {
     m_current->m_state = ReportedState::Draining;
   }
   return ReportResult::Applied;
--- a/libs/discovery/test/TargetReport_test.cpp
+++ b/libs/discovery/test/TargetReport_test.cpp
@@ -38,6 +38,39 @@
   EXPECT_EQ(reports.Current()->m_state, ReportedState::Draining);
 }
 
+// A target's answer said that it leaves before its heartbeat did.
+TEST(TargetReportTracker, KeepsAStartDrainingThatIsKnownToLeave)
+{
+  TargetReportTracker reports;
+  reports.Apply(Report("a", 100, 2));
+  EXPECT_TRUE(reports.NoteLeaving({ "a", 100 }));
+  EXPECT_EQ(reports.Current()->m_state, ReportedState::Draining);
+  EXPECT_FALSE(reports.NoteLeaving({ "a", 100 }));
+  reports.Apply(Report("a", 100, 3));
+  EXPECT_EQ(reports.Current()->m_state, ReportedState::Draining);
+  reports.Apply(Report("a", 200, 1));
+  EXPECT_EQ(reports.Current()->m_state, ReportedState::Ready);
+}
+
+// A restarted node hears from another node that the target leaves, and only
+// then gets a late heartbeat of the target.
+TEST(TargetReportTracker, RemembersThatAStartLeavesBeforeItsFirstReport)
+{
+  TargetReportTracker reports;
+  EXPECT_FALSE(reports.NoteLeaving({ "a", 100 }));
+  EXPECT_EQ(reports.Apply(Report("a", 100, 7)), ReportResult::Applied);
+  EXPECT_EQ(reports.Current()->m_state, ReportedState::Draining);
+}
+
+TEST(TargetReportTracker, NoteOnAnotherStartLeavesTheCurrentOneReady)
+{
+  TargetReportTracker reports;
+  reports.Apply(Report("a", 100, 2));
+  EXPECT_FALSE(reports.NoteLeaving({ "b", 300 }));
+  EXPECT_FALSE(reports.NoteLeaving({ "a", 50 }));
+  EXPECT_EQ(reports.Current()->m_state, ReportedState::Ready);
+}
+
 TEST(TargetReportTracker, KeepsAGoneStartGoneUntilALaterStart)
 {
   TargetReportTracker reports;
--- a/libs/net/include/wigeonfold/net/Echo.h
+++ b/libs/net/include/wigeonfold/net/Echo.h
@@ -21,6 +21,7 @@
 inline constexpr const char* kChainField = "X-Chain";
 
 inline constexpr const char* kRunField = "Wigeonfold-Run";
+inline constexpr const char* kLeavingField = "Wigeonfold-Leaving";
 inline constexpr const char* kDeadlineField = "Wigeonfold-Deadline-Ms";
 inline constexpr const char* kDepthField = "Wigeonfold-Depth";
 inline constexpr const char* kAccountField = "Wigeonfold-Account";
--- a/libs/wire/gen/include/wigeonfold/wire/gen/common_types.h
+++ b/libs/wire/gen/include/wigeonfold/wire/gen/common_types.h
@@ -38,6 +38,8 @@
 
 class WireVersion;
 
+class TargetStart;
+
 class BranchState;
 
 class Operation;
@@ -94,6 +96,58 @@
 
 std::ostream& operator<<(std::ostream& out, const WireVersion& obj);
 
+typedef struct _TargetStart__isset {
+  _TargetStart__isset() : instance(false), startedAtMs(false) {}
+  bool instance :1;
+  bool startedAtMs :1;
+} _TargetStart__isset;
+
+class TargetStart : public virtual ::apache::thrift::TBase {
+ public:
+
+  TargetStart(const TargetStart&);
+  TargetStart(TargetStart&&) noexcept;
+  TargetStart& operator=(const TargetStart&);
+  TargetStart& operator=(TargetStart&&) noexcept;
+  TargetStart() noexcept
+              : instance(),
+                startedAtMs(0) {
+  }
+
+  virtual ~TargetStart() noexcept;
+  std::string instance;
+  int64_t startedAtMs;
+
+  _TargetStart__isset __isset;
+
+  void __set_instance(const std::string& val);
+
+  void __set_startedAtMs(const int64_t val);
+
+  bool operator == (const TargetStart & rhs) const
+  {
+    if (!(instance == rhs.instance))
+      return false;
+    if (!(startedAtMs == rhs.startedAtMs))
+      return false;
+    return true;
+  }
+  bool operator != (const TargetStart &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TargetStart & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TargetStart &a, TargetStart &b);
+
+std::ostream& operator<<(std::ostream& out, const TargetStart& obj);
+
 typedef struct _BranchState__isset {
   _BranchState__isset() : path(false), settings(false), modified(false), removed(false) {}
   bool path :1;
--- a/libs/wire/gen/include/wigeonfold/wire/gen/peer_types.h
+++ b/libs/wire/gen/include/wigeonfold/wire/gen/peer_types.h
@@ -179,7 +179,7 @@
 std::ostream& operator<<(std::ostream& out, const PeerHello& obj);
 
 typedef struct _CallRequest__isset {
-  _CallRequest__isset() : callId(false), serviceName(false), office(false), method(false), path(false), headers(false), body(false), deadlineUs(false), depth(false), idempotent(false), callerService(false), priority(false), objectiveLeadUs(false), route(false), requestId(false), repeat(false), largeAnswer(false), returned(false) {}
+  _CallRequest__isset() : callId(false), serviceName(false), office(false), method(false), path(false), headers(false), body(false), deadlineUs(false), depth(false), idempotent(false), callerService(false), priority(false), objectiveLeadUs(false), route(false), requestId(false), repeat(false), largeAnswer(false), returned(false), leaving(false) {}
   bool callId :1;
   bool serviceName :1;
   bool office :1;
@@ -198,6 +198,7 @@
   bool repeat :1;
   bool largeAnswer :1;
   bool returned :1;
+  bool leaving :1;
 } _CallRequest__isset;
 
 class CallRequest : public virtual ::apache::thrift::TBase {
@@ -246,6 +247,7 @@
   bool repeat;
   bool largeAnswer;
   bool returned;
+   ::wigeonfold::wire::TargetStart leaving;
 
   _CallRequest__isset __isset;
 
@@ -285,6 +287,8 @@
 
   void __set_returned(const bool val);
 
+  void __set_leaving(const  ::wigeonfold::wire::TargetStart& val);
+
   bool operator == (const CallRequest & rhs) const
   {
     if (!(callId == rhs.callId))
@@ -325,6 +329,10 @@
       return false;
     if (!(returned == rhs.returned))
       return false;
+    if (__isset.leaving != rhs.__isset.leaving)
+      return false;
+    else if (__isset.leaving && !(leaving == rhs.leaving))
+      return false;
     return true;
   }
   bool operator != (const CallRequest &rhs) const {
@@ -431,7 +439,7 @@
 std::ostream& operator<<(std::ostream& out, const TargetLoad& obj);
 
 typedef struct _CallResponse__isset {
-  _CallResponse__isset() : callId(false), run(false), status(false), headers(false), body(false), load(false), reason(false), retryAfterUs(false), queuedUs(false), targetUs(false), bodyBytes(false) {}
+  _CallResponse__isset() : callId(false), run(false), status(false), headers(false), body(false), load(false), reason(false), retryAfterUs(false), queuedUs(false), targetUs(false), bodyBytes(false), leaving(false) {}
   bool callId :1;
   bool run :1;
   bool status :1;
@@ -443,6 +451,7 @@
   bool queuedUs :1;
   bool targetUs :1;
   bool bodyBytes :1;
+  bool leaving :1;
 } _CallResponse__isset;
 
 class CallResponse : public virtual ::apache::thrift::TBase {
@@ -480,6 +489,7 @@
   int64_t queuedUs;
   int64_t targetUs;
   int64_t bodyBytes;
+   ::wigeonfold::wire::TargetStart leaving;
 
   _CallResponse__isset __isset;
 
@@ -505,6 +515,8 @@
 
   void __set_bodyBytes(const int64_t val);
 
+  void __set_leaving(const  ::wigeonfold::wire::TargetStart& val);
+
   bool operator == (const CallResponse & rhs) const
   {
     if (!(callId == rhs.callId))
@@ -535,6 +547,10 @@
       return false;
     else if (__isset.bodyBytes && !(bodyBytes == rhs.bodyBytes))
       return false;
+    if (__isset.leaving != rhs.__isset.leaving)
+      return false;
+    else if (__isset.leaving && !(leaving == rhs.leaving))
+      return false;
     return true;
   }
   bool operator != (const CallResponse &rhs) const {
--- a/libs/wire/gen/src/common_types.cpp
+++ b/libs/wire/gen/src/common_types.cpp
@@ -170,6 +170,129 @@
 }
 
 
+TargetStart::~TargetStart() noexcept {
+}
+
+
+void TargetStart::__set_instance(const std::string& val) {
+  this->instance = val;
+}
+
+void TargetStart::__set_startedAtMs(const int64_t val) {
+  this->startedAtMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const TargetStart& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TargetStart::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->instance);
+          this->__isset.instance = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->startedAtMs);
+          this->__isset.startedAtMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TargetStart::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TargetStart");
+
+  xfer += oprot->writeFieldBegin("instance", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->instance);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("startedAtMs", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->startedAtMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TargetStart &a, TargetStart &b) {
+  using ::std::swap;
+  swap(a.instance, b.instance);
+  swap(a.startedAtMs, b.startedAtMs);
+  swap(a.__isset, b.__isset);
+}
+
+TargetStart::TargetStart(const TargetStart& other4) {
+  instance = other4.instance;
+  startedAtMs = other4.startedAtMs;
+  __isset = other4.__isset;
+}
+TargetStart::TargetStart(TargetStart&& other5) noexcept {
+  instance = std::move(other5.instance);
+  startedAtMs = other5.startedAtMs;
+  __isset = other5.__isset;
+}
+TargetStart& TargetStart::operator=(const TargetStart& other6) {
+  instance = other6.instance;
+  startedAtMs = other6.startedAtMs;
+  __isset = other6.__isset;
+  return *this;
+}
+TargetStart& TargetStart::operator=(TargetStart&& other7) noexcept {
+  instance = std::move(other7.instance);
+  startedAtMs = other7.startedAtMs;
+  __isset = other7.__isset;
+  return *this;
+}
+void TargetStart::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TargetStart(";
+  out << "instance=" << to_string(instance);
+  out << ", " << "startedAtMs=" << to_string(startedAtMs);
+  out << ")";
+}
+
+
 BranchState::~BranchState() noexcept {
 }
 
@@ -229,17 +352,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->settings.clear();
-            uint32_t _size4;
-            ::apache::thrift::protocol::TType _ktype5;
-            ::apache::thrift::protocol::TType _vtype6;
-            xfer += iprot->readMapBegin(_ktype5, _vtype6, _size4);
-            uint32_t _i8;
-            for (_i8 = 0; _i8 < _size4; ++_i8)
+            uint32_t _size8;
+            ::apache::thrift::protocol::TType _ktype9;
+            ::apache::thrift::protocol::TType _vtype10;
+            xfer += iprot->readMapBegin(_ktype9, _vtype10, _size8);
+            uint32_t _i12;
+            for (_i12 = 0; _i12 < _size8; ++_i12)
             {
-              std::string _key9;
-              xfer += iprot->readString(_key9);
-              std::string& _val10 = this->settings[_key9];
-              xfer += iprot->readString(_val10);
+              std::string _key13;
+              xfer += iprot->readString(_key13);
+              std::string& _val14 = this->settings[_key13];
+              xfer += iprot->readString(_val14);
             }
             xfer += iprot->readMapEnd();
           }
@@ -288,11 +411,11 @@
   xfer += oprot->writeFieldBegin("settings", ::apache::thrift::protocol::T_MAP, 2);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->settings.size()));
-    std::map<std::string, std::string> ::const_iterator _iter11;
-    for (_iter11 = this->settings.begin(); _iter11 != this->settings.end(); ++_iter11)
+    std::map<std::string, std::string> ::const_iterator _iter15;
+    for (_iter15 = this->settings.begin(); _iter15 != this->settings.end(); ++_iter15)
     {
-      xfer += oprot->writeString(_iter11->first);
-      xfer += oprot->writeString(_iter11->second);
+      xfer += oprot->writeString(_iter15->first);
+      xfer += oprot->writeString(_iter15->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -320,34 +443,34 @@
   swap(a.__isset, b.__isset);
 }
 
-BranchState::BranchState(const BranchState& other12) {
-  path = other12.path;
-  settings = other12.settings;
-  modified = other12.modified;
-  removed = other12.removed;
-  __isset = other12.__isset;
-}
-BranchState::BranchState(BranchState&& other13) noexcept {
-  path = std::move(other13.path);
-  settings = std::move(other13.settings);
-  modified = std::move(other13.modified);
-  removed = other13.removed;
-  __isset = other13.__isset;
-}
-BranchState& BranchState::operator=(const BranchState& other14) {
-  path = other14.path;
-  settings = other14.settings;
-  modified = other14.modified;
-  removed = other14.removed;
-  __isset = other14.__isset;
+BranchState::BranchState(const BranchState& other16) {
+  path = other16.path;
+  settings = other16.settings;
+  modified = other16.modified;
+  removed = other16.removed;
+  __isset = other16.__isset;
+}
+BranchState::BranchState(BranchState&& other17) noexcept {
+  path = std::move(other17.path);
+  settings = std::move(other17.settings);
+  modified = std::move(other17.modified);
+  removed = other17.removed;
+  __isset = other17.__isset;
+}
+BranchState& BranchState::operator=(const BranchState& other18) {
+  path = other18.path;
+  settings = other18.settings;
+  modified = other18.modified;
+  removed = other18.removed;
+  __isset = other18.__isset;
   return *this;
 }
-BranchState& BranchState::operator=(BranchState&& other15) noexcept {
-  path = std::move(other15.path);
-  settings = std::move(other15.settings);
-  modified = std::move(other15.modified);
-  removed = other15.removed;
-  __isset = other15.__isset;
+BranchState& BranchState::operator=(BranchState&& other19) noexcept {
+  path = std::move(other19.path);
+  settings = std::move(other19.settings);
+  modified = std::move(other19.modified);
+  removed = other19.removed;
+  __isset = other19.__isset;
   return *this;
 }
 void BranchState::printTo(std::ostream& out) const {
@@ -410,9 +533,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast16;
-          xfer += iprot->readI32(ecast16);
-          this->kind = static_cast<OperationKind::type>(ecast16);
+          int32_t ecast20;
+          xfer += iprot->readI32(ecast20);
+          this->kind = static_cast<OperationKind::type>(ecast20);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -489,34 +612,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Operation::Operation(const Operation& other17) {
-  kind = other17.kind;
-  path = other17.path;
-  key = other17.key;
-  value = other17.value;
-  __isset = other17.__isset;
-}
-Operation::Operation(Operation&& other18) noexcept {
-  kind = other18.kind;
-  path = std::move(other18.path);
-  key = std::move(other18.key);
-  value = std::move(other18.value);
-  __isset = other18.__isset;
-}
-Operation& Operation::operator=(const Operation& other19) {
-  kind = other19.kind;
-  path = other19.path;
-  key = other19.key;
-  value = other19.value;
-  __isset = other19.__isset;
+Operation::Operation(const Operation& other21) {
+  kind = other21.kind;
+  path = other21.path;
+  key = other21.key;
+  value = other21.value;
+  __isset = other21.__isset;
+}
+Operation::Operation(Operation&& other22) noexcept {
+  kind = other22.kind;
+  path = std::move(other22.path);
+  key = std::move(other22.key);
+  value = std::move(other22.value);
+  __isset = other22.__isset;
+}
+Operation& Operation::operator=(const Operation& other23) {
+  kind = other23.kind;
+  path = other23.path;
+  key = other23.key;
+  value = other23.value;
+  __isset = other23.__isset;
   return *this;
 }
-Operation& Operation::operator=(Operation&& other20) noexcept {
-  kind = other20.kind;
-  path = std::move(other20.path);
-  key = std::move(other20.key);
-  value = std::move(other20.value);
-  __isset = other20.__isset;
+Operation& Operation::operator=(Operation&& other24) noexcept {
+  kind = other24.kind;
+  path = std::move(other24.path);
+  key = std::move(other24.key);
+  value = std::move(other24.value);
+  __isset = other24.__isset;
   return *this;
 }
 void Operation::printTo(std::ostream& out) const {
--- a/libs/wire/gen/src/peer_types.cpp
+++ b/libs/wire/gen/src/peer_types.cpp
@@ -435,6 +435,11 @@
 void CallRequest::__set_returned(const bool val) {
   this->returned = val;
 }
+
+void CallRequest::__set_leaving(const  ::wigeonfold::wire::TargetStart& val) {
+  this->leaving = val;
+__isset.leaving = true;
+}
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj)
 {
   obj.printTo(out);
@@ -619,6 +624,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->leaving.read(iprot);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -717,6 +730,11 @@
   xfer += oprot->writeBool(this->returned);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.leaving) {
+    xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_STRUCT, 19);
+    xfer += this->leaving.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -742,6 +760,7 @@
   swap(a.repeat, b.repeat);
   swap(a.largeAnswer, b.largeAnswer);
   swap(a.returned, b.returned);
+  swap(a.leaving, b.leaving);
   swap(a.__isset, b.__isset);
 }
 
@@ -764,6 +783,7 @@
   repeat = other14.repeat;
   largeAnswer = other14.largeAnswer;
   returned = other14.returned;
+  leaving = other14.leaving;
   __isset = other14.__isset;
 }
 CallRequest::CallRequest(CallRequest&& other15) noexcept {
@@ -785,6 +805,7 @@
   repeat = other15.repeat;
   largeAnswer = other15.largeAnswer;
   returned = other15.returned;
+  leaving = std::move(other15.leaving);
   __isset = other15.__isset;
 }
 CallRequest& CallRequest::operator=(const CallRequest& other16) {
@@ -806,6 +827,7 @@
   repeat = other16.repeat;
   largeAnswer = other16.largeAnswer;
   returned = other16.returned;
+  leaving = other16.leaving;
   __isset = other16.__isset;
   return *this;
 }
@@ -828,6 +850,7 @@
   repeat = other17.repeat;
   largeAnswer = other17.largeAnswer;
   returned = other17.returned;
+  leaving = std::move(other17.leaving);
   __isset = other17.__isset;
   return *this;
 }
@@ -852,6 +875,7 @@
   out << ", " << "repeat=" << to_string(repeat);
   out << ", " << "largeAnswer=" << to_string(largeAnswer);
   out << ", " << "returned=" << to_string(returned);
+  out << ", " << "leaving="; (__isset.leaving ? (out << to_string(leaving)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1139,6 +1163,11 @@
   this->bodyBytes = val;
 __isset.bodyBytes = true;
 }
+
+void CallResponse::__set_leaving(const  ::wigeonfold::wire::TargetStart& val) {
+  this->leaving = val;
+__isset.leaving = true;
+}
 std::ostream& operator<<(std::ostream& out, const CallResponse& obj)
 {
   obj.printTo(out);
@@ -1269,6 +1298,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->leaving.read(iprot);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1341,6 +1378,11 @@
     xfer += oprot->writeI64(this->bodyBytes);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.leaving) {
+    xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->leaving.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1359,6 +1401,7 @@
   swap(a.queuedUs, b.queuedUs);
   swap(a.targetUs, b.targetUs);
   swap(a.bodyBytes, b.bodyBytes);
+  swap(a.leaving, b.leaving);
   swap(a.__isset, b.__isset);
 }
 
@@ -1374,6 +1417,7 @@
   queuedUs = other29.queuedUs;
   targetUs = other29.targetUs;
   bodyBytes = other29.bodyBytes;
+  leaving = other29.leaving;
   __isset = other29.__isset;
 }
 CallResponse::CallResponse(CallResponse&& other30) noexcept {
@@ -1388,6 +1432,7 @@
   queuedUs = other30.queuedUs;
   targetUs = other30.targetUs;
   bodyBytes = other30.bodyBytes;
+  leaving = std::move(other30.leaving);
   __isset = other30.__isset;
 }
 CallResponse& CallResponse::operator=(const CallResponse& other31) {
@@ -1402,6 +1447,7 @@
   queuedUs = other31.queuedUs;
   targetUs = other31.targetUs;
   bodyBytes = other31.bodyBytes;
+  leaving = other31.leaving;
   __isset = other31.__isset;
   return *this;
 }
@@ -1417,6 +1463,7 @@
   queuedUs = other32.queuedUs;
   targetUs = other32.targetUs;
   bodyBytes = other32.bodyBytes;
+  leaving = std::move(other32.leaving);
   __isset = other32.__isset;
   return *this;
 }
@@ -1434,6 +1481,7 @@
   out << ", " << "queuedUs="; (__isset.queuedUs ? (out << to_string(queuedUs)) : (out << "<null>"));
   out << ", " << "targetUs="; (__isset.targetUs ? (out << to_string(targetUs)) : (out << "<null>"));
   out << ", " << "bodyBytes="; (__isset.bodyBytes ? (out << to_string(bodyBytes)) : (out << "<null>"));
+  out << ", " << "leaving="; (__isset.leaving ? (out << to_string(leaving)) : (out << "<null>"));
   out << ")";
 }
 
