Keep beyond a restart of its node that a target left

Cause: the starts that have left were remembered in the memory of the node only. After a restart a late heartbeat of the same start looked like that of a new target.

Change: the endpoint record names the last start that is known to leave, the control VM returns it in the HelloReply, and the node applies it before its first view, without which it serves no request. The node announces it again, so that a second restart doesn't lose it.

Tests that need no processes: HelloReplyCarriesTheTargetThatLeftBeforeTheRestart, LeavingTargetOfAnEarlierStartIsReportedAndAnnouncedAgain, GetsNoRequestAfterARestartOfItsNode; they use messages that did not exist before.

Open: a report is acknowledged before its record has reached a control VM; a node killed in between still forgets it.

--- a/apps/wigeonfold-node/ControlLink.cpp
+++ b/apps/wigeonfold-node/ControlLink.cpp
@@ -221,10 +221,13 @@
       EventId::ServingBelowFloor,
       { { "floor", aAction.m_floor ? ToString(*aAction.m_floor) : "" } });
   }
-  if (!m_unpublished) {
-    m_unpublished.emplace();
-  }
-  m_unpublished->m_ready = true;
+  Unpublished().m_ready = true;
+  Publish();
+}
+
+void ControlLink::Do(const distribution::NoteLeaving& aAction)
+{
+  Unpublished().m_leaving = discovery::FromWire(aAction.m_start);
   Publish();
 }
 
@@ -292,11 +295,21 @@
                    { "digest", std::to_string(state->m_tree.Digest()) } });
   }
   m_newestView = view.value();
-  m_unpublished =
-    ViewUpdate{ std::move(view.value()), state->m_tree.Digest(), m_ready };
+  ViewUpdate& update = Unpublished();
+  update.m_view = std::move(view.value());
+  update.m_digest = state->m_tree.Digest();
+  update.m_ready = m_ready;
   Publish();
 }
 
+ViewUpdate& ControlLink::Unpublished()
+{
+  if (!m_unpublished) {
+    m_unpublished.emplace();
+  }
+  return *m_unpublished;
+}
+
 void ControlLink::Publish()
 {
   if (m_unpublished && m_publish(*m_unpublished)) {
--- a/apps/wigeonfold-node/ControlLink.h
+++ b/apps/wigeonfold-node/ControlLink.h
@@ -57,6 +57,7 @@
   void Do(const distribution::ApplyState& aAction);
   void Do(const distribution::ReportRefusal& aAction);
   void Do(const distribution::BecomeReady& aAction);
+  void Do(const distribution::NoteLeaving& aAction);
   void Connect(distribution::SessionId aId, const SocketAddress& aAddress);
   void OnClosed(distribution::SessionId aId, const Error& aError);
   Status CheckState(const distribution::NodeState& aState);
@@ -66,6 +67,8 @@
     const distribution::NodeState& aState) const;
   void BuildWhenDue(TimePoint aNow);
   void Publish();
+  // The update that Publish() sends next.
+  ViewUpdate& Unpublished();
   void Tick();
 
   boost::asio::io_context& m_io;
--- a/apps/wigeonfold-node/DataPlane.cpp
+++ b/apps/wigeonfold-node/DataPlane.cpp
@@ -160,6 +160,9 @@
 
 void DataPlane::OnView(const ViewUpdate& aUpdate)
 {
+  if (aUpdate.m_leaving) {
+    m_target.NoteLeaving(*aUpdate.m_leaving, Clock::now());
+  }
   if (aUpdate.m_view) {
     m_view = aUpdate.m_view;
     m_digest = aUpdate.m_digest;
@@ -222,6 +225,9 @@
   record.slots = target->m_slots;
   record.state = state == TargetState::Ready ? wire::EndpointState::Ready
                                              : wire::EndpointState::Draining;
+  if (const auto leaving = m_target.LastLeaving()) {
+    record.__set_leaving(ToWire(*leaving));
+  }
   if (state != m_lastTargetState) {
     m_lastTargetState = state;
     m_log.Record(EventId::TargetStateChanged,
--- a/apps/wigeonfold-node/Messages.h
+++ b/apps/wigeonfold-node/Messages.h
@@ -19,6 +19,8 @@
   std::shared_ptr<const routing::View> m_view; // null: unchanged
   uint64_t m_digest = 0;
   bool m_ready = false; // callers' traffic may be accepted
+  // Start of the node's target that leaves, as announced before a restart.
+  std::optional<discovery::TargetStart> m_leaving;
 };
 
 // A target's report of itself. From the HTTP thread to the data thread.
--- a/apps/wigeonfold-node/PeerServer.cpp
+++ b/apps/wigeonfold-node/PeerServer.cpp
@@ -183,8 +183,7 @@
   const TimePoint deadline =
     now + std::chrono::microseconds(request->deadlineUs);
   if (request->__isset.leaving) {
-    m_target.NoteLeaving(
-      { request->leaving.instance, request->leaving.startedAtMs }, now);
+    m_target.NoteLeaving(discovery::FromWire(request->leaving), now);
   }
   net::Connection* connection = aConnection.get();
   const uint64_t servedId = m_target.Serve(
--- a/apps/wigeonfold-node/TargetSide.cpp
+++ b/apps/wigeonfold-node/TargetSide.cpp
@@ -562,10 +562,7 @@
   response.status = info.m_status;
   response.__set_load(Load());
   if (m_target && m_target->m_state != discovery::ReportedState::Ready) {
-    wire::TargetStart start;
-    start.instance = m_target->m_instance;
-    start.startedAtMs = m_target->m_startedAtMs;
-    response.__set_leaving(std::move(start));
+    response.__set_leaving(ToWire(m_target->Start()));
   }
   const bool failed = aReply.m_outcome == Outcome::AnsweredFailure;
   const bool answered = aReply.m_outcome == Outcome::Answered || failed;
--- a/apps/wigeonfold-node/TargetSide.h
+++ b/apps/wigeonfold-node/TargetSide.h
@@ -82,6 +82,11 @@
 
   // Nothing before the target's first announcement.
   const std::optional<Announcement>& Announced() const { return m_target; }
+  // Last start of the target that is known to leave or to have left.
+  std::optional<discovery::TargetStart> LastLeaving() const
+  {
+    return m_reports.LastLeaving();
+  }
   // Returns the request with this id if the target is running it, else null. A
   // call that the target makes on behalf of this request gets the request's
   // depth plus one, and counts as a repeat if the request does.
--- a/apps/wigeonfold-node/test/LeavingTarget_test.cpp
+++ b/apps/wigeonfold-node/test/LeavingTarget_test.cpp
@@ -37,6 +37,27 @@
   EXPECT_EQ(target.m_requests, 1);
 }
 
+// The same, but the node knows it from its own announcement before the restart.
+TEST_F(LeavingTarget, GetsNoRequestAfterARestartOfItsNode)
+{
+  TestTarget& target = ServeAtPeer(
+    [](int, const std::string&) { return Reaction{ CompleteAnswer("x") }; });
+  Announce(1, target.Port(), 4, true);
+  ASSERT_FALSE(m_announced.empty());
+  ASSERT_TRUE(m_announced.back().__isset.leaving);
+  const auto start = discovery::FromWire(m_announced.back().leaving);
+  Restart(1);
+  Announce(1, target.Port());
+  RunOnIoThread([&] {
+    ViewUpdate update;
+    update.m_leaving = start;
+    m_nodes[1]->OnView(update);
+  });
+  SetView({ EndpointOf(1) });
+  ExpectOutcome(Call(0, Post("/lots")), 503, "not-run", "draining");
+  EXPECT_EQ(target.m_requests, 0);
+}
+
 // A new target beside the same node is used.
 TEST_F(LeavingTarget, SuccessorBesideTheSameNodeIsUsed)
 {
--- a/apps/wigeonfold-node/test/TestNodes.h
+++ b/apps/wigeonfold-node/test/TestNodes.h
@@ -211,7 +211,10 @@
       aEpoch,
       m_metrics,
       m_log,
-      DataPlane::Hooks{ [](const wire::EndpointRecord&) { return true; },
+      DataPlane::Hooks{ [this](const wire::EndpointRecord& aRecord) {
+                         m_announced.push_back(aRecord);
+                         return true;
+                       },
                         [this](const Version& aVersion) {
                           m_peerVersions.push_back(aVersion);
                         } });
@@ -361,8 +364,9 @@
   std::vector<std::unique_ptr<DataPlane>> m_nodes;
   std::array<int64_t, 2> m_epochs{ 1, 1 };
   std::unique_ptr<TestTarget> m_target;
-  // Versions that peers reported to the nodes. Only for the io_context's
-  // thread.
+  // Endpoints that the nodes announced, and versions that peers reported to
+  // them. Only for the io_context's thread.
+  std::vector<wire::EndpointRecord> m_announced;
   std::vector<Version> m_peerVersions;
   std::thread m_thread;
 };
--- a/idl/control.thrift
+++ b/idl/control.thrift
@@ -23,6 +23,9 @@
   8: EndpointState state,
   // Member id of the control VM that holds the node's session.
   9: i64 owner,
+  // The last start of the node's target that is known to leave or to have left;
+  // absent when there is none.
+  10: optional common.TargetStart leaving,
 }
 
 // First message of a session. held is the version that the node holds;
@@ -56,6 +59,9 @@
   4: i64 greatestNodeEpoch,
   // Control VMs that are members now; empty when this one knows none.
   5: list<ControlEndpoint> controlVms,
+  // EndpointRecord.leaving as the node announced it last, perhaps before it was
+  // restarted.
+  6: optional common.TargetStart leaving,
 }
 
 struct Announce {
--- a/libs/discovery/include/wigeonfold/discovery/TargetReport.h
+++ b/libs/discovery/include/wigeonfold/discovery/TargetReport.h
@@ -3,6 +3,7 @@
 
 #include "wigeonfold/base/Settings.h"
 #include "wigeonfold/base/Time.h"
+#include "wigeonfold/wire/gen/common_types.h"
 
 #include <cstdint>
 #include <deque>
@@ -26,6 +27,9 @@
   friend bool operator==(const TargetStart&, const TargetStart&) = default;
 };
 
+wire::TargetStart ToWire(const TargetStart& aStart);
+TargetStart FromWire(const wire::TargetStart& aStart);
+
 struct TargetReport
 {
   std::string m_service; // empty in a report of state Gone
@@ -68,12 +72,15 @@
   // Its state is Gone once the start has left.
   const std::optional<TargetReport>& Current() const { return m_current; }
 
+  // Last start that is known to leave or to have left.
+  std::optional<TargetStart> LastLeaving() const;
+
 private:
   using Starts = std::deque<TargetStart>; // newest last
 
   std::optional<TargetReport> m_current;
   Starts m_retired; // replaced or gone
-  Starts m_leaving; // from NoteLeaving()
+  Starts m_leaving; // known to leave
 };
 
 } // namespace wigeonfold::discovery
--- a/libs/discovery/src/TargetReport.cpp
+++ b/libs/discovery/src/TargetReport.cpp
@@ -23,6 +23,9 @@
 
 void Remember(std::deque<TargetStart>& aStarts, const TargetStart& aStart)
 {
+  if (!aStarts.empty() && aStarts.back() == aStart) {
+    return;
+  }
   aStarts.push_back(aStart);
   if (aStarts.size() > kMaxRemembered) {
     aStarts.pop_front();
@@ -31,6 +34,19 @@
 
 } // namespace
 
+wire::TargetStart ToWire(const TargetStart& aStart)
+{
+  wire::TargetStart start;
+  start.instance = aStart.m_instance;
+  start.startedAtMs = aStart.m_startedAtMs;
+  return start;
+}
+
+TargetStart FromWire(const wire::TargetStart& aStart)
+{
+  return { aStart.instance, aStart.startedAtMs };
+}
+
 bool TargetReportTracker::NoteLeaving(const TargetStart& aStart)
 {
   if (!Covers(m_leaving, aStart)) {
@@ -45,6 +61,11 @@
   return changes;
 }
 
+std::optional<TargetStart> TargetReportTracker::LastLeaving() const
+{
+  return m_leaving.empty() ? std::nullopt : std::optional(m_leaving.back());
+}
+
 ReportResult TargetReportTracker::Apply(const TargetReport& aReport)
 {
   if (Covers(m_retired, aReport.Start())) {
@@ -65,6 +86,7 @@
       return ReportResult::Stale;
     }
     m_current->m_state = ReportedState::Gone;
+    Remember(m_leaving, m_current->Start());
     return ReportResult::Applied;
   }
   const bool sameStart =
@@ -76,14 +98,13 @@
       aReport.m_sequence <= m_current->m_sequence) {
     return ReportResult::Stale;
   }
-  const bool isLeaving =
-    (sameStart && m_current->m_state == ReportedState::Draining) ||
-    Covers(m_leaving, aReport.Start());
   if (m_current && !sameStart) {
     Remember(m_retired, m_current->Start());
   }
   m_current = aReport;
-  if (isLeaving) {
+  if (aReport.m_state == ReportedState::Draining) {
+    Remember(m_leaving, aReport.Start());
+  } else if (Covers(m_leaving, aReport.Start())) {
     m_current->m_state = ReportedState::Draining;
   }
   return ReportResult::Applied;
--- a/libs/distribution/include/wigeonfold/distribution/Subscriber.h
+++ b/libs/distribution/include/wigeonfold/distribution/Subscriber.h
@@ -124,12 +124,20 @@
   bool m_belowFloor = false;
 };
 
+// This start of the node's target leaves, as the node announced it before it
+// was restarted. Precedes the first ApplyState of the session.
+struct NoteLeaving
+{
+  wire::TargetStart m_start;
+};
+
 using SubscriberAction = std::variant<ConnectTo,
                                       SendFrame,
                                       CloseSession,
                                       ApplyState,
                                       ReportRefusal,
-                                      BecomeReady>;
+                                      BecomeReady,
+                                      NoteLeaving>;
 using SubscriberActions = std::vector<SubscriberAction>;
 
 // ---- State machine ---------------------------------------------------------
@@ -279,6 +287,8 @@
   std::string m_refusal;
   // Own endpoint; epoch, sequence and owner are 0.
   std::optional<wire::EndpointRecord> m_announced;
+  // Sent with announcements that name no leaving start themselves.
+  std::optional<wire::TargetStart> m_leaving;
   int64_t m_sequence = 0;
   TimePoint m_nextAnnouncementCheck;
 
--- a/libs/distribution/src/NodeSessions.cpp
+++ b/libs/distribution/src/NodeSessions.cpp
@@ -242,6 +242,10 @@
   reply.freshnessAgeMs = ToMilliseconds(FreshnessAge(aNow));
   reply.greatestNodeEpoch = m_table.GreatestEpoch(aNodeName);
   reply.controlVms = m_controlVms;
+  const wire::EndpointRecord* record = m_table.Find(aNodeName);
+  if (record != nullptr && record->__isset.leaving) {
+    reply.__set_leaving(record->leaving);
+  }
   Send(aSession.m_id, FrameType::HelloReply, EncodeShared(reply));
 }
 
--- a/libs/distribution/src/Subscriber.cpp
+++ b/libs/distribution/src/Subscriber.cpp
@@ -339,6 +339,10 @@
   if (aReply.greatestNodeEpoch > m_nodeEpoch) {
     m_nodeEpoch = aReply.greatestNodeEpoch + 1;
   }
+  if (aReply.__isset.leaving) {
+    m_leaving = aReply.leaving;
+    m_actions.emplace_back(NoteLeaving{ aReply.leaving });
+  }
   RecordFreshness(aNow);
   ++m_sequence;
   SendAnnouncement(aNow);
@@ -457,6 +461,9 @@
   announce.endpoint = *m_announced;
   announce.endpoint.nodeEpoch = m_nodeEpoch;
   announce.endpoint.sequence = m_sequence;
+  if (!announce.endpoint.__isset.leaving && m_leaving) {
+    announce.endpoint.__set_leaving(*m_leaving);
+  }
   Send(*m_main, FrameType::Announce, announce);
 }
 
--- a/libs/distribution/test/NodeSessions_test.cpp
+++ b/libs/distribution/test/NodeSessions_test.cpp
@@ -253,6 +253,29 @@
   EXPECT_EQ(wire::FromWire(m_updates[2].target), Version({ 1, 2 }));
 }
 
+// A restarted node must not take a late heartbeat of its target for that of a
+// new one.
+TEST_F(OneNode, HelloReplyCarriesTheTargetThatLeftBeforeTheRestart)
+{
+  wire::Announce announce;
+  announce.endpoint.nodeName = "n";
+  announce.endpoint.serviceName = "lots";
+  announce.endpoint.sequence = 1;
+  announce.endpoint.state = wire::EndpointState::Draining;
+  wire::TargetStart start;
+  start.instance = "i";
+  start.startedAtMs = 7;
+  announce.endpoint.__set_leaving(start);
+  Execute(m_sessions.OnFrame(
+    1, MakeFrame(wire::FrameType::Announce, announce), m_now));
+  m_sessions.OnClosed(1, m_now);
+  m_now += 5s;
+  m_table.Tick(m_now);
+  OpenSession(2);
+  ASSERT_TRUE(m_reply.__isset.leaving);
+  EXPECT_EQ(m_reply.leaving, start);
+}
+
 TEST_F(OneNode, HelloReplyCarriesTheFloorOfAnEarlierRun)
 {
   SendStatus(StatusOf({ 1, 17 }));
--- a/libs/distribution/test/Subscriber_test.cpp
+++ b/libs/distribution/test/Subscriber_test.cpp
@@ -121,6 +121,30 @@
   }
 }
 
+// A node that restarts twice must not lose what the first start announced.
+TEST(Subscriber, LeavingTargetOfAnEarlierStartIsReportedAndAnnouncedAgain)
+{
+  Fixture fixture;
+  wire::HelloReply reply;
+  wire::TargetStart start;
+  start.instance = "i";
+  reply.__set_leaving(start);
+  const auto actions = fixture.Feed(wire::FrameType::HelloReply, reply);
+  EXPECT_EQ(CountOf<NoteLeaving>(actions), 1U);
+  wire::EndpointRecord endpoint;
+  endpoint.serviceName = "lots";
+  std::optional<wire::Announce> sent;
+  for (const auto& action : fixture.m_node.Announce(endpoint, fixture.m_now)) {
+    const auto* send = std::get_if<SendFrame>(&action);
+    if (send && send->m_type == wire::FrameType::Announce) {
+      sent = wire::Decode<wire::Announce>(send->m_payload, "").value();
+    }
+  }
+  ASSERT_TRUE(sent);
+  ASSERT_TRUE(sent->endpoint.__isset.leaving);
+  EXPECT_EQ(sent->endpoint.leaving, start);
+}
+
 TEST(Subscriber, VersionThatFailsItsCheckIsRefusedOnceAndReplacedByTheNext)
 {
   Fixture fixture([](const NodeState& aState) -> Status {
--- a/libs/wire/gen/include/wigeonfold/wire/gen/control_types.h
+++ b/libs/wire/gen/include/wigeonfold/wire/gen/control_types.h
@@ -63,7 +63,7 @@
 class ControlHello;
 
 typedef struct _EndpointRecord__isset {
-  _EndpointRecord__isset() : nodeName(false), nodeEpoch(false), sequence(false), serviceName(false), availabilityZone(false), nodeAddress(false), slots(false), state(false), owner(false) {}
+  _EndpointRecord__isset() : nodeName(false), nodeEpoch(false), sequence(false), serviceName(false), availabilityZone(false), nodeAddress(false), slots(false), state(false), owner(false), leaving(false) {}
   bool nodeName :1;
   bool nodeEpoch :1;
   bool sequence :1;
@@ -73,6 +73,7 @@
   bool slots :1;
   bool state :1;
   bool owner :1;
+  bool leaving :1;
 } _EndpointRecord__isset;
 
 class EndpointRecord : public virtual ::apache::thrift::TBase {
@@ -108,6 +109,7 @@
    */
   EndpointState::type state;
   int64_t owner;
+   ::wigeonfold::wire::TargetStart leaving;
 
   _EndpointRecord__isset __isset;
 
@@ -129,6 +131,8 @@
 
   void __set_owner(const int64_t val);
 
+  void __set_leaving(const  ::wigeonfold::wire::TargetStart& val);
+
   bool operator == (const EndpointRecord & rhs) const
   {
     if (!(nodeName == rhs.nodeName))
@@ -149,6 +153,10 @@
       return false;
     if (!(owner == rhs.owner))
       return false;
+    if (__isset.leaving != rhs.__isset.leaving)
+      return false;
+    else if (__isset.leaving && !(leaving == rhs.leaving))
+      return false;
     return true;
   }
   bool operator != (const EndpointRecord &rhs) const {
@@ -308,12 +316,13 @@
 std::ostream& operator<<(std::ostream& out, const ControlEndpoint& obj);
 
 typedef struct _HelloReply__isset {
-  _HelloReply__isset() : memberId(false), floor(false), freshnessAgeMs(false), greatestNodeEpoch(false), controlVms(false) {}
+  _HelloReply__isset() : memberId(false), floor(false), freshnessAgeMs(false), greatestNodeEpoch(false), controlVms(false), leaving(false) {}
   bool memberId :1;
   bool floor :1;
   bool freshnessAgeMs :1;
   bool greatestNodeEpoch :1;
   bool controlVms :1;
+  bool leaving :1;
 } _HelloReply__isset;
 
 class HelloReply : public virtual ::apache::thrift::TBase {
@@ -335,6 +344,7 @@
   int64_t freshnessAgeMs;
   int64_t greatestNodeEpoch;
   std::vector<ControlEndpoint>  controlVms;
+   ::wigeonfold::wire::TargetStart leaving;
 
   _HelloReply__isset __isset;
 
@@ -348,6 +358,8 @@
 
   void __set_controlVms(const std::vector<ControlEndpoint> & val);
 
+  void __set_leaving(const  ::wigeonfold::wire::TargetStart& val);
+
   bool operator == (const HelloReply & rhs) const
   {
     if (!(memberId == rhs.memberId))
@@ -362,6 +374,10 @@
       return false;
     if (!(controlVms == rhs.controlVms))
       return false;
+    if (__isset.leaving != rhs.__isset.leaving)
+      return false;
+    else if (__isset.leaving && !(leaving == rhs.leaving))
+      return false;
     return true;
   }
   bool operator != (const HelloReply &rhs) const {
--- a/libs/wire/gen/src/control_types.cpp
+++ b/libs/wire/gen/src/control_types.cpp
@@ -84,6 +84,11 @@
 void EndpointRecord::__set_owner(const int64_t val) {
   this->owner = val;
 }
+
+void EndpointRecord::__set_leaving(const  ::wigeonfold::wire::TargetStart& val) {
+  this->leaving = val;
+__isset.leaving = true;
+}
 std::ostream& operator<<(std::ostream& out, const EndpointRecord& obj)
 {
   obj.printTo(out);
@@ -186,6 +191,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->leaving.read(iprot);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -239,6 +252,11 @@
   xfer += oprot->writeI64(this->owner);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.leaving) {
+    xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->leaving.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -255,6 +273,7 @@
   swap(a.slots, b.slots);
   swap(a.state, b.state);
   swap(a.owner, b.owner);
+  swap(a.leaving, b.leaving);
   swap(a.__isset, b.__isset);
 }
 
@@ -268,6 +287,7 @@
   slots = other1.slots;
   state = other1.state;
   owner = other1.owner;
+  leaving = other1.leaving;
   __isset = other1.__isset;
 }
 EndpointRecord::EndpointRecord(EndpointRecord&& other2) noexcept {
@@ -280,6 +300,7 @@
   slots = other2.slots;
   state = other2.state;
   owner = other2.owner;
+  leaving = std::move(other2.leaving);
   __isset = other2.__isset;
 }
 EndpointRecord& EndpointRecord::operator=(const EndpointRecord& other3) {
@@ -292,6 +313,7 @@
   slots = other3.slots;
   state = other3.state;
   owner = other3.owner;
+  leaving = other3.leaving;
   __isset = other3.__isset;
   return *this;
 }
@@ -305,6 +327,7 @@
   slots = other4.slots;
   state = other4.state;
   owner = other4.owner;
+  leaving = std::move(other4.leaving);
   __isset = other4.__isset;
   return *this;
 }
@@ -320,6 +343,7 @@
   out << ", " << "slots=" << to_string(slots);
   out << ", " << "state=" << to_string(state);
   out << ", " << "owner=" << to_string(owner);
+  out << ", " << "leaving="; (__isset.leaving ? (out << to_string(leaving)) : (out << "<null>"));
   out << ")";
 }
 
@@ -706,6 +730,11 @@
 void HelloReply::__set_controlVms(const std::vector<ControlEndpoint> & val) {
   this->controlVms = val;
 }
+
+void HelloReply::__set_leaving(const  ::wigeonfold::wire::TargetStart& val) {
+  this->leaving = val;
+__isset.leaving = true;
+}
 std::ostream& operator<<(std::ostream& out, const HelloReply& obj)
 {
   obj.printTo(out);
@@ -786,6 +815,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->leaving.read(iprot);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -832,6 +869,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.leaving) {
+    xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->leaving.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -844,6 +886,7 @@
   swap(a.freshnessAgeMs, b.freshnessAgeMs);
   swap(a.greatestNodeEpoch, b.greatestNodeEpoch);
   swap(a.controlVms, b.controlVms);
+  swap(a.leaving, b.leaving);
   swap(a.__isset, b.__isset);
 }
 
@@ -853,6 +896,7 @@
   freshnessAgeMs = other19.freshnessAgeMs;
   greatestNodeEpoch = other19.greatestNodeEpoch;
   controlVms = other19.controlVms;
+  leaving = other19.leaving;
   __isset = other19.__isset;
 }
 HelloReply::HelloReply(HelloReply&& other20) noexcept {
@@ -861,6 +905,7 @@
   freshnessAgeMs = other20.freshnessAgeMs;
   greatestNodeEpoch = other20.greatestNodeEpoch;
   controlVms = std::move(other20.controlVms);
+  leaving = std::move(other20.leaving);
   __isset = other20.__isset;
 }
 HelloReply& HelloReply::operator=(const HelloReply& other21) {
@@ -869,6 +914,7 @@
   freshnessAgeMs = other21.freshnessAgeMs;
   greatestNodeEpoch = other21.greatestNodeEpoch;
   controlVms = other21.controlVms;
+  leaving = other21.leaving;
   __isset = other21.__isset;
   return *this;
 }
@@ -878,6 +924,7 @@
   freshnessAgeMs = other22.freshnessAgeMs;
   greatestNodeEpoch = other22.greatestNodeEpoch;
   controlVms = std::move(other22.controlVms);
+  leaving = std::move(other22.leaving);
   __isset = other22.__isset;
   return *this;
 }
@@ -889,6 +936,7 @@
   out << ", " << "freshnessAgeMs=" << to_string(freshnessAgeMs);
   out << ", " << "greatestNodeEpoch=" << to_string(greatestNodeEpoch);
   out << ", " << "controlVms=" << to_string(controlVms);
+  out << ", " << "leaving="; (__isset.leaving ? (out << to_string(leaving)) : (out << "<null>"));
   out << ")";
 }
 
