Apply an acknowledged report that a target leaves whatever its order

A target takes its report that it leaves for acknowledged with the 200 that it gets, and requests may not reach it after the drain time (DRAIN). Two such reports were answered with 200 and dropped:

- a draining heartbeat whose sequence number is not above the last one seen, for example after another writer's heartbeat for the same target, or one without start time beside others that have it;
- a DELETE without start time that is the first report after a restart of the node.
It covered only starts without a start time, so that a late heartbeat with one made the target ready again.

Change: leaving is monotone within a start, so a draining report of the current start counts in any order. A DELETE without start time for a target that is not the current one covers all starts of that id until its receipt.

AppliesADrainingReportInWhateverOrderItArrives and GoneReportWithoutAStartTimeCoversEarlierStarts fail on the code before (both) and pass now, all tests pass.

--- a/apps/wigeonfold-node/TargetSide.cpp
+++ b/apps/wigeonfold-node/TargetSide.cpp
@@ -80,7 +80,8 @@
 discovery::ReportResult TargetSide::Announce(const Announcement& aAnnouncement,
                                              TimePoint aNow)
 {
-  const auto result = m_reports.Apply(aAnnouncement);
+  const auto result =
+    m_reports.Apply(aAnnouncement, std::chrono::system_clock::now());
   if (result != discovery::ReportResult::Applied) {
     return result;
   }
--- a/libs/discovery/include/wigeonfold/discovery/TargetReport.h
+++ b/libs/discovery/include/wigeonfold/discovery/TargetReport.h
@@ -58,12 +58,15 @@
 
 // Applies the reports of the target beside one node and rejects delayed,
 // reordered and repeated ones. A start that is known to leave never becomes
-// Ready again, and one that reported Gone stays Gone. Deterministic; not thread
-// safe.
+// Ready again, and one that reported Gone stays Gone. A report that the target
+// leaves counts in whatever order it arrives, since the sender takes it for
+// acknowledged. Deterministic; not thread safe.
 class TargetReportTracker
 {
 public:
-  ReportResult Apply(const TargetReport& aReport);
+  // aReceived is the wall clock.
+  ReportResult Apply(const TargetReport& aReport,
+                     std::chrono::system_clock::time_point aReceived);
   // The start leaves, as its answer or another node says; it may not have
   // reported yet. Returns whether Current() has changed.
   bool NoteLeaving(const TargetStart& aStart);
@@ -76,6 +79,11 @@
   std::optional<TargetStart> LastLeaving() const;
 
 private:
+  ReportResult ApplyGone(const TargetReport& aReport,
+                         std::chrono::system_clock::time_point aReceived);
+  bool IsLate(const TargetReport& aReport) const;
+  bool IsDrainOfCurrent(const TargetReport& aReport) const;
+
   using Starts = std::deque<TargetStart>; // newest last
 
   std::optional<TargetReport> m_current;
--- a/libs/discovery/src/TargetReport.cpp
+++ b/libs/discovery/src/TargetReport.cpp
@@ -66,39 +66,24 @@
   return m_leaving.empty() ? std::nullopt : std::optional(m_leaving.back());
 }
 
-ReportResult TargetReportTracker::Apply(const TargetReport& aReport)
+ReportResult TargetReportTracker::Apply(
+  const TargetReport& aReport,
+  std::chrono::system_clock::time_point aReceived)
 {
   if (Covers(m_retired, aReport.Start())) {
     return ReportResult::Retired;
   }
-  const bool isCurrent =
-    m_current && m_current->m_instance == aReport.m_instance;
   if (aReport.m_state == ReportedState::Gone) {
-    // A report without a start time refers to the current start.
-    const bool usesCurrentStart = isCurrent && aReport.m_startedAtMs == 0;
-    const int64_t startedAt =
-      usesCurrentStart ? m_current->m_startedAtMs : aReport.m_startedAtMs;
-    if (isCurrent && startedAt < m_current->m_startedAtMs) {
-      return ReportResult::Stale;
-    }
-    Remember(m_retired, { aReport.m_instance, startedAt });
-    if (!isCurrent) {
+    return ApplyGone(aReport, aReceived);
+  }
+  if (IsLate(aReport)) {
+    if (!IsDrainOfCurrent(aReport)) {
       return ReportResult::Stale;
     }
-    m_current->m_state = ReportedState::Gone;
-    Remember(m_leaving, m_current->Start());
+    NoteLeaving(m_current->Start());
     return ReportResult::Applied;
   }
-  const bool sameStart =
-    isCurrent && aReport.m_startedAtMs == m_current->m_startedAtMs;
-  if (m_current && aReport.m_startedAtMs < m_current->m_startedAtMs) {
-    return ReportResult::Stale;
-  }
-  if (sameStart && aReport.m_sequence != 0 &&
-      aReport.m_sequence <= m_current->m_sequence) {
-    return ReportResult::Stale;
-  }
-  if (m_current && !sameStart) {
+  if (m_current && m_current->Start() != aReport.Start()) {
     Remember(m_retired, m_current->Start());
   }
   m_current = aReport;
@@ -110,4 +95,56 @@
   return ReportResult::Applied;
 }
 
+// A report without a start time refers to the current start, or to any start of
+// its instance until now.
+ReportResult TargetReportTracker::ApplyGone(
+  const TargetReport& aReport,
+  std::chrono::system_clock::time_point aReceived)
+{
+  const bool isCurrent =
+    m_current && m_current->m_instance == aReport.m_instance;
+  TargetStart start = aReport.Start();
+  if (start.m_startedAtMs == 0) {
+    start.m_startedAtMs =
+      isCurrent ? m_current->m_startedAtMs
+                : std::chrono::duration_cast<std::chrono::milliseconds>(
+                    aReceived.time_since_epoch())
+                    .count();
+  }
+  if (isCurrent && start.m_startedAtMs < m_current->m_startedAtMs) {
+    return ReportResult::Stale;
+  }
+  Remember(m_retired, start);
+  if (!isCurrent) {
+    return ReportResult::Stale;
+  }
+  m_current->m_state = ReportedState::Gone;
+  Remember(m_leaving, m_current->Start());
+  return ReportResult::Applied;
+}
+
+// Whether the report is of an earlier start, or not newer than the last one of
+// the same start.
+bool TargetReportTracker::IsLate(const TargetReport& aReport) const
+{
+  if (!m_current) {
+    return false;
+  }
+  if (aReport.m_startedAtMs < m_current->m_startedAtMs) {
+    return true;
+  }
+  return aReport.Start() == m_current->Start() && aReport.m_sequence != 0 &&
+         aReport.m_sequence <= m_current->m_sequence;
+}
+
+bool TargetReportTracker::IsDrainOfCurrent(const TargetReport& aReport) const
+{
+  const bool mayBeCurrentStart =
+    aReport.m_startedAtMs == 0 ||
+    aReport.m_startedAtMs == m_current->m_startedAtMs;
+  return aReport.m_state == ReportedState::Draining &&
+         aReport.m_instance == m_current->m_instance &&
+         aReport.m_service == m_current->m_service && mayBeCurrentStart;
+}
+
 } // namespace wigeonfold::discovery
--- a/libs/discovery/test/TargetReport_test.cpp
+++ b/libs/discovery/test/TargetReport_test.cpp
@@ -21,20 +21,27 @@
   return report;
 }
 
+ReportResult Apply(TargetReportTracker& aReports, const TargetReport& aReport)
+{
+  const std::chrono::system_clock::time_point received{ std::chrono::seconds(
+    1) };
+  return aReports.Apply(aReport, received);
+}
+
 TEST(TargetReportTracker, IgnoresReorderedReportsOfOneStart)
 {
   TargetReportTracker reports;
-  EXPECT_EQ(reports.Apply(Report("a", 100, 2)), ReportResult::Applied);
-  EXPECT_EQ(reports.Apply(Report("a", 100, 1)), ReportResult::Stale);
-  EXPECT_EQ(reports.Apply(Report("a", 100, 2)), ReportResult::Stale);
-  EXPECT_EQ(reports.Apply(Report("a", 100, 3)), ReportResult::Applied);
+  EXPECT_EQ(Apply(reports, Report("a", 100, 2)), ReportResult::Applied);
+  EXPECT_EQ(Apply(reports, Report("a", 100, 1)), ReportResult::Stale);
+  EXPECT_EQ(Apply(reports, Report("a", 100, 2)), ReportResult::Stale);
+  EXPECT_EQ(Apply(reports, Report("a", 100, 3)), ReportResult::Applied);
 }
 
 TEST(TargetReportTracker, KeepsADrainingStartDraining)
 {
   TargetReportTracker reports;
-  reports.Apply(Report("a", 100, 2, ReportedState::Draining));
-  reports.Apply(Report("a", 100, 3));
+  Apply(reports, Report("a", 100, 2, ReportedState::Draining));
+  Apply(reports, Report("a", 100, 3));
   EXPECT_EQ(reports.Current()->m_state, ReportedState::Draining);
 }
 
@@ -42,13 +49,13 @@
 TEST(TargetReportTracker, KeepsAStartDrainingThatIsKnownToLeave)
 {
   TargetReportTracker reports;
-  reports.Apply(Report("a", 100, 2));
+  Apply(reports, Report("a", 100, 2));
   EXPECT_TRUE(reports.NoteLeaving({ "a", 100 }));
   EXPECT_EQ(reports.Current()->m_state, ReportedState::Draining);
   EXPECT_FALSE(reports.NoteLeaving({ "a", 100 }));
-  reports.Apply(Report("a", 100, 3));
+  Apply(reports, Report("a", 100, 3));
   EXPECT_EQ(reports.Current()->m_state, ReportedState::Draining);
-  reports.Apply(Report("a", 200, 1));
+  Apply(reports, Report("a", 200, 1));
   EXPECT_EQ(reports.Current()->m_state, ReportedState::Ready);
 }
 
@@ -58,37 +65,72 @@
 {
   TargetReportTracker reports;
   EXPECT_FALSE(reports.NoteLeaving({ "a", 100 }));
-  EXPECT_EQ(reports.Apply(Report("a", 100, 7)), ReportResult::Applied);
+  EXPECT_EQ(Apply(reports, Report("a", 100, 7)), ReportResult::Applied);
   EXPECT_EQ(reports.Current()->m_state, ReportedState::Draining);
 }
 
 TEST(TargetReportTracker, NoteOnAnotherStartLeavesTheCurrentOneReady)
 {
   TargetReportTracker reports;
-  reports.Apply(Report("a", 100, 2));
+  Apply(reports, Report("a", 100, 2));
   EXPECT_FALSE(reports.NoteLeaving({ "b", 300 }));
   EXPECT_FALSE(reports.NoteLeaving({ "a", 50 }));
   EXPECT_EQ(reports.Current()->m_state, ReportedState::Ready);
 }
 
+// Another writer's heartbeat for the same target has a greater sequence number,
+// or the draining one names no start: it is acknowledged all the same.
+TEST(TargetReportTracker, AppliesADrainingReportInWhateverOrderItArrives)
+{
+  TargetReportTracker reports;
+  Apply(reports, Report("a", 100, 900));
+  EXPECT_EQ(Apply(reports, Report("a", 100, 3, ReportedState::Draining)),
+            ReportResult::Applied);
+  EXPECT_EQ(reports.Current()->m_state, ReportedState::Draining);
+  EXPECT_EQ(reports.Current()->m_sequence, 900);
+
+  Apply(reports, Report("b", 200, 900));
+  EXPECT_EQ(Apply(reports, Report("b", 0, 3, ReportedState::Draining)),
+            ReportResult::Applied);
+  EXPECT_EQ(reports.Current()->m_state, ReportedState::Draining);
+
+  Apply(reports, Report("c", 300, 1));
+  EXPECT_EQ(Apply(reports, Report("c", 250, 2, ReportedState::Draining)),
+            ReportResult::Stale);
+  EXPECT_EQ(reports.Current()->m_state, ReportedState::Ready);
+}
+
+// A restarted node hears first that the target is gone, without its start time,
+// and then gets a late heartbeat of it.
+TEST(TargetReportTracker, GoneReportWithoutAStartTimeCoversEarlierStarts)
+{
+  TargetReportTracker reports;
+  EXPECT_EQ(Apply(reports, Report("a", 0, 0, ReportedState::Gone)),
+            ReportResult::Stale);
+  EXPECT_EQ(Apply(reports, Report("a", 100, 7)), ReportResult::Retired);
+  EXPECT_FALSE(reports.Current());
+  // Started after the report had been received.
+  EXPECT_EQ(Apply(reports, Report("a", 1001, 1)), ReportResult::Applied);
+}
+
 TEST(TargetReportTracker, KeepsAGoneStartGoneUntilALaterStart)
 {
   TargetReportTracker reports;
-  reports.Apply(Report("a", 100, 2));
-  EXPECT_EQ(reports.Apply(Report("a", 0, 0, ReportedState::Gone)),
+  Apply(reports, Report("a", 100, 2));
+  EXPECT_EQ(Apply(reports, Report("a", 0, 0, ReportedState::Gone)),
             ReportResult::Applied);
-  EXPECT_EQ(reports.Apply(Report("a", 100, 3)), ReportResult::Retired);
+  EXPECT_EQ(Apply(reports, Report("a", 100, 3)), ReportResult::Retired);
   EXPECT_EQ(reports.Current()->m_state, ReportedState::Gone);
-  EXPECT_EQ(reports.Apply(Report("a", 200, 1)), ReportResult::Applied);
+  EXPECT_EQ(Apply(reports, Report("a", 200, 1)), ReportResult::Applied);
   EXPECT_EQ(reports.Current()->m_state, ReportedState::Ready);
 }
 
 TEST(TargetReportTracker, IgnoresAnEarlierStartOfAnotherInstance)
 {
   TargetReportTracker reports;
-  reports.Apply(Report("new", 200, 1));
-  EXPECT_EQ(reports.Apply(Report("old", 100, 9)), ReportResult::Stale);
-  EXPECT_EQ(reports.Apply(Report("old", 100, 0, ReportedState::Gone)),
+  Apply(reports, Report("new", 200, 1));
+  EXPECT_EQ(Apply(reports, Report("old", 100, 9)), ReportResult::Stale);
+  EXPECT_EQ(Apply(reports, Report("old", 100, 0, ReportedState::Gone)),
             ReportResult::Stale);
   EXPECT_EQ(reports.Current()->m_instance, "new");
   EXPECT_EQ(reports.Current()->m_state, ReportedState::Ready);
@@ -97,9 +139,9 @@
 TEST(TargetReportTracker, RejectsReportsOfAReplacedStart)
 {
   TargetReportTracker reports;
-  reports.Apply(Report("a", 0, 5));
-  EXPECT_EQ(reports.Apply(Report("b", 0, 1)), ReportResult::Applied);
-  EXPECT_EQ(reports.Apply(Report("a", 0, 6)), ReportResult::Retired);
+  Apply(reports, Report("a", 0, 5));
+  EXPECT_EQ(Apply(reports, Report("b", 0, 1)), ReportResult::Applied);
+  EXPECT_EQ(Apply(reports, Report("a", 0, 6)), ReportResult::Retired);
   EXPECT_EQ(reports.Current()->m_instance, "b");
 }
 
