--- a/apps/wigeonfold-node/DataPlane.cpp
+++ b/apps/wigeonfold-node/DataPlane.cpp
@@ -307,6 +307,7 @@
   m_target.Sweep();
   const TargetStatus status = m_target.Status();
   m_metrics.SetTargetLoad(status.m_running, status.m_queued, status.m_slots);
+  m_metrics.SetTargetRequestLimit(status.m_requestLimit.value_or(0));
 }
 
 // ---- Graceful shutdown -----------------------------------------------------
--- a/apps/wigeonfold-node/Messages.h
+++ b/apps/wigeonfold-node/Messages.h
@@ -58,6 +58,7 @@
   int m_running = 0; // requests that occupy a slot
   int m_queued = 0;  // requests that wait for a slot
   size_t m_connections = 0;
+  std::optional<double> m_requestLimit; // requests per second, as it names it
 };
 
 // Answer to a StatusQuery. From the data thread to the HTTP thread.
--- a/apps/wigeonfold-node/NodeMetrics.cpp
+++ b/apps/wigeonfold-node/NodeMetrics.cpp
@@ -30,6 +30,9 @@
                             "Requests that wait for a slot of the own target"))
   , m_slots(
       aMetrics.Gauge("wigeonfold_node_target_slots", "Slots of the own target"))
+  , m_requestLimit(aMetrics.Gauge(
+      "wigeonfold_node_target_request_limit",
+      "Requests per second that the own target takes, 0 without a limit"))
   , m_controlReceived(aMetrics.Gauge(kControlBytes,
                                      kControlBytesHelp,
                                      { { "direction", "received" } }))
@@ -68,6 +71,11 @@
   m_slots.Set(aSlots);
 }
 
+void NodeMetrics::SetTargetRequestLimit(double aPerSecond)
+{
+  m_requestLimit.Set(aPerSecond);
+}
+
 void NodeMetrics::SetControlBytes(uint64_t aReceived, uint64_t aSent)
 {
   m_controlReceived.Set(static_cast<double>(aReceived));
--- a/apps/wigeonfold-node/NodeMetrics.h
+++ b/apps/wigeonfold-node/NodeMetrics.h
@@ -23,6 +23,8 @@
   void ObserveLatency(Duration aLatency);
   // Requests and slots of the node's own target.
   void SetTargetLoad(int aRunning, int aQueued, int aSlots);
+  // Requests per second that the own target takes; 0: it names no limit.
+  void SetTargetRequestLimit(double aPerSecond);
   // Frame bytes exchanged with control VMs since the start.
   void SetControlBytes(uint64_t aReceived, uint64_t aSent);
 
@@ -34,6 +36,7 @@
   prometheus::Gauge& m_running;
   prometheus::Gauge& m_queued;
   prometheus::Gauge& m_slots;
+  prometheus::Gauge& m_requestLimit;
   prometheus::Gauge& m_controlReceived;
   prometheus::Gauge& m_controlSent;
 };
--- a/apps/wigeonfold-node/TargetSide.cpp
+++ b/apps/wigeonfold-node/TargetSide.cpp
@@ -96,6 +96,8 @@
                              before->m_connections != m_target->m_connections;
   if (otherInstance) {
     m_health = {};
+    m_requestLimit.reset();
+    m_limitNamedAt = {};
     m_pool->SetTarget(m_target->m_address,
                       static_cast<size_t>(MaxConnections()));
   }
@@ -174,6 +176,7 @@
   status.m_queued = m_admission.Queued();
   status.m_connections =
     m_pool->Idle() + static_cast<size_t>(m_admission.Running());
+  status.m_requestLimit = m_requestLimit;
   if (m_target) {
     status.m_service = m_target->m_service;
     status.m_address = m_target->m_address;
@@ -477,6 +480,39 @@
   if (notice.m_leaving) {
     NoteLeaving(aCall.m_target, aNow);
   }
+  if (notice.m_malformed) {
+    if (m_log.Admits(EventId::TargetNoticeMalformed, aNow)) {
+      m_log.Record(EventId::TargetNoticeMalformed,
+                   { { "instance", aCall.m_target.m_instance },
+                     { "request", aCall.m_request->requestId } });
+    }
+    return;
+  }
+  if (m_target && aCall.m_target == m_target->Start()) {
+    OnNamedLimit(notice.m_requestLimit, aCall.m_started, aNow);
+  }
+}
+
+// aWritten is the time at which the request was written to whose answer the
+// target named the limit. Answers arrive out of order, so that only one to a
+// later request than the last answer with a limit ends the limit.
+void TargetSide::OnNamedLimit(std::optional<double> aLimit,
+                              TimePoint aWritten,
+                              TimePoint aNow)
+{
+  if (!aLimit && aWritten < m_limitNamedAt) {
+    return;
+  }
+  if (aLimit) {
+    m_limitNamedAt = aNow;
+  }
+  if (aLimit == m_requestLimit) {
+    return;
+  }
+  m_requestLimit = aLimit;
+  m_log.Record(EventId::TargetLimitChanged,
+               { { "instance", m_target->m_instance },
+                 { "per-second", aLimit ? std::to_string(*aLimit) : "none" } });
 }
 
 void TargetSide::OnExchange(uint64_t aId, Exchange aExchange)
--- a/apps/wigeonfold-node/TargetSide.h
+++ b/apps/wigeonfold-node/TargetSide.h
@@ -131,6 +131,9 @@
   void OnNotice(const ServedCall& aCall,
                 const Exchange& aExchange,
                 TimePoint aNow);
+  void OnNamedLimit(std::optional<double> aLimit,
+                    TimePoint aWritten,
+                    TimePoint aNow);
   void End(uint64_t aId, const forwarding::TargetStep& aStep, TimePoint aNow);
   int MaxConnections() const;
   void LogRejection(const ServedCall& aCall,
@@ -155,6 +158,8 @@
   std::optional<Announcement> m_target;
   TimePoint m_leaseEnd{};
   bool m_leaseLost = false;
+  std::optional<double> m_requestLimit; // as the target names it
+  TimePoint m_limitNamedAt{};           // when it was named last
   bool m_stopping = false;
   bool m_rejectNew = false;
   std::unordered_map<uint64_t, ServedCall> m_calls;
--- a/libs/base/include/wigeonfold/base/Events.h
+++ b/libs/base/include/wigeonfold/base/Events.h
@@ -87,7 +87,9 @@
   X(DecisionsOmitted,       2114, Warning, "log lines about requests were omitted to limit the size of the log") \
   X(PeerUnreachable,        2115, Warning, "connecting to another node failed or it stopped responding; its target is avoided") \
   X(PeerReachable,          2116, Info,    "an unreachable node responded again") \
-  X(TargetLeaving,          2117, Info,    "the node's own target leaves, as its answer or another node says")
+  X(TargetLeaving,          2117, Info,    "the node's own target leaves, as its answer or another node says") \
+  X(TargetLimitChanged,     2118, Info,    "the node's own target named another limit on its requests per second, or none any more") \
+  X(TargetNoticeMalformed,  2119, Warning, "the node's own target said something of itself that can't be read; it is ignored")
 // clang-format on
 
 enum class EventId : int
--- a/libs/forwarding/include/wigeonfold/forwarding/Dialect.h
+++ b/libs/forwarding/include/wigeonfold/forwarding/Dialect.h
@@ -44,6 +44,12 @@
 struct TargetNotice
 {
   bool m_leaving = false; // the target will exit
+  // Requests per second that the target takes from all nodes together, for as
+  // long as its answers say so. Nothing: no limit is named.
+  std::optional<double> m_requestLimit;
+  // A field is malformed. It says neither that there is a limit nor that there
+  // is none.
+  bool m_malformed = false;
 };
 
 // Target name in the answer to a request that was sent to no target.
@@ -102,6 +108,12 @@
 // Parses a decimal integer >= 0; nothing if the text is anything else.
 std::optional<int64_t> ParseNumber(const std::string& aText);
 
+// Reads a limit in requests per second, a decimal number >= 0, from the field
+// of that name into aNotice.
+void ReadRequestLimit(const std::vector<wire::HeaderField>& aFields,
+                      const std::string& aName,
+                      TargetNotice& aNotice);
+
 wire::HeaderField MakeField(const std::string& aName, std::string aValue);
 
 // Value of the first field of that name (case-insensitive), or nullptr.
--- a/libs/forwarding/include/wigeonfold/forwarding/NativeDialect.h
+++ b/libs/forwarding/include/wigeonfold/forwarding/NativeDialect.h
@@ -17,6 +17,8 @@
 inline constexpr const char* kReasonHeader = "Wigeonfold-Reason";
 // "yes" in a target's answer: the target leaves.
 inline constexpr const char* kLeavingHeader = "Wigeonfold-Leaving";
+// In a target's answer: requests per second that it takes from all nodes.
+inline constexpr const char* kLimitHeader = "Wigeonfold-Request-Limit";
 
 // Requests with a greater call depth are rejected.
 inline constexpr int kMaxDepth = 6;
--- a/libs/forwarding/src/Fields.cpp
+++ b/libs/forwarding/src/Fields.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <boost/algorithm/string.hpp>
 #include <charconv>
+#include <cmath>
 
 namespace wigeonfold::forwarding {
 
@@ -82,6 +83,25 @@
   return value;
 }
 
+void ReadRequestLimit(const std::vector<wire::HeaderField>& aFields,
+                      const std::string& aName,
+                      TargetNotice& aNotice)
+{
+  const std::string* text = FindField(aFields, aName);
+  if (text == nullptr) {
+    return;
+  }
+  double value = 0;
+  const char* end = text->data() + text->size();
+  const auto [rest, error] = std::from_chars(text->data(), end, value);
+  if (error != std::errc() || rest != end || !std::isfinite(value) ||
+      value < 0) {
+    aNotice.m_malformed = true;
+    return;
+  }
+  aNotice.m_requestLimit = value;
+}
+
 wire::HeaderField MakeField(const std::string& aName, std::string aValue)
 {
   wire::HeaderField field;
--- a/libs/forwarding/src/NativeDialect.cpp
+++ b/libs/forwarding/src/NativeDialect.cpp
@@ -245,6 +245,7 @@
   TargetNotice notice;
   const std::string* leaving = FindField(aFields, kLeavingHeader);
   notice.m_leaving = leaving != nullptr && *leaving == "yes";
+  ReadRequestLimit(aFields, kLimitHeader, notice);
   return notice;
 }
 
