Keep the limit that a target names on its requests

Admission counts slots, and a target that names a limit keeps its slots.

Change: the node beside a target is the only way to it and counts for all, by a token bucket with the named rate (admission::RateLimit). What the limit would make late is refused at once, with the time after which there is room. Load reports carry the limit: the choice draws a target no more often than its limit, and takes the reported wait into account although slots are free. A restarted node hears the limit from the first caller's node that knows it (TargetHints, which now holds the leaving start too).

--- a/apps/wigeonfold-node/PeerClient.cpp
+++ b/apps/wigeonfold-node/PeerClient.cpp
@@ -124,11 +124,7 @@
   wire::CallRequest& request = *aCall.m_request;
   request.callId = aCall.m_callId;
   request.deadlineUs = ToMicroseconds(aCall.m_deadline - Clock::now());
-  const wire::TargetStart* leaving = m_leaving.Find(aLink.m_nodeName);
-  request.__isset.leaving = leaving != nullptr;
-  if (leaving != nullptr) {
-    request.leaving = *leaving;
-  }
+  m_hints.Fill(aLink.m_nodeName, request);
   if (!aLink.m_connection->Send(FrameType::CallRequest, request)) {
     return false;
   }
@@ -288,9 +284,7 @@
     return aResult == AnswerAssembly::Result::Incomplete;
   }
   wire::CallResponse response = aLink.m_answers.TakeComplete();
-  if (response.__isset.leaving) {
-    m_leaving.Note(aLink.m_nodeName, response.leaving);
-  }
+  m_hints.OnAnswer(aLink.m_nodeName, response);
   const auto key = aLink.m_calls.Answer(response.callId);
   if (key) {
     const Outcome outcome =
--- a/apps/wigeonfold-node/PeerClient.h
+++ b/apps/wigeonfold-node/PeerClient.h
@@ -4,9 +4,9 @@
 #include "wigeonfold/base/Version.h"
 #include "wigeonfold/forwarding/AnswerParts.h"
 #include "wigeonfold/forwarding/CallTable.h"
-#include "wigeonfold/forwarding/LeavingTargets.h"
 #include "wigeonfold/forwarding/Outcome.h"
 #include "wigeonfold/forwarding/PeerLiveness.h"
+#include "wigeonfold/forwarding/TargetHints.h"
 #include "wigeonfold/net/Connection.h"
 #include "wigeonfold/net/Http.h"
 #include "wigeonfold/routing/View.h"
@@ -154,7 +154,7 @@
   // Link for new calls, by node name.
   std::unordered_map<std::string, uint64_t> m_current;
   std::unordered_map<std::string, Probe> m_probes; // by node name
-  forwarding::LeavingTargets m_leaving;
+  forwarding::TargetHints m_hints;
   std::shared_ptr<bool> m_alive; // false once this object is destroyed
 };
 
--- a/apps/wigeonfold-node/PeerServer.cpp
+++ b/apps/wigeonfold-node/PeerServer.cpp
@@ -185,6 +185,10 @@
   if (request->__isset.leaving) {
     m_target.NoteLeaving(discovery::FromWire(request->leaving), now);
   }
+  if (request->__isset.limit) {
+    m_target.NoteLimit(
+      discovery::FromWire(request->limit.start), request->limit.perSecond, now);
+  }
   net::Connection* connection = aConnection.get();
   const uint64_t servedId = m_target.Serve(
     std::move(request), deadline, now, [this, connection, callId](auto aReply) {
--- a/apps/wigeonfold-node/TargetSide.cpp
+++ b/apps/wigeonfold-node/TargetSide.cpp
@@ -96,8 +96,7 @@
                              before->m_connections != m_target->m_connections;
   if (otherInstance) {
     m_health = {};
-    m_requestLimit.reset();
-    m_limitNamedAt = {};
+    m_admission.Rate().Reset();
     m_pool->SetTarget(m_target->m_address,
                       static_cast<size_t>(MaxConnections()));
   }
@@ -122,6 +121,16 @@
   UpdateDraining(aNow);
 }
 
+void TargetSide::NoteLimit(const discovery::TargetStart& aStart,
+                           double aPerSecond,
+                           TimePoint aNow)
+{
+  if (m_target && m_target->Start() == aStart &&
+      m_admission.Rate().OnHint(aPerSecond, aNow)) {
+    LogLimit();
+  }
+}
+
 // The limit announced by the target, or that of its service in the view.
 int TargetSide::MaxConnections() const
 {
@@ -150,8 +159,7 @@
 
 bool TargetSide::HasFreeSlot() const
 {
-  return State() == TargetState::Ready && m_admission.Queued() == 0 &&
-         m_admission.Running() < m_admission.Slots();
+  return State() == TargetState::Ready && m_admission.HasRoom(Clock::now());
 }
 
 const std::string& TargetSide::ServiceName() const
@@ -176,7 +184,7 @@
   status.m_queued = m_admission.Queued();
   status.m_connections =
     m_pool->Idle() + static_cast<size_t>(m_admission.Running());
-  status.m_requestLimit = m_requestLimit;
+  status.m_requestLimit = m_admission.Rate().PerSecond();
   if (m_target) {
     status.m_service = m_target->m_service;
     status.m_address = m_target->m_address;
@@ -488,31 +496,19 @@
     }
     return;
   }
-  if (m_target && aCall.m_target == m_target->Start()) {
-    OnNamedLimit(notice.m_requestLimit, aCall.m_started, aNow);
+  if (m_target && aCall.m_target == m_target->Start() &&
+      m_admission.Rate().OnAnswer(
+        notice.m_requestLimit, aCall.m_started, aNow)) {
+    LogLimit();
   }
 }
 
-// aWritten is the time at which the request was written to whose answer the
-// target named the limit. Answers arrive out of order, so that only one to a
-// later request than the last answer with a limit ends the limit.
-void TargetSide::OnNamedLimit(std::optional<double> aLimit,
-                              TimePoint aWritten,
-                              TimePoint aNow)
+void TargetSide::LogLimit()
 {
-  if (!aLimit && aWritten < m_limitNamedAt) {
-    return;
-  }
-  if (aLimit) {
-    m_limitNamedAt = aNow;
-  }
-  if (aLimit == m_requestLimit) {
-    return;
-  }
-  m_requestLimit = aLimit;
+  const auto limit = m_admission.Rate().PerSecond();
   m_log.Record(EventId::TargetLimitChanged,
                { { "instance", m_target->m_instance },
-                 { "per-second", aLimit ? std::to_string(*aLimit) : "none" } });
+                 { "per-second", limit ? std::to_string(*limit) : "none" } });
 }
 
 void TargetSide::OnExchange(uint64_t aId, Exchange aExchange)
@@ -623,6 +619,12 @@
   load.latencyUs = m_latencyUs;
   load.draining = State() == TargetState::Draining;
   load.failurePercent = m_health.FailurePercent();
+  if (const auto limit = m_admission.Rate().PerSecond(); limit && m_target) {
+    wire::TargetLimit named;
+    named.start = ToWire(m_target->Start());
+    named.perSecond = *limit;
+    load.__set_limit(std::move(named));
+  }
   load.waitUs = ToMicroseconds(
     m_admission.ExpectedWait(std::numeric_limits<int>::min(), Clock::now()));
   return load;
--- a/apps/wigeonfold-node/TargetSide.h
+++ b/apps/wigeonfold-node/TargetSide.h
@@ -59,6 +59,11 @@
                                    TimePoint aNow);
   // Another node knows that this start of the target leaves.
   void NoteLeaving(const discovery::TargetStart& aStart, TimePoint aNow);
+  // Another node knows that this start of the target names a limit on its
+  // requests per second.
+  void NoteLimit(const discovery::TargetStart& aStart,
+                 double aPerSecond,
+                 TimePoint aNow);
   // Begins a graceful shutdown: a ready target is reported as draining from now
   // on.
   void BeginStopping();
@@ -131,9 +136,7 @@
   void OnNotice(const ServedCall& aCall,
                 const Exchange& aExchange,
                 TimePoint aNow);
-  void OnNamedLimit(std::optional<double> aLimit,
-                    TimePoint aWritten,
-                    TimePoint aNow);
+  void LogLimit();
   void End(uint64_t aId, const forwarding::TargetStep& aStep, TimePoint aNow);
   int MaxConnections() const;
   void LogRejection(const ServedCall& aCall,
@@ -158,8 +161,6 @@
   std::optional<Announcement> m_target;
   TimePoint m_leaseEnd{};
   bool m_leaseLost = false;
-  std::optional<double> m_requestLimit; // as the target names it
-  TimePoint m_limitNamedAt{};           // when it was named last
   bool m_stopping = false;
   bool m_rejectNew = false;
   std::unordered_map<uint64_t, ServedCall> m_calls;
--- a/idl/common.thrift
+++ b/idl/common.thrift
@@ -14,6 +14,13 @@
   2: i64 startedAtMs,
 }
 
+// Requests per second that a start of a target takes from all nodes together,
+// as its answers say.
+struct TargetLimit {
+  1: TargetStart start,
+  2: double perSecond,
+}
+
 // One branch of the settings tree, or its tombstone when removed is true.
 struct BranchState {
   1: string path,
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -49,6 +49,8 @@
   // The start of the node's target that, as far as the sender knows, leaves and
   // must not get this request; absent when it knows none.
   19: optional common.TargetStart leaving,
+  // The limit that the node's target named last, as far as the sender knows.
+  20: optional common.TargetLimit limit,
 }
 
 enum RunState {
@@ -68,6 +70,8 @@
   6: i32 failurePercent,
   // Expected time until a further request of the lowest rank gets a slot.
   7: i64 waitUs,
+  // Set while the target names a limit.
+  8: optional common.TargetLimit limit,
 }
 
 struct CallResponse {
--- a/libs/admission/include/wigeonfold/admission/Admission.h
+++ b/libs/admission/include/wigeonfold/admission/Admission.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "wigeonfold/admission/Queue.h"
+#include "wigeonfold/admission/RateLimit.h"
 
 #include <unordered_map>
 #include <vector>
@@ -18,6 +19,8 @@
   Draining,           // the target takes no new work
   Displaced,          // gave way to another request, see Queue::Victim()
   TooLate,            // no slot would be free in time for the latency objective
+  // The limit that the target names would let it start too late for that.
+  RateLimited,
 };
 
 const char* ToString(RejectReason aReason);
@@ -74,12 +77,21 @@
   std::vector<Decision> Finished(uint64_t aId, TimePoint aNow);
   // Removes a waiting request; false when it does not wait.
   bool Cancel(uint64_t aId);
-  // Rejects requests that have waited too long. Call about every 10 ms.
+  // Rejects requests that have waited too long, and starts those for which the
+  // rate limit has room again. Call about every 10 ms.
   std::vector<Decision> Tick(TimePoint aNow);
 
-  // Expected time until a request of that priority gets a slot: the remaining
-  // time of running requests and the slot time of waiting requests that go
-  // before it, spread over the slots. Duration::max() without slots.
+  // The limit that the target names on its requests per second. Requests that
+  // a change of it lets start do so at the next Tick().
+  RateLimit& Rate() { return m_rate; }
+  const RateLimit& Rate() const { return m_rate; }
+
+  // Whether a further request would run at once.
+  bool HasRoom(TimePoint aNow) const;
+  // Expected time until a request of that priority starts: the remaining time
+  // of running requests and the slot time of waiting requests that go before
+  // it, spread over the slots, or the time until the rate limit has room for
+  // it, if that is longer. Duration::max() without slots.
   Duration ExpectedWait(int aPriority, TimePoint aNow) const;
 
   int Running() const { return static_cast<int>(m_running.size()); }
@@ -108,11 +120,13 @@
   Duration RetryAfter(const Request& aRequest,
                       Duration aWait,
                       TimePoint aNow) const;
+  Duration RateWait(int aPriority, TimePoint aNow) const;
   RejectReason CheckExpiry(const Request& aRequest, TimePoint aNow) const;
   void StartQueued(std::vector<Decision>& aDecisions, TimePoint aNow);
 
   std::unique_ptr<Queue> m_queue;
   Limits m_limits;
+  RateLimit m_rate;
   bool m_draining = false;
   std::unordered_map<uint64_t, RunningRequest> m_running;
 };
--- a/libs/admission/src/Admission.cpp
+++ b/libs/admission/src/Admission.cpp
@@ -32,6 +32,8 @@
       return "displaced";
     case RejectReason::TooLate:
       return "too-late";
+    case RejectReason::RateLimited:
+      return "rate-limited";
   }
   return "none";
 }
@@ -79,19 +81,21 @@
   std::vector<Decision> decisions;
   RejectReason reason =
     m_draining ? RejectReason::Draining : CheckExpiry(aRequest, aNow);
-  const bool slotFree = Running() < m_limits.m_slots && m_queue->Size() == 0;
+  const bool hasRoom = HasRoom(aNow);
   Duration wait{};
-  if (!slotFree) {
+  if (!hasRoom) {
     wait = ExpectedWait(aRequest.m_priority, aNow);
   }
   // The link carries other answers while the request waits for a slot.
   wait = std::max(wait, aRequest.m_linkWait);
-  const bool waits = !slotFree || aRequest.m_linkWait > Duration::zero();
+  const bool waits = !hasRoom || aRequest.m_linkWait > Duration::zero();
   if (reason == RejectReason::None && waits &&
       IsTooLate(aRequest, wait, aNow)) {
-    reason = RejectReason::TooLate;
+    const Duration rateWait = RateWait(aRequest.m_priority, aNow);
+    reason = IsTooLate(aRequest, rateWait, aNow) ? RejectReason::RateLimited
+                                                 : RejectReason::TooLate;
   }
-  if (reason == RejectReason::None && !slotFree) {
+  if (reason == RejectReason::None && !hasRoom) {
     reason = MakeRoom(aRequest, decisions);
   }
   if (reason != RejectReason::None) {
@@ -139,9 +143,29 @@
       decisions.push_back({ request.m_id, false, reason });
     }
   }
+  StartQueued(decisions, aNow);
   return decisions;
 }
 
+bool Admission::HasRoom(TimePoint aNow) const
+{
+  return Running() < m_limits.m_slots && m_queue->Size() == 0 &&
+         m_rate.WaitFor(1, aNow) == Duration::zero();
+}
+
+// Time until the rate limit has room for a request of that priority.
+Duration Admission::RateWait(int aPriority, TimePoint aNow) const
+{
+  if (!m_rate.PerSecond()) {
+    return Duration::zero();
+  }
+  size_t ahead = 0;
+  for (const Request& waiting : m_queue->Waiting()) {
+    ahead += waiting.m_priority >= aPriority ? 1 : 0;
+  }
+  return m_rate.WaitFor(ahead + 1, aNow);
+}
+
 // Finds the deepest client account on the request's path whose part of the
 // queue is full. A request displaced there also frees space in the parts of all
 // accounts above it.
@@ -204,7 +228,7 @@
       work += waiting.m_work;
     }
   }
-  return wait + work / m_limits.m_slots;
+  return std::max(wait + work / m_limits.m_slots, RateWait(aPriority, aNow));
 }
 
 // Time by which the expected wait exceeds the allowed one. After that time a
@@ -245,7 +269,8 @@
 
 void Admission::StartQueued(std::vector<Decision>& aDecisions, TimePoint aNow)
 {
-  while (Running() < m_limits.m_slots) {
+  while (Running() < m_limits.m_slots &&
+         m_rate.WaitFor(1, aNow) == Duration::zero()) {
     const auto next = m_queue->Pop();
     if (!next) {
       return;
@@ -256,6 +281,7 @@
       aDecisions.push_back({ next->m_id, false, reason });
       continue;
     }
+    m_rate.OnSent(aNow);
     m_running[next->m_id] = RunningRequest{ *next, aNow };
     aDecisions.push_back({ next->m_id, true, RejectReason::None });
   }
--- a/libs/forwarding/include/wigeonfold/forwarding/Outcome.h
+++ b/libs/forwarding/include/wigeonfold/forwarding/Outcome.h
@@ -34,7 +34,8 @@
   ClientAccountShare,
   QueueTimeout,
   Displaced,
-  TooLate, // an answer would miss the latency objective
+  TooLate,     // an answer would miss the latency objective
+  RateLimited, // the same, because of the limit that the target names
   Draining,
 
   // Failed between the caller's node and the target.
--- a/libs/forwarding/src/Outcome.cpp
+++ b/libs/forwarding/src/Outcome.cpp
@@ -32,6 +32,7 @@
     { Outcome::QueueTimeout,         "queue-timeout",         RunState::NotRun,  503, true,  true,  Result::Refused },
     { Outcome::Displaced,            "displaced",             RunState::NotRun,  503, true,  true,  Result::Refused },
     { Outcome::TooLate,              "too-late",              RunState::NotRun,  503, true,  true,  Result::Refused },
+    { Outcome::RateLimited,          "rate-limited",          RunState::NotRun,  503, true,  true,  Result::Refused },
     { Outcome::Draining,             "draining",              RunState::NotRun,  503, true,  true,  Result::Draining },
     { Outcome::ExpiredBeforeWrite,   "expired-before-write",  RunState::NotRun,  504, false, false, Result::Refused },
     { Outcome::ExpiredAfterWrite,    "expired-after-write",   RunState::Unknown, 504, false, false, Result::Failed },
@@ -95,6 +96,8 @@
       return Outcome::Displaced;
     case admission::RejectReason::TooLate:
       return Outcome::TooLate;
+    case admission::RejectReason::RateLimited:
+      return Outcome::RateLimited;
   }
   return Outcome::QueueFull;
 }
--- a/libs/routing/include/wigeonfold/routing/Tracker.h
+++ b/libs/routing/include/wigeonfold/routing/Tracker.h
@@ -5,6 +5,7 @@
 #include "wigeonfold/routing/View.h"
 #include "wigeonfold/wire/gen/peer_types.h"
 
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -57,6 +58,9 @@
                   TimePoint aNow) const;
   // Time per call that the target reported last; zero before its first report.
   Duration ReportedLatency(const Endpoint& aEndpoint) const;
+  // Requests per second that the target takes, as it named them last; nothing:
+  // no limit.
+  std::optional<double> RequestLimit(const Endpoint& aEndpoint) const;
   // Ejected, draining or unreachable.
   bool IsAvoided(const Endpoint& aEndpoint, TimePoint aNow) const;
   // Draining, as the node itself announced, or unreachable.
@@ -74,12 +78,13 @@
     int m_inFlight = 0;
     int m_othersAtTarget = 0; // other nodes' calls, running and queued
     TimePoint m_reported{};
-    Duration m_latency{};        // per call, as reported
-    Duration m_wait{};           // for a slot, as reported
-    double m_failureRate = 0;    // of all nodes' calls, as reported
-    double m_ownFailureRate = 0; // of this node's calls
-    int m_failures = 0;          // since the last answer or ejection
-    int m_ejections = 0;         // since the last answer; each lasts longer
+    Duration m_latency{}; // per call, as reported
+    Duration m_wait{};    // for a slot or the rate limit, as reported
+    std::optional<double> m_requestLimit; // requests per second, as reported
+    double m_failureRate = 0;             // of all nodes' calls, as reported
+    double m_ownFailureRate = 0;          // of this node's calls
+    int m_failures = 0;                   // since the last answer or ejection
+    int m_ejections = 0; // since the last answer; each lasts longer
     TimePoint m_ejectedUntil{};
     TimePoint m_drainingUntil{};
     TimePoint m_unreachableUntil{};
--- a/libs/routing/src/Chooser.cpp
+++ b/libs/routing/src/Chooser.cpp
@@ -76,12 +76,18 @@
       return std::max(reported > Duration::zero() ? reported : typical,
                       kMinLatency);
     };
-    const Choice localBest = BestOf(local, cost, latency);
+    const auto rate = [&](const Endpoint& aEndpoint) {
+      const std::chrono::duration<double> seconds = latency(aEndpoint);
+      const double bySlots = aEndpoint.m_slots / seconds.count();
+      return std::min(bySlots,
+                      aTracker.RequestLimit(aEndpoint).value_or(bySlots));
+    };
+    const Choice localBest = BestOf(local, cost, rate);
     if (localBest.m_endpoint != nullptr &&
         localBest.m_cost * kSafetyFactor <= aTimeLeft) {
       return localBest.m_endpoint;
     }
-    const Choice remoteBest = BestOf(remote, cost, latency);
+    const Choice remoteBest = BestOf(remote, cost, rate);
     const bool useRemote =
       remoteBest.m_endpoint != nullptr &&
       (localBest.m_endpoint == nullptr ||
@@ -99,16 +105,15 @@
 
   // The least cost among a few random candidates, drawn in proportion to the
   // calls that they can take per second.
-  template<class Cost, class Latency>
+  template<class Cost, class Rate>
   Choice BestOf(const CandidateList& aCandidates,
                 const Cost& aCost,
-                const Latency& aLatency)
+                const Rate& aRate)
   {
     Choice best;
     std::vector<double> rates;
     for (const Endpoint* endpoint : aCandidates) {
-      const std::chrono::duration<double> latency = aLatency(*endpoint);
-      rates.push_back(endpoint->m_slots / latency.count());
+      rates.push_back(std::max(aRate(*endpoint), kMinRate));
     }
     for (size_t draw = 0; draw < std::min(kSampleSize, rates.size()); ++draw) {
       std::discrete_distribution<size_t> any(rates.begin(), rates.end());
@@ -140,6 +145,8 @@
   // than the node calls it. With more candidates, all nodes with the same
   // outdated data send to the same target.
   static constexpr size_t kSampleSize = 2;
+  // Calls per second; a distribution needs a weight above 0.
+  static constexpr double kMinRate = 0.001;
   // Keeps the rates of targets without measurable latency finite.
   static constexpr Duration kMinLatency = std::chrono::microseconds(100);
   // The expected time may be up to half of the time left until the objective:
--- a/libs/routing/src/Tracker.cpp
+++ b/libs/routing/src/Tracker.cpp
@@ -72,6 +72,9 @@
     state.m_latency = std::chrono::microseconds(aLoad->latencyUs);
     state.m_wait = std::chrono::microseconds(aLoad->waitUs);
     state.m_failureRate = aLoad->failurePercent / 100.0;
+    state.m_requestLimit = aLoad->__isset.limit
+                             ? std::optional(aLoad->limit.perSecond)
+                             : std::nullopt;
   }
   state.m_inFlight = std::max(0, state.m_inFlight - 1);
   const bool failed = aResult == AttemptResult::Failed ||
@@ -160,8 +163,10 @@
   const double load = LoadOf(aEndpoint, aNow);
   const auto queued = std::chrono::duration_cast<Duration>(
     latency * std::max(0.0, load - 1 + 1.0 / aEndpoint.m_slots));
+  // A target that names a limit may have free slots and yet let calls wait.
+  const bool mayWait = load >= 1 || state->m_requestLimit;
   const Duration wait =
-    recent && load >= 1 ? std::max(state->m_wait, queued) : queued;
+    recent && mayWait ? std::max(state->m_wait, queued) : queued;
   // Targets slow down as their slots fill, so the less loaded one of equal
   // targets is preferred.
   const double slowdown = 1 + kBusySlowdown * std::min(load, 1.0);
@@ -178,6 +183,12 @@
   return state == nullptr ? Duration::zero() : state->m_latency;
 }
 
+std::optional<double> Tracker::RequestLimit(const Endpoint& aEndpoint) const
+{
+  const State* state = FindState(aEndpoint);
+  return state == nullptr ? std::nullopt : state->m_requestLimit;
+}
+
 bool Tracker::IsAvoided(const Endpoint& aEndpoint, TimePoint aNow) const
 {
   const State* state = FindState(aEndpoint);
--- a/libs/wire/gen/include/wigeonfold/wire/gen/common_types.h
+++ b/libs/wire/gen/include/wigeonfold/wire/gen/common_types.h
@@ -40,6 +40,8 @@
 
 class TargetStart;
 
+class TargetLimit;
+
 class BranchState;
 
 class Operation;
@@ -148,6 +150,57 @@
 
 std::ostream& operator<<(std::ostream& out, const TargetStart& obj);
 
+typedef struct _TargetLimit__isset {
+  _TargetLimit__isset() : start(false), perSecond(false) {}
+  bool start :1;
+  bool perSecond :1;
+} _TargetLimit__isset;
+
+class TargetLimit : public virtual ::apache::thrift::TBase {
+ public:
+
+  TargetLimit(const TargetLimit&);
+  TargetLimit(TargetLimit&&) noexcept;
+  TargetLimit& operator=(const TargetLimit&);
+  TargetLimit& operator=(TargetLimit&&) noexcept;
+  TargetLimit() noexcept
+              : perSecond(0) {
+  }
+
+  virtual ~TargetLimit() noexcept;
+  TargetStart start;
+  double perSecond;
+
+  _TargetLimit__isset __isset;
+
+  void __set_start(const TargetStart& val);
+
+  void __set_perSecond(const double val);
+
+  bool operator == (const TargetLimit & rhs) const
+  {
+    if (!(start == rhs.start))
+      return false;
+    if (!(perSecond == rhs.perSecond))
+      return false;
+    return true;
+  }
+  bool operator != (const TargetLimit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TargetLimit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TargetLimit &a, TargetLimit &b);
+
+std::ostream& operator<<(std::ostream& out, const TargetLimit& obj);
+
 typedef struct _BranchState__isset {
   _BranchState__isset() : path(false), settings(false), modified(false), removed(false) {}
   bool path :1;
--- a/libs/wire/gen/include/wigeonfold/wire/gen/peer_types.h
+++ b/libs/wire/gen/include/wigeonfold/wire/gen/peer_types.h
@@ -179,7 +179,7 @@
 std::ostream& operator<<(std::ostream& out, const PeerHello& obj);
 
 typedef struct _CallRequest__isset {
-  _CallRequest__isset() : callId(false), serviceName(false), office(false), method(false), path(false), headers(false), body(false), deadlineUs(false), depth(false), idempotent(false), callerService(false), priority(false), objectiveLeadUs(false), route(false), requestId(false), repeat(false), largeAnswer(false), returned(false), leaving(false) {}
+  _CallRequest__isset() : callId(false), serviceName(false), office(false), method(false), path(false), headers(false), body(false), deadlineUs(false), depth(false), idempotent(false), callerService(false), priority(false), objectiveLeadUs(false), route(false), requestId(false), repeat(false), largeAnswer(false), returned(false), leaving(false), limit(false) {}
   bool callId :1;
   bool serviceName :1;
   bool office :1;
@@ -199,6 +199,7 @@
   bool largeAnswer :1;
   bool returned :1;
   bool leaving :1;
+  bool limit :1;
 } _CallRequest__isset;
 
 class CallRequest : public virtual ::apache::thrift::TBase {
@@ -248,6 +249,7 @@
   bool largeAnswer;
   bool returned;
    ::wigeonfold::wire::TargetStart leaving;
+   ::wigeonfold::wire::TargetLimit limit;
 
   _CallRequest__isset __isset;
 
@@ -289,6 +291,8 @@
 
   void __set_leaving(const  ::wigeonfold::wire::TargetStart& val);
 
+  void __set_limit(const  ::wigeonfold::wire::TargetLimit& val);
+
   bool operator == (const CallRequest & rhs) const
   {
     if (!(callId == rhs.callId))
@@ -333,6 +337,10 @@
       return false;
     else if (__isset.leaving && !(leaving == rhs.leaving))
       return false;
+    if (__isset.limit != rhs.__isset.limit)
+      return false;
+    else if (__isset.limit && !(limit == rhs.limit))
+      return false;
     return true;
   }
   bool operator != (const CallRequest &rhs) const {
@@ -352,7 +360,7 @@
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj);
 
 typedef struct _TargetLoad__isset {
-  _TargetLoad__isset() : slots(false), running(false), queued(false), latencyUs(false), draining(false), failurePercent(false), waitUs(false) {}
+  _TargetLoad__isset() : slots(false), running(false), queued(false), latencyUs(false), draining(false), failurePercent(false), waitUs(false), limit(false) {}
   bool slots :1;
   bool running :1;
   bool queued :1;
@@ -360,14 +368,15 @@
   bool draining :1;
   bool failurePercent :1;
   bool waitUs :1;
+  bool limit :1;
 } _TargetLoad__isset;
 
 class TargetLoad : public virtual ::apache::thrift::TBase {
  public:
 
-  TargetLoad(const TargetLoad&) noexcept;
+  TargetLoad(const TargetLoad&);
   TargetLoad(TargetLoad&&) noexcept;
-  TargetLoad& operator=(const TargetLoad&) noexcept;
+  TargetLoad& operator=(const TargetLoad&);
   TargetLoad& operator=(TargetLoad&&) noexcept;
   TargetLoad() noexcept
              : slots(0),
@@ -387,6 +396,7 @@
   bool draining;
   int32_t failurePercent;
   int64_t waitUs;
+   ::wigeonfold::wire::TargetLimit limit;
 
   _TargetLoad__isset __isset;
 
@@ -404,6 +414,8 @@
 
   void __set_waitUs(const int64_t val);
 
+  void __set_limit(const  ::wigeonfold::wire::TargetLimit& val);
+
   bool operator == (const TargetLoad & rhs) const
   {
     if (!(slots == rhs.slots))
@@ -420,6 +432,10 @@
       return false;
     if (!(waitUs == rhs.waitUs))
       return false;
+    if (__isset.limit != rhs.__isset.limit)
+      return false;
+    else if (__isset.limit && !(limit == rhs.limit))
+      return false;
     return true;
   }
   bool operator != (const TargetLoad &rhs) const {
--- a/libs/wire/gen/src/common_types.cpp
+++ b/libs/wire/gen/src/common_types.cpp
@@ -293,6 +293,129 @@
 }
 
 
+TargetLimit::~TargetLimit() noexcept {
+}
+
+
+void TargetLimit::__set_start(const TargetStart& val) {
+  this->start = val;
+}
+
+void TargetLimit::__set_perSecond(const double val) {
+  this->perSecond = val;
+}
+std::ostream& operator<<(std::ostream& out, const TargetLimit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TargetLimit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->start.read(iprot);
+          this->__isset.start = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->perSecond);
+          this->__isset.perSecond = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TargetLimit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TargetLimit");
+
+  xfer += oprot->writeFieldBegin("start", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->start.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("perSecond", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->perSecond);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TargetLimit &a, TargetLimit &b) {
+  using ::std::swap;
+  swap(a.start, b.start);
+  swap(a.perSecond, b.perSecond);
+  swap(a.__isset, b.__isset);
+}
+
+TargetLimit::TargetLimit(const TargetLimit& other8) {
+  start = other8.start;
+  perSecond = other8.perSecond;
+  __isset = other8.__isset;
+}
+TargetLimit::TargetLimit(TargetLimit&& other9) noexcept {
+  start = std::move(other9.start);
+  perSecond = other9.perSecond;
+  __isset = other9.__isset;
+}
+TargetLimit& TargetLimit::operator=(const TargetLimit& other10) {
+  start = other10.start;
+  perSecond = other10.perSecond;
+  __isset = other10.__isset;
+  return *this;
+}
+TargetLimit& TargetLimit::operator=(TargetLimit&& other11) noexcept {
+  start = std::move(other11.start);
+  perSecond = other11.perSecond;
+  __isset = other11.__isset;
+  return *this;
+}
+void TargetLimit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TargetLimit(";
+  out << "start=" << to_string(start);
+  out << ", " << "perSecond=" << to_string(perSecond);
+  out << ")";
+}
+
+
 BranchState::~BranchState() noexcept {
 }
 
@@ -352,17 +475,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->settings.clear();
-            uint32_t _size8;
-            ::apache::thrift::protocol::TType _ktype9;
-            ::apache::thrift::protocol::TType _vtype10;
-            xfer += iprot->readMapBegin(_ktype9, _vtype10, _size8);
-            uint32_t _i12;
-            for (_i12 = 0; _i12 < _size8; ++_i12)
+            uint32_t _size12;
+            ::apache::thrift::protocol::TType _ktype13;
+            ::apache::thrift::protocol::TType _vtype14;
+            xfer += iprot->readMapBegin(_ktype13, _vtype14, _size12);
+            uint32_t _i16;
+            for (_i16 = 0; _i16 < _size12; ++_i16)
             {
-              std::string _key13;
-              xfer += iprot->readString(_key13);
-              std::string& _val14 = this->settings[_key13];
-              xfer += iprot->readString(_val14);
+              std::string _key17;
+              xfer += iprot->readString(_key17);
+              std::string& _val18 = this->settings[_key17];
+              xfer += iprot->readString(_val18);
             }
             xfer += iprot->readMapEnd();
           }
@@ -411,11 +534,11 @@
   xfer += oprot->writeFieldBegin("settings", ::apache::thrift::protocol::T_MAP, 2);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->settings.size()));
-    std::map<std::string, std::string> ::const_iterator _iter15;
-    for (_iter15 = this->settings.begin(); _iter15 != this->settings.end(); ++_iter15)
+    std::map<std::string, std::string> ::const_iterator _iter19;
+    for (_iter19 = this->settings.begin(); _iter19 != this->settings.end(); ++_iter19)
     {
-      xfer += oprot->writeString(_iter15->first);
-      xfer += oprot->writeString(_iter15->second);
+      xfer += oprot->writeString(_iter19->first);
+      xfer += oprot->writeString(_iter19->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -443,34 +566,34 @@
   swap(a.__isset, b.__isset);
 }
 
-BranchState::BranchState(const BranchState& other16) {
-  path = other16.path;
-  settings = other16.settings;
-  modified = other16.modified;
-  removed = other16.removed;
-  __isset = other16.__isset;
-}
-BranchState::BranchState(BranchState&& other17) noexcept {
-  path = std::move(other17.path);
-  settings = std::move(other17.settings);
-  modified = std::move(other17.modified);
-  removed = other17.removed;
-  __isset = other17.__isset;
-}
-BranchState& BranchState::operator=(const BranchState& other18) {
-  path = other18.path;
-  settings = other18.settings;
-  modified = other18.modified;
-  removed = other18.removed;
-  __isset = other18.__isset;
+BranchState::BranchState(const BranchState& other20) {
+  path = other20.path;
+  settings = other20.settings;
+  modified = other20.modified;
+  removed = other20.removed;
+  __isset = other20.__isset;
+}
+BranchState::BranchState(BranchState&& other21) noexcept {
+  path = std::move(other21.path);
+  settings = std::move(other21.settings);
+  modified = std::move(other21.modified);
+  removed = other21.removed;
+  __isset = other21.__isset;
+}
+BranchState& BranchState::operator=(const BranchState& other22) {
+  path = other22.path;
+  settings = other22.settings;
+  modified = other22.modified;
+  removed = other22.removed;
+  __isset = other22.__isset;
   return *this;
 }
-BranchState& BranchState::operator=(BranchState&& other19) noexcept {
-  path = std::move(other19.path);
-  settings = std::move(other19.settings);
-  modified = std::move(other19.modified);
-  removed = other19.removed;
-  __isset = other19.__isset;
+BranchState& BranchState::operator=(BranchState&& other23) noexcept {
+  path = std::move(other23.path);
+  settings = std::move(other23.settings);
+  modified = std::move(other23.modified);
+  removed = other23.removed;
+  __isset = other23.__isset;
   return *this;
 }
 void BranchState::printTo(std::ostream& out) const {
@@ -533,9 +656,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast20;
-          xfer += iprot->readI32(ecast20);
-          this->kind = static_cast<OperationKind::type>(ecast20);
+          int32_t ecast24;
+          xfer += iprot->readI32(ecast24);
+          this->kind = static_cast<OperationKind::type>(ecast24);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -612,34 +735,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Operation::Operation(const Operation& other21) {
-  kind = other21.kind;
-  path = other21.path;
-  key = other21.key;
-  value = other21.value;
-  __isset = other21.__isset;
-}
-Operation::Operation(Operation&& other22) noexcept {
-  kind = other22.kind;
-  path = std::move(other22.path);
-  key = std::move(other22.key);
-  value = std::move(other22.value);
-  __isset = other22.__isset;
-}
-Operation& Operation::operator=(const Operation& other23) {
-  kind = other23.kind;
-  path = other23.path;
-  key = other23.key;
-  value = other23.value;
-  __isset = other23.__isset;
+Operation::Operation(const Operation& other25) {
+  kind = other25.kind;
+  path = other25.path;
+  key = other25.key;
+  value = other25.value;
+  __isset = other25.__isset;
+}
+Operation::Operation(Operation&& other26) noexcept {
+  kind = other26.kind;
+  path = std::move(other26.path);
+  key = std::move(other26.key);
+  value = std::move(other26.value);
+  __isset = other26.__isset;
+}
+Operation& Operation::operator=(const Operation& other27) {
+  kind = other27.kind;
+  path = other27.path;
+  key = other27.key;
+  value = other27.value;
+  __isset = other27.__isset;
   return *this;
 }
-Operation& Operation::operator=(Operation&& other24) noexcept {
-  kind = other24.kind;
-  path = std::move(other24.path);
-  key = std::move(other24.key);
-  value = std::move(other24.value);
-  __isset = other24.__isset;
+Operation& Operation::operator=(Operation&& other28) noexcept {
+  kind = other28.kind;
+  path = std::move(other28.path);
+  key = std::move(other28.key);
+  value = std::move(other28.value);
+  __isset = other28.__isset;
   return *this;
 }
 void Operation::printTo(std::ostream& out) const {
--- a/libs/wire/gen/src/peer_types.cpp
+++ b/libs/wire/gen/src/peer_types.cpp
@@ -440,6 +440,11 @@
   this->leaving = val;
 __isset.leaving = true;
 }
+
+void CallRequest::__set_limit(const  ::wigeonfold::wire::TargetLimit& val) {
+  this->limit = val;
+__isset.limit = true;
+}
 std::ostream& operator<<(std::ostream& out, const CallRequest& obj)
 {
   obj.printTo(out);
@@ -632,6 +637,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->limit.read(iprot);
+          this->__isset.limit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -735,6 +748,11 @@
     xfer += this->leaving.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.limit) {
+    xfer += oprot->writeFieldBegin("limit", ::apache::thrift::protocol::T_STRUCT, 20);
+    xfer += this->limit.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -761,6 +779,7 @@
   swap(a.largeAnswer, b.largeAnswer);
   swap(a.returned, b.returned);
   swap(a.leaving, b.leaving);
+  swap(a.limit, b.limit);
   swap(a.__isset, b.__isset);
 }
 
@@ -784,6 +803,7 @@
   largeAnswer = other14.largeAnswer;
   returned = other14.returned;
   leaving = other14.leaving;
+  limit = other14.limit;
   __isset = other14.__isset;
 }
 CallRequest::CallRequest(CallRequest&& other15) noexcept {
@@ -806,6 +826,7 @@
   largeAnswer = other15.largeAnswer;
   returned = other15.returned;
   leaving = std::move(other15.leaving);
+  limit = std::move(other15.limit);
   __isset = other15.__isset;
 }
 CallRequest& CallRequest::operator=(const CallRequest& other16) {
@@ -828,6 +849,7 @@
   largeAnswer = other16.largeAnswer;
   returned = other16.returned;
   leaving = other16.leaving;
+  limit = other16.limit;
   __isset = other16.__isset;
   return *this;
 }
@@ -851,6 +873,7 @@
   largeAnswer = other17.largeAnswer;
   returned = other17.returned;
   leaving = std::move(other17.leaving);
+  limit = std::move(other17.limit);
   __isset = other17.__isset;
   return *this;
 }
@@ -876,6 +899,7 @@
   out << ", " << "largeAnswer=" << to_string(largeAnswer);
   out << ", " << "returned=" << to_string(returned);
   out << ", " << "leaving="; (__isset.leaving ? (out << to_string(leaving)) : (out << "<null>"));
+  out << ", " << "limit="; (__isset.limit ? (out << to_string(limit)) : (out << "<null>"));
   out << ")";
 }
 
@@ -911,6 +935,11 @@
 void TargetLoad::__set_waitUs(const int64_t val) {
   this->waitUs = val;
 }
+
+void TargetLoad::__set_limit(const  ::wigeonfold::wire::TargetLimit& val) {
+  this->limit = val;
+__isset.limit = true;
+}
 std::ostream& operator<<(std::ostream& out, const TargetLoad& obj)
 {
   obj.printTo(out);
@@ -995,6 +1024,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->limit.read(iprot);
+          this->__isset.limit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1040,6 +1077,11 @@
   xfer += oprot->writeI64(this->waitUs);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.limit) {
+    xfer += oprot->writeFieldBegin("limit", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->limit.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1054,10 +1096,11 @@
   swap(a.draining, b.draining);
   swap(a.failurePercent, b.failurePercent);
   swap(a.waitUs, b.waitUs);
+  swap(a.limit, b.limit);
   swap(a.__isset, b.__isset);
 }
 
-TargetLoad::TargetLoad(const TargetLoad& other18) noexcept {
+TargetLoad::TargetLoad(const TargetLoad& other18) {
   slots = other18.slots;
   running = other18.running;
   queued = other18.queued;
@@ -1065,6 +1108,7 @@
   draining = other18.draining;
   failurePercent = other18.failurePercent;
   waitUs = other18.waitUs;
+  limit = other18.limit;
   __isset = other18.__isset;
 }
 TargetLoad::TargetLoad(TargetLoad&& other19) noexcept {
@@ -1075,9 +1119,10 @@
   draining = other19.draining;
   failurePercent = other19.failurePercent;
   waitUs = other19.waitUs;
+  limit = std::move(other19.limit);
   __isset = other19.__isset;
 }
-TargetLoad& TargetLoad::operator=(const TargetLoad& other20) noexcept {
+TargetLoad& TargetLoad::operator=(const TargetLoad& other20) {
   slots = other20.slots;
   running = other20.running;
   queued = other20.queued;
@@ -1085,6 +1130,7 @@
   draining = other20.draining;
   failurePercent = other20.failurePercent;
   waitUs = other20.waitUs;
+  limit = other20.limit;
   __isset = other20.__isset;
   return *this;
 }
@@ -1096,6 +1142,7 @@
   draining = other21.draining;
   failurePercent = other21.failurePercent;
   waitUs = other21.waitUs;
+  limit = std::move(other21.limit);
   __isset = other21.__isset;
   return *this;
 }
@@ -1109,6 +1156,7 @@
   out << ", " << "draining=" << to_string(draining);
   out << ", " << "failurePercent=" << to_string(failurePercent);
   out << ", " << "waitUs=" << to_string(waitUs);
+  out << ", " << "limit="; (__isset.limit ? (out << to_string(limit)) : (out << "<null>"));
   out << ")";
 }
 
