Don't believe a refusal that may be a late copy of an earlier one

Here: a copy that bears the id of its request was skipped already. A copy without an id was taken for the answer to the request in progress.

Change: a connection remembers whether its answers name their requests. If they do, a refusal that names none makes the outcome unknown: the connection is closed, which cancels the request, callers get 502, and only idempotent requests are repeated. Targets that never name requests are treated as before.

LateCopyOfARefusalIsNotBelieved failed for the copy without an id ("not-run") and passes now. All tests pass.

--- a/apps/wigeonfold-node/TargetPool.cpp
+++ b/apps/wigeonfold-node/TargetPool.cpp
@@ -1,6 +1,5 @@
 #include "TargetPool.h"
 
-#include "wigeonfold/forwarding/Dialect.h"
 #include "wigeonfold/net/Http.h"
 #include "wigeonfold/net/SocketIo.h"
 
@@ -69,7 +68,7 @@
   void Run(TargetRequest aRequest, std::function<void(Exchange)> aDone) override
   {
     m_request = std::move(aRequest.m_call);
-    m_isAnswer = std::move(aRequest.m_isAnswer);
+    m_originOf = std::move(aRequest.m_originOf);
     m_done = std::move(aDone);
     m_written = false;
     m_skipped = 0;
@@ -259,10 +258,16 @@
     const bool delimited = IsDelimited(status);
     m_idleLimit = KeepAliveLimit();
     TakeAnswer(exchange);
-    if (m_isAnswer && !m_isAnswer(exchange.m_headers)) {
+    const forwarding::AnswerOrigin origin =
+      m_originOf ? m_originOf(exchange.m_headers)
+                 : forwarding::AnswerOrigin::Unnamed;
+    if (origin == forwarding::AnswerOrigin::Other) {
       Skip(delimited);
       return;
     }
+    exchange.m_mayBeLate =
+      m_answersNamed && origin == forwarding::AnswerOrigin::Unnamed;
+    m_answersNamed |= origin == forwarding::AnswerOrigin::Named;
     Finish(std::move(exchange));
   }
 
@@ -340,13 +345,15 @@
   std::shared_ptr<const wire::CallRequest> m_request;
   std::optional<Parser> m_parser;
   std::function<void(Exchange)> m_done;
-  std::function<bool(const std::vector<wire::HeaderField>&)> m_isAnswer;
+  std::function<forwarding::AnswerOrigin(const std::vector<wire::HeaderField>&)>
+    m_originOf;
   Duration m_idleLimit = kDefaultIdleLimit;
   TimePoint m_idleSince{};
   int m_skipped = 0;
   int m_interimAnswers = 0; // answers of status 1xx to the request
   bool m_written = false;
   bool m_closed = false;
+  bool m_answersNamed = false; // an answer named the request that it answers
 };
 
 // ---- Pool ------------------------------------------------------------------
--- a/apps/wigeonfold-node/TargetPool.h
+++ b/apps/wigeonfold-node/TargetPool.h
@@ -3,6 +3,7 @@
 
 #include "wigeonfold/base/Settings.h"
 #include "wigeonfold/base/Time.h"
+#include "wigeonfold/forwarding/Dialect.h"
 #include "wigeonfold/wire/gen/peer_types.h"
 
 #include <functional>
@@ -34,6 +35,9 @@
   // answer was read completely, no further bytes arrived, and the target keeps
   // the connection open.
   bool m_reusable = false;
+  // True if the answer names no request although an earlier answer on the
+  // connection did: it may be a late copy of one of them.
+  bool m_mayBeLate = false;
   int m_status = 0;
   std::vector<wire::HeaderField> m_headers; // as received
   std::string m_body;
@@ -43,9 +47,10 @@
 {
   std::shared_ptr<const wire::CallRequest> m_call;
   std::vector<wire::HeaderField> m_extra; // added to the call's own fields
-  // True if an answer with these fields belongs to this request. Any other is a
-  // late or second answer to an earlier request and is skipped. May be empty.
-  std::function<bool(const std::vector<wire::HeaderField>&)> m_isAnswer;
+  // Which request an answer with these fields names. One that names another
+  // request is a late or second answer to it and is skipped. May be empty.
+  std::function<forwarding::AnswerOrigin(const std::vector<wire::HeaderField>&)>
+    m_originOf;
 };
 
 // Carries one request at a time. Use only on the thread of the io_context.
--- a/apps/wigeonfold-node/TargetSide.cpp
+++ b/apps/wigeonfold-node/TargetSide.cpp
@@ -460,9 +460,9 @@
   request.m_call = aCall.m_request;
   request.m_extra = m_dialect.TargetFields(
     *aCall.m_request, aCall.m_deadline - aNow, m_target->m_instance);
-  request.m_isAnswer = [this, call = aCall.m_request](
+  request.m_originOf = [this, call = aCall.m_request](
                          const std::vector<wire::HeaderField>& aFields) {
-    return m_dialect.IsAnswerTo(*call, aFields);
+    return m_dialect.OriginOf(*call, aFields);
   };
   aCall.m_connection->Run(std::move(request), [this, aId](Exchange aExchange) {
     OnExchange(aId, std::move(aExchange));
@@ -527,7 +527,11 @@
     case Exchange::Kind::Answer: {
       const int64_t sample = ToMicroseconds(now - call.m_started);
       m_latencyUs += (sample - m_latencyUs) / kLatencyDivisor;
-      step = call.m_call.OnAnswer(Classify(aExchange), aExchange.m_reusable);
+      const AnswerKind kind = Classify(aExchange);
+      // A late copy of an earlier refusal says nothing about this request.
+      step = kind == AnswerKind::Shed && aExchange.m_mayBeLate
+               ? call.m_call.OnUnusableAnswer()
+               : call.m_call.OnAnswer(kind, aExchange.m_reusable);
       break;
     }
     case Exchange::Kind::Unusable:
--- a/apps/wigeonfold-node/test/Forwarding_test.cpp
+++ b/apps/wigeonfold-node/test/Forwarding_test.cpp
@@ -45,6 +45,28 @@
   ExpectOutcome(Call(0, Post("/lots")), 502, "unknown", "target-lost");
 }
 
+// The target stops anywhere in its answer, in the head or in the body, and
+// closes the connection or resets it. The part must not look like an answer.
+TEST_F(Forwarding, AnswerThatStopsAnywhereIsUnknown)
+{
+  for (const std::string& whole :
+       { std::string("HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\n"
+                     "Content-Length: 12\r\n\r\nall the body"),
+         std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                     "6\r\nall of\r\n0\r\n\r\n") }) {
+    for (size_t length = 0; length < whole.size(); ++length) {
+      for (const bool reset : { false, true }) {
+        ServeAtPeer([&](int, const std::string&) {
+          Reaction reaction{ whole.substr(0, length), true };
+          reaction.m_reset = reset;
+          return reaction;
+        });
+        ExpectOutcome(Call(1, Post("/lots")), 502, "unknown", "target-lost");
+      }
+    }
+  }
+}
+
 // HTTP/1.1 allows an answer without a length that ends when the connection
 // closes. It is complete only after an orderly close.
 TEST_F(Forwarding, AnswerWithoutALengthEndsWithAnOrderlyClose)
@@ -88,6 +110,39 @@
   EXPECT_EQ(target.m_connections, 5);
 }
 
+// A faulty target writes an earlier refusal once more, in front of the answer
+// to the next request, with its request id or without one. The caller must not
+// be told that the request, which runs, did not run.
+TEST_F(Forwarding, LateCopyOfARefusalIsNotBelieved)
+{
+  for (const bool copyNamesItsRequest : { true, false }) {
+    TestTarget& target = ServeAtPeer([=](int aNumber, const std::string&) {
+      const auto named = [](const std::string& aId) {
+        return std::string(forwarding::kRequestIdHeader) + ": " + aId + "\r\n";
+      };
+      const std::string refusal = "HTTP/1.1 503 Busy\r\n" +
+                                  std::string(kRunHeader) +
+                                  ": not-run\r\nContent-Length: 0\r\n";
+      const std::string end = "\r\n";
+      if (aNumber == 0) {
+        return Reaction{ refusal + named("a") + end };
+      }
+      const std::string copy =
+        refusal + (copyNamesItsRequest ? named("a") : "") + end;
+      const std::string answer =
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n" + named("b") + end + "x";
+      return Reaction{ copy + answer };
+    });
+    const auto call = [this](const std::string& aId) {
+      return Call(1, Post("/lots", { { forwarding::kRequestIdHeader, aId } }));
+    };
+    EXPECT_EQ(FieldOf(call("a"), kRunHeader), "not-run");
+    const auto answer = call("b");
+    EXPECT_NE(FieldOf(answer, kRunHeader), "not-run") << copyNamesItsRequest;
+    EXPECT_EQ(target.m_requests, 2);
+  }
+}
+
 // The second copy of an answer arrives when the connection is in use again: the
 // target writes it in front of the answer to the next request.
 TEST_F(Forwarding, LateCopyOfAnAnswerOnABusyConnectionIsSkipped)
--- a/libs/forwarding/include/wigeonfold/forwarding/Dialect.h
+++ b/libs/forwarding/include/wigeonfold/forwarding/Dialect.h
@@ -40,6 +40,14 @@
   Duration m_retryAfter{};
 };
 
+// The request that an answer names.
+enum class AnswerOrigin
+{
+  Unnamed, // the answer names no request, or the request has no id
+  Named,   // this one
+  Other,   // another one
+};
+
 // What a target says of itself beside its answer to a request.
 struct TargetNotice
 {
@@ -91,8 +99,8 @@
   virtual TargetNotice ReadNotice(
     int aStatus,
     const std::vector<wire::HeaderField>& aFields) const = 0;
-  // False if the answer names a request other than this one.
-  virtual bool IsAnswerTo(
+  // Which request the answer names.
+  virtual AnswerOrigin OriginOf(
     const wire::CallRequest& aRequest,
     const std::vector<wire::HeaderField>& aFields) const = 0;
 };
@@ -105,6 +113,11 @@
 void StripHopByHop(std::vector<wire::HeaderField>& aFields,
                    bool aKeepLength = false);
 
+// Compares the ids in the field of that name of the request and the answer.
+AnswerOrigin CompareIds(const std::vector<wire::HeaderField>& aRequest,
+                        const std::vector<wire::HeaderField>& aAnswer,
+                        const std::string& aName);
+
 // Parses a decimal integer >= 0; nothing if the text is anything else.
 std::optional<int64_t> ParseNumber(const std::string& aText);
 
--- a/libs/forwarding/src/Fields.cpp
+++ b/libs/forwarding/src/Fields.cpp
@@ -83,6 +83,18 @@
   return value;
 }
 
+AnswerOrigin CompareIds(const std::vector<wire::HeaderField>& aRequest,
+                        const std::vector<wire::HeaderField>& aAnswer,
+                        const std::string& aName)
+{
+  const std::string* sent = FindField(aRequest, aName);
+  const std::string* answered = FindField(aAnswer, aName);
+  if (sent == nullptr || answered == nullptr) {
+    return AnswerOrigin::Unnamed;
+  }
+  return *sent == *answered ? AnswerOrigin::Named : AnswerOrigin::Other;
+}
+
 void ReadRequestLimit(const std::vector<wire::HeaderField>& aFields,
                       const std::string& aName,
                       TargetNotice& aNotice)
--- a/libs/forwarding/src/NativeDialect.cpp
+++ b/libs/forwarding/src/NativeDialect.cpp
@@ -117,12 +117,11 @@
   TargetNotice ReadNotice(
     int aStatus,
     const std::vector<wire::HeaderField>& aFields) const override;
-  bool IsAnswerTo(const wire::CallRequest& aRequest,
-                  const std::vector<wire::HeaderField>& aFields) const override
+  AnswerOrigin OriginOf(
+    const wire::CallRequest& aRequest,
+    const std::vector<wire::HeaderField>& aFields) const override
   {
-    const std::string* answered = FindField(aFields, kRequestIdHeader);
-    const std::string* sent = FindField(aRequest.headers, kRequestIdHeader);
-    return answered == nullptr || sent == nullptr || *answered == *sent;
+    return CompareIds(aRequest.headers, aFields, kRequestIdHeader);
   }
 
 private:
