Ignore reports that can't be of the node's own target

Cause: any readable report with a later start was taken for that of a new target. Four ways, each by what the report says:

- a service that the configuration doesn't name;
- a start time far ahead of the clock, after which all others look late;
- a great sequence number for the same start: the reports that followed were acknowledged, ignored, and did not renew the lease, so that the target was given up after 10 s;
- an address that is none (port 0, 10.0.0.999), which was dialled as 0.0.0.0.

Ruled out by tests that pass on the code before: deep nesting (200,000 levels in reports, 500,000 in configurations), numbers beyond 64 bits, ports above 65535 and invalid UTF-8 end no process and are refused.

Change: a report whose service is neither the one beside the node nor known to the configuration is ignored and logged as "foreign", and so is a start more than 60 s ahead. Late reports of the current start renew its lease.

--- a/apps/wigeonfold-node/DataPlane.cpp
+++ b/apps/wigeonfold-node/DataPlane.cpp
@@ -182,12 +182,10 @@
 {
   const auto result = m_target.Announce(aAnnouncement, Clock::now());
   if (result != discovery::ReportResult::Applied) {
-    m_log.Record(
-      EventId::TargetReportIgnored,
-      { { "instance", aAnnouncement.m_instance },
-        { "sequence", std::to_string(aAnnouncement.m_sequence) },
-        { "reason",
-          result == discovery::ReportResult::Stale ? "late" : "left" } });
+    m_log.Record(EventId::TargetReportIgnored,
+                 { { "instance", aAnnouncement.m_instance },
+                   { "sequence", std::to_string(aAnnouncement.m_sequence) },
+                   { "reason", discovery::ToString(result) } });
   }
 }
 
--- a/apps/wigeonfold-node/TargetSide.cpp
+++ b/apps/wigeonfold-node/TargetSide.cpp
@@ -80,8 +80,16 @@
 discovery::ReportResult TargetSide::Announce(const Announcement& aAnnouncement,
                                              TimePoint aNow)
 {
+  if (!MayBeOfOwnTarget(aAnnouncement)) {
+    return discovery::ReportResult::Foreign;
+  }
   const auto result =
     m_reports.Apply(aAnnouncement, std::chrono::system_clock::now());
+  if (m_target && !m_leaseLost && aAnnouncement.Start() == m_target->Start()) {
+    // A late report of the current start is a sign of life as well. All of them
+    // look late after another writer's report with a great sequence number.
+    m_leaseEnd = aNow + m_options.m_announceLease;
+  }
   if (result != discovery::ReportResult::Applied) {
     return result;
   }
@@ -110,6 +118,18 @@
   return result;
 }
 
+// Another writer's report may name a service that nobody knows. Reports that
+// the target has left name none.
+bool TargetSide::MayBeOfOwnTarget(const Announcement& aAnnouncement) const
+{
+  const std::string& service = aAnnouncement.m_service;
+  if (service.empty() || service == ServiceName()) {
+    return true;
+  }
+  return m_view ? m_view->Find(service) != nullptr
+                : m_options.m_service.empty();
+}
+
 void TargetSide::NoteLeaving(const discovery::TargetStart& aStart,
                              TimePoint aNow)
 {
--- a/apps/wigeonfold-node/TargetSide.h
+++ b/apps/wigeonfold-node/TargetSide.h
@@ -122,6 +122,7 @@
     Exchange m_exchange;
   };
 
+  bool MayBeOfOwnTarget(const Announcement& aAnnouncement) const;
   std::optional<forwarding::Outcome> CheckServable(
     const wire::CallRequest& aRequest) const;
   size_t ExpectedLargeAnswer(const wire::CallRequest& aRequest) const;
--- a/apps/wigeonfold-node/test/TestNodes.h
+++ b/apps/wigeonfold-node/test/TestNodes.h
@@ -201,7 +201,7 @@
     settings.m_queue = "fair";
     settings.m_peerConnectTimeout = 250ms;
     settings.m_targetConnectTimeout = 250ms;
-    settings.m_announceLease = 60s;
+    settings.m_announceLease = m_announceLease;
     settings.m_drainLinger = 100ms;
     settings.m_drainLimit = 10s;
     auto node = std::make_unique<DataPlane>(
@@ -356,6 +356,7 @@
     EXPECT_NE(FieldOf(aAnswer, kTargetHeader), "");
   }
 
+  Duration m_announceLease = 60s; // of nodes that are started from now on
   asio::io_context m_io{ 1 };
   asio::executor_work_guard<asio::io_context::executor_type> m_guard;
   EventLog m_log;
--- a/libs/base/src/Settings.cpp
+++ b/libs/base/src/Settings.cpp
@@ -1,9 +1,11 @@
 #include "wigeonfold/base/Settings.h"
 
 #include <algorithm>
+#include <arpa/inet.h>
 #include <array>
 #include <boost/algorithm/string.hpp>
 #include <charconv>
+#include <cstddef>
 #include <cstring>
 #include <fstream>
 #include <ini.h>
@@ -111,10 +113,11 @@
     host = host.substr(1, host.size() - 2);
   }
   const auto port = ParseNumber<uint16_t>(aText.substr(colon + 1));
-  const bool plausible =
-    !host.empty() &&
-    host.find_first_not_of("0123456789abcdefABCDEF.:") == std::string::npos;
-  if (!plausible || !port) {
+  std::array<std::byte, sizeof(in6_addr)> address{};
+  const bool isAddress =
+    inet_pton(AF_INET, host.c_str(), address.data()) == 1 ||
+    inet_pton(AF_INET6, host.c_str(), address.data()) == 1;
+  if (!isAddress || !port) {
     return fail();
   }
   return SocketAddress{ host, *port };
--- a/libs/discovery/include/wigeonfold/discovery/TargetReport.h
+++ b/libs/discovery/include/wigeonfold/discovery/TargetReport.h
@@ -54,8 +54,12 @@
   Applied,
   Stale,   // not newer than the last report, or not of the newest start
   Retired, // of a start that has left or was replaced
+  Foreign, // another writer's; it can't be of the target beside the node
 };
 
+// "applied", "late", "left" or "foreign".
+const char* ToString(ReportResult aResult);
+
 // Applies the reports of the target beside one node and rejects delayed,
 // reordered and repeated ones. A start that is known to leave never becomes
 // Ready again, and one that reported Gone stays Gone. A report that the target
@@ -78,6 +82,10 @@
   // Last start that is known to leave or to have left.
   std::optional<TargetStart> LastLeaving() const;
 
+  // A start time further ahead of the wall clock than this is not one. The
+  // clocks of a target and its node, on one VM, differ by less.
+  static constexpr std::chrono::seconds kMaxClockAhead{ 60 };
+
 private:
   ReportResult ApplyGone(const TargetReport& aReport,
                          std::chrono::system_clock::time_point aReceived);
--- a/libs/discovery/src/TargetReport.cpp
+++ b/libs/discovery/src/TargetReport.cpp
@@ -21,6 +21,13 @@
     });
 }
 
+int64_t SinceEpochMs(std::chrono::system_clock::time_point aTime)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           aTime.time_since_epoch())
+    .count();
+}
+
 void Remember(std::deque<TargetStart>& aStarts, const TargetStart& aStart)
 {
   if (!aStarts.empty() && aStarts.back() == aStart) {
@@ -34,6 +41,21 @@
 
 } // namespace
 
+const char* ToString(ReportResult aResult)
+{
+  switch (aResult) {
+    case ReportResult::Applied:
+      return "applied";
+    case ReportResult::Stale:
+      return "late";
+    case ReportResult::Retired:
+      return "left";
+    case ReportResult::Foreign:
+      return "foreign";
+  }
+  return "applied";
+}
+
 wire::TargetStart ToWire(const TargetStart& aStart)
 {
   wire::TargetStart start;
@@ -70,6 +92,9 @@
   const TargetReport& aReport,
   std::chrono::system_clock::time_point aReceived)
 {
+  if (aReport.m_startedAtMs > SinceEpochMs(aReceived + kMaxClockAhead)) {
+    return ReportResult::Foreign;
+  }
   if (Covers(m_retired, aReport.Start())) {
     return ReportResult::Retired;
   }
@@ -106,10 +131,7 @@
   TargetStart start = aReport.Start();
   if (start.m_startedAtMs == 0) {
     start.m_startedAtMs =
-      isCurrent ? m_current->m_startedAtMs
-                : std::chrono::duration_cast<std::chrono::milliseconds>(
-                    aReceived.time_since_epoch())
-                    .count();
+      isCurrent ? m_current->m_startedAtMs : SinceEpochMs(aReceived);
   }
   if (isCurrent && start.m_startedAtMs < m_current->m_startedAtMs) {
     return ReportResult::Stale;
--- a/libs/discovery/test/TargetReport_test.cpp
+++ b/libs/discovery/test/TargetReport_test.cpp
@@ -136,6 +136,19 @@
   EXPECT_EQ(reports.Current()->m_state, ReportedState::Ready);
 }
 
+// Another writer's report with a start time that can't be one would make all
+// reports of the target look like those of an earlier start.
+TEST(TargetReportTracker, IgnoresAStartTimeFarAheadOfTheClock)
+{
+  TargetReportTracker reports;
+  Apply(reports, Report("a", 100, 2));
+  EXPECT_EQ(Apply(reports, Report("odd", INT64_MAX, 1)), ReportResult::Foreign);
+  EXPECT_EQ(Apply(reports, Report("a", INT64_MAX, 1, ReportedState::Gone)),
+            ReportResult::Foreign);
+  EXPECT_EQ(Apply(reports, Report("a", 100, 3)), ReportResult::Applied);
+  EXPECT_EQ(reports.Current()->m_instance, "a");
+}
+
 TEST(TargetReportTracker, RejectsReportsOfAReplacedStart)
 {
   TargetReportTracker reports;
