Ignore a hinted limit that is no number

A peer's message may carry any value. NaN would have become the interval of the token bucket. HintThatIsNoLimitIsIgnored fails without the check.

--- a/libs/admission/include/wigeonfold/admission/RateLimit.h
+++ b/libs/admission/include/wigeonfold/admission/RateLimit.h
@@ -21,7 +21,8 @@
   bool OnAnswer(std::optional<double> aPerSecond,
                 TimePoint aWritten,
                 TimePoint aNow);
-  // Another node knows this limit. Counts only until the target answers.
+  // Another node knows this limit. Counts only until the target answers; what
+  // is no finite number >= 0 is ignored.
   bool OnHint(double aPerSecond, TimePoint aNow);
   // Another start of the target: nothing is known of its limit.
   void Reset() { *this = RateLimit(); }
--- a/libs/admission/src/RateLimit.cpp
+++ b/libs/admission/src/RateLimit.cpp
@@ -1,6 +1,7 @@
 #include "wigeonfold/admission/RateLimit.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace wigeonfold::admission {
 
@@ -20,7 +21,8 @@
 
 bool RateLimit::OnHint(double aPerSecond, TimePoint aNow)
 {
-  return !m_answered && Set(aPerSecond, aNow);
+  const bool isLimit = std::isfinite(aPerSecond) && aPerSecond >= 0;
+  return isLimit && !m_answered && Set(aPerSecond, aNow);
 }
 
 bool RateLimit::Set(std::optional<double> aPerSecond, TimePoint aNow)
--- a/libs/admission/test/RateLimit_test.cpp
+++ b/libs/admission/test/RateLimit_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <gtest/gtest.h>
+#include <limits>
 #include <rapidcheck/gtest.h>
 
 namespace wigeonfold::admission {
@@ -61,6 +62,17 @@
   EXPECT_FALSE(limit.PerSecond());
 }
 
+TEST(RateLimit, HintThatIsNoLimitIsIgnored)
+{
+  RateLimit limit;
+  for (const double odd : { -1.0,
+                            std::numeric_limits<double>::quiet_NaN(),
+                            std::numeric_limits<double>::infinity() }) {
+    EXPECT_FALSE(limit.OnHint(odd, kStart));
+    EXPECT_FALSE(limit.PerSecond());
+  }
+}
+
 // A target that got no request at all could not say that its limit has ended.
 TEST(RateLimit, LimitOfZeroStillLetsARequestPassNowAndThen)
 {
