Don't run a timer of a data plane that was destroyed

wigeonfold-node_TargetLimit_test crashed once beside load (SEGFAULT in IsKeptAfterARestartOfTheTargetsNode). The stack shows DataPlane::Tick() on a destroyed object: a timer that has run out already calls back without an error, although it is destroyed before. Only tests destroy a data plane while its io_context runs; a process stops the io_context first.

--- a/apps/wigeonfold-node/DataPlane.cpp
+++ b/apps/wigeonfold-node/DataPlane.cpp
@@ -101,7 +101,10 @@
 {
 }
 
-DataPlane::~DataPlane() = default;
+DataPlane::~DataPlane()
+{
+  *m_alive = false;
+}
 
 PeerClientHandlers DataPlane::MakePeerClientHandlers()
 {
@@ -293,11 +296,12 @@
   }
   FinishIfDrained(now);
   m_tickTimer.expires_after(kTickInterval);
-  m_tickTimer.async_wait([this](boost::system::error_code aCode) {
-    if (!aCode) {
-      Tick();
-    }
-  });
+  m_tickTimer.async_wait(
+    [this, alive = m_alive](boost::system::error_code aCode) {
+      if (!aCode && *alive) {
+        Tick();
+      }
+    });
 }
 
 void DataPlane::EverySecond()
@@ -325,11 +329,12 @@
   m_callerServer->Drain(m_settings.m_drainLinger,
                         [this] { m_callersDone = true; });
   m_lingerTimer.expires_after(m_settings.m_drainLinger);
-  m_lingerTimer.async_wait([this](boost::system::error_code aCode) {
-    if (!aCode) {
-      OnLingerOver();
-    }
-  });
+  m_lingerTimer.async_wait(
+    [this, alive = m_alive](boost::system::error_code aCode) {
+      if (!aCode && *alive) {
+        OnLingerOver();
+      }
+    });
 }
 
 // Sends goaway to the nodes that connected since the shutdown began. A peer
--- a/apps/wigeonfold-node/DataPlane.h
+++ b/apps/wigeonfold-node/DataPlane.h
@@ -99,6 +99,9 @@
   bool m_stopping = false;
   bool m_lingerOver = false;
   bool m_callersDone = false;
+  // False once this object is destroyed: a timer that has run out calls back
+  // even if it is destroyed before.
+  const std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 } // namespace wigeonfold::node
--- a/apps/wigeonfold-node/TargetSide.cpp
+++ b/apps/wigeonfold-node/TargetSide.cpp
@@ -647,7 +647,7 @@
     wire::TargetLimit named;
     named.start = ToWire(m_target->Start());
     named.perSecond = *limit;
-    load.__set_limit(std::move(named));
+    load.__set_limit(named);
   }
   load.waitUs = ToMicroseconds(
     m_admission.ExpectedWait(std::numeric_limits<int>::min(), Clock::now()));
