Acknowledge no change that one lost disk can end

Cause: changes were accepted with tolerated-losses + 1 voters. The change is then on two disks, but two voters have a quorum of two: one lost disk ends the group although the other holds the change.

Change: V voters bear n lost disks if V - n of them are still a majority, so a change waits for 2n + 1 voters while VMs in contact are about to become voters, 2 s at most (consensus::ChangeGate). It doesn't wait for VMs that are lost already, so that a group with one VM down accepts changes as before. The same holds while a VM with a lost disk is replaced.

--- a/apps/wigeonfold-control/ControlSettings.cpp
+++ b/apps/wigeonfold-control/ControlSettings.cpp
@@ -55,7 +55,7 @@
     static_cast<size_t>(aFile.Integer(kControl, "tolerated-losses", 1, 0, 10));
   aSettings.m_policy.m_voters = 2 * losses + 1;
   if (aSettings.m_automaticMembers) {
-    aSettings.m_minVoters = losses + 1;
+    aSettings.m_toleratedLosses = losses;
   }
 }
 
--- a/apps/wigeonfold-control/ControlSettings.h
+++ b/apps/wigeonfold-control/ControlSettings.h
@@ -41,9 +41,9 @@
   bool m_automaticMembers = false;
   bool m_isSeed = false; // the configured seeds contain this VM
   consensus::MembershipPolicyOptions m_policy;
-  // Changes are refused while the cluster has fewer voters, so that an accepted
-  // change is on at least this many disks.
-  size_t m_minVoters = 1;
+  // Number of disks that may be lost at once without losing an acknowledged
+  // change.
+  size_t m_toleratedLosses = 0;
   // Address of the platform's operator interface, both to listen on and
   // announced to others. Not served unless set.
   std::optional<SocketAddress> m_operatorListen;
--- a/apps/wigeonfold-control/Core.h
+++ b/apps/wigeonfold-control/Core.h
@@ -5,6 +5,7 @@
 #include "Messages.h"
 
 #include "wigeonfold/base/Events.h"
+#include "wigeonfold/consensus/ChangeGate.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -123,6 +124,7 @@
 
   // Control VMs whose hello arrived since the start, by member id.
   std::map<consensus::MemberId, consensus::ControlVmState> m_peers;
+  consensus::ChangeGate m_changeGate;
   bool m_bootstrapSettled = false;    // done, refused or not configured
   bool m_addingInitialVoters = false; // since this run created the cluster
   // Member ids by name: this VM and the initial voters that this run tried to
--- a/apps/wigeonfold-control/CoreCalls.cpp
+++ b/apps/wigeonfold-control/CoreCalls.cpp
@@ -108,8 +108,8 @@
   if (Redirect(aCall.m_callId, aCall.m_target, format, aNow)) {
     return;
   }
-  if (consensus::VoterCount(m_raft.CurrentMembership()) <
-      m_settings.m_minVoters) {
+  if (!m_changeGate.MayAccept(
+        m_raft.CurrentMembership(), m_raft.Self(), m_peers, aNow)) {
     AnswerUnknown(aCall.m_callId,
                   format,
                   "the cluster has too few voters to accept a change");
