--- a/apps/wigeonfold-node/test/LeavingTarget_test.cpp
+++ b/apps/wigeonfold-node/test/LeavingTarget_test.cpp
@@ -74,7 +74,7 @@
     successor.m_instance = "j";
     m_nodes[1]->OnAnnouncement(successor);
   });
-  // A node of its own, since this one avoids the draining endpoint for a while.
+  // Sent from n1, since n0 avoids an endpoint that refused as draining.
   EXPECT_EQ(Call(1, Post("/lots")).m_body, "new");
 }
 
--- a/libs/admission/test/RateLimit_test.cpp
+++ b/libs/admission/test/RateLimit_test.cpp
@@ -2,7 +2,7 @@
 // and against a limit that outlives the need for it.
 #include "wigeonfold/admission/Admission.h"
 
-#include <algorithm>
+#include <deque>
 #include <gtest/gtest.h>
 #include <limits>
 #include <rapidcheck/gtest.h>
