Use no name of the platform in a test of the node

AnswerThatStopsAnywhereIsUnknown bore a header name of the users' platform, which belongs to platform/ only. The field's name plays no part in the test; what it cuts and expects is unchanged, and it passes.

--- a/apps/wigeonfold-node/test/Forwarding_test.cpp
+++ b/apps/wigeonfold-node/test/Forwarding_test.cpp
@@ -50,7 +50,7 @@
 TEST_F(Forwarding, AnswerThatStopsAnywhereIsUnknown)
 {
   for (const std::string& whole :
-       { std::string("HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\n"
+       { std::string("HTTP/1.1 200 OK\r\nX-Signature: s\r\n"
                      "Content-Length: 12\r\n\r\nall the body"),
          std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                      "6\r\nall of\r\n0\r\n\r\n") }) {
