Log each report that a target leaves when it is acknowledged

A leave that was acknowledged left a line only if it changed the state of the target, so the logs could not tell an acknowledged leave that was forgotten from one that was dropped. Event 2120 names the instance when the report is answered.

--- a/apps/wigeonfold-node/LocalApi.cpp
+++ b/apps/wigeonfold-node/LocalApi.cpp
@@ -243,6 +243,10 @@
   if (!m_send(report.value())) {
     return PlainAnswer(503, "busy");
   }
+  if (report.value().m_state != discovery::ReportedState::Ready) {
+    m_log.Record(EventId::LeaveAcknowledged,
+                 { { "instance", report.value().m_instance } });
+  }
   return Answer(200, "{}", kJsonType);
 }
 
--- a/libs/base/include/wigeonfold/base/Events.h
+++ b/libs/base/include/wigeonfold/base/Events.h
@@ -89,7 +89,8 @@
   X(PeerReachable,          2116, Info,    "an unreachable node responded again") \
   X(TargetLeaving,          2117, Info,    "the node's own target leaves, as its answer or another node says") \
   X(TargetLimitChanged,     2118, Info,    "the node's own target named another limit on its requests per second, or none any more") \
-  X(TargetNoticeMalformed,  2119, Warning, "the node's own target said something of itself that can't be read; it is ignored")
+  X(TargetNoticeMalformed,  2119, Warning, "the node's own target said something of itself that can't be read; it is ignored") \
+  X(LeaveAcknowledged,      2120, Info,    "a report that the node's own target leaves was answered with success")
 // clang-format on
 
 enum class EventId : int
