Publish the freshness age after what a tick of Raft has committed

Cause: the core published the age between Raft's tick and the execution of its actions. The age counts committed entries as applied, so the thread of the nodes' sessions could confirm a node by an age whose tree it had not been given yet, by some microseconds. Found by reading, while the same order was needed for starts of targets that left.

Ruled out: messages of other members, whose actions are executed at once.

--- a/apps/wigeonfold-control/Core.cpp
+++ b/apps/wigeonfold-control/Core.cpp
@@ -94,11 +94,14 @@
 {
   const TimePoint now = Clock::now();
   m_raft.Tick(now);
+  // Before the freshness age is published, which counts what is committed as
+  // applied.
+  ExecuteRaftActions(now);
   if (now >= m_nextHousekeeping) {
     m_nextHousekeeping = now + kHousekeepingInterval;
     Housekeep(now);
+    ExecuteRaftActions(now);
   }
-  ExecuteRaftActions(now);
 }
 
 void Core::Housekeep(TimePoint aNow)
