--- a/apps/wigeonfold-control/Core.cpp
+++ b/apps/wigeonfold-control/Core.cpp
@@ -110,6 +110,7 @@
   MaybeProposeCluster(aNow);
   AddInitialVoters(aNow);
   MaintainMembership(aNow);
+  ProposeLeaving(aNow);
   ExpireCalls(aNow);
   m_channels.m_coreToNet.TryPush(
     SetFreshness{ m_raft.FreshnessAge(aNow), aNow });
@@ -144,6 +145,10 @@
         vm.m_contactAt = now;
       }
     }
+  } else if (auto* leaving = std::get_if<LeavingReceived>(&aMessage)) {
+    Execute(*leaving);
+    ProposeLeaving(now);
+    ExecuteRaftActions(now);
   }
 }
 
@@ -175,6 +180,7 @@
     if (m_registry.TreeVersion() != before || actions.m_restore) {
       PublishTree();
     }
+    PublishLeaving();
     for (consensus::RaftEvent& event : actions.m_events) {
       m_log.Record(event.m_id, std::move(event.m_fields));
     }
@@ -237,6 +243,7 @@
     m_onFailure(applied.error());
     return std::nullopt;
   }
+  m_leavingProposals.OnApplied();
   const auto& result = applied.value();
   if (result && result->outcome == wire::AcceptOutcome::Accepted) {
     ++m_accepted;
@@ -285,6 +292,14 @@
   m_channels.m_coreToNet.Push(DistributeTree{ m_registry.NewestTree() });
 }
 
+void Core::PublishLeaving()
+{
+  for (const std::string& node : m_registry.TakeChangedLeaving()) {
+    m_channels.m_coreToNet.Push(
+      SetLeaving{ node, m_registry.Leaving().Find(node) });
+  }
+}
+
 void Core::PublishMembership()
 {
   const wire::Membership& membership = m_raft.CurrentMembership();
--- a/apps/wigeonfold-control/Core.h
+++ b/apps/wigeonfold-control/Core.h
@@ -6,6 +6,7 @@
 
 #include "wigeonfold/base/Events.h"
 #include "wigeonfold/consensus/ChangeGate.h"
+#include "wigeonfold/registry/LeavingProposals.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -66,6 +67,7 @@
                          const std::optional<wire::AcceptResult>& aResult);
   void PublishTree();
   void PublishMembership();
+  void PublishLeaving();
   void PublishSummary(TimePoint aNow);
 
   // ---- Cluster formation and membership ----
@@ -79,6 +81,10 @@
   void AddInitialVoters(TimePoint aNow);
   bool ProposeInitialVoter(const wire::ControlHello& aPeer, TimePoint aNow);
 
+  // ---- Targets that leave ----
+  void Execute(const LeavingReceived& aReport);
+  void ProposeLeaving(TimePoint aNow);
+
   // ---- Calls ----
   void Execute(const ReadCall& aCall, TimePoint aNow);
   void Execute(AcceptCall& aCall, TimePoint aNow);
@@ -125,6 +131,7 @@
   // Control VMs whose hello arrived since the start, by member id.
   std::map<consensus::MemberId, consensus::ControlVmState> m_peers;
   consensus::ChangeGate m_changeGate;
+  registry::LeavingProposals m_leavingProposals;
   bool m_bootstrapSettled = false;    // done, refused or not configured
   bool m_addingInitialVoters = false; // since this run created the cluster
   // Member ids by name: this VM and the initial voters that this run tried to
--- a/apps/wigeonfold-control/CoreCalls.cpp
+++ b/apps/wigeonfold-control/CoreCalls.cpp
@@ -155,6 +155,41 @@
   }
 }
 
+// ---- Targets that leave ----------------------------------------------------
+
+// Only the leader can store it. A report is forwarded once, as two members may
+// take each other for the leader for a moment.
+void Core::Execute(const LeavingReceived& aReport)
+{
+  if (m_raft.GetRole() == consensus::Role::Leader) {
+    m_leavingProposals.Add(aReport.m_nodeName, aReport.m_start);
+  } else if (!aReport.m_forwarded && m_raft.LeaderId() != 0) {
+    ForwardLeaving forward;
+    forward.m_toMember = m_raft.LeaderId();
+    forward.m_report.nodeName = aReport.m_nodeName;
+    forward.m_report.start = wire::ToWire(aReport.m_start);
+    m_channels.m_coreToNet.TryPush(std::move(forward));
+  }
+}
+
+void Core::ProposeLeaving(TimePoint aNow)
+{
+  if (m_raft.GetRole() != consensus::Role::Leader ||
+      !m_registry.IsBootstrapped()) {
+    return;
+  }
+  const auto leaving = m_leavingProposals.Next(m_registry.Leaving(), aNow);
+  if (!leaving || !m_changeGate.MayAccept(
+                    m_raft.CurrentMembership(), m_raft.Self(), m_peers, aNow)) {
+    return;
+  }
+  wire::RegistryCommand command;
+  command.__set_leaving(*leaving);
+  if (m_raft.Propose(aNow, wire::Encode(command))) {
+    m_leavingProposals.OnProposed(aNow);
+  }
+}
+
 // ---- Members ---------------------------------------------------------------
 
 void Core::Execute(MemberCall& aCall, TimePoint aNow)
--- a/apps/wigeonfold-control/Messages.h
+++ b/apps/wigeonfold-control/Messages.h
@@ -4,6 +4,7 @@
 #include "Channel.h"
 
 #include "wigeonfold/base/Settings.h"
+#include "wigeonfold/base/TargetStart.h"
 
 #include "wigeonfold/consensus/Raft.h"
 #include "wigeonfold/distribution/NodeSessions.h"
@@ -39,7 +40,16 @@
   wire::ControlHello m_hello;
 };
 
-using CoreMessage = std::variant<RaftReceived, HelloReceived, ConnectedPeers>;
+// A start of a target leaves, as its node or another control VM says.
+struct LeavingReceived
+{
+  std::string m_nodeName;
+  TargetStart m_start;
+  bool m_forwarded = false; // by another control VM
+};
+
+using CoreMessage =
+  std::variant<RaftReceived, HelloReceived, ConnectedPeers, LeavingReceived>;
 
 // ---- Core to net -----------------------------------------------------------
 
@@ -72,8 +82,28 @@
   TimePoint m_measuredAt;
 };
 
-using NetMessage =
-  std::variant<SendRaft, SetPeers, AddSeeds, DistributeTree, SetFreshness>;
+// The leaving starts of a node's targets that are stored now. Precedes the
+// SetFreshness that says that their entry is applied.
+struct SetLeaving
+{
+  std::string m_nodeName;
+  std::vector<TargetStart> m_starts;
+};
+
+// To the leader, which stores it.
+struct ForwardLeaving
+{
+  int64_t m_toMember = 0;
+  wire::LeavingReport m_report;
+};
+
+using NetMessage = std::variant<SendRaft,
+                                SetPeers,
+                                AddSeeds,
+                                DistributeTree,
+                                SetFreshness,
+                                SetLeaving,
+                                ForwardLeaving>;
 
 // ---- Core to storage and back ----------------------------------------------
 
--- a/apps/wigeonfold-control/Network.cpp
+++ b/apps/wigeonfold-control/Network.cpp
@@ -60,31 +60,35 @@
       }(),
       m_table,
       aSeed)
-  , m_peers(
-      aIo,
-      aSettings,
-      aMemberId,
-      aSeed + 1,
-      aLog,
-      PeerHandlers{ [this](const wire::ControlHello& aHello) {
-                     m_channels.m_netToCore.Push(HelloReceived{ aHello });
-                   },
-                    [this](wire::RaftMessage aMessage) {
-                      m_channels.m_netToCore.TryPush(
-                        RaftReceived{ std::move(aMessage) });
-                    },
-                    [this](const wire::EndpointSync& aSync,
-                           const net::ConnectionPtr& aConnection) {
-                      const auto answer = m_table.OnSync(aSync, Clock::now());
-                      if (!answer) {
-                        return;
-                      }
-                      if (answer->request) {
-                        m_log.Record(EventId::EndpointResync,
-                                     { { "peer", aConnection->Peer() } });
-                      }
-                      aConnection->Send(wire::FrameType::EndpointSync, *answer);
-                    } })
+  , m_peers(aIo,
+            aSettings,
+            aMemberId,
+            aSeed + 1,
+            aLog,
+            PeerHandlers{
+              [this](const wire::ControlHello& aHello) {
+                m_channels.m_netToCore.Push(HelloReceived{ aHello });
+              },
+              [this](wire::RaftMessage aMessage) {
+                m_channels.m_netToCore.TryPush(
+                  RaftReceived{ std::move(aMessage) });
+              },
+              [this](const wire::EndpointSync& aSync,
+                     const net::ConnectionPtr& aConnection) {
+                const auto answer = m_table.OnSync(aSync, Clock::now());
+                if (!answer) {
+                  return;
+                }
+                if (answer->request) {
+                  m_log.Record(EventId::EndpointResync,
+                               { { "peer", aConnection->Peer() } });
+                }
+                aConnection->Send(wire::FrameType::EndpointSync, *answer);
+              },
+              [this](const wire::LeavingReport& aReport) {
+                m_channels.m_netToCore.TryPush(LeavingReceived{
+                  aReport.nodeName, wire::FromWire(aReport.start), true });
+              } })
 {
   m_sessions.SetEndpointsComplete(false);
 }
@@ -153,6 +157,11 @@
     Execute(m_sessions.SetTree(*tree->m_tree, Clock::now()));
   } else if (auto* age = std::get_if<SetFreshness>(&aMessage)) {
     Execute(m_sessions.SetFreshness(age->m_freshnessAge, age->m_measuredAt));
+  } else if (auto* leaving = std::get_if<SetLeaving>(&aMessage)) {
+    Execute(m_sessions.SetLeaving(
+      leaving->m_nodeName, std::move(leaving->m_starts), Clock::now()));
+  } else if (auto* forward = std::get_if<ForwardLeaving>(&aMessage)) {
+    m_peers.SendLeaving(forward->m_toMember, forward->m_report);
   }
 }
 
@@ -309,6 +318,12 @@
   }
 }
 
+void Network::Execute(const distribution::LeavingReported& aAction)
+{
+  m_channels.m_netToCore.TryPush(
+    LeavingReceived{ aAction.m_nodeName, aAction.m_start, false });
+}
+
 void Network::Execute(const distribution::NodeRefused& aAction)
 {
   m_log.Record(EventId::NodeRefusedVersion,
--- a/apps/wigeonfold-control/Network.h
+++ b/apps/wigeonfold-control/Network.h
@@ -65,6 +65,7 @@
   void Execute(const distribution::NodeActions& aActions);
   void Execute(const distribution::SendToNode& aAction);
   void Execute(const distribution::CloseNode& aAction);
+  void Execute(const distribution::LeavingReported& aAction);
   void Execute(const distribution::NodeRefused& aAction);
 
   boost::asio::io_context& m_io;
--- a/apps/wigeonfold-control/PeerLinks.cpp
+++ b/apps/wigeonfold-control/PeerLinks.cpp
@@ -253,6 +253,7 @@
   hello.clusterId = m_clusterId;
   hello.hasLog = m_hasLog;
   hello.readsPackedEntries = true;
+  hello.readsLeavingReports = true;
   aConnection->Send(FrameType::ControlHello, hello);
 }
 
@@ -285,6 +286,13 @@
     if (valid) {
       m_handlers.m_onSync(sync.value(), aConnection);
     }
+  } else if (aFrame.m_type == FrameType::LeavingReport && identified) {
+    const auto report =
+      wire::Decode<wire::LeavingReport>(aFrame.m_payload, peer);
+    valid = static_cast<bool>(report);
+    if (valid) {
+      m_handlers.m_onLeaving(report.value());
+    }
   }
   if (!valid) {
     m_log.Record(EventId::ConnectionRejected, { { "peer", peer } });
@@ -326,6 +334,7 @@
   link.m_memberId = aHello.memberId;
   link.m_name = aHello.name;
   link.m_readsPackedEntries = aHello.readsPackedEntries;
+  link.m_readsLeavingReports = aHello.readsLeavingReports;
   if (dialer) {
     dialer->m_backoff.Reset();
   }
@@ -369,18 +378,35 @@
   return members;
 }
 
-void PeerLinks::SendRaft(wire::RaftMessage aMessage)
+net::ConnectionPtr PeerLinks::UsableConnection(int64_t aMember) const
 {
   const auto members = MemberConnections();
-  const auto found = members.find(aMessage.toMember);
-  if (found == members.end() ||
-      found->second->QueuedBytes() >= kCongestedBytes) {
+  const auto found = members.find(aMember);
+  return found == members.end() ||
+             found->second->QueuedBytes() >= kCongestedBytes
+           ? nullptr
+           : found->second;
+}
+
+void PeerLinks::SendRaft(wire::RaftMessage aMessage)
+{
+  const net::ConnectionPtr connection = UsableConnection(aMessage.toMember);
+  if (!connection) {
     return;
   }
-  if (m_links.at(found->second.get()).m_readsPackedEntries) {
+  if (m_links.at(connection.get()).m_readsPackedEntries) {
     m_packer.Pack(aMessage);
   }
-  found->second->Send(FrameType::Raft, aMessage);
+  connection->Send(FrameType::Raft, aMessage);
+}
+
+void PeerLinks::SendLeaving(int64_t aToMember,
+                            const wire::LeavingReport& aReport)
+{
+  const net::ConnectionPtr connection = UsableConnection(aToMember);
+  if (connection && m_links.at(connection.get()).m_readsLeavingReports) {
+    connection->Send(FrameType::LeavingReport, aReport);
+  }
 }
 
 bool PeerLinks::AllConnected() const
--- a/apps/wigeonfold-control/PeerLinks.h
+++ b/apps/wigeonfold-control/PeerLinks.h
@@ -32,6 +32,7 @@
   // The connection is the one to answer on.
   std::function<void(const wire::EndpointSync&, const net::ConnectionPtr&)>
     m_onSync;
+  std::function<void(const wire::LeavingReport&)> m_onLeaving;
 };
 
 // Two VMs may have a connection opened by either side, or one by each. Each
@@ -73,6 +74,8 @@
   // Drops the message when there is no connection or it is congested, since
   // Raft repeats what is lost.
   void SendRaft(wire::RaftMessage aMessage);
+  // Drops the report as well: it is repeated until it is stored.
+  void SendLeaving(int64_t aToMember, const wire::LeavingReport& aReport);
 
   // The connection to use for each connected control VM, by member id. Contains
   // VMs that have not joined the cluster yet.
@@ -90,6 +93,7 @@
     std::string m_name;
     bool m_outgoing = false;
     bool m_readsPackedEntries = false;
+    bool m_readsLeavingReports = false;
     TimePoint m_lastReceived;  // last frame
     TimePoint m_lastKeepalive; // last hello sent as a keepalive
   };
@@ -104,6 +108,9 @@
     net::Connection* m_connection = nullptr;
   };
 
+  // The connection to use for a member, or null when there is none that can
+  // take a message now.
+  net::ConnectionPtr UsableConnection(int64_t aMember) const;
   Link& AddLink(const net::ConnectionPtr& aConnection, bool aOutgoing);
   void CheckLinks(TimePoint aNow);
   void AddDialer(const SocketAddress& aAddress);
--- a/apps/wigeonfold-node/ControlLink.cpp
+++ b/apps/wigeonfold-node/ControlLink.cpp
@@ -95,6 +95,8 @@
   const TimePoint now = Clock::now();
   if (const auto* record = std::get_if<wire::EndpointRecord>(&aMessage)) {
     Execute(m_subscriber.Announce(*record, now));
+  } else if (const auto* leaving = std::get_if<TargetStart>(&aMessage)) {
+    Execute(m_subscriber.StoreLeaving(*leaving, now));
   } else {
     Execute(m_subscriber.OnPeerVersion(std::get<Version>(aMessage), now));
   }
@@ -227,7 +229,7 @@
 
 void ControlLink::Do(const distribution::NoteLeaving& aAction)
 {
-  Unpublished().m_leaving = discovery::FromWire(aAction.m_start);
+  Unpublished().m_leaving.push_back({ aAction.m_start, aAction.m_stored });
   Publish();
 }
 
--- a/apps/wigeonfold-node/DataPlane.cpp
+++ b/apps/wigeonfold-node/DataPlane.cpp
@@ -163,8 +163,8 @@
 
 void DataPlane::OnView(const ViewUpdate& aUpdate)
 {
-  if (aUpdate.m_leaving) {
-    m_target.NoteLeaving(*aUpdate.m_leaving, Clock::now());
+  for (const KnownLeaving& leaving : aUpdate.m_leaving) {
+    OnKnownLeaving(leaving);
   }
   if (aUpdate.m_view) {
     m_view = aUpdate.m_view;
@@ -176,12 +176,28 @@
   }
   if (aUpdate.m_ready && !m_ready) {
     m_ready = true;
+    m_target.SetLeavingKnown(Clock::now());
     m_callerSide.SetReady();
     m_log.Record(EventId::NodeReady, {});
   }
 }
 
-void DataPlane::OnAnnouncement(const Announcement& aAnnouncement)
+void DataPlane::OnKnownLeaving(const KnownLeaving& aLeaving)
+{
+  m_target.NoteLeaving(aLeaving.m_start, Clock::now());
+  if (aLeaving.m_stored) {
+    Answer(m_leaveAnswers.OnStored(aLeaving.m_start), true);
+  }
+}
+
+void DataPlane::Answer(const std::vector<uint64_t>& aIds, bool aAcknowledged)
+{
+  for (const uint64_t id : aIds) {
+    m_hooks.m_onAnswer({ id, aAcknowledged });
+  }
+}
+
+void DataPlane::OnAnnouncement(const Announcement& aAnnouncement, uint64_t aId)
 {
   const auto result = m_target.Announce(aAnnouncement, Clock::now());
   if (result != discovery::ReportResult::Applied) {
@@ -190,6 +206,13 @@
                    { "sequence", std::to_string(aAnnouncement.m_sequence) },
                    { "reason", discovery::ToString(result) } });
   }
+  const auto leaving = m_target.LeavingStartOf(aAnnouncement);
+  if (!leaving || m_leaveAnswers.IsStored(*leaving)) {
+    Answer({ aId }, true);
+    return;
+  }
+  m_leaveAnswers.Wait(aId, *leaving, Clock::now());
+  m_hooks.m_onLeaving(*leaving);
 }
 
 StatusReport DataPlane::Report(uint64_t aId) const
@@ -227,7 +250,10 @@
   record.state = state == TargetState::Ready ? wire::EndpointState::Ready
                                              : wire::EndpointState::Draining;
   if (const auto leaving = m_target.LastLeaving()) {
-    record.__set_leaving(ToWire(*leaving));
+    record.__set_leaving(wire::ToWire(*leaving));
+    if (!m_leaveAnswers.IsStored(*leaving)) {
+      m_hooks.m_onLeaving(*leaving);
+    }
   }
   if (state != m_lastTargetState) {
     m_lastTargetState = state;
@@ -283,6 +309,7 @@
   m_target.Tick(now);
   m_callerSide.Tick(now);
   m_peerServer.Tick(now);
+  Answer(m_leaveAnswers.TakeExpired(now), false);
   if (m_announcePending) {
     AnnounceEndpoint();
   }
--- a/apps/wigeonfold-node/DataPlane.h
+++ b/apps/wigeonfold-node/DataPlane.h
@@ -6,6 +6,8 @@
 #include "NodeSettings.h"
 #include "PeerServer.h"
 
+#include "wigeonfold/discovery/LeaveAnswers.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
@@ -27,6 +29,10 @@
     std::function<bool(wire::EndpointRecord)> m_onEndpoint;
     // A peer has a newer version in force than this node.
     std::function<void(const Version&)> m_onPeerVersion;
+    // A start of the target leaves and is to be stored by the control VMs.
+    std::function<void(const TargetStart&)> m_onLeaving;
+    // Answers an announcement.
+    std::function<void(const AnnouncementAnswer&)> m_onAnswer;
   };
 
   // aDialect is spoken by callers and by the node's own target. aMetrics and
@@ -45,7 +51,9 @@
   Status Start();
 
   void OnView(const ViewUpdate& aUpdate);
-  void OnAnnouncement(const Announcement& aAnnouncement);
+  // aId is returned in the answer, which follows at once or, for a leave, when
+  // it is stored or wasn't in time.
+  void OnAnnouncement(const Announcement& aAnnouncement, uint64_t aId);
   // aId is the id of the StatusQuery.
   StatusReport Report(uint64_t aId) const;
 
@@ -62,6 +70,8 @@
   void Tick();
   void EverySecond();
   void AnnounceEndpoint();
+  void OnKnownLeaving(const KnownLeaving& aLeaving);
+  void Answer(const std::vector<uint64_t>& aIds, bool aAcknowledged);
   void OnPeerVersion(const Version& aVersion);
   void QueryPeerVersions();
   void OnLingerOver();
@@ -78,6 +88,7 @@
   admission::Link m_link;
   forwarding::AnswerSendQueue m_largeAnswers;
   TargetSide m_target;
+  discovery::LeaveAnswers m_leaveAnswers;
   PeerClient m_peerClient;
   CallerSide m_callerSide;
   PeerServer m_peerServer;
--- a/apps/wigeonfold-node/LocalApi.cpp
+++ b/apps/wigeonfold-node/LocalApi.cpp
@@ -137,12 +137,14 @@
 Status LocalApi::Start()
 {
   if (m_settings.m_announceListen) {
-    auto server = net::ServeHttp(
-      m_io,
-      *m_settings.m_announceListen,
-      [this](const net::HttpRequest& aRequest,
-             const net::HttpRespond& aRespond,
-             const auto&) { aRespond(HandleTargetReport(aRequest)); });
+    auto server =
+      net::ServeHttp(m_io,
+                     *m_settings.m_announceListen,
+                     [this](const net::HttpRequest& aRequest,
+                            net::HttpRespond aRespond,
+                            const auto&) {
+                       HandleTargetReport(aRequest, std::move(aRespond));
+                     });
     if (!server) {
       return server.error();
     }
@@ -179,6 +181,7 @@
   m_announceServer.reset();
   m_readyServer.reset();
   m_pendingQueries.clear();
+  m_pendingAnnouncements.clear();
 }
 
 void LocalApi::Handle(net::HttpRequest aRequest, net::HttpRespond aRespond)
@@ -189,8 +192,11 @@
   const std::string query =
     mark == std::string::npos ? "" : target.substr(mark + 1);
   if (path == "/wigeonfold/announce") {
-    aRespond(aRequest.m_method == "PUT" ? HandleAnnouncement(aRequest)
-                                        : PlainAnswer(405, "use PUT"));
+    if (aRequest.m_method == "PUT") {
+      HandleAnnouncement(aRequest, std::move(aRespond));
+    } else {
+      aRespond(PlainAnswer(405, "use PUT"));
+    }
   } else if (aRequest.m_method != "GET") {
     aRespond(PlainAnswer(405, "use GET"));
   } else if (path == "/status") {
@@ -209,16 +215,50 @@
   }
 }
 
-net::HttpResponse LocalApi::HandleAnnouncement(const net::HttpRequest& aRequest)
+void LocalApi::HandleAnnouncement(const net::HttpRequest& aRequest,
+                                  net::HttpRespond aRespond)
 {
   const auto announcement = ParseAnnouncement(aRequest.m_body);
   if (!announcement) {
-    return PlainAnswer(400, announcement.error().ToString());
+    aRespond(PlainAnswer(400, announcement.error().ToString()));
+    return;
+  }
+  PassOn(announcement.value(), std::move(aRespond));
+}
+
+void LocalApi::PassOn(Announcement aAnnouncement, net::HttpRespond aRespond)
+{
+  const uint64_t id = ++m_lastId;
+  PendingAnnouncement pending{ std::move(aRespond), "" };
+  if (aAnnouncement.m_state != discovery::ReportedState::Ready) {
+    pending.m_leaving = aAnnouncement.m_instance;
+  }
+  if (!m_send(AnnouncementReceived{ id, std::move(aAnnouncement) })) {
+    pending.m_respond(PlainAnswer(503, "busy"));
+    return;
+  }
+  m_pendingAnnouncements.emplace(id, std::move(pending));
+}
+
+void LocalApi::OnMessage(const AnnouncementAnswer& aAnswer)
+{
+  auto entry = m_pendingAnnouncements.extract(aAnswer.m_id);
+  if (entry.empty()) {
+    return;
   }
-  if (!m_send(announcement.value())) {
-    return PlainAnswer(503, "busy");
+  const PendingAnnouncement& pending = entry.mapped();
+  if (!aAnswer.m_acknowledged) {
+    m_log.Record(EventId::LeaveNotStored,
+                 { { "instance", pending.m_leaving } });
+    pending.m_respond(PlainAnswer(
+      503, "the control VMs have not stored that the target leaves; repeat"));
+    return;
   }
-  return Answer(200, "{}\n", kJsonType);
+  if (!pending.m_leaving.empty()) {
+    m_log.Record(EventId::LeaveAcknowledged,
+                 { { "instance", pending.m_leaving } });
+  }
+  pending.m_respond(Answer(200, "{}\n", kJsonType));
 }
 
 net::HttpResponse LocalApi::Timeline(const std::string& aQuery) const
@@ -231,23 +271,18 @@
 
 // A stale report, or one of a target that has left, is answered with 200 too:
 // the sender need not react to it.
-net::HttpResponse LocalApi::HandleTargetReport(const net::HttpRequest& aRequest)
+void LocalApi::HandleTargetReport(const net::HttpRequest& aRequest,
+                                  net::HttpRespond aRespond)
 {
   const auto report = platform::ParseTargetCall(aRequest);
   if (!report) {
     m_log.Record(EventId::TargetReportIgnored,
                  { { "reason", report.error().ToString() } });
     const bool unknown = report.error().m_code == ErrorCode::NotFound;
-    return PlainAnswer(unknown ? 404 : 400, report.error().ToString());
-  }
-  if (!m_send(report.value())) {
-    return PlainAnswer(503, "busy");
-  }
-  if (report.value().m_state != discovery::ReportedState::Ready) {
-    m_log.Record(EventId::LeaveAcknowledged,
-                 { { "instance", report.value().m_instance } });
+    aRespond(PlainAnswer(unknown ? 404 : 400, report.error().ToString()));
+    return;
   }
-  return Answer(200, "{}", kJsonType);
+  PassOn(report.value(), std::move(aRespond));
 }
 
 net::HttpResponse LocalApi::StatusAnswer(const StatusReport& aReport) const
@@ -263,7 +298,7 @@
 
 void LocalApi::QueryStatus(net::HttpRespond aRespond, MakeAnswer aMakeAnswer)
 {
-  const uint64_t id = ++m_lastQueryId;
+  const uint64_t id = ++m_lastId;
   if (!m_send(StatusQuery{ id })) {
     aRespond(PlainAnswer(503, "busy"));
     return;
@@ -272,7 +307,7 @@
                            PendingQuery{ std::move(aRespond), aMakeAnswer });
 }
 
-void LocalApi::OnReport(const StatusReport& aReport)
+void LocalApi::OnMessage(const StatusReport& aReport)
 {
   auto entry = m_pendingQueries.extract(aReport.m_id);
   if (!entry.empty()) {
--- a/apps/wigeonfold-node/LocalApi.h
+++ b/apps/wigeonfold-node/LocalApi.h
@@ -41,16 +41,21 @@
   Status Start();
   // Closes the servers; pending queries are not answered.
   void Stop();
-  // Answers the HTTP request that sent the query with the report's id.
-  void OnReport(const StatusReport& aReport);
+  // Answer the HTTP request that sent the query or the announcement with the
+  // message's id.
+  void OnMessage(const StatusReport& aReport);
+  void OnMessage(const AnnouncementAnswer& aAnswer);
 
   uint16_t Port() const { return m_server->Port(); }
 
 private:
   void Handle(net::HttpRequest aRequest, net::HttpRespond aRespond);
-  net::HttpResponse HandleAnnouncement(const net::HttpRequest& aRequest);
+  void HandleAnnouncement(const net::HttpRequest& aRequest,
+                          net::HttpRespond aRespond);
   net::HttpResponse Timeline(const std::string& aQuery) const;
-  net::HttpResponse HandleTargetReport(const net::HttpRequest& aRequest);
+  void HandleTargetReport(const net::HttpRequest& aRequest,
+                          net::HttpRespond aRespond);
+  void PassOn(Announcement aAnnouncement, net::HttpRespond aRespond);
 
   // Creates the answer to a request that needs the data thread's report.
   using MakeAnswer =
@@ -70,11 +75,17 @@
   EventLog& m_log;
   const std::function<bool(HttpToData)> m_send;
   std::unique_ptr<net::HttpServer> m_server;
-  uint64_t m_lastQueryId = 0;
+  uint64_t m_lastId = 0; // of a query or an announcement
   // Interfaces of the platform; null when no address is set for them.
   std::unique_ptr<net::HttpServer> m_announceServer;
   std::unique_ptr<net::HttpServer> m_readyServer;
   std::map<uint64_t, PendingQuery> m_pendingQueries;
+  struct PendingAnnouncement
+  {
+    net::HttpRespond m_respond;
+    std::string m_leaving; // instance; empty unless the target leaves
+  };
+  std::map<uint64_t, PendingAnnouncement> m_pendingAnnouncements;
 };
 
 } // namespace wigeonfold::node
--- a/apps/wigeonfold-node/Messages.h
+++ b/apps/wigeonfold-node/Messages.h
@@ -10,22 +10,44 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace wigeonfold::node {
 
+struct KnownLeaving
+{
+  TargetStart m_start;
+  bool m_stored = false; // by the control VMs
+};
+
 // From the control thread to the data thread.
 struct ViewUpdate
 {
   std::shared_ptr<const routing::View> m_view; // null: unchanged
   uint64_t m_digest = 0;
   bool m_ready = false; // callers' traffic may be accepted
-  // Start of the node's target that leaves, as announced before a restart.
-  std::optional<discovery::TargetStart> m_leaving;
+  // Starts of the node's target that leave, as announced before a restart or
+  // stored by the control VMs. They precede m_ready.
+  std::vector<KnownLeaving> m_leaving;
 };
 
-// A target's report of itself. From the HTTP thread to the data thread.
+// A target's report of itself.
 using Announcement = discovery::TargetReport;
 
+// From the HTTP thread to the data thread.
+struct AnnouncementReceived
+{
+  uint64_t m_id = 0; // returned in the answer
+  Announcement m_announcement;
+};
+
+// Answer to an AnnouncementReceived. From the data thread to the HTTP thread.
+struct AnnouncementAnswer
+{
+  uint64_t m_id = 0;
+  bool m_acknowledged = false; // otherwise the target is to report again
+};
+
 // Asks the data thread for a StatusReport.
 struct StatusQuery
 {
@@ -33,15 +55,15 @@
 };
 
 // From the HTTP thread to the data thread.
-using HttpToData = std::variant<Announcement, StatusQuery>;
+using HttpToData = std::variant<AnnouncementReceived, StatusQuery>;
 
 // State of the node's own target, as the node sees it.
 enum class TargetState
 {
   Absent, // never announced
   Ready,
-  // The target or its node shuts down, the lease is lost, or the configuration
-  // drains the node.
+  // The target or its node shuts down, the lease is lost, the configuration
+  // drains the node, or the node doesn't know yet which starts have left.
   Draining,
 };
 
@@ -76,9 +98,12 @@
   TargetStatus m_target;
 };
 
+using DataToHttp = std::variant<StatusReport, AnnouncementAnswer>;
+
 // From the data thread to the control thread: the node's own endpoint changed,
-// or a peer reported a newer version.
-using DataToControl = std::variant<wire::EndpointRecord, Version>;
+// a peer reported a newer version, or a start of the target leaves and is to be
+// stored.
+using DataToControl = std::variant<wire::EndpointRecord, Version, TargetStart>;
 
 // Limit on the total size of request bodies in memory, applied to the requests
 // of callers and to those for the node's own target separately. With both at
--- a/apps/wigeonfold-node/Node.cpp
+++ b/apps/wigeonfold-node/Node.cpp
@@ -65,14 +65,17 @@
                      });
                    });
                  })
-  , m_dataToHttp(kRingCapacity,
-                 [this] {
-                   boost::asio::post(m_httpIo, [this] {
-                     m_dataToHttp.Drain([this](const StatusReport& aReport) {
-                       m_localApi.OnReport(aReport);
-                     });
-                   });
-                 })
+  , m_dataToHttp(
+      kRingCapacity,
+      [this] {
+        boost::asio::post(m_httpIo, [this] {
+          m_dataToHttp.Drain([this](const DataToHttp& aMessage) {
+            std::visit(
+              [this](const auto& aTyped) { m_localApi.OnMessage(aTyped); },
+              aMessage);
+          });
+        });
+      })
   , m_dataPlane(m_dataIo,
                 m_settings,
                 MakeDialect(aSettings),
@@ -113,6 +116,12 @@
   hooks.m_onPeerVersion = [this](const Version& aVersion) {
     SendToControl(aVersion);
   };
+  hooks.m_onLeaving = [this](const TargetStart& aStart) {
+    SendToControl(aStart);
+  };
+  hooks.m_onAnswer = [this](const AnnouncementAnswer& aAnswer) {
+    SendToHttp(aAnswer);
+  };
   return hooks;
 }
 
@@ -208,16 +217,20 @@
   return pushed;
 }
 
+void Node::SendToHttp(DataToHttp aMessage)
+{
+  if (!m_dataToHttp.Push(std::move(aMessage))) {
+    m_log.Record(EventId::RingFull, { { "ring", "data to http" } });
+  }
+}
+
 void Node::OnHttpMessage(const HttpToData& aMessage)
 {
-  if (const auto* announcement = std::get_if<Announcement>(&aMessage)) {
-    m_dataPlane.OnAnnouncement(*announcement);
+  if (const auto* received = std::get_if<AnnouncementReceived>(&aMessage)) {
+    m_dataPlane.OnAnnouncement(received->m_announcement, received->m_id);
     return;
   }
-  const uint64_t id = std::get<StatusQuery>(aMessage).m_id;
-  if (!m_dataToHttp.Push(m_dataPlane.Report(id))) {
-    m_log.Record(EventId::RingFull, { { "ring", "data to http" } });
-  }
+  SendToHttp(m_dataPlane.Report(std::get<StatusQuery>(aMessage).m_id));
 }
 
 } // namespace wigeonfold::node
--- a/apps/wigeonfold-node/Node.h
+++ b/apps/wigeonfold-node/Node.h
@@ -39,6 +39,7 @@
 
   DataPlane::Hooks MakeHooks();
   bool SendToControl(DataToControl aMessage);
+  void SendToHttp(DataToHttp aMessage);
   void OnHttpMessage(const HttpToData& aMessage);
   void OnStopSignal();
   void OnReload(net::ReloadCause aCause);
@@ -57,7 +58,7 @@
   Ring<ViewUpdate> m_controlToData;
   Ring<DataToControl> m_dataToControl;
   Ring<HttpToData> m_httpToData;
-  Ring<StatusReport> m_dataToHttp;
+  Ring<DataToHttp> m_dataToHttp;
   DataPlane m_dataPlane;
   ControlLink m_controlLink;
   LocalApi m_localApi;
--- a/apps/wigeonfold-node/PeerServer.cpp
+++ b/apps/wigeonfold-node/PeerServer.cpp
@@ -183,11 +183,11 @@
   const TimePoint deadline =
     now + std::chrono::microseconds(request->deadlineUs);
   if (request->__isset.leaving) {
-    m_target.NoteLeaving(discovery::FromWire(request->leaving), now);
+    m_target.NoteLeaving(wire::FromWire(request->leaving), now);
   }
   if (request->__isset.limit) {
     m_target.NoteLimit(
-      discovery::FromWire(request->limit.start), request->limit.perSecond, now);
+      wire::FromWire(request->limit.start), request->limit.perSecond, now);
   }
   net::Connection* connection = aConnection.get();
   const uint64_t servedId = m_target.Serve(
--- a/apps/wigeonfold-node/TargetSide.cpp
+++ b/apps/wigeonfold-node/TargetSide.cpp
@@ -1,5 +1,7 @@
 #include "TargetSide.h"
 
+#include "wigeonfold/wire/Codec.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -130,8 +132,7 @@
                 : m_options.m_service.empty();
 }
 
-void TargetSide::NoteLeaving(const discovery::TargetStart& aStart,
-                             TimePoint aNow)
+void TargetSide::NoteLeaving(const TargetStart& aStart, TimePoint aNow)
 {
   if (!m_reports.NoteLeaving(aStart)) {
     return;
@@ -141,7 +142,13 @@
   UpdateDraining(aNow);
 }
 
-void TargetSide::NoteLimit(const discovery::TargetStart& aStart,
+void TargetSide::SetLeavingKnown(TimePoint aNow)
+{
+  m_leavingKnown = true;
+  UpdateDraining(aNow);
+}
+
+void TargetSide::NoteLimit(const TargetStart& aStart,
                            double aPerSecond,
                            TimePoint aNow)
 {
@@ -231,7 +238,7 @@
   const bool drainedByView = m_view && m_view->IsDrained(m_options.m_nodeName);
   const bool draining =
     m_target && (m_target->m_state != discovery::ReportedState::Ready ||
-                 m_leaseLost || drainedByView);
+                 m_leaseLost || !m_leavingKnown || drainedByView);
   if (draining == m_admission.IsDraining()) {
     return;
   }
@@ -619,7 +626,7 @@
   response.status = info.m_status;
   response.__set_load(Load());
   if (m_target && m_target->m_state != discovery::ReportedState::Ready) {
-    response.__set_leaving(ToWire(m_target->Start()));
+    response.__set_leaving(wire::ToWire(m_target->Start()));
   }
   const bool failed = aReply.m_outcome == Outcome::AnsweredFailure;
   const bool answered = aReply.m_outcome == Outcome::Answered || failed;
@@ -645,7 +652,7 @@
   load.failurePercent = m_health.FailurePercent();
   if (const auto limit = m_admission.Rate().PerSecond(); limit && m_target) {
     wire::TargetLimit named;
-    named.start = ToWire(m_target->Start());
+    named.start = wire::ToWire(m_target->Start());
     named.perSecond = *limit;
     load.__set_limit(named);
   }
--- a/apps/wigeonfold-node/TargetSide.h
+++ b/apps/wigeonfold-node/TargetSide.h
@@ -58,12 +58,13 @@
   discovery::ReportResult Announce(const Announcement& aAnnouncement,
                                    TimePoint aNow);
   // Another node knows that this start of the target leaves.
-  void NoteLeaving(const discovery::TargetStart& aStart, TimePoint aNow);
+  void NoteLeaving(const TargetStart& aStart, TimePoint aNow);
   // Another node knows that this start of the target names a limit on its
   // requests per second.
-  void NoteLimit(const discovery::TargetStart& aStart,
-                 double aPerSecond,
-                 TimePoint aNow);
+  void NoteLimit(const TargetStart& aStart, double aPerSecond, TimePoint aNow);
+  // The starts that left before this node's start are known from now on. Before
+  // that the target gets no request, since its report may be a late one.
+  void SetLeavingKnown(TimePoint aNow);
   // Begins a graceful shutdown: a ready target is reported as draining from now
   // on.
   void BeginStopping();
@@ -88,10 +89,16 @@
   // Nothing before the target's first announcement.
   const std::optional<Announcement>& Announced() const { return m_target; }
   // Last start of the target that is known to leave or to have left.
-  std::optional<discovery::TargetStart> LastLeaving() const
+  std::optional<TargetStart> LastLeaving() const
   {
     return m_reports.LastLeaving();
   }
+  // See TargetReportTracker.
+  std::optional<TargetStart> LeavingStartOf(
+    const Announcement& aAnnouncement) const
+  {
+    return m_reports.LeavingStartOf(aAnnouncement);
+  }
   // Returns the request with this id if the target is running it, else null. A
   // call that the target makes on behalf of this request gets the request's
   // depth plus one, and counts as a repeat if the request does.
@@ -118,7 +125,7 @@
     size_t m_expectedBytes = 0; // of a large answer; 0 for a small one
     OnTargetReply m_reply;
     TargetConnectionPtr m_connection;
-    discovery::TargetStart m_target; // to which the request was written
+    TargetStart m_target; // to which the request was written
     Exchange m_exchange;
   };
 
@@ -162,6 +169,7 @@
   std::optional<Announcement> m_target;
   TimePoint m_leaseEnd{};
   bool m_leaseLost = false;
+  bool m_leavingKnown = false;
   bool m_stopping = false;
   bool m_rejectNew = false;
   std::unordered_map<uint64_t, ServedCall> m_calls;
--- a/apps/wigeonfold-node/test/ForeignReport_test.cpp
+++ b/apps/wigeonfold-node/test/ForeignReport_test.cpp
@@ -15,7 +15,7 @@
 
   void Report(const Announcement& aReport)
   {
-    RunOnIoThread([&] { m_nodes[1]->OnAnnouncement(aReport); });
+    RunOnIoThread([&] { m_nodes[1]->OnAnnouncement(aReport, 0); });
   }
 
   Announcement OwnReport() const
--- a/apps/wigeonfold-node/test/LeavingTarget_test.cpp
+++ b/apps/wigeonfold-node/test/LeavingTarget_test.cpp
@@ -45,12 +45,12 @@
   Announce(1, target.Port(), 4, true);
   ASSERT_FALSE(m_announced.empty());
   ASSERT_TRUE(m_announced.back().__isset.leaving);
-  const auto start = discovery::FromWire(m_announced.back().leaving);
+  const auto start = wire::FromWire(m_announced.back().leaving);
   Restart(1);
   Announce(1, target.Port());
   RunOnIoThread([&] {
     ViewUpdate update;
-    update.m_leaving = start;
+    update.m_leaving = { { start, true } };
     m_nodes[1]->OnView(update);
   });
   SetView({ EndpointOf(1) });
@@ -72,11 +72,61 @@
     successor.m_slots = 4;
     successor.m_connections = 10;
     successor.m_instance = "j";
-    m_nodes[1]->OnAnnouncement(successor);
+    m_nodes[1]->OnAnnouncement(successor, 0);
   });
   // Sent from n1, since n0 avoids an endpoint that refused as draining.
   EXPECT_EQ(Call(1, Post("/lots")).m_body, "new");
 }
 
+// If all processes end, only what is stored is remembered.
+TEST_F(LeavingTarget, LeaveIsAcknowledgedOnceItIsStored)
+{
+  TestTarget& target = ServeAtPeer(
+    [](int, const std::string&) { return Reaction{ CompleteAnswer("x") }; });
+  Announce(1, target.Port(), 4, true);
+  RunOnIoThread([&] {
+    ASSERT_FALSE(m_toStore.empty());
+    EXPECT_EQ(m_toStore.back(), TargetStart({ "i", 0 }));
+    ASSERT_FALSE(m_answers.empty());
+    EXPECT_NE(m_answers.back().m_id, m_lastAnnouncement);
+    ViewUpdate update;
+    update.m_leaving = { { m_toStore.back(), true } };
+    m_nodes[1]->OnView(update);
+    EXPECT_EQ(m_answers.back().m_id, m_lastAnnouncement);
+    EXPECT_TRUE(m_answers.back().m_acknowledged);
+  });
+}
+
+// The control VMs have no quorum: the target gets no request, but its leave
+// isn't acknowledged.
+TEST_F(LeavingTarget, LeaveThatIsNotStoredIsRefusedAndStillDrains)
+{
+  TestTarget& target = ServeAtPeer(
+    [](int, const std::string&) { return Reaction{ CompleteAnswer("x") }; });
+  Announce(1, target.Port(), 4, true);
+  ExpectOutcome(Call(1, Post("/lots")), 503, "not-run", "draining");
+  std::this_thread::sleep_for(discovery::LeaveAnswers::kTimeout + 100ms);
+  RunOnIoThread([&] {
+    EXPECT_EQ(m_answers.back().m_id, m_lastAnnouncement);
+    EXPECT_FALSE(m_answers.back().m_acknowledged);
+  });
+  EXPECT_EQ(target.m_requests, 0);
+}
+
+// A restarted node that has its configuration, but doesn't know yet which
+// starts left, must not believe a heartbeat of its target.
+TEST_F(LeavingTarget, GetsNoRequestBeforeItsRestartedNodeIsReady)
+{
+  TestTarget& target = ServeAtPeer(
+    [](int, const std::string&) { return Reaction{ CompleteAnswer("x") }; });
+  Restart(1);
+  Announce(1, target.Port());
+  SetView({ EndpointOf(1) }, {}, false);
+  ExpectOutcome(Call(0, Post("/lots")), 503, "not-run", "draining");
+  EXPECT_EQ(target.m_requests, 0);
+  SetView({ EndpointOf(1) });
+  EXPECT_EQ(Call(1, Post("/lots")).m_status, 200);
+}
+
 } // namespace
 } // namespace wigeonfold::node
--- a/apps/wigeonfold-node/test/TestNodes.h
+++ b/apps/wigeonfold-node/test/TestNodes.h
@@ -211,13 +211,16 @@
       aEpoch,
       m_metrics,
       m_log,
-      DataPlane::Hooks{ [this](const wire::EndpointRecord& aRecord) {
-                         m_announced.push_back(aRecord);
-                         return true;
-                       },
-                        [this](const Version& aVersion) {
-                          m_peerVersions.push_back(aVersion);
-                        } });
+      DataPlane::Hooks{
+        [this](const wire::EndpointRecord& aRecord) {
+          m_announced.push_back(aRecord);
+          return true;
+        },
+        [this](const Version& aVersion) { m_peerVersions.push_back(aVersion); },
+        [this](const TargetStart& aStart) { m_toStore.push_back(aStart); },
+        [this](const AnnouncementAnswer& aAnswer) {
+          m_answers.push_back(aAnswer);
+        } });
     EXPECT_TRUE(node->Start());
     return node;
   }
@@ -272,7 +275,8 @@
   };
 
   void SetView(const std::vector<wire::EndpointRecord>& aEndpoints,
-               std::vector<Setting> aSettings = {})
+               std::vector<Setting> aSettings = {},
+               bool aReady = true)
   {
     aSettings.push_back({ "services/lots", "route.prefix", "/lots" });
     std::vector<wire::Operation> operations;
@@ -287,7 +291,7 @@
     ASSERT_TRUE(view);
     RunOnIoThread([&] {
       for (const auto& node : m_nodes) {
-        node->OnView({ view.value(), tree.value().Digest(), true });
+        node->OnView({ view.value(), tree.value().Digest(), aReady, {} });
       }
     });
   }
@@ -306,7 +310,7 @@
       announcement.m_state = aDraining ? discovery::ReportedState::Draining
                                        : discovery::ReportedState::Ready;
       announcement.m_instance = "i";
-      m_nodes[aNode]->OnAnnouncement(announcement);
+      m_nodes[aNode]->OnAnnouncement(announcement, ++m_lastAnnouncement);
     });
   }
 
@@ -369,6 +373,9 @@
   // them. Only for the io_context's thread.
   std::vector<wire::EndpointRecord> m_announced;
   std::vector<Version> m_peerVersions;
+  std::vector<TargetStart> m_toStore; // leaving starts to be stored
+  std::vector<AnnouncementAnswer> m_answers;
+  uint64_t m_lastAnnouncement = 0;
   std::thread m_thread;
 };
 
--- a/idl/control.thrift
+++ b/idl/control.thrift
@@ -62,6 +62,9 @@
   // EndpointRecord.leaving as the node announced it last, perhaps before it was
   // restarted.
   6: optional common.TargetStart leaving,
+  // The control VMs store the starts in NodeStatus.leaving and say so in
+  // Heartbeat.leaving.
+  7: bool storesLeaving,
 }
 
 struct Announce {
@@ -107,6 +110,9 @@
   // The confirm number of the NodeStatus that this heartbeat answers, so that
   // the node knows that the heartbeat was sent after that status.
   4: optional i64 confirm,
+  // The starts of the node's targets that left, as stored by the control VMs.
+  // Set with confirm, and when they have changed.
+  5: optional list<common.TargetStart> leaving,
 }
 
 struct NodeStatus {
@@ -128,6 +134,8 @@
   10: bool belowFloor,
   // Asks for a heartbeat that carries this number; absent: no request.
   11: optional i64 confirm,
+  // Starts of the node's targets that leave and are not known to be stored.
+  12: optional list<common.TargetStart> leaving,
 }
 
 // The control VM has no capacity for this session now.
@@ -167,4 +175,13 @@
   10: bool mayBootstrap,
   // The sender reads RaftMessage.packedEntries.
   11: bool readsPackedEntries,
+  // The sender reads LeavingReport.
+  12: bool readsLeavingReports,
+}
+
+// A start of the target beside a node leaves. Sent to the leader by the control
+// VM that holds the node's session, until the start is stored.
+struct LeavingReport {
+  1: string nodeName,
+  2: common.TargetStart start,
 }
--- a/idl/registry.thrift
+++ b/idl/registry.thrift
@@ -69,10 +69,18 @@
   2: string clusterId,
 }
 
+// Starts of the target beside a node that left or leave, oldest first.
+struct NodeLeaving {
+  1: string nodeName,
+  2: list<common.TargetStart> starts,
+}
+
 // Exactly one field is set.
 struct RegistryCommand {
   1: optional Change change,
   2: optional Bootstrap bootstrap,
+  // Starts to add to those that are stored.
+  3: optional list<NodeLeaving> leaving,
 }
 
 struct RegistrySnapshot {
@@ -88,4 +96,6 @@
   // first one.
   8: i64 label,
   9: i64 baseLabel,
+  // The node whose starts changed last is the last one.
+  10: list<NodeLeaving> leaving,
 }
--- a/libs/discovery/include/wigeonfold/discovery/TargetReport.h
+++ b/libs/discovery/include/wigeonfold/discovery/TargetReport.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "wigeonfold/base/Settings.h"
+#include "wigeonfold/base/TargetStart.h"
 #include "wigeonfold/base/Time.h"
-#include "wigeonfold/wire/gen/common_types.h"
 
 #include <cstdint>
 #include <deque>
@@ -19,17 +19,6 @@
   Gone, // the target has announced its exit; it may still serve for a moment
 };
 
-// Identifies one start of a target.
-struct TargetStart
-{
-  std::string m_instance;    // target's id
-  int64_t m_startedAtMs = 0; // see TargetReport::m_startedAtMs
-  friend bool operator==(const TargetStart&, const TargetStart&) = default;
-};
-
-wire::TargetStart ToWire(const TargetStart& aStart);
-TargetStart FromWire(const wire::TargetStart& aStart);
-
 struct TargetReport
 {
   std::string m_service; // empty in a report of state Gone
@@ -37,10 +26,8 @@
   int m_slots = 1;
   int m_connections = 0; // connection limit; 0 selects the service's limit
   ReportedState m_state = ReportedState::Ready;
-  std::string m_instance; // target's id; usually differs after each start
-  // Wall clock at the target's start in ms since 1970, 0 when not reported. A
-  // target that starts again under the same id reports a greater value.
-  int64_t m_startedAtMs = 0;
+  std::string m_instance;    // target's id; usually differs after each start
+  int64_t m_startedAtMs = 0; // see TargetStart
   // Grows with each report of one start; 0 when the target doesn't number its
   // reports.
   int64_t m_sequence = 0;
@@ -81,6 +68,9 @@
 
   // Last start that is known to leave or to have left.
   std::optional<TargetStart> LastLeaving() const;
+  // The start that a report of a leave stands for, once it was applied; nothing
+  // when the report made no start leave.
+  std::optional<TargetStart> LeavingStartOf(const TargetReport& aReport) const;
 
   // A start time further ahead of the wall clock than this is not one. The
   // clocks of a target and its node, on one VM, differ by less.
--- a/libs/discovery/src/TargetReport.cpp
+++ b/libs/discovery/src/TargetReport.cpp
@@ -11,16 +11,6 @@
 // still arrive.
 constexpr size_t kMaxRemembered = 64;
 
-// Whether aStarts holds this start or a later one of the same instance.
-bool Covers(const std::deque<TargetStart>& aStarts, const TargetStart& aStart)
-{
-  return std::any_of(
-    aStarts.begin(), aStarts.end(), [&](const TargetStart& aOne) {
-      return aOne.m_instance == aStart.m_instance &&
-             aStart.m_startedAtMs <= aOne.m_startedAtMs;
-    });
-}
-
 int64_t SinceEpochMs(std::chrono::system_clock::time_point aTime)
 {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -56,19 +46,6 @@
   return "applied";
 }
 
-wire::TargetStart ToWire(const TargetStart& aStart)
-{
-  wire::TargetStart start;
-  start.instance = aStart.m_instance;
-  start.startedAtMs = aStart.m_startedAtMs;
-  return start;
-}
-
-TargetStart FromWire(const wire::TargetStart& aStart)
-{
-  return { aStart.instance, aStart.startedAtMs };
-}
-
 bool TargetReportTracker::NoteLeaving(const TargetStart& aStart)
 {
   if (!Covers(m_leaving, aStart)) {
@@ -88,6 +65,19 @@
   return m_leaving.empty() ? std::nullopt : std::optional(m_leaving.back());
 }
 
+std::optional<TargetStart> TargetReportTracker::LeavingStartOf(
+  const TargetReport& aReport) const
+{
+  const auto found = std::find_if(
+    m_leaving.rbegin(), m_leaving.rend(), [&](const TargetStart& aStart) {
+      return aStart.m_instance == aReport.m_instance &&
+             aReport.m_startedAtMs <= aStart.m_startedAtMs;
+    });
+  return aReport.m_state != ReportedState::Ready && found != m_leaving.rend()
+           ? std::optional(*found)
+           : std::nullopt;
+}
+
 ReportResult TargetReportTracker::Apply(
   const TargetReport& aReport,
   std::chrono::system_clock::time_point aReceived)
@@ -138,6 +128,7 @@
   }
   Remember(m_retired, start);
   if (!isCurrent) {
+    Remember(m_leaving, start);
     return ReportResult::Stale;
   }
   m_current->m_state = ReportedState::Gone;
--- a/libs/discovery/test/TargetReport_test.cpp
+++ b/libs/discovery/test/TargetReport_test.cpp
@@ -158,5 +158,27 @@
   EXPECT_EQ(reports.Current()->m_instance, "b");
 }
 
+// What the report stands for is stored before it is acknowledged, also when the
+// restarted node has heard nothing of the target before.
+TEST(TargetReportTracker, NamesTheStartThatAReportMakesLeave)
+{
+  TargetReportTracker reports;
+  const auto startOf = [&reports](const TargetReport& aReport) {
+    Apply(reports, aReport);
+    return reports.LeavingStartOf(aReport);
+  };
+  using Start = std::optional<TargetStart>;
+  EXPECT_EQ(startOf(Report("a", 100, 1)), std::nullopt);
+  EXPECT_EQ(startOf(Report("a", 100, 2, ReportedState::Draining)),
+            Start({ "a", 100 }));
+  EXPECT_EQ(startOf(Report("a", 0, 0, ReportedState::Gone)),
+            Start({ "a", 100 }));
+  EXPECT_EQ(startOf(Report("a", 100, 0, ReportedState::Gone)),
+            Start({ "a", 100 }));
+  // Not the current instance: it covers all starts until its receipt.
+  EXPECT_EQ(startOf(Report("b", 0, 0, ReportedState::Gone)),
+            Start({ "b", 1000 }));
+}
+
 } // namespace
 } // namespace wigeonfold::discovery
--- a/libs/distribution/include/wigeonfold/distribution/NodeSessions.h
+++ b/libs/distribution/include/wigeonfold/distribution/NodeSessions.h
@@ -2,6 +2,7 @@
 // node, and when.
 #pragma once
 
+#include "wigeonfold/base/TargetStart.h"
 #include "wigeonfold/base/Time.h"
 #include "wigeonfold/base/Version.h"
 #include "wigeonfold/discovery/EndpointTable.h"
@@ -90,7 +91,16 @@
   std::string m_reason;
 };
 
-using NodeAction = std::variant<SendToNode, CloseNode, NodeRefused>;
+// A node says that this start of its target leaves, and the start is not
+// stored. Emitted for each status of the node until SetLeaving names the start.
+struct LeavingReported
+{
+  std::string m_nodeName;
+  TargetStart m_start;
+};
+
+using NodeAction =
+  std::variant<SendToNode, CloseNode, NodeRefused, LeavingReported>;
 using NodeActions = std::vector<NodeAction>;
 
 // ---- Status ----------------------------------------------------------------
@@ -161,6 +171,12 @@
   // as current, Duration::max() if it never was. When the age drops by more
   // than a heartbeat interval, all nodes get a heartbeat at once.
   NodeActions SetFreshness(Duration aAge, TimePoint aNow);
+  // Sets the leaving starts of a node's targets that are stored, oldest first.
+  // Call it for an applied start before the SetFreshness that covers its entry:
+  // a node relies on knowing all of them once it is confirmed.
+  NodeActions SetLeaving(const std::string& aNodeName,
+                         std::vector<TargetStart> aStarts,
+                         TimePoint aNow);
   // Sets the control VMs that are members. Nodes receive the list in the reply
   // to their hello and, after a change, with their next heartbeat.
   void SetControlVms(std::vector<wire::ControlEndpoint> aVms);
@@ -253,6 +269,13 @@
   // that session was noticed here.
   void Supersede(const std::string& aNodeName, NodeSessionId aBy);
   void RecordRefusal(Session& aSession, const wire::NodeStatus& aStatus);
+  void ReportLeaving(const Session& aSession,
+                     const wire::NodeStatus& aStatus,
+                     TimePoint aNow);
+  void SendLeaving(const Session& aSession, TimePoint aNow);
+  // The stored leaving starts of the node's targets.
+  const std::vector<TargetStart>& StoredLeaving(
+    const std::string& aNodeName) const;
   void UpdateConfirmed(Session& aSession, const wire::NodeStatus& aStatus);
 
   wire::Heartbeat MakeHeartbeat(TimePoint aNow) const;
@@ -294,6 +317,7 @@
   TimePoint m_freshnessAgeAt;    // time of the call that set m_freshnessAge
   std::vector<wire::ControlEndpoint> m_controlVms;
   uint64_t m_controlVmsVersion = 1;
+  std::map<std::string, std::vector<TargetStart>> m_leaving; // by node name
   bool m_endpointsComplete = true;
 
   // Encoded updates by the state they start from: nodes that confirmed the same
--- a/libs/distribution/include/wigeonfold/distribution/Subscriber.h
+++ b/libs/distribution/include/wigeonfold/distribution/Subscriber.h
@@ -5,6 +5,7 @@
 #include "wigeonfold/base/Backoff.h"
 #include "wigeonfold/base/Error.h"
 #include "wigeonfold/base/Settings.h"
+#include "wigeonfold/base/TargetStart.h"
 #include "wigeonfold/base/Time.h"
 #include "wigeonfold/base/Version.h"
 #include "wigeonfold/discovery/Endpoints.h"
@@ -125,10 +126,12 @@
 };
 
 // This start of the node's target leaves, as the node announced it before it
-// was restarted. Precedes the first ApplyState of the session.
+// was restarted. Precedes the first ApplyState of the session, and BecomeReady.
 struct NoteLeaving
 {
-  wire::TargetStart m_start;
+  TargetStart m_start;
+  // The control VMs store it, so that no restart makes it forgotten.
+  bool m_stored = false;
 };
 
 using SubscriberAction = std::variant<ConnectTo,
@@ -173,6 +176,10 @@
   // unchanged.
   SubscriberActions Announce(wire::EndpointRecord aEndpoint, TimePoint aNow);
 
+  // A start of the node's target leaves. It is reported until the control VMs
+  // have stored it, which a NoteLeaving says.
+  SubscriberActions StoreLeaving(const TargetStart& aStart, TimePoint aNow);
+
   // Adds control VMs to connect to, such as seeds from a changed settings file.
   // Known addresses are skipped. Beyond a maximum, the unused control VM with
   // the most failures is replaced.
@@ -227,6 +234,9 @@
   void SendStatus(TimePoint aNow);
   void RequestResync(bool aFull, TimePoint aNow);
   void SendAnnouncement(TimePoint aNow);
+  void OnStoredLeaving(std::vector<TargetStart> aStarts);
+  // Reports all starts as stored if the control VM stores none.
+  void SkipStoringLeaving();
   void CheckAnnouncement(TimePoint aNow);
 
   // Index of the candidate with the fewest failures. Among equals, those in the
@@ -289,6 +299,9 @@
   std::optional<wire::EndpointRecord> m_announced;
   // Sent with announcements that name no leaving start themselves.
   std::optional<wire::TargetStart> m_leaving;
+  std::vector<TargetStart> m_unstoredLeaving; // oldest first
+  std::vector<TargetStart> m_storedLeaving;   // as the control VMs said last
+  bool m_controlStoresLeaving = true;         // the session's control VM
   int64_t m_sequence = 0;
   TimePoint m_nextAnnouncementCheck;
 
--- a/libs/distribution/src/NodeSessions.cpp
+++ b/libs/distribution/src/NodeSessions.cpp
@@ -246,6 +246,7 @@
   if (record != nullptr && record->__isset.leaving) {
     reply.__set_leaving(record->leaving);
   }
+  reply.storesLeaving = true;
   Send(aSession.m_id, FrameType::HelloReply, EncodeShared(reply));
 }
 
@@ -278,6 +279,7 @@
   info.m_belowFloor = aStatus.belowFloor;
   info.m_inForce = ToVersion(aStatus.__isset.inForce, aStatus.inForce);
   RecordRefusal(aSession, aStatus);
+  ReportLeaving(aSession, aStatus, aNow);
   if (info.m_inForce) {
     m_floors.Raise(info.m_nodeName, *info.m_inForce);
   }
@@ -286,6 +288,7 @@
   if (aStatus.__isset.confirm) {
     wire::Heartbeat beat = MakeHeartbeat(aNow);
     beat.__set_confirm(aStatus.confirm);
+    beat.__set_leaving(wire::ToWire(StoredLeaving(info.m_nodeName)));
     Send(aSession.m_id, FrameType::Heartbeat, EncodeShared(beat));
   }
   return true;
@@ -305,6 +308,56 @@
   info.m_refusal = aStatus.refusal;
 }
 
+void NodeSessions::ReportLeaving(const Session& aSession,
+                                 const wire::NodeStatus& aStatus,
+                                 TimePoint aNow)
+{
+  const std::string& node = aSession.m_info.m_nodeName;
+  bool isStored = false;
+  for (TargetStart& start : wire::FromWire(aStatus.leaving)) {
+    if (Covers(StoredLeaving(node), start)) {
+      isStored = true;
+    } else {
+      m_actions.emplace_back(LeavingReported{ node, std::move(start) });
+    }
+  }
+  if (isStored) {
+    // The heartbeat that said so was lost with an earlier session.
+    SendLeaving(aSession, aNow);
+  }
+}
+
+void NodeSessions::SendLeaving(const Session& aSession, TimePoint aNow)
+{
+  wire::Heartbeat beat = MakeHeartbeat(aNow);
+  beat.__set_leaving(wire::ToWire(StoredLeaving(aSession.m_info.m_nodeName)));
+  Send(aSession.m_id, FrameType::Heartbeat, EncodeShared(beat));
+}
+
+const std::vector<TargetStart>& NodeSessions::StoredLeaving(
+  const std::string& aNodeName) const
+{
+  static const std::vector<TargetStart> kNone;
+  const auto found = m_leaving.find(aNodeName);
+  return found == m_leaving.end() ? kNone : found->second;
+}
+
+NodeActions NodeSessions::SetLeaving(const std::string& aNodeName,
+                                     std::vector<TargetStart> aStarts,
+                                     TimePoint aNow)
+{
+  if (aStarts.empty()) {
+    m_leaving.erase(aNodeName);
+    return {};
+  }
+  m_leaving[aNodeName] = std::move(aStarts);
+  const auto named = m_byName.find(aNodeName);
+  if (named != m_byName.end()) {
+    SendLeaving(m_sessions.at(named->second), aNow);
+  }
+  return TakeActions();
+}
+
 void NodeSessions::UpdateConfirmed(Session& aSession,
                                    const wire::NodeStatus& aStatus)
 {
--- a/libs/distribution/src/Subscriber.cpp
+++ b/libs/distribution/src/Subscriber.cpp
@@ -5,6 +5,7 @@
 #include "wigeonfold/wire/Codec.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace wigeonfold::distribution {
 
@@ -26,6 +27,9 @@
 // Control VMs kept as candidates, from the settings and from control VMs'
 // messages. At most 21 exist at a time.
 constexpr size_t kMaxCandidates = 64;
+// Leaving starts that wait to be stored; a node's target starts at most every
+// few seconds.
+constexpr size_t kMaxUnstoredLeaving = 16;
 constexpr uint64_t kProbeSeed = 0xd1b54a32d192ed03;
 
 } // namespace
@@ -341,8 +345,11 @@
   }
   if (aReply.__isset.leaving) {
     m_leaving = aReply.leaving;
-    m_actions.emplace_back(NoteLeaving{ aReply.leaving });
+    m_actions.emplace_back(
+      NoteLeaving{ wire::FromWire(aReply.leaving), false });
   }
+  m_controlStoresLeaving = aReply.storesLeaving;
+  SkipStoringLeaving();
   RecordFreshness(aNow);
   ++m_sequence;
   SendAnnouncement(aNow);
@@ -356,6 +363,9 @@
     AddReportedVms(aBeat.controlVms);
   }
   RecordFreshness(aNow);
+  if (aBeat.__isset.leaving) {
+    OnStoredLeaving(wire::FromWire(aBeat.leaving));
+  }
   m_confirmed |= IsConfirmed(aBeat);
   CheckReady(aNow);
   if (!aBeat.__isset.confirm) {
@@ -421,6 +431,9 @@
   status.resync = false;
   status.resyncFull = false;
   status.belowFloor = m_belowFloor;
+  if (!m_unstoredLeaving.empty()) {
+    status.__set_leaving(wire::ToWire(m_unstoredLeaving));
+  }
   return status;
 }
 
@@ -467,4 +480,46 @@
   Send(*m_main, FrameType::Announce, announce);
 }
 
+// ---- Targets that leave ----------------------------------------------------
+
+SubscriberActions Subscriber::StoreLeaving(const TargetStart& aStart,
+                                           TimePoint aNow)
+{
+  if (Covers(m_storedLeaving, aStart)) {
+    m_actions.emplace_back(NoteLeaving{ aStart, true });
+    return TakeActions();
+  }
+  if (!Covers(m_unstoredLeaving, aStart)) {
+    m_unstoredLeaving.push_back(aStart);
+    if (m_unstoredLeaving.size() > kMaxUnstoredLeaving) {
+      m_unstoredLeaving.erase(m_unstoredLeaving.begin());
+    }
+  }
+  SkipStoringLeaving();
+  if (!m_unstoredLeaving.empty()) {
+    SendStatus(aNow);
+  }
+  return TakeActions();
+}
+
+void Subscriber::OnStoredLeaving(std::vector<TargetStart> aStarts)
+{
+  m_storedLeaving = std::move(aStarts);
+  std::erase_if(m_unstoredLeaving, [&](const TargetStart& aOne) {
+    return Covers(m_storedLeaving, aOne);
+  });
+  for (const TargetStart& start : m_storedLeaving) {
+    m_actions.emplace_back(NoteLeaving{ start, true });
+  }
+}
+
+void Subscriber::SkipStoringLeaving()
+{
+  if (!m_controlStoresLeaving && HasSession()) {
+    for (const TargetStart& start : std::exchange(m_unstoredLeaving, {})) {
+      m_actions.emplace_back(NoteLeaving{ start, true });
+    }
+  }
+}
+
 } // namespace wigeonfold::distribution
--- a/libs/distribution/test/NodeSessions_test.cpp
+++ b/libs/distribution/test/NodeSessions_test.cpp
@@ -178,6 +178,8 @@
           wire::Decode<wire::Heartbeat>(*send->m_payload, "").value());
       } else if (send && send->m_type == wire::FrameType::HelloReply) {
         m_reply = wire::Decode<wire::HelloReply>(*send->m_payload, "").value();
+      } else if (const auto* leaving = std::get_if<LeavingReported>(&action)) {
+        m_leaving.push_back(*leaving);
       }
     }
   }
@@ -189,6 +191,7 @@
   std::vector<wire::ConfigUpdate> m_updates;
   std::vector<wire::Heartbeat> m_heartbeats;
   wire::HelloReply m_reply;
+  std::vector<LeavingReported> m_leaving;
 };
 
 TEST_F(OneNode, SlowNodeReceivesOnlyTheNewestState)
@@ -276,6 +279,44 @@
   EXPECT_EQ(m_reply.leaving, start);
 }
 
+// All processes may end after a leave was acknowledged. The restarted node is
+// ready once it is confirmed, and has to know by then what is stored.
+TEST_F(OneNode, ConfirmationCarriesTheStoredStartsThatLeft)
+{
+  Execute(m_sessions.SetLeaving("n", { { "i", 7 } }, m_now));
+  ASSERT_FALSE(m_heartbeats.empty());
+  EXPECT_EQ(wire::FromWire(m_heartbeats.back().leaving),
+            (std::vector<TargetStart>{ { "i", 7 } }));
+  m_heartbeats.clear();
+  auto status = StatusOf({ 1, 0 });
+  status.__set_confirm(5);
+  SendStatus(status);
+  ASSERT_FALSE(m_heartbeats.empty());
+  EXPECT_TRUE(m_heartbeats.back().__isset.confirm);
+  EXPECT_EQ(wire::FromWire(m_heartbeats.back().leaving),
+            (std::vector<TargetStart>{ { "i", 7 } }));
+}
+
+TEST_F(OneNode, LeavingStartIsReportedUntilItIsStored)
+{
+  auto status = StatusOf({ 1, 0 });
+  status.__set_leaving({ wire::ToWire(TargetStart{ "i", 7 }) });
+  for (int repeat = 0; repeat < 2; ++repeat) {
+    SendStatus(status);
+    ASSERT_EQ(m_leaving.size(), 1U);
+    EXPECT_EQ(m_leaving.back().m_nodeName, "n");
+    EXPECT_EQ(m_leaving.back().m_start, TargetStart({ "i", 7 }));
+    m_leaving.clear();
+  }
+  Execute(m_sessions.SetLeaving("n", { { "i", 7 } }, m_now));
+  m_heartbeats.clear();
+  // The heartbeat that said so was lost.
+  SendStatus(status);
+  EXPECT_TRUE(m_leaving.empty());
+  ASSERT_FALSE(m_heartbeats.empty());
+  EXPECT_TRUE(m_heartbeats.back().__isset.leaving);
+}
+
 TEST_F(OneNode, HelloReplyCarriesTheFloorOfAnEarlierRun)
 {
   SendStatus(StatusOf({ 1, 17 }));
--- a/libs/distribution/test/Subscriber_test.cpp
+++ b/libs/distribution/test/Subscriber_test.cpp
@@ -145,6 +145,71 @@
   EXPECT_EQ(sent->endpoint.leaving, start);
 }
 
+wire::Heartbeat BeatWithLeaving(std::vector<TargetStart> aStarts)
+{
+  wire::Heartbeat beat;
+  beat.newest = wire::ToWire(Version{ 1, 1 });
+  beat.__set_leaving(wire::ToWire(aStarts));
+  return beat;
+}
+
+// A report of a leave is acknowledged when the start is stored, so a lost
+// message must not keep it from that.
+TEST(Subscriber, LeavingStartIsReportedUntilItIsStored)
+{
+  Fixture fixture;
+  wire::HelloReply reply;
+  reply.storesLeaving = true;
+  fixture.Feed(wire::FrameType::HelloReply, reply);
+  const TargetStart start{ "i", 7 };
+  const auto first = fixture.m_node.StoreLeaving(start, fixture.m_now);
+  ASSERT_TRUE(StatusIn(first));
+  EXPECT_EQ(wire::FromWire(StatusIn(first)->leaving),
+            std::vector<TargetStart>{ start });
+  EXPECT_EQ(CountOf<NoteLeaving>(first), 0U);
+  wire::Heartbeat beat;
+  beat.newest = wire::ToWire(Version{ 1, 1 });
+  EXPECT_EQ(
+    StatusIn(fixture.Feed(wire::FrameType::Heartbeat, beat))->leaving.size(),
+    1U);
+  const auto stored =
+    fixture.Feed(wire::FrameType::Heartbeat, BeatWithLeaving({ start }));
+  EXPECT_EQ(CountOf<NoteLeaving>(stored), 1U);
+  EXPECT_FALSE(StatusIn(stored)->__isset.leaving);
+  EXPECT_EQ(
+    CountOf<NoteLeaving>(fixture.m_node.StoreLeaving(start, fixture.m_now)),
+    1U);
+}
+
+// During an update of the control VMs, some don't store starts that leave yet.
+TEST(Subscriber, ControlVmThatStoresNoStartsBlocksNoLeave)
+{
+  Fixture fixture;
+  fixture.Feed(wire::FrameType::HelloReply, wire::HelloReply());
+  const auto actions = fixture.m_node.StoreLeaving({ "i", 7 }, fixture.m_now);
+  ASSERT_EQ(CountOf<NoteLeaving>(actions), 1U);
+}
+
+// A restarted node must know which starts left before it is ready: a late
+// heartbeat of its target looks like that of a new one.
+TEST(Subscriber, StartsThatLeftAreKnownBeforeTheNodeIsReady)
+{
+  Fixture fixture;
+  auto beat = BeatWithLeaving({ { "i", 7 } });
+  beat.__set_confirm(ToMicroseconds(fixture.m_now.time_since_epoch()));
+  const auto actions = fixture.Feed(wire::FrameType::Heartbeat, beat);
+  ASSERT_EQ(CountOf<BecomeReady>(actions), 1U);
+  const auto index = [&actions](auto aIs) {
+    return std::find_if(actions.begin(), actions.end(), aIs) - actions.begin();
+  };
+  EXPECT_LT(index([](const SubscriberAction& aAction) {
+              return std::holds_alternative<NoteLeaving>(aAction);
+            }),
+            index([](const SubscriberAction& aAction) {
+              return std::holds_alternative<BecomeReady>(aAction);
+            }));
+}
+
 TEST(Subscriber, VersionThatFailsItsCheckIsRefusedOnceAndReplacedByTheNext)
 {
   Fixture fixture([](const NodeState& aState) -> Status {
--- a/libs/registry/include/wigeonfold/registry/Registry.h
+++ b/libs/registry/include/wigeonfold/registry/Registry.h
@@ -3,6 +3,7 @@
 
 #include "wigeonfold/base/Error.h"
 #include "wigeonfold/base/Version.h"
+#include "wigeonfold/registry/LeavingStarts.h"
 #include "wigeonfold/settings/Tree.h"
 #include "wigeonfold/wire/gen/registry_types.h"
 
@@ -24,6 +25,7 @@
   size_t m_history = 10'000;  // accepted changes
   size_t m_historyBytes = size_t{ 8 } << 20; // encoded; the newest is kept
   size_t m_tombstones = 10'000;
+  LeavingLimits m_leaving;
 };
 
 // Most problems or changed paths listed in one result. Results are kept for
@@ -53,8 +55,8 @@
   explicit Registry(const RegistryLimits& aLimits = {});
 
   // Applies one command and returns the result of a Change, nothing for other
-  // commands. Has no effect when aCommand holds neither a Change nor a valid
-  // Bootstrap.
+  // commands. Has no effect when aCommand holds no Change, valid Bootstrap or
+  // leaving starts.
   std::optional<wire::AcceptResult> Apply(
     const wire::RegistryCommand& aCommand);
   // The same for the payload of a log entry. Fails with Protocol, and changes
@@ -88,6 +90,14 @@
   // until the next Apply.
   const wire::AcceptResult* FindResult(const std::string& aChangeId) const;
   RegistryView View() const;
+  // Valid until the registry is destroyed or assigned to.
+  const LeavingStarts& Leaving() const { return m_leaving; }
+  // Nodes whose leaving starts have changed since the last call; all that have
+  // some after Restore.
+  std::set<std::string> TakeChangedLeaving()
+  {
+    return m_leaving.TakeChangedNodes();
+  }
 
   // Encodes the whole state for a snapshot file.
   std::string Snapshot() const;
@@ -109,6 +119,7 @@
   };
 
   void Apply(const wire::Bootstrap& aBootstrap);
+  void Apply(const std::vector<wire::NodeLeaving>& aLeaving);
   wire::AcceptResult Apply(const wire::Change& aChange);
   wire::AcceptResult Decide(const wire::Change& aChange);
   bool FollowsNewest(const wire::Change& aRelease) const;
@@ -125,6 +136,7 @@
   std::deque<std::string> m_resultOrder;   // oldest first
   std::deque<SizedHistoryEntry> m_history; // oldest first
   size_t m_historyBytes = 0;               // encoded
+  LeavingStarts m_leaving;
 };
 
 } // namespace wigeonfold::registry
--- a/libs/registry/src/Registry.cpp
+++ b/libs/registry/src/Registry.cpp
@@ -122,6 +122,7 @@
 Registry::Registry(const RegistryLimits& aLimits)
   : m_limits(aLimits)
   , m_tree(std::make_shared<const Tree>())
+  , m_leaving(aLimits.m_leaving)
 {
 }
 
@@ -137,6 +138,9 @@
   if (aCommand.__isset.change) {
     return Apply(aCommand.change);
   }
+  if (aCommand.__isset.leaving) {
+    Apply(aCommand.leaving);
+  }
   return std::nullopt;
 }
 
@@ -163,6 +167,15 @@
     std::make_shared<const Tree>(m_tree->WithGeneration(aBootstrap.generation));
 }
 
+void Registry::Apply(const std::vector<wire::NodeLeaving>& aLeaving)
+{
+  for (const wire::NodeLeaving& node : aLeaving) {
+    for (const wire::TargetStart& start : node.starts) {
+      m_leaving.Add(node.nodeName, wire::FromWire(start));
+    }
+  }
+}
+
 wire::AcceptResult Registry::Apply(const wire::Change& aChange)
 {
   if (!IsBootstrapped()) {
@@ -341,6 +354,7 @@
   for (const SizedHistoryEntry& entry : m_history) {
     snapshot.history.push_back(*entry.m_entry);
   }
+  snapshot.leaving = m_leaving.Export();
   return wire::Encode(snapshot);
 }
 
@@ -377,6 +391,7 @@
   for (wire::HistoryEntry& entry : snapshot.history) {
     registry.AppendHistory(std::move(entry));
   }
+  registry.Apply(snapshot.leaving);
   return registry;
 }
 
--- a/libs/registry/test/Registry_test.cpp
+++ b/libs/registry/test/Registry_test.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 // Small enough that the generated logs exceed them.
-constexpr RegistryLimits kSmallLimits{ 8, 5, 2000, 3 };
+constexpr RegistryLimits kSmallLimits{ 8, 5, 2000, 3, { 3, 2 } };
 
 wire::RegistryCommand Bootstrap(int64_t aGeneration)
 {
@@ -61,6 +61,17 @@
   return registry;
 }
 
+wire::RegistryCommand Leaving(const std::string& aNodeName,
+                              const TargetStart& aStart)
+{
+  wire::RegistryCommand command;
+  wire::NodeLeaving node;
+  node.nodeName = aNodeName;
+  node.starts = { wire::ToWire(aStart) };
+  command.__set_leaving({ node });
+  return command;
+}
+
 // ---- Generated logs --------------------------------------------------------
 
 // Commands with bases near the newest version, repeated ids, and valid and
@@ -73,6 +84,10 @@
       if (aKind == 9) {
         return Bootstrap(aValue);
       }
+      if (aKind >= 10) {
+        return Leaving("n" + std::to_string(aId % 5),
+                       { "i" + std::to_string(aBase), aValue });
+      }
       wire::Change change = Change(
         std::to_string(aId), { 1, aBase }, aPath, std::to_string(aValue));
       const auto kind = aKind < 6   ? wire::OperationKind::Set
@@ -85,7 +100,7 @@
     },
     rc::gen::inRange(0, 30),
     rc::gen::inRange(0, 8),
-    rc::gen::inRange(0, 10),
+    rc::gen::inRange(0, 13),
     rc::gen::inRange(0, 4),
     rc::gen::element<std::string>("", "offices/a", "offices/a/b", "offices/c"));
 }
@@ -314,5 +329,62 @@
   EXPECT_EQ(restored.error().m_code, ErrorCode::Corrupt);
 }
 
+// ---- Targets that leave ----------------------------------------------------
+
+// What a node acknowledged must not be forgotten when the group restarts from
+// a snapshot.
+TEST(Registry, StartsThatLeftSurviveASnapshot)
+{
+  Registry registry = BootstrappedRegistry();
+  registry.Apply(Leaving("n", { "i", 100 }));
+  auto restored = Registry::Restore(registry.Snapshot());
+  ASSERT_TRUE(restored);
+  EXPECT_TRUE(
+    Covers(restored.value().Leaving().Find("n"), TargetStart{ "i", 100 }));
+  EXPECT_EQ(restored.value().TakeChangedLeaving(),
+            std::set<std::string>{ "n" });
+}
+
+TEST(Registry, LeavingStartMakesNoVersion)
+{
+  Registry registry = BootstrappedRegistry();
+  const Version before = registry.TreeVersion();
+  registry.Apply(Leaving("n", { "i", 100 }));
+  EXPECT_EQ(registry.TreeVersion(), before);
+  EXPECT_EQ(registry.Snapshot(),
+            Registry::Restore(registry.Snapshot()).value().Snapshot());
+}
+
+// A later start under the same id has not left.
+TEST(LeavingStarts, CoverEarlierStartsOfTheInstanceOnly)
+{
+  LeavingStarts leaving;
+  EXPECT_TRUE(leaving.Add("n", { "i", 100 }));
+  EXPECT_FALSE(leaving.Add("n", { "i", 90 }));
+  EXPECT_FALSE(Covers(leaving.Find("n"), TargetStart{ "i", 101 }));
+  EXPECT_FALSE(Covers(leaving.Find("n"), TargetStart{ "j", 100 }));
+  EXPECT_FALSE(Covers(leaving.Find("m"), TargetStart{ "i", 100 }));
+  EXPECT_TRUE(leaving.Add("n", { "i", 101 }));
+  EXPECT_EQ(leaving.Find("n").size(), 1U);
+}
+
+// Another writer's leave must not push out that of the node's own target.
+TEST(LeavingStarts, DropTheOldestBeyondTheLimits)
+{
+  LeavingStarts leaving({ 2, 2 });
+  for (const char* instance : { "a", "b", "c" }) {
+    leaving.Add("n", { instance, 1 });
+  }
+  EXPECT_EQ(leaving.Find("n"),
+            (std::vector<TargetStart>{ { "b", 1 }, { "c", 1 } }));
+  leaving.Add("m", { "a", 1 });
+  leaving.Add("n", { "d", 1 });
+  leaving.TakeChangedNodes();
+  leaving.Add("o", { "a", 1 });
+  EXPECT_TRUE(leaving.Find("m").empty());
+  EXPECT_EQ(leaving.Find("n").back().m_instance, "d");
+  EXPECT_EQ(leaving.TakeChangedNodes(), (std::set<std::string>{ "m", "o" }));
+}
+
 } // namespace
 } // namespace wigeonfold::registry
--- a/libs/wire/gen/include/wigeonfold/wire/gen/control_types.h
+++ b/libs/wire/gen/include/wigeonfold/wire/gen/control_types.h
@@ -62,6 +62,8 @@
 
 class ControlHello;
 
+class LeavingReport;
+
 typedef struct _EndpointRecord__isset {
   _EndpointRecord__isset() : nodeName(false), nodeEpoch(false), sequence(false), serviceName(false), availabilityZone(false), nodeAddress(false), slots(false), state(false), owner(false), leaving(false) {}
   bool nodeName :1;
@@ -316,13 +318,14 @@
 std::ostream& operator<<(std::ostream& out, const ControlEndpoint& obj);
 
 typedef struct _HelloReply__isset {
-  _HelloReply__isset() : memberId(false), floor(false), freshnessAgeMs(false), greatestNodeEpoch(false), controlVms(false), leaving(false) {}
+  _HelloReply__isset() : memberId(false), floor(false), freshnessAgeMs(false), greatestNodeEpoch(false), controlVms(false), leaving(false), storesLeaving(false) {}
   bool memberId :1;
   bool floor :1;
   bool freshnessAgeMs :1;
   bool greatestNodeEpoch :1;
   bool controlVms :1;
   bool leaving :1;
+  bool storesLeaving :1;
 } _HelloReply__isset;
 
 class HelloReply : public virtual ::apache::thrift::TBase {
@@ -335,7 +338,8 @@
   HelloReply() noexcept
              : memberId(0),
                freshnessAgeMs(0),
-               greatestNodeEpoch(0) {
+               greatestNodeEpoch(0),
+               storesLeaving(0) {
   }
 
   virtual ~HelloReply() noexcept;
@@ -345,6 +349,7 @@
   int64_t greatestNodeEpoch;
   std::vector<ControlEndpoint>  controlVms;
    ::wigeonfold::wire::TargetStart leaving;
+  bool storesLeaving;
 
   _HelloReply__isset __isset;
 
@@ -360,6 +365,8 @@
 
   void __set_leaving(const  ::wigeonfold::wire::TargetStart& val);
 
+  void __set_storesLeaving(const bool val);
+
   bool operator == (const HelloReply & rhs) const
   {
     if (!(memberId == rhs.memberId))
@@ -378,6 +385,8 @@
       return false;
     else if (__isset.leaving && !(leaving == rhs.leaving))
       return false;
+    if (!(storesLeaving == rhs.storesLeaving))
+      return false;
     return true;
   }
   bool operator != (const HelloReply &rhs) const {
@@ -647,11 +656,12 @@
 std::ostream& operator<<(std::ostream& out, const EndpointUpdate& obj);
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : freshnessAgeMs(false), newest(false), controlVms(false), confirm(false) {}
+  _Heartbeat__isset() : freshnessAgeMs(false), newest(false), controlVms(false), confirm(false), leaving(false) {}
   bool freshnessAgeMs :1;
   bool newest :1;
   bool controlVms :1;
   bool confirm :1;
+  bool leaving :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -671,6 +681,7 @@
    ::wigeonfold::wire::WireVersion newest;
   std::vector<ControlEndpoint>  controlVms;
   int64_t confirm;
+  std::vector< ::wigeonfold::wire::TargetStart>  leaving;
 
   _Heartbeat__isset __isset;
 
@@ -682,6 +693,8 @@
 
   void __set_confirm(const int64_t val);
 
+  void __set_leaving(const std::vector< ::wigeonfold::wire::TargetStart> & val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(freshnessAgeMs == rhs.freshnessAgeMs))
@@ -696,6 +709,10 @@
       return false;
     else if (__isset.confirm && !(confirm == rhs.confirm))
       return false;
+    if (__isset.leaving != rhs.__isset.leaving)
+      return false;
+    else if (__isset.leaving && !(leaving == rhs.leaving))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
@@ -715,7 +732,7 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 typedef struct _NodeStatus__isset {
-  _NodeStatus__isset() : inForce(false), refused(false), refusal(false), controlBytesReceived(false), controlBytesSent(false), endpointSource(false), endpointCursor(false), resync(false), resyncFull(false), belowFloor(false), confirm(false) {}
+  _NodeStatus__isset() : inForce(false), refused(false), refusal(false), controlBytesReceived(false), controlBytesSent(false), endpointSource(false), endpointCursor(false), resync(false), resyncFull(false), belowFloor(false), confirm(false), leaving(false) {}
   bool inForce :1;
   bool refused :1;
   bool refusal :1;
@@ -727,6 +744,7 @@
   bool resyncFull :1;
   bool belowFloor :1;
   bool confirm :1;
+  bool leaving :1;
 } _NodeStatus__isset;
 
 class NodeStatus : public virtual ::apache::thrift::TBase {
@@ -760,6 +778,7 @@
   bool resyncFull;
   bool belowFloor;
   int64_t confirm;
+  std::vector< ::wigeonfold::wire::TargetStart>  leaving;
 
   _NodeStatus__isset __isset;
 
@@ -785,6 +804,8 @@
 
   void __set_confirm(const int64_t val);
 
+  void __set_leaving(const std::vector< ::wigeonfold::wire::TargetStart> & val);
+
   bool operator == (const NodeStatus & rhs) const
   {
     if (__isset.inForce != rhs.__isset.inForce)
@@ -815,6 +836,10 @@
       return false;
     else if (__isset.confirm && !(confirm == rhs.confirm))
       return false;
+    if (__isset.leaving != rhs.__isset.leaving)
+      return false;
+    else if (__isset.leaving && !(leaving == rhs.leaving))
+      return false;
     return true;
   }
   bool operator != (const NodeStatus &rhs) const {
@@ -971,7 +996,7 @@
 std::ostream& operator<<(std::ostream& out, const EndpointSync& obj);
 
 typedef struct _ControlHello__isset {
-  _ControlHello__isset() : memberId(false), name(false), clusterId(false), availabilityZone(false), peerAddress(false), apiAddress(false), nodeAddress(false), operatorAddress(false), hasLog(false), mayBootstrap(false), readsPackedEntries(false) {}
+  _ControlHello__isset() : memberId(false), name(false), clusterId(false), availabilityZone(false), peerAddress(false), apiAddress(false), nodeAddress(false), operatorAddress(false), hasLog(false), mayBootstrap(false), readsPackedEntries(false), readsLeavingReports(false) {}
   bool memberId :1;
   bool name :1;
   bool clusterId :1;
@@ -983,6 +1008,7 @@
   bool hasLog :1;
   bool mayBootstrap :1;
   bool readsPackedEntries :1;
+  bool readsLeavingReports :1;
 } _ControlHello__isset;
 
 class ControlHello : public virtual ::apache::thrift::TBase {
@@ -1003,7 +1029,8 @@
                  operatorAddress(),
                  hasLog(0),
                  mayBootstrap(0),
-                 readsPackedEntries(0) {
+                 readsPackedEntries(0),
+                 readsLeavingReports(0) {
   }
 
   virtual ~ControlHello() noexcept;
@@ -1018,6 +1045,7 @@
   bool hasLog;
   bool mayBootstrap;
   bool readsPackedEntries;
+  bool readsLeavingReports;
 
   _ControlHello__isset __isset;
 
@@ -1043,6 +1071,8 @@
 
   void __set_readsPackedEntries(const bool val);
 
+  void __set_readsLeavingReports(const bool val);
+
   bool operator == (const ControlHello & rhs) const
   {
     if (!(memberId == rhs.memberId))
@@ -1067,6 +1097,8 @@
       return false;
     if (!(readsPackedEntries == rhs.readsPackedEntries))
       return false;
+    if (!(readsLeavingReports == rhs.readsLeavingReports))
+      return false;
     return true;
   }
   bool operator != (const ControlHello &rhs) const {
@@ -1085,6 +1117,57 @@
 
 std::ostream& operator<<(std::ostream& out, const ControlHello& obj);
 
+typedef struct _LeavingReport__isset {
+  _LeavingReport__isset() : nodeName(false), start(false) {}
+  bool nodeName :1;
+  bool start :1;
+} _LeavingReport__isset;
+
+class LeavingReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  LeavingReport(const LeavingReport&);
+  LeavingReport(LeavingReport&&) noexcept;
+  LeavingReport& operator=(const LeavingReport&);
+  LeavingReport& operator=(LeavingReport&&) noexcept;
+  LeavingReport() noexcept
+                : nodeName() {
+  }
+
+  virtual ~LeavingReport() noexcept;
+  std::string nodeName;
+   ::wigeonfold::wire::TargetStart start;
+
+  _LeavingReport__isset __isset;
+
+  void __set_nodeName(const std::string& val);
+
+  void __set_start(const  ::wigeonfold::wire::TargetStart& val);
+
+  bool operator == (const LeavingReport & rhs) const
+  {
+    if (!(nodeName == rhs.nodeName))
+      return false;
+    if (!(start == rhs.start))
+      return false;
+    return true;
+  }
+  bool operator != (const LeavingReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LeavingReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LeavingReport &a, LeavingReport &b);
+
+std::ostream& operator<<(std::ostream& out, const LeavingReport& obj);
+
 }} // namespace
 
 #endif
--- a/libs/wire/gen/include/wigeonfold/wire/gen/registry_types.h
+++ b/libs/wire/gen/include/wigeonfold/wire/gen/registry_types.h
@@ -48,6 +48,8 @@
 
 class Bootstrap;
 
+class NodeLeaving;
+
 class RegistryCommand;
 
 class RegistrySnapshot;
@@ -461,10 +463,62 @@
 
 std::ostream& operator<<(std::ostream& out, const Bootstrap& obj);
 
+typedef struct _NodeLeaving__isset {
+  _NodeLeaving__isset() : nodeName(false), starts(false) {}
+  bool nodeName :1;
+  bool starts :1;
+} _NodeLeaving__isset;
+
+class NodeLeaving : public virtual ::apache::thrift::TBase {
+ public:
+
+  NodeLeaving(const NodeLeaving&);
+  NodeLeaving(NodeLeaving&&) noexcept;
+  NodeLeaving& operator=(const NodeLeaving&);
+  NodeLeaving& operator=(NodeLeaving&&) noexcept;
+  NodeLeaving() noexcept
+              : nodeName() {
+  }
+
+  virtual ~NodeLeaving() noexcept;
+  std::string nodeName;
+  std::vector< ::wigeonfold::wire::TargetStart>  starts;
+
+  _NodeLeaving__isset __isset;
+
+  void __set_nodeName(const std::string& val);
+
+  void __set_starts(const std::vector< ::wigeonfold::wire::TargetStart> & val);
+
+  bool operator == (const NodeLeaving & rhs) const
+  {
+    if (!(nodeName == rhs.nodeName))
+      return false;
+    if (!(starts == rhs.starts))
+      return false;
+    return true;
+  }
+  bool operator != (const NodeLeaving &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const NodeLeaving & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(NodeLeaving &a, NodeLeaving &b);
+
+std::ostream& operator<<(std::ostream& out, const NodeLeaving& obj);
+
 typedef struct _RegistryCommand__isset {
-  _RegistryCommand__isset() : change(false), bootstrap(false) {}
+  _RegistryCommand__isset() : change(false), bootstrap(false), leaving(false) {}
   bool change :1;
   bool bootstrap :1;
+  bool leaving :1;
 } _RegistryCommand__isset;
 
 class RegistryCommand : public virtual ::apache::thrift::TBase {
@@ -480,6 +534,7 @@
   virtual ~RegistryCommand() noexcept;
   Change change;
   Bootstrap bootstrap;
+  std::vector<NodeLeaving>  leaving;
 
   _RegistryCommand__isset __isset;
 
@@ -487,6 +542,8 @@
 
   void __set_bootstrap(const Bootstrap& val);
 
+  void __set_leaving(const std::vector<NodeLeaving> & val);
+
   bool operator == (const RegistryCommand & rhs) const
   {
     if (__isset.change != rhs.__isset.change)
@@ -497,6 +554,10 @@
       return false;
     else if (__isset.bootstrap && !(bootstrap == rhs.bootstrap))
       return false;
+    if (__isset.leaving != rhs.__isset.leaving)
+      return false;
+    else if (__isset.leaving && !(leaving == rhs.leaving))
+      return false;
     return true;
   }
   bool operator != (const RegistryCommand &rhs) const {
@@ -516,7 +577,7 @@
 std::ostream& operator<<(std::ostream& out, const RegistryCommand& obj);
 
 typedef struct _RegistrySnapshot__isset {
-  _RegistrySnapshot__isset() : clusterId(false), version(false), branches(false), results(false), history(false), tombstoneHorizon(false), digest(false), label(false), baseLabel(false) {}
+  _RegistrySnapshot__isset() : clusterId(false), version(false), branches(false), results(false), history(false), tombstoneHorizon(false), digest(false), label(false), baseLabel(false), leaving(false) {}
   bool clusterId :1;
   bool version :1;
   bool branches :1;
@@ -526,6 +587,7 @@
   bool digest :1;
   bool label :1;
   bool baseLabel :1;
+  bool leaving :1;
 } _RegistrySnapshot__isset;
 
 class RegistrySnapshot : public virtual ::apache::thrift::TBase {
@@ -552,6 +614,7 @@
   int64_t digest;
   int64_t label;
   int64_t baseLabel;
+  std::vector<NodeLeaving>  leaving;
 
   _RegistrySnapshot__isset __isset;
 
@@ -573,6 +636,8 @@
 
   void __set_baseLabel(const int64_t val);
 
+  void __set_leaving(const std::vector<NodeLeaving> & val);
+
   bool operator == (const RegistrySnapshot & rhs) const
   {
     if (!(clusterId == rhs.clusterId))
@@ -593,6 +658,8 @@
       return false;
     if (!(baseLabel == rhs.baseLabel))
       return false;
+    if (!(leaving == rhs.leaving))
+      return false;
     return true;
   }
   bool operator != (const RegistrySnapshot &rhs) const {
--- a/libs/wire/gen/src/control_types.cpp
+++ b/libs/wire/gen/src/control_types.cpp
@@ -735,6 +735,10 @@
   this->leaving = val;
 __isset.leaving = true;
 }
+
+void HelloReply::__set_storesLeaving(const bool val) {
+  this->storesLeaving = val;
+}
 std::ostream& operator<<(std::ostream& out, const HelloReply& obj)
 {
   obj.printTo(out);
@@ -823,6 +827,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->storesLeaving);
+          this->__isset.storesLeaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -874,6 +886,10 @@
     xfer += this->leaving.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("storesLeaving", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->storesLeaving);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -887,6 +903,7 @@
   swap(a.greatestNodeEpoch, b.greatestNodeEpoch);
   swap(a.controlVms, b.controlVms);
   swap(a.leaving, b.leaving);
+  swap(a.storesLeaving, b.storesLeaving);
   swap(a.__isset, b.__isset);
 }
 
@@ -897,6 +914,7 @@
   greatestNodeEpoch = other19.greatestNodeEpoch;
   controlVms = other19.controlVms;
   leaving = other19.leaving;
+  storesLeaving = other19.storesLeaving;
   __isset = other19.__isset;
 }
 HelloReply::HelloReply(HelloReply&& other20) noexcept {
@@ -906,6 +924,7 @@
   greatestNodeEpoch = other20.greatestNodeEpoch;
   controlVms = std::move(other20.controlVms);
   leaving = std::move(other20.leaving);
+  storesLeaving = other20.storesLeaving;
   __isset = other20.__isset;
 }
 HelloReply& HelloReply::operator=(const HelloReply& other21) {
@@ -915,6 +934,7 @@
   greatestNodeEpoch = other21.greatestNodeEpoch;
   controlVms = other21.controlVms;
   leaving = other21.leaving;
+  storesLeaving = other21.storesLeaving;
   __isset = other21.__isset;
   return *this;
 }
@@ -925,6 +945,7 @@
   greatestNodeEpoch = other22.greatestNodeEpoch;
   controlVms = std::move(other22.controlVms);
   leaving = std::move(other22.leaving);
+  storesLeaving = other22.storesLeaving;
   __isset = other22.__isset;
   return *this;
 }
@@ -937,6 +958,7 @@
   out << ", " << "greatestNodeEpoch=" << to_string(greatestNodeEpoch);
   out << ", " << "controlVms=" << to_string(controlVms);
   out << ", " << "leaving="; (__isset.leaving ? (out << to_string(leaving)) : (out << "<null>"));
+  out << ", " << "storesLeaving=" << to_string(storesLeaving);
   out << ")";
 }
 
@@ -1688,6 +1710,11 @@
   this->confirm = val;
 __isset.confirm = true;
 }
+
+void Heartbeat::__set_leaving(const std::vector< ::wigeonfold::wire::TargetStart> & val) {
+  this->leaving = val;
+__isset.leaving = true;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -1760,6 +1787,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->leaving.clear();
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->leaving.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
+            {
+              xfer += this->leaving[_i72].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1789,10 +1836,10 @@
     xfer += oprot->writeFieldBegin("controlVms", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->controlVms.size()));
-      std::vector<ControlEndpoint> ::const_iterator _iter68;
-      for (_iter68 = this->controlVms.begin(); _iter68 != this->controlVms.end(); ++_iter68)
+      std::vector<ControlEndpoint> ::const_iterator _iter73;
+      for (_iter73 = this->controlVms.begin(); _iter73 != this->controlVms.end(); ++_iter73)
       {
-        xfer += (*_iter68).write(oprot);
+        xfer += (*_iter73).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1803,6 +1850,19 @@
     xfer += oprot->writeI64(this->confirm);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.leaving) {
+    xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 5);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
+      std::vector< ::wigeonfold::wire::TargetStart> ::const_iterator _iter74;
+      for (_iter74 = this->leaving.begin(); _iter74 != this->leaving.end(); ++_iter74)
+      {
+        xfer += (*_iter74).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1814,37 +1874,42 @@
   swap(a.newest, b.newest);
   swap(a.controlVms, b.controlVms);
   swap(a.confirm, b.confirm);
+  swap(a.leaving, b.leaving);
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other69) {
-  freshnessAgeMs = other69.freshnessAgeMs;
-  newest = other69.newest;
-  controlVms = other69.controlVms;
-  confirm = other69.confirm;
-  __isset = other69.__isset;
-}
-Heartbeat::Heartbeat(Heartbeat&& other70) noexcept {
-  freshnessAgeMs = other70.freshnessAgeMs;
-  newest = std::move(other70.newest);
-  controlVms = std::move(other70.controlVms);
-  confirm = other70.confirm;
-  __isset = other70.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other71) {
-  freshnessAgeMs = other71.freshnessAgeMs;
-  newest = other71.newest;
-  controlVms = other71.controlVms;
-  confirm = other71.confirm;
-  __isset = other71.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other75) {
+  freshnessAgeMs = other75.freshnessAgeMs;
+  newest = other75.newest;
+  controlVms = other75.controlVms;
+  confirm = other75.confirm;
+  leaving = other75.leaving;
+  __isset = other75.__isset;
+}
+Heartbeat::Heartbeat(Heartbeat&& other76) noexcept {
+  freshnessAgeMs = other76.freshnessAgeMs;
+  newest = std::move(other76.newest);
+  controlVms = std::move(other76.controlVms);
+  confirm = other76.confirm;
+  leaving = std::move(other76.leaving);
+  __isset = other76.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other77) {
+  freshnessAgeMs = other77.freshnessAgeMs;
+  newest = other77.newest;
+  controlVms = other77.controlVms;
+  confirm = other77.confirm;
+  leaving = other77.leaving;
+  __isset = other77.__isset;
   return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other72) noexcept {
-  freshnessAgeMs = other72.freshnessAgeMs;
-  newest = std::move(other72.newest);
-  controlVms = std::move(other72.controlVms);
-  confirm = other72.confirm;
-  __isset = other72.__isset;
+Heartbeat& Heartbeat::operator=(Heartbeat&& other78) noexcept {
+  freshnessAgeMs = other78.freshnessAgeMs;
+  newest = std::move(other78.newest);
+  controlVms = std::move(other78.controlVms);
+  confirm = other78.confirm;
+  leaving = std::move(other78.leaving);
+  __isset = other78.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -1854,6 +1919,7 @@
   out << ", " << "newest=" << to_string(newest);
   out << ", " << "controlVms="; (__isset.controlVms ? (out << to_string(controlVms)) : (out << "<null>"));
   out << ", " << "confirm="; (__isset.confirm ? (out << to_string(confirm)) : (out << "<null>"));
+  out << ", " << "leaving="; (__isset.leaving ? (out << to_string(leaving)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1908,6 +1974,11 @@
   this->confirm = val;
 __isset.confirm = true;
 }
+
+void NodeStatus::__set_leaving(const std::vector< ::wigeonfold::wire::TargetStart> & val) {
+  this->leaving = val;
+__isset.leaving = true;
+}
 std::ostream& operator<<(std::ostream& out, const NodeStatus& obj)
 {
   obj.printTo(out);
@@ -2024,6 +2095,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->leaving.clear();
+            uint32_t _size79;
+            ::apache::thrift::protocol::TType _etype82;
+            xfer += iprot->readListBegin(_etype82, _size79);
+            this->leaving.resize(_size79);
+            uint32_t _i83;
+            for (_i83 = 0; _i83 < _size79; ++_i83)
+            {
+              xfer += this->leaving[_i83].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2088,6 +2179,19 @@
     xfer += oprot->writeI64(this->confirm);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.leaving) {
+    xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 12);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
+      std::vector< ::wigeonfold::wire::TargetStart> ::const_iterator _iter84;
+      for (_iter84 = this->leaving.begin(); _iter84 != this->leaving.end(); ++_iter84)
+      {
+        xfer += (*_iter84).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2106,65 +2210,70 @@
   swap(a.resyncFull, b.resyncFull);
   swap(a.belowFloor, b.belowFloor);
   swap(a.confirm, b.confirm);
+  swap(a.leaving, b.leaving);
   swap(a.__isset, b.__isset);
 }
 
-NodeStatus::NodeStatus(const NodeStatus& other73) {
-  inForce = other73.inForce;
-  refused = other73.refused;
-  refusal = other73.refusal;
-  controlBytesReceived = other73.controlBytesReceived;
-  controlBytesSent = other73.controlBytesSent;
-  endpointSource = other73.endpointSource;
-  endpointCursor = other73.endpointCursor;
-  resync = other73.resync;
-  resyncFull = other73.resyncFull;
-  belowFloor = other73.belowFloor;
-  confirm = other73.confirm;
-  __isset = other73.__isset;
-}
-NodeStatus::NodeStatus(NodeStatus&& other74) noexcept {
-  inForce = std::move(other74.inForce);
-  refused = std::move(other74.refused);
-  refusal = std::move(other74.refusal);
-  controlBytesReceived = other74.controlBytesReceived;
-  controlBytesSent = other74.controlBytesSent;
-  endpointSource = other74.endpointSource;
-  endpointCursor = other74.endpointCursor;
-  resync = other74.resync;
-  resyncFull = other74.resyncFull;
-  belowFloor = other74.belowFloor;
-  confirm = other74.confirm;
-  __isset = other74.__isset;
-}
-NodeStatus& NodeStatus::operator=(const NodeStatus& other75) {
-  inForce = other75.inForce;
-  refused = other75.refused;
-  refusal = other75.refusal;
-  controlBytesReceived = other75.controlBytesReceived;
-  controlBytesSent = other75.controlBytesSent;
-  endpointSource = other75.endpointSource;
-  endpointCursor = other75.endpointCursor;
-  resync = other75.resync;
-  resyncFull = other75.resyncFull;
-  belowFloor = other75.belowFloor;
-  confirm = other75.confirm;
-  __isset = other75.__isset;
+NodeStatus::NodeStatus(const NodeStatus& other85) {
+  inForce = other85.inForce;
+  refused = other85.refused;
+  refusal = other85.refusal;
+  controlBytesReceived = other85.controlBytesReceived;
+  controlBytesSent = other85.controlBytesSent;
+  endpointSource = other85.endpointSource;
+  endpointCursor = other85.endpointCursor;
+  resync = other85.resync;
+  resyncFull = other85.resyncFull;
+  belowFloor = other85.belowFloor;
+  confirm = other85.confirm;
+  leaving = other85.leaving;
+  __isset = other85.__isset;
+}
+NodeStatus::NodeStatus(NodeStatus&& other86) noexcept {
+  inForce = std::move(other86.inForce);
+  refused = std::move(other86.refused);
+  refusal = std::move(other86.refusal);
+  controlBytesReceived = other86.controlBytesReceived;
+  controlBytesSent = other86.controlBytesSent;
+  endpointSource = other86.endpointSource;
+  endpointCursor = other86.endpointCursor;
+  resync = other86.resync;
+  resyncFull = other86.resyncFull;
+  belowFloor = other86.belowFloor;
+  confirm = other86.confirm;
+  leaving = std::move(other86.leaving);
+  __isset = other86.__isset;
+}
+NodeStatus& NodeStatus::operator=(const NodeStatus& other87) {
+  inForce = other87.inForce;
+  refused = other87.refused;
+  refusal = other87.refusal;
+  controlBytesReceived = other87.controlBytesReceived;
+  controlBytesSent = other87.controlBytesSent;
+  endpointSource = other87.endpointSource;
+  endpointCursor = other87.endpointCursor;
+  resync = other87.resync;
+  resyncFull = other87.resyncFull;
+  belowFloor = other87.belowFloor;
+  confirm = other87.confirm;
+  leaving = other87.leaving;
+  __isset = other87.__isset;
   return *this;
 }
-NodeStatus& NodeStatus::operator=(NodeStatus&& other76) noexcept {
-  inForce = std::move(other76.inForce);
-  refused = std::move(other76.refused);
-  refusal = std::move(other76.refusal);
-  controlBytesReceived = other76.controlBytesReceived;
-  controlBytesSent = other76.controlBytesSent;
-  endpointSource = other76.endpointSource;
-  endpointCursor = other76.endpointCursor;
-  resync = other76.resync;
-  resyncFull = other76.resyncFull;
-  belowFloor = other76.belowFloor;
-  confirm = other76.confirm;
-  __isset = other76.__isset;
+NodeStatus& NodeStatus::operator=(NodeStatus&& other88) noexcept {
+  inForce = std::move(other88.inForce);
+  refused = std::move(other88.refused);
+  refusal = std::move(other88.refusal);
+  controlBytesReceived = other88.controlBytesReceived;
+  controlBytesSent = other88.controlBytesSent;
+  endpointSource = other88.endpointSource;
+  endpointCursor = other88.endpointCursor;
+  resync = other88.resync;
+  resyncFull = other88.resyncFull;
+  belowFloor = other88.belowFloor;
+  confirm = other88.confirm;
+  leaving = std::move(other88.leaving);
+  __isset = other88.__isset;
   return *this;
 }
 void NodeStatus::printTo(std::ostream& out) const {
@@ -2181,6 +2290,7 @@
   out << ", " << "resyncFull=" << to_string(resyncFull);
   out << ", " << "belowFloor=" << to_string(belowFloor);
   out << ", " << "confirm="; (__isset.confirm ? (out << to_string(confirm)) : (out << "<null>"));
+  out << ", " << "leaving="; (__isset.leaving ? (out << to_string(leaving)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2260,22 +2370,22 @@
   swap(a.__isset, b.__isset);
 }
 
-RetryLater::RetryLater(const RetryLater& other77) noexcept {
-  afterMs = other77.afterMs;
-  __isset = other77.__isset;
+RetryLater::RetryLater(const RetryLater& other89) noexcept {
+  afterMs = other89.afterMs;
+  __isset = other89.__isset;
 }
-RetryLater::RetryLater(RetryLater&& other78) noexcept {
-  afterMs = other78.afterMs;
-  __isset = other78.__isset;
+RetryLater::RetryLater(RetryLater&& other90) noexcept {
+  afterMs = other90.afterMs;
+  __isset = other90.__isset;
 }
-RetryLater& RetryLater::operator=(const RetryLater& other79) noexcept {
-  afterMs = other79.afterMs;
-  __isset = other79.__isset;
+RetryLater& RetryLater::operator=(const RetryLater& other91) noexcept {
+  afterMs = other91.afterMs;
+  __isset = other91.__isset;
   return *this;
 }
-RetryLater& RetryLater::operator=(RetryLater&& other80) noexcept {
-  afterMs = other80.afterMs;
-  __isset = other80.__isset;
+RetryLater& RetryLater::operator=(RetryLater&& other92) noexcept {
+  afterMs = other92.afterMs;
+  __isset = other92.__isset;
   return *this;
 }
 void RetryLater::printTo(std::ostream& out) const {
@@ -2369,14 +2479,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size81;
-            ::apache::thrift::protocol::TType _etype84;
-            xfer += iprot->readListBegin(_etype84, _size81);
-            this->records.resize(_size81);
-            uint32_t _i85;
-            for (_i85 = 0; _i85 < _size81; ++_i85)
+            uint32_t _size93;
+            ::apache::thrift::protocol::TType _etype96;
+            xfer += iprot->readListBegin(_etype96, _size93);
+            this->records.resize(_size93);
+            uint32_t _i97;
+            for (_i97 = 0; _i97 < _size93; ++_i97)
             {
-              xfer += this->records[_i85].read(iprot);
+              xfer += this->records[_i97].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2389,14 +2499,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removedNodes.clear();
-            uint32_t _size86;
-            ::apache::thrift::protocol::TType _etype89;
-            xfer += iprot->readListBegin(_etype89, _size86);
-            this->removedNodes.resize(_size86);
-            uint32_t _i90;
-            for (_i90 = 0; _i90 < _size86; ++_i90)
+            uint32_t _size98;
+            ::apache::thrift::protocol::TType _etype101;
+            xfer += iprot->readListBegin(_etype101, _size98);
+            this->removedNodes.resize(_size98);
+            uint32_t _i102;
+            for (_i102 = 0; _i102 < _size98; ++_i102)
             {
-              xfer += iprot->readString(this->removedNodes[_i90]);
+              xfer += iprot->readString(this->removedNodes[_i102]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2465,10 +2575,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<EndpointRecord> ::const_iterator _iter91;
-    for (_iter91 = this->records.begin(); _iter91 != this->records.end(); ++_iter91)
+    std::vector<EndpointRecord> ::const_iterator _iter103;
+    for (_iter103 = this->records.begin(); _iter103 != this->records.end(); ++_iter103)
     {
-      xfer += (*_iter91).write(oprot);
+      xfer += (*_iter103).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2477,10 +2587,10 @@
   xfer += oprot->writeFieldBegin("removedNodes", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removedNodes.size()));
-    std::vector<std::string> ::const_iterator _iter92;
-    for (_iter92 = this->removedNodes.begin(); _iter92 != this->removedNodes.end(); ++_iter92)
+    std::vector<std::string> ::const_iterator _iter104;
+    for (_iter104 = this->removedNodes.begin(); _iter104 != this->removedNodes.end(); ++_iter104)
     {
-      xfer += oprot->writeString((*_iter92));
+      xfer += oprot->writeString((*_iter104));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2520,50 +2630,50 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointSync::EndpointSync(const EndpointSync& other93) {
-  owner = other93.owner;
-  full = other93.full;
-  records = other93.records;
-  removedNodes = other93.removedNodes;
-  incarnation = other93.incarnation;
-  baseCursor = other93.baseCursor;
-  cursor = other93.cursor;
-  request = other93.request;
-  __isset = other93.__isset;
-}
-EndpointSync::EndpointSync(EndpointSync&& other94) noexcept {
-  owner = other94.owner;
-  full = other94.full;
-  records = std::move(other94.records);
-  removedNodes = std::move(other94.removedNodes);
-  incarnation = other94.incarnation;
-  baseCursor = other94.baseCursor;
-  cursor = other94.cursor;
-  request = other94.request;
-  __isset = other94.__isset;
-}
-EndpointSync& EndpointSync::operator=(const EndpointSync& other95) {
-  owner = other95.owner;
-  full = other95.full;
-  records = other95.records;
-  removedNodes = other95.removedNodes;
-  incarnation = other95.incarnation;
-  baseCursor = other95.baseCursor;
-  cursor = other95.cursor;
-  request = other95.request;
-  __isset = other95.__isset;
+EndpointSync::EndpointSync(const EndpointSync& other105) {
+  owner = other105.owner;
+  full = other105.full;
+  records = other105.records;
+  removedNodes = other105.removedNodes;
+  incarnation = other105.incarnation;
+  baseCursor = other105.baseCursor;
+  cursor = other105.cursor;
+  request = other105.request;
+  __isset = other105.__isset;
+}
+EndpointSync::EndpointSync(EndpointSync&& other106) noexcept {
+  owner = other106.owner;
+  full = other106.full;
+  records = std::move(other106.records);
+  removedNodes = std::move(other106.removedNodes);
+  incarnation = other106.incarnation;
+  baseCursor = other106.baseCursor;
+  cursor = other106.cursor;
+  request = other106.request;
+  __isset = other106.__isset;
+}
+EndpointSync& EndpointSync::operator=(const EndpointSync& other107) {
+  owner = other107.owner;
+  full = other107.full;
+  records = other107.records;
+  removedNodes = other107.removedNodes;
+  incarnation = other107.incarnation;
+  baseCursor = other107.baseCursor;
+  cursor = other107.cursor;
+  request = other107.request;
+  __isset = other107.__isset;
   return *this;
 }
-EndpointSync& EndpointSync::operator=(EndpointSync&& other96) noexcept {
-  owner = other96.owner;
-  full = other96.full;
-  records = std::move(other96.records);
-  removedNodes = std::move(other96.removedNodes);
-  incarnation = other96.incarnation;
-  baseCursor = other96.baseCursor;
-  cursor = other96.cursor;
-  request = other96.request;
-  __isset = other96.__isset;
+EndpointSync& EndpointSync::operator=(EndpointSync&& other108) noexcept {
+  owner = other108.owner;
+  full = other108.full;
+  records = std::move(other108.records);
+  removedNodes = std::move(other108.removedNodes);
+  incarnation = other108.incarnation;
+  baseCursor = other108.baseCursor;
+  cursor = other108.cursor;
+  request = other108.request;
+  __isset = other108.__isset;
   return *this;
 }
 void EndpointSync::printTo(std::ostream& out) const {
@@ -2628,6 +2738,10 @@
 void ControlHello::__set_readsPackedEntries(const bool val) {
   this->readsPackedEntries = val;
 }
+
+void ControlHello::__set_readsLeavingReports(const bool val) {
+  this->readsLeavingReports = val;
+}
 std::ostream& operator<<(std::ostream& out, const ControlHello& obj)
 {
   obj.printTo(out);
@@ -2744,6 +2858,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->readsLeavingReports);
+          this->__isset.readsLeavingReports = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2805,6 +2927,10 @@
   xfer += oprot->writeBool(this->readsPackedEntries);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("readsLeavingReports", ::apache::thrift::protocol::T_BOOL, 12);
+  xfer += oprot->writeBool(this->readsLeavingReports);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2823,65 +2949,70 @@
   swap(a.hasLog, b.hasLog);
   swap(a.mayBootstrap, b.mayBootstrap);
   swap(a.readsPackedEntries, b.readsPackedEntries);
+  swap(a.readsLeavingReports, b.readsLeavingReports);
   swap(a.__isset, b.__isset);
 }
 
-ControlHello::ControlHello(const ControlHello& other97) {
-  memberId = other97.memberId;
-  name = other97.name;
-  clusterId = other97.clusterId;
-  availabilityZone = other97.availabilityZone;
-  peerAddress = other97.peerAddress;
-  apiAddress = other97.apiAddress;
-  nodeAddress = other97.nodeAddress;
-  operatorAddress = other97.operatorAddress;
-  hasLog = other97.hasLog;
-  mayBootstrap = other97.mayBootstrap;
-  readsPackedEntries = other97.readsPackedEntries;
-  __isset = other97.__isset;
-}
-ControlHello::ControlHello(ControlHello&& other98) noexcept {
-  memberId = other98.memberId;
-  name = std::move(other98.name);
-  clusterId = std::move(other98.clusterId);
-  availabilityZone = std::move(other98.availabilityZone);
-  peerAddress = std::move(other98.peerAddress);
-  apiAddress = std::move(other98.apiAddress);
-  nodeAddress = std::move(other98.nodeAddress);
-  operatorAddress = std::move(other98.operatorAddress);
-  hasLog = other98.hasLog;
-  mayBootstrap = other98.mayBootstrap;
-  readsPackedEntries = other98.readsPackedEntries;
-  __isset = other98.__isset;
-}
-ControlHello& ControlHello::operator=(const ControlHello& other99) {
-  memberId = other99.memberId;
-  name = other99.name;
-  clusterId = other99.clusterId;
-  availabilityZone = other99.availabilityZone;
-  peerAddress = other99.peerAddress;
-  apiAddress = other99.apiAddress;
-  nodeAddress = other99.nodeAddress;
-  operatorAddress = other99.operatorAddress;
-  hasLog = other99.hasLog;
-  mayBootstrap = other99.mayBootstrap;
-  readsPackedEntries = other99.readsPackedEntries;
-  __isset = other99.__isset;
+ControlHello::ControlHello(const ControlHello& other109) {
+  memberId = other109.memberId;
+  name = other109.name;
+  clusterId = other109.clusterId;
+  availabilityZone = other109.availabilityZone;
+  peerAddress = other109.peerAddress;
+  apiAddress = other109.apiAddress;
+  nodeAddress = other109.nodeAddress;
+  operatorAddress = other109.operatorAddress;
+  hasLog = other109.hasLog;
+  mayBootstrap = other109.mayBootstrap;
+  readsPackedEntries = other109.readsPackedEntries;
+  readsLeavingReports = other109.readsLeavingReports;
+  __isset = other109.__isset;
+}
+ControlHello::ControlHello(ControlHello&& other110) noexcept {
+  memberId = other110.memberId;
+  name = std::move(other110.name);
+  clusterId = std::move(other110.clusterId);
+  availabilityZone = std::move(other110.availabilityZone);
+  peerAddress = std::move(other110.peerAddress);
+  apiAddress = std::move(other110.apiAddress);
+  nodeAddress = std::move(other110.nodeAddress);
+  operatorAddress = std::move(other110.operatorAddress);
+  hasLog = other110.hasLog;
+  mayBootstrap = other110.mayBootstrap;
+  readsPackedEntries = other110.readsPackedEntries;
+  readsLeavingReports = other110.readsLeavingReports;
+  __isset = other110.__isset;
+}
+ControlHello& ControlHello::operator=(const ControlHello& other111) {
+  memberId = other111.memberId;
+  name = other111.name;
+  clusterId = other111.clusterId;
+  availabilityZone = other111.availabilityZone;
+  peerAddress = other111.peerAddress;
+  apiAddress = other111.apiAddress;
+  nodeAddress = other111.nodeAddress;
+  operatorAddress = other111.operatorAddress;
+  hasLog = other111.hasLog;
+  mayBootstrap = other111.mayBootstrap;
+  readsPackedEntries = other111.readsPackedEntries;
+  readsLeavingReports = other111.readsLeavingReports;
+  __isset = other111.__isset;
   return *this;
 }
-ControlHello& ControlHello::operator=(ControlHello&& other100) noexcept {
-  memberId = other100.memberId;
-  name = std::move(other100.name);
-  clusterId = std::move(other100.clusterId);
-  availabilityZone = std::move(other100.availabilityZone);
-  peerAddress = std::move(other100.peerAddress);
-  apiAddress = std::move(other100.apiAddress);
-  nodeAddress = std::move(other100.nodeAddress);
-  operatorAddress = std::move(other100.operatorAddress);
-  hasLog = other100.hasLog;
-  mayBootstrap = other100.mayBootstrap;
-  readsPackedEntries = other100.readsPackedEntries;
-  __isset = other100.__isset;
+ControlHello& ControlHello::operator=(ControlHello&& other112) noexcept {
+  memberId = other112.memberId;
+  name = std::move(other112.name);
+  clusterId = std::move(other112.clusterId);
+  availabilityZone = std::move(other112.availabilityZone);
+  peerAddress = std::move(other112.peerAddress);
+  apiAddress = std::move(other112.apiAddress);
+  nodeAddress = std::move(other112.nodeAddress);
+  operatorAddress = std::move(other112.operatorAddress);
+  hasLog = other112.hasLog;
+  mayBootstrap = other112.mayBootstrap;
+  readsPackedEntries = other112.readsPackedEntries;
+  readsLeavingReports = other112.readsLeavingReports;
+  __isset = other112.__isset;
   return *this;
 }
 void ControlHello::printTo(std::ostream& out) const {
@@ -2898,6 +3029,130 @@
   out << ", " << "hasLog=" << to_string(hasLog);
   out << ", " << "mayBootstrap=" << to_string(mayBootstrap);
   out << ", " << "readsPackedEntries=" << to_string(readsPackedEntries);
+  out << ", " << "readsLeavingReports=" << to_string(readsLeavingReports);
+  out << ")";
+}
+
+
+LeavingReport::~LeavingReport() noexcept {
+}
+
+
+void LeavingReport::__set_nodeName(const std::string& val) {
+  this->nodeName = val;
+}
+
+void LeavingReport::__set_start(const  ::wigeonfold::wire::TargetStart& val) {
+  this->start = val;
+}
+std::ostream& operator<<(std::ostream& out, const LeavingReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LeavingReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->nodeName);
+          this->__isset.nodeName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->start.read(iprot);
+          this->__isset.start = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LeavingReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LeavingReport");
+
+  xfer += oprot->writeFieldBegin("nodeName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->nodeName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("start", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->start.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LeavingReport &a, LeavingReport &b) {
+  using ::std::swap;
+  swap(a.nodeName, b.nodeName);
+  swap(a.start, b.start);
+  swap(a.__isset, b.__isset);
+}
+
+LeavingReport::LeavingReport(const LeavingReport& other113) {
+  nodeName = other113.nodeName;
+  start = other113.start;
+  __isset = other113.__isset;
+}
+LeavingReport::LeavingReport(LeavingReport&& other114) noexcept {
+  nodeName = std::move(other114.nodeName);
+  start = std::move(other114.start);
+  __isset = other114.__isset;
+}
+LeavingReport& LeavingReport::operator=(const LeavingReport& other115) {
+  nodeName = other115.nodeName;
+  start = other115.start;
+  __isset = other115.__isset;
+  return *this;
+}
+LeavingReport& LeavingReport::operator=(LeavingReport&& other116) noexcept {
+  nodeName = std::move(other116.nodeName);
+  start = std::move(other116.start);
+  __isset = other116.__isset;
+  return *this;
+}
+void LeavingReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LeavingReport(";
+  out << "nodeName=" << to_string(nodeName);
+  out << ", " << "start=" << to_string(start);
   out << ")";
 }
 
--- a/libs/wire/gen/src/registry_types.cpp
+++ b/libs/wire/gen/src/registry_types.cpp
@@ -1177,6 +1177,149 @@
 }
 
 
+NodeLeaving::~NodeLeaving() noexcept {
+}
+
+
+void NodeLeaving::__set_nodeName(const std::string& val) {
+  this->nodeName = val;
+}
+
+void NodeLeaving::__set_starts(const std::vector< ::wigeonfold::wire::TargetStart> & val) {
+  this->starts = val;
+}
+std::ostream& operator<<(std::ostream& out, const NodeLeaving& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t NodeLeaving::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->nodeName);
+          this->__isset.nodeName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->starts.clear();
+            uint32_t _size49;
+            ::apache::thrift::protocol::TType _etype52;
+            xfer += iprot->readListBegin(_etype52, _size49);
+            this->starts.resize(_size49);
+            uint32_t _i53;
+            for (_i53 = 0; _i53 < _size49; ++_i53)
+            {
+              xfer += this->starts[_i53].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.starts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t NodeLeaving::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("NodeLeaving");
+
+  xfer += oprot->writeFieldBegin("nodeName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->nodeName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->starts.size()));
+    std::vector< ::wigeonfold::wire::TargetStart> ::const_iterator _iter54;
+    for (_iter54 = this->starts.begin(); _iter54 != this->starts.end(); ++_iter54)
+    {
+      xfer += (*_iter54).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(NodeLeaving &a, NodeLeaving &b) {
+  using ::std::swap;
+  swap(a.nodeName, b.nodeName);
+  swap(a.starts, b.starts);
+  swap(a.__isset, b.__isset);
+}
+
+NodeLeaving::NodeLeaving(const NodeLeaving& other55) {
+  nodeName = other55.nodeName;
+  starts = other55.starts;
+  __isset = other55.__isset;
+}
+NodeLeaving::NodeLeaving(NodeLeaving&& other56) noexcept {
+  nodeName = std::move(other56.nodeName);
+  starts = std::move(other56.starts);
+  __isset = other56.__isset;
+}
+NodeLeaving& NodeLeaving::operator=(const NodeLeaving& other57) {
+  nodeName = other57.nodeName;
+  starts = other57.starts;
+  __isset = other57.__isset;
+  return *this;
+}
+NodeLeaving& NodeLeaving::operator=(NodeLeaving&& other58) noexcept {
+  nodeName = std::move(other58.nodeName);
+  starts = std::move(other58.starts);
+  __isset = other58.__isset;
+  return *this;
+}
+void NodeLeaving::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "NodeLeaving(";
+  out << "nodeName=" << to_string(nodeName);
+  out << ", " << "starts=" << to_string(starts);
+  out << ")";
+}
+
+
 RegistryCommand::~RegistryCommand() noexcept {
 }
 
@@ -1190,6 +1333,11 @@
   this->bootstrap = val;
 __isset.bootstrap = true;
 }
+
+void RegistryCommand::__set_leaving(const std::vector<NodeLeaving> & val) {
+  this->leaving = val;
+__isset.leaving = true;
+}
 std::ostream& operator<<(std::ostream& out, const RegistryCommand& obj)
 {
   obj.printTo(out);
@@ -1234,6 +1382,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->leaving.clear();
+            uint32_t _size59;
+            ::apache::thrift::protocol::TType _etype62;
+            xfer += iprot->readListBegin(_etype62, _size59);
+            this->leaving.resize(_size59);
+            uint32_t _i63;
+            for (_i63 = 0; _i63 < _size59; ++_i63)
+            {
+              xfer += this->leaving[_i63].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1261,6 +1429,19 @@
     xfer += this->bootstrap.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.leaving) {
+    xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 3);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
+      std::vector<NodeLeaving> ::const_iterator _iter64;
+      for (_iter64 = this->leaving.begin(); _iter64 != this->leaving.end(); ++_iter64)
+      {
+        xfer += (*_iter64).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1270,29 +1451,34 @@
   using ::std::swap;
   swap(a.change, b.change);
   swap(a.bootstrap, b.bootstrap);
+  swap(a.leaving, b.leaving);
   swap(a.__isset, b.__isset);
 }
 
-RegistryCommand::RegistryCommand(const RegistryCommand& other49) {
-  change = other49.change;
-  bootstrap = other49.bootstrap;
-  __isset = other49.__isset;
+RegistryCommand::RegistryCommand(const RegistryCommand& other65) {
+  change = other65.change;
+  bootstrap = other65.bootstrap;
+  leaving = other65.leaving;
+  __isset = other65.__isset;
 }
-RegistryCommand::RegistryCommand(RegistryCommand&& other50) noexcept {
-  change = std::move(other50.change);
-  bootstrap = std::move(other50.bootstrap);
-  __isset = other50.__isset;
+RegistryCommand::RegistryCommand(RegistryCommand&& other66) noexcept {
+  change = std::move(other66.change);
+  bootstrap = std::move(other66.bootstrap);
+  leaving = std::move(other66.leaving);
+  __isset = other66.__isset;
 }
-RegistryCommand& RegistryCommand::operator=(const RegistryCommand& other51) {
-  change = other51.change;
-  bootstrap = other51.bootstrap;
-  __isset = other51.__isset;
+RegistryCommand& RegistryCommand::operator=(const RegistryCommand& other67) {
+  change = other67.change;
+  bootstrap = other67.bootstrap;
+  leaving = other67.leaving;
+  __isset = other67.__isset;
   return *this;
 }
-RegistryCommand& RegistryCommand::operator=(RegistryCommand&& other52) noexcept {
-  change = std::move(other52.change);
-  bootstrap = std::move(other52.bootstrap);
-  __isset = other52.__isset;
+RegistryCommand& RegistryCommand::operator=(RegistryCommand&& other68) noexcept {
+  change = std::move(other68.change);
+  bootstrap = std::move(other68.bootstrap);
+  leaving = std::move(other68.leaving);
+  __isset = other68.__isset;
   return *this;
 }
 void RegistryCommand::printTo(std::ostream& out) const {
@@ -1300,6 +1486,7 @@
   out << "RegistryCommand(";
   out << "change="; (__isset.change ? (out << to_string(change)) : (out << "<null>"));
   out << ", " << "bootstrap="; (__isset.bootstrap ? (out << to_string(bootstrap)) : (out << "<null>"));
+  out << ", " << "leaving="; (__isset.leaving ? (out << to_string(leaving)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1343,6 +1530,10 @@
 void RegistrySnapshot::__set_baseLabel(const int64_t val) {
   this->baseLabel = val;
 }
+
+void RegistrySnapshot::__set_leaving(const std::vector<NodeLeaving> & val) {
+  this->leaving = val;
+}
 std::ostream& operator<<(std::ostream& out, const RegistrySnapshot& obj)
 {
   obj.printTo(out);
@@ -1391,14 +1582,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->branches.clear();
-            uint32_t _size53;
-            ::apache::thrift::protocol::TType _etype56;
-            xfer += iprot->readListBegin(_etype56, _size53);
-            this->branches.resize(_size53);
-            uint32_t _i57;
-            for (_i57 = 0; _i57 < _size53; ++_i57)
+            uint32_t _size69;
+            ::apache::thrift::protocol::TType _etype72;
+            xfer += iprot->readListBegin(_etype72, _size69);
+            this->branches.resize(_size69);
+            uint32_t _i73;
+            for (_i73 = 0; _i73 < _size69; ++_i73)
             {
-              xfer += this->branches[_i57].read(iprot);
+              xfer += this->branches[_i73].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1411,14 +1602,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->results.clear();
-            uint32_t _size58;
-            ::apache::thrift::protocol::TType _etype61;
-            xfer += iprot->readListBegin(_etype61, _size58);
-            this->results.resize(_size58);
-            uint32_t _i62;
-            for (_i62 = 0; _i62 < _size58; ++_i62)
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _etype77;
+            xfer += iprot->readListBegin(_etype77, _size74);
+            this->results.resize(_size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
             {
-              xfer += this->results[_i62].read(iprot);
+              xfer += this->results[_i78].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1431,14 +1622,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->history.clear();
-            uint32_t _size63;
-            ::apache::thrift::protocol::TType _etype66;
-            xfer += iprot->readListBegin(_etype66, _size63);
-            this->history.resize(_size63);
-            uint32_t _i67;
-            for (_i67 = 0; _i67 < _size63; ++_i67)
+            uint32_t _size79;
+            ::apache::thrift::protocol::TType _etype82;
+            xfer += iprot->readListBegin(_etype82, _size79);
+            this->history.resize(_size79);
+            uint32_t _i83;
+            for (_i83 = 0; _i83 < _size79; ++_i83)
             {
-              xfer += this->history[_i67].read(iprot);
+              xfer += this->history[_i83].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1479,6 +1670,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->leaving.clear();
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->leaving.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
+            {
+              xfer += this->leaving[_i88].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1507,10 +1718,10 @@
   xfer += oprot->writeFieldBegin("branches", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->branches.size()));
-    std::vector< ::wigeonfold::wire::BranchState> ::const_iterator _iter68;
-    for (_iter68 = this->branches.begin(); _iter68 != this->branches.end(); ++_iter68)
+    std::vector< ::wigeonfold::wire::BranchState> ::const_iterator _iter89;
+    for (_iter89 = this->branches.begin(); _iter89 != this->branches.end(); ++_iter89)
     {
-      xfer += (*_iter68).write(oprot);
+      xfer += (*_iter89).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1519,10 +1730,10 @@
   xfer += oprot->writeFieldBegin("results", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->results.size()));
-    std::vector<RememberedResult> ::const_iterator _iter69;
-    for (_iter69 = this->results.begin(); _iter69 != this->results.end(); ++_iter69)
+    std::vector<RememberedResult> ::const_iterator _iter90;
+    for (_iter90 = this->results.begin(); _iter90 != this->results.end(); ++_iter90)
     {
-      xfer += (*_iter69).write(oprot);
+      xfer += (*_iter90).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1531,10 +1742,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<HistoryEntry> ::const_iterator _iter70;
-    for (_iter70 = this->history.begin(); _iter70 != this->history.end(); ++_iter70)
+    std::vector<HistoryEntry> ::const_iterator _iter91;
+    for (_iter91 = this->history.begin(); _iter91 != this->history.end(); ++_iter91)
     {
-      xfer += (*_iter70).write(oprot);
+      xfer += (*_iter91).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1556,6 +1767,18 @@
   xfer += oprot->writeI64(this->baseLabel);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
+    std::vector<NodeLeaving> ::const_iterator _iter92;
+    for (_iter92 = this->leaving.begin(); _iter92 != this->leaving.end(); ++_iter92)
+    {
+      xfer += (*_iter92).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1572,57 +1795,62 @@
   swap(a.digest, b.digest);
   swap(a.label, b.label);
   swap(a.baseLabel, b.baseLabel);
+  swap(a.leaving, b.leaving);
   swap(a.__isset, b.__isset);
 }
 
-RegistrySnapshot::RegistrySnapshot(const RegistrySnapshot& other71) {
-  clusterId = other71.clusterId;
-  version = other71.version;
-  branches = other71.branches;
-  results = other71.results;
-  history = other71.history;
-  tombstoneHorizon = other71.tombstoneHorizon;
-  digest = other71.digest;
-  label = other71.label;
-  baseLabel = other71.baseLabel;
-  __isset = other71.__isset;
-}
-RegistrySnapshot::RegistrySnapshot(RegistrySnapshot&& other72) noexcept {
-  clusterId = std::move(other72.clusterId);
-  version = std::move(other72.version);
-  branches = std::move(other72.branches);
-  results = std::move(other72.results);
-  history = std::move(other72.history);
-  tombstoneHorizon = std::move(other72.tombstoneHorizon);
-  digest = other72.digest;
-  label = other72.label;
-  baseLabel = other72.baseLabel;
-  __isset = other72.__isset;
-}
-RegistrySnapshot& RegistrySnapshot::operator=(const RegistrySnapshot& other73) {
-  clusterId = other73.clusterId;
-  version = other73.version;
-  branches = other73.branches;
-  results = other73.results;
-  history = other73.history;
-  tombstoneHorizon = other73.tombstoneHorizon;
-  digest = other73.digest;
-  label = other73.label;
-  baseLabel = other73.baseLabel;
-  __isset = other73.__isset;
+RegistrySnapshot::RegistrySnapshot(const RegistrySnapshot& other93) {
+  clusterId = other93.clusterId;
+  version = other93.version;
+  branches = other93.branches;
+  results = other93.results;
+  history = other93.history;
+  tombstoneHorizon = other93.tombstoneHorizon;
+  digest = other93.digest;
+  label = other93.label;
+  baseLabel = other93.baseLabel;
+  leaving = other93.leaving;
+  __isset = other93.__isset;
+}
+RegistrySnapshot::RegistrySnapshot(RegistrySnapshot&& other94) noexcept {
+  clusterId = std::move(other94.clusterId);
+  version = std::move(other94.version);
+  branches = std::move(other94.branches);
+  results = std::move(other94.results);
+  history = std::move(other94.history);
+  tombstoneHorizon = std::move(other94.tombstoneHorizon);
+  digest = other94.digest;
+  label = other94.label;
+  baseLabel = other94.baseLabel;
+  leaving = std::move(other94.leaving);
+  __isset = other94.__isset;
+}
+RegistrySnapshot& RegistrySnapshot::operator=(const RegistrySnapshot& other95) {
+  clusterId = other95.clusterId;
+  version = other95.version;
+  branches = other95.branches;
+  results = other95.results;
+  history = other95.history;
+  tombstoneHorizon = other95.tombstoneHorizon;
+  digest = other95.digest;
+  label = other95.label;
+  baseLabel = other95.baseLabel;
+  leaving = other95.leaving;
+  __isset = other95.__isset;
   return *this;
 }
-RegistrySnapshot& RegistrySnapshot::operator=(RegistrySnapshot&& other74) noexcept {
-  clusterId = std::move(other74.clusterId);
-  version = std::move(other74.version);
-  branches = std::move(other74.branches);
-  results = std::move(other74.results);
-  history = std::move(other74.history);
-  tombstoneHorizon = std::move(other74.tombstoneHorizon);
-  digest = other74.digest;
-  label = other74.label;
-  baseLabel = other74.baseLabel;
-  __isset = other74.__isset;
+RegistrySnapshot& RegistrySnapshot::operator=(RegistrySnapshot&& other96) noexcept {
+  clusterId = std::move(other96.clusterId);
+  version = std::move(other96.version);
+  branches = std::move(other96.branches);
+  results = std::move(other96.results);
+  history = std::move(other96.history);
+  tombstoneHorizon = std::move(other96.tombstoneHorizon);
+  digest = other96.digest;
+  label = other96.label;
+  baseLabel = other96.baseLabel;
+  leaving = std::move(other96.leaving);
+  __isset = other96.__isset;
   return *this;
 }
 void RegistrySnapshot::printTo(std::ostream& out) const {
@@ -1637,6 +1865,7 @@
   out << ", " << "digest=" << to_string(digest);
   out << ", " << "label=" << to_string(label);
   out << ", " << "baseLabel=" << to_string(baseLabel);
+  out << ", " << "leaving=" << to_string(leaving);
   out << ")";
 }
 
--- a/libs/wire/include/wigeonfold/wire/Codec.h
+++ b/libs/wire/include/wigeonfold/wire/Codec.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "wigeonfold/base/Error.h"
+#include "wigeonfold/base/TargetStart.h"
 #include "wigeonfold/base/Version.h"
 #include "wigeonfold/wire/gen/common_types.h"
 
@@ -10,6 +11,7 @@
 #include <string_view>
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
+#include <vector>
 
 namespace wigeonfold::wire {
 
@@ -61,4 +63,37 @@
   return Version{ aVersion.generation, aVersion.number };
 }
 
+inline wire::TargetStart ToWire(const wigeonfold::TargetStart& aStart)
+{
+  wire::TargetStart start;
+  start.instance = aStart.m_instance;
+  start.startedAtMs = aStart.m_startedAtMs;
+  return start;
+}
+
+inline wigeonfold::TargetStart FromWire(const wire::TargetStart& aStart)
+{
+  return { aStart.instance, aStart.startedAtMs };
+}
+
+inline std::vector<wire::TargetStart> ToWire(
+  const std::vector<wigeonfold::TargetStart>& aStarts)
+{
+  std::vector<wire::TargetStart> starts;
+  for (const wigeonfold::TargetStart& start : aStarts) {
+    starts.push_back(ToWire(start));
+  }
+  return starts;
+}
+
+inline std::vector<wigeonfold::TargetStart> FromWire(
+  const std::vector<wire::TargetStart>& aStarts)
+{
+  std::vector<wigeonfold::TargetStart> starts;
+  for (const wire::TargetStart& start : aStarts) {
+    starts.push_back(FromWire(start));
+  }
+  return starts;
+}
+
 } // namespace wigeonfold::wire
--- a/libs/wire/include/wigeonfold/wire/Frame.h
+++ b/libs/wire/include/wigeonfold/wire/Frame.h
@@ -18,6 +18,7 @@
   ControlHello = 1,
   Raft = 2,
   EndpointSync = 3,
+  LeavingReport = 4,
   // Between node and control VM.
   NodeHello = 10,
   HelloReply = 11,
