Let targets leave in the soak, beside late reports and the loss of all processes

The soak had no target that leaves. A target that leaves says `draining` or DELETE until it is acknowledged, serves on for 5 to 10 s while reports from before the leave arrive, and all control VMs and nodes, all nodes or all control VMs may be killed right after the acknowledgement. P7: it gets no work later than 3 s after it.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -70,6 +70,8 @@
         # part of its graceful shutdown.
         self.leaving_until = {}
         self.unclean_exits = []
+        self.reporting = set()  # numbers of the targets that don't announce themselves
+        self.stopped = False
 
     def path(self, name):
         return os.path.join(self.work, name)
@@ -78,7 +80,7 @@
         return "%s:%d" % (host(i), self.port + 3 * i + ("peer", "node", "api").index(part))
 
     def vm_address(self, i, part):
-        port = self.port + 20 + 4 * i + ("caller", "peer", "local", "target").index(part)
+        port = self.port + 20 + 5 * i + ("caller", "peer", "local", "target", "report").index(part)
         return "%s:%d" % (host(i % len(ZONES), 1 + i // len(ZONES)), port)
 
     def reachable_address(self, address):
@@ -152,6 +154,7 @@
         lines = ["[node]", "name = node-%d" % i, "availability-zone = " + ZONES[zone]]
         lines += ["%s-listen = %s" % (part, self.vm_address(i, part)) for part in ("caller", "peer", "local")]
         lines.append("peer-address = " + self.reachable_address(self.vm_address(i, "peer")))
+        lines.append("announce-listen = " + self.vm_address(i, "report"))
         lines.append("[control]")
         lines += ["%s = %s" % (ZONES[n], self.reachable_address(self.control_address(n, "node")))
                   for n in range(len(ZONES))]
@@ -160,10 +163,12 @@
     def start_target(self, i):
         lines = ["[target]", "name = target-%d" % i, "listen = " + self.vm_address(i, "target"),
                  "announce-address = " + self.reachable_address(self.vm_address(i, "target")),
-                 "service = " + self.services[i], "node-announce = " + self.vm_address(i, "local"),
+                 "service = " + self.services[i],
                  "node-callers = " + self.vm_address(i, "caller"), "slots = 6", "connections = 130",
                  "connection-cost = 1ms", "executed-file = " + self.path("executed-%d" % i),
-                 "seed = %d" % (100 + i), "[service-time]", "short = 3ms", "long = 40ms",
+                 "seed = %d" % (100 + i)] + \
+            ([] if i in self.reporting else ["node-announce = " + self.vm_address(i, "local")]) + \
+            ["[service-time]", "short = 3ms", "long = 40ms",
                  "long-per-mille = 20"]
         self.start_with_settings("target-%d" % i, "wigeonfold-target", lines)
 
@@ -208,6 +213,7 @@
         return self.client("accept", "--draft", draft, "--json", *options)
 
     def stop_all(self):
+        self.stopped = True
         for process in self.processes.values():
             process.send_signal(signal.SIGCONT)
         for process in self.processes.values():
--- a/scripts/soak_faults.py
+++ b/scripts/soak_faults.py
@@ -25,9 +25,11 @@
 class Faults:
     """Injects random faults; a timer ends each fault that lasts."""
 
-    def __init__(self, fleet, choices):
+    def __init__(self, fleet, choices, reporting=()):
         self.fleet = fleet
         self.random = choices
+        self.reporting = reporting  # targets that can leave, see soak_leaving.py
+        self.next_faults = []  # injected by the next step, in place of a random one
         self.timers = []
         self.busy = set()  # names of processes, disks and zones under a fault
         self.judging_drain = False  # no faults of control VMs, links and disks meanwhile
@@ -353,10 +355,63 @@
             end()
         self.call_after(0, run)
 
+    # ---- Targets that leave ----
+
+    def kill_all(self):
+        """Kills all control VMs and nodes at once, but for those under another fault."""
+        if self.judging_drain:
+            return
+        names = self.idle_names("control") + self.idle_names("node")
+        self.busy.update(names)
+        self.kill(names, 0.3, 2)
+
+    def kill_all_nodes(self):
+        names = self.idle_names("node")
+        self.busy.update(names)
+        self.kill(names, 0.2, 1.5)
+
+    def leave_target(self):
+        """A target leaves; after the acknowledgement it gets no work, whatever dies then."""
+        free = [one for one in self.reporting if "target-%d" % one.i not in self.busy]
+        if not free or self.judging_drain:
+            return
+        target = self.random.choice(free)
+        name = "target-%d" % target.i
+        self.busy.add(name)
+        how = self.random.choice(["draining", "DELETE"])
+        late = [self.random.uniform(0.2, 8) for _ in range(self.random.randrange(1, 4))]
+        fault = self.random.choice([None, self.kill_all, self.kill_all, self.kill_all_nodes, self.lose_all_control])
+        serves_on = self.random.uniform(5, 10)
+        def run():
+            acknowledged = target.leave(how, late)
+            if acknowledged is None:
+                self.counts["leaves not acknowledged"] += 1
+            else:
+                if fault:
+                    self.next_faults.append(fault)
+                self.judge_leave(target, acknowledged, acknowledged + serves_on)
+            self.fleet.terminate(name)
+            self.start(name)
+        self.call_after(0, self.make_release(name, run))
+
+    def judge_leave(self, target, acknowledged, end):
+        time.sleep(max(0, acknowledged + DRAIN_SECONDS - time.monotonic()))
+        size = target.executed_bytes()
+        time.sleep(max(0, end - time.monotonic()))
+        self.counts["leaves judged"] += 1
+        if target.executed_bytes() != size:
+            self.problems.append("P7 target-%d got work more than %g s after its leave was acknowledged"
+                                 % (target.i, DRAIN_SECONDS))
+
     # ---- Choice of the next fault ----
 
     def step(self):
         """Injects one fault, chosen at random by weight."""
+        if self.next_faults:
+            fault = self.next_faults.pop(0)
+            self.counts[fault.__name__] += 1
+            fault()
+            return
         faults = [(2, self.kill_control), (2, self.freeze_control), (2, self.stop_control),
                   (1, self.lose_majority), (1, self.lose_all_control), (2, self.wipe_control),
                   (3, self.kill_node), (2, self.freeze_node), (2, self.stop_node),
@@ -364,7 +419,8 @@
                   (1, self.stop_frozen_node), (1, self.reload_settings), (2, self.kill_target),
                   (1, self.freeze_target), (2, self.cut_zone), (2, self.delay_vm),
                   (2, self.reset_vm), (2, self.silence_connections), (2, self.inject_disk_fault),
-                  (5, self.change), (2, self.race), (2, self.resend), (1, self.burst), (2, self.drain)]
+                  (5, self.change), (2, self.race), (2, self.resend), (1, self.burst), (2, self.drain),
+                  (6, self.leave_target), (1, self.kill_all)]
         fault = self.random.choices([f for _, f in faults], [weight for weight, _ in faults])[0]
         self.counts[fault.__name__] += 1
         fault()
