Don't serve at a version whose age nobody can vouch for

Cause: without a confirmation by a current control VM, a node was ready 1 s after its session and 0.3 s after its configuration, also when nobody had named a version of an earlier run. Beside a control VM that has just started and is isolated nobody can.

Change: without a confirmation somebody has to name a floor. Otherwise the node waits for the time that already holds for one below its floor, 10 s without a fresh control VM, and logs that it serves below it. So that a series of changes can't delay a confirmation, the first version of a current control VM confirms the node.

Ruled out: a wrong confirmation; the log shows none.

A floor that is named but too old is still open (docs/proofs.md).

--- a/libs/base/include/wigeonfold/base/Events.h
+++ b/libs/base/include/wigeonfold/base/Events.h
@@ -73,7 +73,7 @@
   X(NodeReady,              2000, Info,    "the node accepts callers' requests") \
   X(ConfigApplied,          2001, Info,    "a configuration version is in force") \
   X(ConfigRefused,          2002, Error,   "a configuration version was refused") \
-  X(ServingBelowFloor,      2003, Warning, "no fresh control VM answered; a version below the node's floor is in force") \
+  X(ServingBelowFloor,      2003, Warning, "no fresh control VM answered; the version in force is below the node's floor, or nobody could name a floor") \
   X(ControlSessionOpened,   2004, Info,    "connected to a control VM") \
   X(ControlSessionClosed,   2005, Warning, "connection to a control VM failed or ended") \
   X(TargetStateChanged,     2100, Info,    "the state of the node's own target changed") \
--- a/libs/distribution/include/wigeonfold/distribution/Subscriber.h
+++ b/libs/distribution/include/wigeonfold/distribution/Subscriber.h
@@ -63,8 +63,8 @@
   // Time after the first configuration to wait for the versions of the nodes
   // that it names.
   Duration m_peerFloorWait = std::chrono::milliseconds(300);
-  // A node below its floor starts to serve after this time without a fresh
-  // control VM.
+  // A node that is below its floor, or knows no floor and isn't confirmed,
+  // starts to serve after this time without a fresh control VM.
   Duration m_floorTimeout = std::chrono::seconds(10);
   // A session without a frame for this long is closed.
   Duration m_silence = std::chrono::seconds(4);
@@ -117,8 +117,8 @@
 };
 
 // The node may accept callers' traffic from now on. m_belowFloor is set when
-// the version held is below the floor and no control VM was fresh for
-// m_floorTimeout.
+// the version held is below the floor, or nobody could name one, and no control
+// VM was fresh for m_floorTimeout.
 struct BecomeReady
 {
   std::optional<Version> m_floor;
@@ -268,7 +268,8 @@
               TimePoint aNow);
   void Apply(NodeState aState);
   void RaiseFloor(const Version& aVersion);
-  bool IsConfirmed(const wire::Heartbeat& aBeat) const;
+  void NoteConfirmation(const wire::Heartbeat& aBeat);
+  bool KnowsFloor(TimePoint aNow) const;
   void CheckReady(TimePoint aNow);
   void CheckFreshness(TimePoint aNow);
   void RecordFreshness(TimePoint aNow);
@@ -308,9 +309,9 @@
   std::optional<Version> m_floor;
   std::optional<TimePoint> m_floorWaitEnd;
   std::optional<TimePoint> m_configuredAt; // first configuration applied
-  // The state includes every version that was committed before the start, so no
-  // earlier run of this node had a newer one in force.
-  bool m_confirmed = false;
+  // A state with this version includes every one that was committed before the
+  // start, so no earlier run of this node had a newer one in force.
+  std::optional<Version> m_confirming;
   TimePoint m_startedAt;
   TimePoint m_lastFreshAt; // last report of a fresh control VM
   bool m_ready = false;
--- a/libs/distribution/src/Subscriber.cpp
+++ b/libs/distribution/src/Subscriber.cpp
@@ -366,7 +366,7 @@
   if (aBeat.__isset.leaving) {
     OnStoredLeaving(wire::FromWire(aBeat.leaving));
   }
-  m_confirmed |= IsConfirmed(aBeat);
+  NoteConfirmation(aBeat);
   CheckReady(aNow);
   if (!aBeat.__isset.confirm) {
     SendStatus(aNow);
--- a/libs/distribution/src/SubscriberState.cpp
+++ b/libs/distribution/src/SubscriberState.cpp
@@ -214,37 +214,49 @@
   }
 }
 
-// Returns whether the control VM was current at some time after this node's
-// start, and the state is at least as new as the control VM's was then. The
+// Takes note of the version that confirms this node: the newest one of a
+// control VM that was current at some time after this node's start. The
 // heartbeat was sent after the status that it answers, so the control VM was
-// current at the time of that status minus the reported age, or later.
-bool Subscriber::IsConfirmed(const wire::Heartbeat& aBeat) const
+// current at the time of that status minus the reported age, or later. Later
+// versions need not be waited for.
+void Subscriber::NoteConfirmation(const wire::Heartbeat& aBeat)
 {
-  if (!aBeat.__isset.confirm || !m_state) {
-    return false;
+  if (!aBeat.__isset.confirm) {
+    return;
   }
   const TimePoint statusSentAt{ std::chrono::microseconds(aBeat.confirm) };
   // Ages are rounded down to whole milliseconds.
   const Duration age = std::chrono::milliseconds(aBeat.freshnessAgeMs + 1);
-  return m_state->m_tree.TreeVersion() >= wire::FromWire(aBeat.newest) &&
-         statusSentAt - age > m_startedAt;
+  if (statusSentAt - age > m_startedAt) {
+    const Version newest = wire::FromWire(aBeat.newest);
+    m_confirming = std::min(m_confirming.value_or(newest), newest);
+  }
+}
+
+// Whether a control VM that wasn't confirmed as current can vouch for the
+// state: somebody named a version that an earlier run of this node may have had
+// in force, and all who can be reached had time to.
+bool Subscriber::KnowsFloor(TimePoint aNow) const
+{
+  return m_floor && m_floorWaitEnd && aNow >= *m_floorWaitEnd &&
+         m_configuredAt && aNow >= *m_configuredAt + m_options.m_peerFloorWait;
 }
 
 void Subscriber::CheckReady(TimePoint aNow)
 {
-  const bool floorsKnown = m_floorWaitEnd && aNow >= *m_floorWaitEnd &&
-                           m_configuredAt &&
-                           aNow >= *m_configuredAt + m_options.m_peerFloorWait;
-  if (m_ready || !m_state || (!m_confirmed && !floorsKnown)) {
+  if (m_ready || !m_state) {
     return;
   }
-  const bool below = m_floor && m_state->m_tree.TreeVersion() < *m_floor;
-  if (below && aNow - m_lastFreshAt < m_options.m_floorTimeout) {
+  const Version held = m_state->m_tree.TreeVersion();
+  const bool confirmed = m_confirming && held >= *m_confirming;
+  const bool below = m_floor && held < *m_floor;
+  const bool mayBeOlder = below || !(confirmed || KnowsFloor(aNow));
+  if (mayBeOlder && aNow - m_lastFreshAt < m_options.m_floorTimeout) {
     return;
   }
   m_ready = true;
-  m_belowFloor = below;
-  m_actions.emplace_back(BecomeReady{ m_floor, below });
+  m_belowFloor = mayBeOlder;
+  m_actions.emplace_back(BecomeReady{ m_floor, mayBeOlder });
   SendStatus(aNow);
 }
 
--- a/libs/distribution/test/Subscriber_test.cpp
+++ b/libs/distribution/test/Subscriber_test.cpp
@@ -309,19 +309,56 @@
   EXPECT_FALSE(fixture.m_node.IsReady());
 }
 
+// During a series of changes the control VM always has a newer version.
+TEST(Subscriber, IsReadyWithTheVersionThatWasConfirmedFirst)
+{
+  Fixture fixture;
+  fixture.m_now += 100ms;
+  const auto status = StatusIn(fixture.m_node.OnTick(fixture.m_now));
+  ASSERT_TRUE(status && status->__isset.confirm);
+  fixture.Feed(wire::FrameType::Heartbeat,
+               MakeHeartbeat(10ms, { 1, 2 }, status->confirm));
+  fixture.Feed(wire::FrameType::Heartbeat,
+               MakeHeartbeat(10ms, { 1, 5 }, status->confirm));
+  EXPECT_FALSE(fixture.m_node.IsReady());
+  fixture.Feed(wire::FrameType::ConfigUpdate,
+               fixture.Update(Version{ 1, 1 }, 2));
+  EXPECT_TRUE(fixture.m_node.IsReady());
+}
+
+// The only control VM that answers has just started too and is isolated: its
+// tree may be older than what this node had in force, and nobody can say so.
+// Such a node was ready 0.3 s after its configuration.
+TEST(Subscriber, IsNotReadyWhileNobodyCanNameItsEarlierVersion)
+{
+  const auto accept = [](const NodeState&) { return Ok(); };
+  Fixture fixture(accept, 1200ms);
+  const TimePoint fresh = fixture.m_now - 1200ms - 10ms;
+  EXPECT_EQ(CountOf<BecomeReady>(fixture.m_node.OnTick(fresh + 9900ms)), 0U);
+  const auto actions = fixture.m_node.OnTick(fresh + 10s);
+  ASSERT_EQ(CountOf<BecomeReady>(actions), 1U);
+  for (const SubscriberAction& action : actions) {
+    if (const auto* ready = std::get_if<BecomeReady>(&action)) {
+      EXPECT_TRUE(ready->m_belowFloor);
+      EXPECT_FALSE(ready->m_floor);
+    }
+  }
+}
+
 // A control VM that is isolated, or has just started, sends its configuration
 // after m_floorWait. The node must still wait for the versions of the nodes
 // that the configuration names.
 TEST(Subscriber, WaitsForTheVersionsOfTheNodesThatALateConfigurationNames)
 {
   const auto accept = [](const NodeState&) { return Ok(); };
-  Fixture withoutPeers(accept, 1200ms);
-  EXPECT_FALSE(withoutPeers.m_node.IsReady());
+  Fixture withSameVersion(accept, 1200ms);
+  withSameVersion.m_node.OnPeerVersion({ 1, 1 }, withSameVersion.m_now);
+  EXPECT_FALSE(withSameVersion.m_node.IsReady());
   EXPECT_EQ(CountOf<BecomeReady>(
-              withoutPeers.m_node.OnTick(withoutPeers.m_now + 299ms)),
+              withSameVersion.m_node.OnTick(withSameVersion.m_now + 299ms)),
             0U);
   EXPECT_EQ(CountOf<BecomeReady>(
-              withoutPeers.m_node.OnTick(withoutPeers.m_now + 300ms)),
+              withSameVersion.m_node.OnTick(withSameVersion.m_now + 300ms)),
             1U);
   Fixture withPeerVersion(accept, 1200ms);
   withPeerVersion.m_node.OnPeerVersion({ 1, 3 }, withPeerVersion.m_now + 50ms);
