Replace a voter that is stopping before it ends

Cause: SIGTERM told the leader nothing, so the old VM stayed one of three voters until it had been silent for 1.5 s, and its successor a learner. For that time two voters were left, and one lost disk took the quorum away.

Weighed: joint consensus, which needs a second quorum rule everywhere; a shorter silence, which would replace voters that only stall.

Change: the VM says in its hello that it is stopping and runs on for 3 s at most while another one can take its place. The leader promotes the learner first, then demotes the one that stops, itself included.

--- a/apps/wigeonfold-control/Core.cpp
+++ b/apps/wigeonfold-control/Core.cpp
@@ -1,10 +1,12 @@
 // Event loop, Raft's actions and publication. Operators' calls are in
 // CoreCalls.cpp, cluster formation and membership in CoreFormation.cpp.
 #include "Core.h"
+#include "PeerLinks.h"
 
 #include "wigeonfold/base/Hash.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace wigeonfold::control {
 
@@ -72,6 +74,16 @@
   Schedule();
 }
 
+void Core::BeginStopping(std::function<void()> aMayEnd)
+{
+  m_onMayEnd = std::move(aMayEnd);
+  wire::ControlHello hello = MakeHello(m_settings, m_raft.Self());
+  hello.stopping = true;
+  m_peers[m_raft.Self()].m_hello = std::move(hello);
+  m_channels.m_coreToNet.Push(AnnounceStopping{});
+  CheckReplaced(Clock::now());
+}
+
 void Core::Stop()
 {
   m_stopped = true;
@@ -110,6 +122,7 @@
   MaybeProposeCluster(aNow);
   AddInitialVoters(aNow);
   MaintainMembership(aNow);
+  CheckReplaced(aNow);
   ProposeLeaving(aNow);
   ExpireCalls(aNow);
   m_channels.m_coreToNet.TryPush(
--- a/apps/wigeonfold-control/Core.h
+++ b/apps/wigeonfold-control/Core.h
@@ -31,6 +31,9 @@
        std::function<void(const Error&)> aOnFailure);
 
   void Start();
+  // Asks the leader to replace this VM as a voter. aMayEnd is called once, when
+  // it is done or nobody can take its place.
+  void BeginStopping(std::function<void()> aMayEnd);
   void Stop();
 
   void Handle(CoreMessage aMessage);
@@ -75,6 +78,7 @@
   wire::Member OwnMember() const;
   bool HasLog() const;
   void MaintainMembership(TimePoint aNow);
+  void CheckReplaced(TimePoint aNow);
   void MaybeBootstrap(TimePoint aNow);
   bool CanBootstrap(TimePoint aNow);
   void MaybeProposeCluster(TimePoint aNow);
@@ -126,6 +130,7 @@
   bool m_publishedHasLog = false;
   TimePoint m_startedAt;
   TimePoint m_nextHousekeeping;
+  std::function<void()> m_onMayEnd; // set while this VM is stopping
   bool m_stopped = false;
 
   // Control VMs whose hello arrived since the start, by member id.
--- a/apps/wigeonfold-control/CoreFormation.cpp
+++ b/apps/wigeonfold-control/CoreFormation.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <boost/uuid/random_generator.hpp>
 #include <boost/uuid/uuid_io.hpp>
+#include <utility>
 
 namespace wigeonfold::control {
 
@@ -106,6 +107,21 @@
                  { "reason", step->m_reason } });
 }
 
+void Core::CheckReplaced(TimePoint aNow)
+{
+  const bool awaits =
+    m_settings.m_automaticMembers &&
+    (!m_raft.MembershipCommitted() ||
+     consensus::ShouldAwaitDemotion(m_raft.CurrentMembership(),
+                                    m_raft.Self(),
+                                    m_peers,
+                                    m_settings.m_policy,
+                                    aNow));
+  if (m_onMayEnd && !awaits) {
+    std::exchange(m_onMayEnd, nullptr)();
+  }
+}
+
 void Core::MaybeBootstrap(TimePoint aNow)
 {
   if (m_bootstrapSettled) {
--- a/apps/wigeonfold-control/Messages.h
+++ b/apps/wigeonfold-control/Messages.h
@@ -97,13 +97,18 @@
   wire::LeavingReport m_report;
 };
 
+// Tells the other control VMs that this one is stopping.
+struct AnnounceStopping
+{};
+
 using NetMessage = std::variant<SendRaft,
                                 SetPeers,
                                 AddSeeds,
                                 DistributeTree,
                                 SetFreshness,
                                 SetLeaving,
-                                ForwardLeaving>;
+                                ForwardLeaving,
+                                AnnounceStopping>;
 
 // ---- Core to storage and back ----------------------------------------------
 
--- a/apps/wigeonfold-control/Network.cpp
+++ b/apps/wigeonfold-control/Network.cpp
@@ -162,6 +162,8 @@
       leaving->m_nodeName, std::move(leaving->m_starts), Clock::now()));
   } else if (auto* forward = std::get_if<ForwardLeaving>(&aMessage)) {
     m_peers.SendLeaving(forward->m_toMember, forward->m_report);
+  } else if (std::holds_alternative<AnnounceStopping>(aMessage)) {
+    m_peers.SetStopping();
   }
 }
 
--- a/apps/wigeonfold-control/PeerLinks.cpp
+++ b/apps/wigeonfold-control/PeerLinks.cpp
@@ -124,9 +124,20 @@
 {
   if (!m_hasLog) {
     m_hasLog = true;
-    for (const auto& [key, link] : m_links) {
-      SendHello(link.m_connection);
-    }
+    SendHelloToAll();
+  }
+}
+
+void PeerLinks::SetStopping()
+{
+  m_announcesStopping = true;
+  SendHelloToAll();
+}
+
+void PeerLinks::SendHelloToAll()
+{
+  for (const auto& [key, link] : m_links) {
+    SendHello(link.m_connection);
   }
 }
 
@@ -254,6 +265,7 @@
   hello.hasLog = m_hasLog;
   hello.readsPackedEntries = true;
   hello.readsLeavingReports = true;
+  hello.stopping = m_announcesStopping;
   aConnection->Send(FrameType::ControlHello, hello);
 }
 
--- a/apps/wigeonfold-control/PeerLinks.h
+++ b/apps/wigeonfold-control/PeerLinks.h
@@ -61,6 +61,8 @@
   void SetClusterId(const std::string& aClusterId);
   // The data folder holds a log now. Sends a hello that says so.
   void SetHasLog();
+  // This VM is stopping. Sends a hello that says so.
+  void SetStopping();
   // Further addresses to connect to.
   void AddSeeds(const std::vector<SocketAddress>& aSeeds);
 
@@ -119,6 +121,7 @@
   void ScheduleRetry(Dialer& aDialer);
   net::ConnectionHandlers MakeConnectionHandlers();
   void SendHello(const net::ConnectionPtr& aConnection);
+  void SendHelloToAll();
   void OnFrame(const net::ConnectionPtr& aConnection,
                const wire::Frame& aFrame);
   void OnHello(const net::ConnectionPtr& aConnection,
@@ -135,6 +138,7 @@
   const PeerHandlers m_handlers;
   std::string m_clusterId;
   bool m_hasLog = false;
+  bool m_announcesStopping = false;
   std::unique_ptr<net::Listener> m_listener;
   std::map<std::string, Dialer> m_dialers; // by address
   std::map<net::Connection*, Link> m_links;
--- a/apps/wigeonfold-control/Process.cpp
+++ b/apps/wigeonfold-control/Process.cpp
@@ -15,6 +15,7 @@
 #include <iostream>
 #include <random>
 #include <thread>
+#include <utility>
 
 namespace wigeonfold::control {
 
@@ -26,6 +27,10 @@
 constexpr Duration kDiskFullRetryInterval = 50ms;
 constexpr Duration kDiskFullReportInterval = 1s;
 constexpr Duration kReloadPeriod = 5s;
+// Limit on the time for which a voter waits until a learner has taken its
+// place. That takes a few hundred milliseconds with a learner that has caught
+// up.
+constexpr Duration kReplaceTimeout = 3s;
 // A longer drain is cut short, since a client may keep its connection open.
 constexpr Duration kDrainTimeout = 8s;
 // Time to write the last frames to nodes and peers.
@@ -104,7 +109,7 @@
     m_log.Record(EventId::ProcessStarted, { { "name", m_settings.m_name } });
     m_signals.async_wait([this](boost::system::error_code aCode, int) {
       if (!aCode) {
-        Drain();
+        BeginStopping();
       }
     });
     // Only seeds are reloaded. They matter only to a VM that knows no member,
@@ -263,11 +268,29 @@
     });
   }
 
-  // ---- Graceful shutdown: operators, then nodes and peers, then the core ----
+  // ---- Graceful shutdown: the place as a voter, operators, then nodes and
+  // peers, then the core ----
 
-  void Drain()
+  void BeginStopping()
   {
     m_log.Record(EventId::ProcessStopping, { { "name", m_settings.m_name } });
+    m_shutdownTimer.expires_after(kReplaceTimeout);
+    m_shutdownTimer.async_wait([this](boost::system::error_code aCode) {
+      if (!aCode) {
+        Drain();
+      }
+    });
+    boost::asio::post(m_coreLoop.Io(), [this] {
+      m_core->BeginStopping(
+        [this] { boost::asio::post(m_mainIo, [this] { Drain(); }); });
+    });
+  }
+
+  void Drain()
+  {
+    if (std::exchange(m_draining, true)) {
+      return;
+    }
     m_shutdownTimer.expires_after(kDrainTimeout);
     m_shutdownTimer.async_wait([this](boost::system::error_code aCode) {
       if (!aCode) {
@@ -315,6 +338,7 @@
   std::vector<SocketAddress> m_seeds = m_settings.m_seeds;
   EventLog& m_log;
   ExitStatus m_status = ExitStatus::Success;
+  bool m_draining = false;
   bool m_netStopped = false;
   std::atomic<bool> m_stopping = false;
   TimePoint m_nextDiskFullReport{}; // storage thread
--- a/idl/control.thrift
+++ b/idl/control.thrift
@@ -177,6 +177,8 @@
   11: bool readsPackedEntries,
   // The sender reads LeavingReport.
   12: bool readsLeavingReports,
+  // The VM got SIGTERM and ends once a learner has taken its place as a voter.
+  13: bool stopping,
 }
 
 // A start of the target beside a node leaves. Sent to the leader by the control
--- a/libs/consensus/include/wigeonfold/consensus/MembershipPolicy.h
+++ b/libs/consensus/include/wigeonfold/consensus/MembershipPolicy.h
@@ -44,8 +44,10 @@
 //   another member id, which means that the member lost its disk, and the other
 //   voters in contact form a quorum without it;
 // - a control VM in contact that is not a member is added as a learner;
-// - a learner that has caught up is promoted while there are fewer voters than
-//   m_voters;
+// - a learner that has caught up is promoted while fewer voters than m_voters
+//   stay, which are those that aren't stopping;
+// - a voter that is stopping, the leader itself among them, is demoted once
+//   m_voters others stay;
 // - a voter without contact is demoted when a learner that has caught up can
 //   replace it and the other voters in contact form a quorum without it;
 // - a learner without contact for m_removeAfter is removed.
@@ -60,6 +62,16 @@
   const MembershipPolicyOptions& aOptions,
   TimePoint aNow);
 
+// Whether a voter that is to stop should run on until it is demoted: a learner,
+// or a VM in contact that may become one, can take its place. Without that, one
+// disk that is lost right after its end leaves the group without a quorum.
+// Thread safe.
+bool ShouldAwaitDemotion(const wire::Membership& aMembership,
+                         MemberId aSelf,
+                         const std::map<MemberId, ControlVmState>& aVms,
+                         const MembershipPolicyOptions& aOptions,
+                         TimePoint aNow);
+
 // Whether this VM is the one that creates the cluster: its configuration allows
 // it, its data folder is empty, every seed has sent a hello with an empty data
 // folder, and its address is the least among the seeds that are allowed to.
--- a/libs/consensus/src/MembershipPolicy.cpp
+++ b/libs/consensus/src/MembershipPolicy.cpp
@@ -47,6 +47,7 @@
     for (const auto step : { &Policy::RemoveMemberWithLostDisk,
                              &Policy::AddLearner,
                              &Policy::PromoteLearner,
+                             &Policy::DemoteStoppingVoter,
                              &Policy::DemoteUnreachableVoter,
                              &Policy::RemoveUnreachableLearner }) {
       if (auto found = (this->*step)()) {
@@ -71,6 +72,21 @@
     return TimeSinceContact(aId) < m_options.m_replaceAfter;
   }
 
+  bool IsStopping(MemberId aId) const
+  {
+    const auto vm = m_vms.find(aId);
+    return vm != m_vms.end() && vm->second.m_hello.stopping;
+  }
+
+  size_t StayingVoters() const
+  {
+    const auto& members = m_membership.members;
+    return static_cast<size_t>(std::count_if(
+      members.begin(), members.end(), [this](const wire::Member& aMember) {
+        return aMember.voter && !IsStopping(aMember.memberId);
+      }));
+  }
+
   // Whether the voters in contact form a quorum of all voters but the excluded
   // one.
   bool HasQuorumWithout(MemberId aExcluded) const
@@ -130,6 +146,7 @@
   {
     for (const wire::Member& member : m_membership.members) {
       if (!member.voter && InContact(member.memberId) &&
+          !IsStopping(member.memberId) &&
           m_caughtUp.count(member.memberId) > 0) {
         return &member;
       }
@@ -140,13 +157,26 @@
   std::optional<MembershipStep> PromoteLearner() const
   {
     const wire::Member* learner = FindPromotableLearner();
-    if (learner == nullptr || VoterCount(m_membership) >= m_options.m_voters) {
+    if (learner == nullptr || StayingVoters() >= m_options.m_voters) {
       return std::nullopt;
     }
     return MembershipStep{ { Kind::Promote, *learner },
                            "caught up and voters are missing" };
   }
 
+  std::optional<MembershipStep> DemoteStoppingVoter() const
+  {
+    for (const wire::Member& member : m_membership.members) {
+      if (member.voter && IsStopping(member.memberId) &&
+          StayingVoters() >= m_options.m_voters &&
+          HasQuorumWithout(member.memberId)) {
+        return MembershipStep{ { Kind::Demote, member },
+                               "it is stopping and was replaced" };
+      }
+    }
+    return std::nullopt;
+  }
+
   std::optional<MembershipStep> DemoteUnreachableVoter() const
   {
     if (FindPromotableLearner() == nullptr) {
@@ -195,6 +225,21 @@
   return Policy(aMembership, aSelf, aVms, aCaughtUp, aOptions, aNow).Next();
 }
 
+bool ShouldAwaitDemotion(const wire::Membership& aMembership,
+                         MemberId aSelf,
+                         const Vms& aVms,
+                         const MembershipPolicyOptions& aOptions,
+                         TimePoint aNow)
+{
+  return IsVoter(aMembership, aSelf) &&
+         std::any_of(aVms.begin(), aVms.end(), [&](const auto& aVm) {
+           const auto& [id, vm] = aVm;
+           return id != aSelf && !IsVoter(aMembership, id) &&
+                  !vm.m_hello.stopping &&
+                  aNow - vm.m_contactAt < aOptions.m_replaceAfter;
+         });
+}
+
 bool MayFormCluster(const wire::ControlHello& aSelf,
                     const std::set<std::string>& aSeeds,
                     const Vms& aVms)
--- a/libs/consensus/test/MembershipPolicy_test.cpp
+++ b/libs/consensus/test/MembershipPolicy_test.cpp
@@ -214,5 +214,75 @@
     Hello(1), { "10.0.0.2:1", "10.0.0.3:1" }, Vms({ member, Hello(3) })));
 }
 
+// A planned replacement: one disk that is lost right after the old voter has
+// ended must leave a quorum, so its successor votes before it stops.
+TEST_F(MembershipPolicy, StoppingVoterIsDemotedOnceItsSuccessorVotes)
+{
+  for (const MemberId id : { 1, 2, 3 }) {
+    AddMember(id, true);
+  }
+  AddMember(4, false);
+  m_caughtUp = { 1, 2, 3, 4 };
+  EXPECT_FALSE(Next());
+  m_vms[2].m_hello.stopping = true;
+  const auto first = Next();
+  ASSERT_TRUE(first);
+  EXPECT_EQ(first->m_change.m_kind, Kind::Promote);
+  EXPECT_EQ(first->m_change.m_member.memberId, 4);
+  ASSERT_TRUE(ApplyAllSteps());
+  EXPECT_EQ(Voters(), (std::set<MemberId>{ 1, 3, 4 }));
+}
+
+TEST_F(MembershipPolicy, StoppingLeaderIsReplacedAsWell)
+{
+  for (const MemberId id : { 1, 2, 3 }) {
+    AddMember(id, true);
+  }
+  AddMember(4, false);
+  m_caughtUp = { 1, 2, 3, 4 };
+  m_vms[1].m_hello.stopping = true;
+  ASSERT_TRUE(ApplyAllSteps());
+  EXPECT_EQ(Voters(), (std::set<MemberId>{ 2, 3, 4 }));
+}
+
+// Two planned replacements, one right after the other.
+TEST_F(MembershipPolicy, TwoStoppingVotersAreReplacedOneAfterTheOther)
+{
+  for (const MemberId id : { 1, 2, 3 }) {
+    AddMember(id, true);
+  }
+  AddMember(4, false);
+  AddMember(5, false);
+  m_caughtUp = { 1, 2, 3, 4, 5 };
+  m_vms[2].m_hello.stopping = true;
+  m_vms[3].m_hello.stopping = true;
+  ASSERT_TRUE(ApplyAllSteps());
+  EXPECT_EQ(Voters(), (std::set<MemberId>{ 1, 4, 5 }));
+}
+
+// All VMs are stopped and started in turn: no learner is there, and the voter
+// must not be taken away.
+TEST_F(MembershipPolicy, StoppingVoterWithoutASuccessorStaysAVoter)
+{
+  for (const MemberId id : { 1, 2, 3 }) {
+    AddMember(id, true);
+  }
+  m_caughtUp = { 1, 2, 3 };
+  m_vms[2].m_hello.stopping = true;
+  EXPECT_FALSE(Next());
+  const auto awaits = [this](MemberId aSelf) {
+    return ShouldAwaitDemotion(m_membership, aSelf, m_vms, m_options, m_now);
+  };
+  EXPECT_FALSE(awaits(2));
+  SetContact(4, m_now); // not a member yet
+  EXPECT_TRUE(awaits(2));
+  EXPECT_FALSE(awaits(4));
+  m_vms[4].m_hello.stopping = true;
+  EXPECT_FALSE(awaits(2));
+  m_vms[4].m_hello.stopping = false;
+  m_vms[4].m_contactAt = m_now - m_options.m_replaceAfter;
+  EXPECT_FALSE(awaits(2));
+}
+
 } // namespace
 } // namespace wigeonfold::consensus
--- a/libs/wire/gen/include/wigeonfold/wire/gen/control_types.h
+++ b/libs/wire/gen/include/wigeonfold/wire/gen/control_types.h
@@ -996,7 +996,7 @@
 std::ostream& operator<<(std::ostream& out, const EndpointSync& obj);
 
 typedef struct _ControlHello__isset {
-  _ControlHello__isset() : memberId(false), name(false), clusterId(false), availabilityZone(false), peerAddress(false), apiAddress(false), nodeAddress(false), operatorAddress(false), hasLog(false), mayBootstrap(false), readsPackedEntries(false), readsLeavingReports(false) {}
+  _ControlHello__isset() : memberId(false), name(false), clusterId(false), availabilityZone(false), peerAddress(false), apiAddress(false), nodeAddress(false), operatorAddress(false), hasLog(false), mayBootstrap(false), readsPackedEntries(false), readsLeavingReports(false), stopping(false) {}
   bool memberId :1;
   bool name :1;
   bool clusterId :1;
@@ -1009,6 +1009,7 @@
   bool mayBootstrap :1;
   bool readsPackedEntries :1;
   bool readsLeavingReports :1;
+  bool stopping :1;
 } _ControlHello__isset;
 
 class ControlHello : public virtual ::apache::thrift::TBase {
@@ -1030,7 +1031,8 @@
                  hasLog(0),
                  mayBootstrap(0),
                  readsPackedEntries(0),
-                 readsLeavingReports(0) {
+                 readsLeavingReports(0),
+                 stopping(0) {
   }
 
   virtual ~ControlHello() noexcept;
@@ -1046,6 +1048,7 @@
   bool mayBootstrap;
   bool readsPackedEntries;
   bool readsLeavingReports;
+  bool stopping;
 
   _ControlHello__isset __isset;
 
@@ -1073,6 +1076,8 @@
 
   void __set_readsLeavingReports(const bool val);
 
+  void __set_stopping(const bool val);
+
   bool operator == (const ControlHello & rhs) const
   {
     if (!(memberId == rhs.memberId))
@@ -1099,6 +1104,8 @@
       return false;
     if (!(readsLeavingReports == rhs.readsLeavingReports))
       return false;
+    if (!(stopping == rhs.stopping))
+      return false;
     return true;
   }
   bool operator != (const ControlHello &rhs) const {
--- a/libs/wire/gen/src/control_types.cpp
+++ b/libs/wire/gen/src/control_types.cpp
@@ -2742,6 +2742,10 @@
 void ControlHello::__set_readsLeavingReports(const bool val) {
   this->readsLeavingReports = val;
 }
+
+void ControlHello::__set_stopping(const bool val) {
+  this->stopping = val;
+}
 std::ostream& operator<<(std::ostream& out, const ControlHello& obj)
 {
   obj.printTo(out);
@@ -2866,6 +2870,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->stopping);
+          this->__isset.stopping = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2931,6 +2943,10 @@
   xfer += oprot->writeBool(this->readsLeavingReports);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("stopping", ::apache::thrift::protocol::T_BOOL, 13);
+  xfer += oprot->writeBool(this->stopping);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2950,6 +2966,7 @@
   swap(a.mayBootstrap, b.mayBootstrap);
   swap(a.readsPackedEntries, b.readsPackedEntries);
   swap(a.readsLeavingReports, b.readsLeavingReports);
+  swap(a.stopping, b.stopping);
   swap(a.__isset, b.__isset);
 }
 
@@ -2966,6 +2983,7 @@
   mayBootstrap = other109.mayBootstrap;
   readsPackedEntries = other109.readsPackedEntries;
   readsLeavingReports = other109.readsLeavingReports;
+  stopping = other109.stopping;
   __isset = other109.__isset;
 }
 ControlHello::ControlHello(ControlHello&& other110) noexcept {
@@ -2981,6 +2999,7 @@
   mayBootstrap = other110.mayBootstrap;
   readsPackedEntries = other110.readsPackedEntries;
   readsLeavingReports = other110.readsLeavingReports;
+  stopping = other110.stopping;
   __isset = other110.__isset;
 }
 ControlHello& ControlHello::operator=(const ControlHello& other111) {
@@ -2996,6 +3015,7 @@
   mayBootstrap = other111.mayBootstrap;
   readsPackedEntries = other111.readsPackedEntries;
   readsLeavingReports = other111.readsLeavingReports;
+  stopping = other111.stopping;
   __isset = other111.__isset;
   return *this;
 }
@@ -3012,6 +3032,7 @@
   mayBootstrap = other112.mayBootstrap;
   readsPackedEntries = other112.readsPackedEntries;
   readsLeavingReports = other112.readsLeavingReports;
+  stopping = other112.stopping;
   __isset = other112.__isset;
   return *this;
 }
@@ -3030,6 +3051,7 @@
   out << ", " << "mayBootstrap=" << to_string(mayBootstrap);
   out << ", " << "readsPackedEntries=" << to_string(readsPackedEntries);
   out << ", " << "readsLeavingReports=" << to_string(readsLeavingReports);
+  out << ", " << "stopping=" << to_string(stopping);
   out << ")";
 }
 
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -70,6 +70,7 @@
         # part of its graceful shutdown.
         self.leaving_until = {}
         self.unclean_exits = []
+        self.own_ends = []  # processes that ended without a signal of this fleet, with their status
         self.reporting = set()  # numbers of the targets that don't announce themselves
         self.stopped = False
 
@@ -106,7 +107,13 @@
     def send_signal(self, name, number):
         self.processes[name].send_signal(number)
 
+    def note_own_end(self, name):
+        status = self.processes[name].poll()
+        if status is not None:
+            self.own_ends.append("%s: %d" % (name, status))
+
     def kill(self, name):
+        self.note_own_end(name)
         self.send_signal(name, signal.SIGKILL)
         self.processes.pop(name).wait()
 
@@ -115,6 +122,7 @@
 
         Kills the process after `limit` seconds.
         """
+        self.note_own_end(name)
         self.leaving_until[name] = math.inf
         self.send_signal(name, signal.SIGTERM)
         process = self.processes.pop(name)
--- a/scripts/soak_verdicts.py
+++ b/scripts/soak_verdicts.py
@@ -125,6 +125,10 @@
     """Checks P8 by the exit statuses of processes and the logs of the nodes."""
     for name in fleet.unclean_exits:
         verdicts["P8"].append("exit status other than 0 on SIGTERM: " + name)
+    for name in list(fleet.processes):
+        fleet.note_own_end(name)
+    for name in fleet.own_ends:
+        verdicts["P8"].append("ended by itself with status " + name)
     for i in range(len(fleet.services)):
         for number, fields in node_events(fleet, i):
             if number == DRAIN_CUT_SHORT:
