Use a target from its second report on where nobody knows who left

What callers would see: a restarted node that is ready without a confirmation, since no current control VM can be reached, takes one late heartbeat of a target that left for that of a new one.

Cause: without a confirmation the stored starts that left may be missing.

Change: such a node needs two reports of a start, the second newer than the first, before it uses its target. With a confirmation one is enough, so an ordinary restart takes no longer.

--- a/apps/wigeonfold-node/ControlLink.cpp
+++ b/apps/wigeonfold-node/ControlLink.cpp
@@ -223,7 +223,9 @@
       EventId::ServingBelowFloor,
       { { "floor", aAction.m_floor ? ToString(*aAction.m_floor) : "" } });
   }
+  m_confirmed = aAction.m_confirmed;
   Unpublished().m_ready = true;
+  Unpublished().m_confirmed = m_confirmed;
   Publish();
 }
 
@@ -301,6 +303,7 @@
   update.m_view = std::move(view.value());
   update.m_digest = state->m_tree.Digest();
   update.m_ready = m_ready;
+  update.m_confirmed = m_confirmed;
   Publish();
 }
 
--- a/apps/wigeonfold-node/ControlLink.h
+++ b/apps/wigeonfold-node/ControlLink.h
@@ -87,6 +87,7 @@
   Version m_builtVersion;
   std::optional<ViewUpdate> m_unpublished; // not yet taken by the data thread
   bool m_ready = false;
+  bool m_confirmed = false; // see ViewUpdate
   bool m_stopped = false;
 };
 
--- a/apps/wigeonfold-node/DataPlane.cpp
+++ b/apps/wigeonfold-node/DataPlane.cpp
@@ -176,7 +176,7 @@
   }
   if (aUpdate.m_ready && !m_ready) {
     m_ready = true;
-    m_target.SetLeavingKnown(Clock::now());
+    m_target.SetUsable(aUpdate.m_confirmed, Clock::now());
     m_callerSide.SetReady();
     m_log.Record(EventId::NodeReady, {});
   }
--- a/apps/wigeonfold-node/Messages.h
+++ b/apps/wigeonfold-node/Messages.h
@@ -26,6 +26,8 @@
   std::shared_ptr<const routing::View> m_view; // null: unchanged
   uint64_t m_digest = 0;
   bool m_ready = false; // callers' traffic may be accepted
+  // m_ready was confirmed by a current control VM.
+  bool m_confirmed = false;
   // Starts of the node's target that leave, as announced before a restart or
   // stored by the control VMs. They precede m_ready.
   std::vector<KnownLeaving> m_leaving;
--- a/apps/wigeonfold-node/TargetSide.cpp
+++ b/apps/wigeonfold-node/TargetSide.cpp
@@ -142,12 +142,22 @@
   UpdateDraining(aNow);
 }
 
-void TargetSide::SetLeavingKnown(TimePoint aNow)
+void TargetSide::SetUsable(bool aLeavingKnown, TimePoint aNow)
 {
-  m_leavingKnown = true;
+  m_usable = true;
+  m_reportsNeeded = aLeavingKnown ? 1 : 2;
   UpdateDraining(aNow);
 }
 
+// Precondition: the target has reported.
+bool TargetSide::IsInUse() const
+{
+  const bool drainedByView = m_view && m_view->IsDrained(m_options.m_nodeName);
+  return m_target->m_state == discovery::ReportedState::Ready && m_usable &&
+         m_reports.CurrentReports() >= m_reportsNeeded && !m_leaseLost &&
+         !drainedByView;
+}
+
 void TargetSide::NoteLimit(const TargetStart& aStart,
                            double aPerSecond,
                            TimePoint aNow)
@@ -235,10 +245,7 @@
 
 void TargetSide::UpdateDraining(TimePoint aNow)
 {
-  const bool drainedByView = m_view && m_view->IsDrained(m_options.m_nodeName);
-  const bool draining =
-    m_target && (m_target->m_state != discovery::ReportedState::Ready ||
-                 m_leaseLost || !m_leavingKnown || drainedByView);
+  const bool draining = m_target && !IsInUse();
   if (draining == m_admission.IsDraining()) {
     return;
   }
--- a/apps/wigeonfold-node/TargetSide.h
+++ b/apps/wigeonfold-node/TargetSide.h
@@ -62,9 +62,10 @@
   // Another node knows that this start of the target names a limit on its
   // requests per second.
   void NoteLimit(const TargetStart& aStart, double aPerSecond, TimePoint aNow);
-  // The starts that left before this node's start are known from now on. Before
-  // that the target gets no request, since its report may be a late one.
-  void SetLeavingKnown(TimePoint aNow);
+  // The node is ready. Before that the target gets no request, since its report
+  // may be a late one. aLeavingKnown: all starts that left before this node's
+  // start are known; otherwise the target is used from its second report on.
+  void SetUsable(bool aLeavingKnown, TimePoint aNow);
   // Begins a graceful shutdown: a ready target is reported as draining from now
   // on.
   void BeginStopping();
@@ -152,6 +153,7 @@
                     TimePoint aNow);
   void UpdateLimits(TimePoint aNow);
   void UpdateDraining(TimePoint aNow);
+  bool IsInUse() const;
   void FillResponse(TargetReply& aReply, Exchange& aExchange, bool aIsHead);
   wire::TargetLoad Load() const;
 
@@ -169,7 +171,8 @@
   std::optional<Announcement> m_target;
   TimePoint m_leaseEnd{};
   bool m_leaseLost = false;
-  bool m_leavingKnown = false;
+  bool m_usable = false;
+  size_t m_reportsNeeded = 0; // reports of a start before it is used
   bool m_stopping = false;
   bool m_rejectNew = false;
   std::unordered_map<uint64_t, ServedCall> m_calls;
--- a/apps/wigeonfold-node/test/LeavingTarget_test.cpp
+++ b/apps/wigeonfold-node/test/LeavingTarget_test.cpp
@@ -128,5 +128,21 @@
   EXPECT_EQ(Call(1, Post("/lots")).m_status, 200);
 }
 
+// No current control VM can be reached, so the restarted node doesn't know
+// which starts left; its target's report may be a late one of a target that
+// did.
+TEST_F(LeavingTarget, IsUsedFromItsSecondReportOnWhereNobodyKnowsWhoLeft)
+{
+  TestTarget& target = ServeAtPeer(
+    [](int, const std::string&) { return Reaction{ CompleteAnswer("x") }; });
+  Restart(1);
+  Announce(1, target.Port());
+  SetView({ EndpointOf(1) }, {}, true, false);
+  ExpectOutcome(Call(1, Post("/lots")), 503, "not-run", "draining");
+  EXPECT_EQ(target.m_requests, 0);
+  Announce(1, target.Port());
+  EXPECT_EQ(Call(1, Post("/lots")).m_status, 200);
+}
+
 } // namespace
 } // namespace wigeonfold::node
--- a/apps/wigeonfold-node/test/TestNodes.h
+++ b/apps/wigeonfold-node/test/TestNodes.h
@@ -276,7 +276,8 @@
 
   void SetView(const std::vector<wire::EndpointRecord>& aEndpoints,
                std::vector<Setting> aSettings = {},
-               bool aReady = true)
+               bool aReady = true,
+               bool aConfirmed = true)
   {
     aSettings.push_back({ "services/lots", "route.prefix", "/lots" });
     std::vector<wire::Operation> operations;
@@ -291,7 +292,8 @@
     ASSERT_TRUE(view);
     RunOnIoThread([&] {
       for (const auto& node : m_nodes) {
-        node->OnView({ view.value(), tree.value().Digest(), aReady, {} });
+        node->OnView(
+          { view.value(), tree.value().Digest(), aReady, aConfirmed, {} });
       }
     });
   }
--- a/libs/discovery/include/wigeonfold/discovery/TargetReport.h
+++ b/libs/discovery/include/wigeonfold/discovery/TargetReport.h
@@ -66,6 +66,10 @@
   // Its state is Gone once the start has left.
   const std::optional<TargetReport>& Current() const { return m_current; }
 
+  // Reports of the newest start that were applied, each newer than the one
+  // before.
+  size_t CurrentReports() const { return m_currentReports; }
+
   // Last start that is known to leave or to have left.
   std::optional<TargetStart> LastLeaving() const;
   // The start that a report of a leave stands for, once it was applied; nothing
@@ -85,6 +89,7 @@
   using Starts = std::deque<TargetStart>; // newest last
 
   std::optional<TargetReport> m_current;
+  size_t m_currentReports = 0;
   Starts m_retired; // replaced or gone
   Starts m_leaving; // known to leave
 };
--- a/libs/discovery/src/TargetReport.cpp
+++ b/libs/discovery/src/TargetReport.cpp
@@ -100,7 +100,9 @@
   }
   if (m_current && m_current->Start() != aReport.Start()) {
     Remember(m_retired, m_current->Start());
+    m_currentReports = 0;
   }
+  ++m_currentReports;
   m_current = aReport;
   if (aReport.m_state == ReportedState::Draining) {
     Remember(m_leaving, aReport.Start());
--- a/libs/discovery/test/TargetReport_test.cpp
+++ b/libs/discovery/test/TargetReport_test.cpp
@@ -180,5 +180,19 @@
             Start({ "b", 1000 }));
 }
 
+// A late report that arrives twice, or after a newer one, is no second report.
+TEST(TargetReportTracker, CountsTheReportsOfAStartThatAreNewerThanTheOneBefore)
+{
+  TargetReportTracker reports;
+  Apply(reports, Report("a", 100, 5));
+  Apply(reports, Report("a", 100, 5));
+  Apply(reports, Report("a", 100, 4));
+  EXPECT_EQ(reports.CurrentReports(), 1U);
+  Apply(reports, Report("a", 100, 6));
+  EXPECT_EQ(reports.CurrentReports(), 2U);
+  Apply(reports, Report("b", 200, 1));
+  EXPECT_EQ(reports.CurrentReports(), 1U);
+}
+
 } // namespace
 } // namespace wigeonfold::discovery
--- a/libs/distribution/include/wigeonfold/distribution/Subscriber.h
+++ b/libs/distribution/include/wigeonfold/distribution/Subscriber.h
@@ -123,6 +123,9 @@
 {
   std::optional<Version> m_floor;
   bool m_belowFloor = false;
+  // A control VM that was current after this node's start confirmed it; all
+  // starts whose leave was acknowledged before are known.
+  bool m_confirmed = false;
 };
 
 // This start of the node's target leaves, as the node announced it before it
--- a/libs/distribution/src/SubscriberState.cpp
+++ b/libs/distribution/src/SubscriberState.cpp
@@ -256,7 +256,7 @@
   }
   m_ready = true;
   m_belowFloor = mayBeOlder;
-  m_actions.emplace_back(BecomeReady{ m_floor, mayBeOlder });
+  m_actions.emplace_back(BecomeReady{ m_floor, mayBeOlder, confirmed });
   SendStatus(aNow);
 }
 
