--- /dev/null
+++ b/apps/wigeonfold-node/TargetState.cpp
@@ -0,0 +1,207 @@
+// The target's reports, its state and its limits.
+#include "TargetSide.h"
+
+#include <algorithm>
+
+namespace wigeonfold::node {
+
+const char* ToString(TargetState aState)
+{
+  switch (aState) {
+    case TargetState::Absent:
+      return "absent";
+    case TargetState::Ready:
+      return "ready";
+    case TargetState::Draining:
+      return "draining";
+  }
+  return "absent";
+}
+
+void TargetSide::SetView(std::shared_ptr<const routing::View> aView,
+                         TimePoint aNow)
+{
+  m_view = std::move(aView);
+  m_shares.clear();
+  if (m_target) {
+    m_pool->SetMaxConnections(static_cast<size_t>(MaxConnections()));
+  }
+  UpdateLimits(aNow);
+  UpdateDraining(aNow);
+}
+
+discovery::ReportResult TargetSide::Announce(const Announcement& aAnnouncement,
+                                             TimePoint aNow)
+{
+  if (!MayBeOfOwnTarget(aAnnouncement)) {
+    return discovery::ReportResult::Foreign;
+  }
+  const auto result =
+    m_reports.Apply(aAnnouncement, std::chrono::system_clock::now());
+  if (m_target && !m_leaseLost && aAnnouncement.Start() == m_target->Start()) {
+    // A late report of the current start is a sign of life as well. All of them
+    // look late after another writer's report with a great sequence number.
+    m_leaseEnd = aNow + m_options.m_announceLease;
+  }
+  if (result != discovery::ReportResult::Applied) {
+    return result;
+  }
+  const std::optional<Announcement> before = std::move(m_target);
+  m_target = m_reports.Current();
+  m_leaseEnd = aNow + m_options.m_announceLease;
+  m_leaseLost = false;
+  const bool otherInstance = !before ||
+                             before->m_instance != m_target->m_instance ||
+                             before->m_startedAtMs != m_target->m_startedAtMs ||
+                             !(before->m_address == m_target->m_address) ||
+                             before->m_connections != m_target->m_connections;
+  if (otherInstance) {
+    m_health = {};
+    m_admission.Rate().Reset();
+    m_pool->SetTarget(m_target->m_address,
+                      static_cast<size_t>(MaxConnections()));
+  }
+  const bool changed = !before || before->m_service != m_target->m_service ||
+                       before->m_slots != m_target->m_slots || otherInstance;
+  if (changed) {
+    UpdateLimits(aNow);
+    m_onChange();
+  }
+  UpdateDraining(aNow);
+  return result;
+}
+
+// Another writer's report may name a service that nobody knows. Reports that
+// the target has left name none.
+bool TargetSide::MayBeOfOwnTarget(const Announcement& aAnnouncement) const
+{
+  const std::string& service = aAnnouncement.m_service;
+  if (service.empty() || service == ServiceName()) {
+    return true;
+  }
+  return m_view ? m_view->Find(service) != nullptr
+                : m_options.m_service.empty();
+}
+
+void TargetSide::NoteLeaving(const TargetStart& aStart, TimePoint aNow)
+{
+  if (!m_reports.NoteLeaving(aStart)) {
+    return;
+  }
+  m_target = m_reports.Current();
+  m_log.Record(EventId::TargetLeaving, { { "instance", aStart.m_instance } });
+  UpdateDraining(aNow);
+}
+
+void TargetSide::SetUsable(bool aLeavingKnown, TimePoint aNow)
+{
+  m_usable = true;
+  m_reportsNeeded = aLeavingKnown ? 1 : 2;
+  UpdateDraining(aNow);
+}
+
+// Precondition: the target has reported.
+bool TargetSide::IsInUse() const
+{
+  const bool drainedByView = m_view && m_view->IsDrained(m_options.m_nodeName);
+  return m_target->m_state == discovery::ReportedState::Ready && m_usable &&
+         m_reports.CurrentReports() >= m_reportsNeeded && !m_leaseLost &&
+         !drainedByView;
+}
+
+void TargetSide::NoteLimit(const TargetStart& aStart,
+                           double aPerSecond,
+                           TimePoint aNow)
+{
+  if (m_target && m_target->Start() == aStart &&
+      m_admission.Rate().OnHint(aPerSecond, aNow)) {
+    LogLimit();
+  }
+}
+
+// The limit announced by the target, or that of its service in the view.
+int TargetSide::MaxConnections() const
+{
+  if (m_target->m_connections > 0) {
+    return m_target->m_connections;
+  }
+  const routing::ServiceRoute* route =
+    m_view ? m_view->Find(m_target->m_service) : nullptr;
+  return route == nullptr ? m_target->m_slots : route->m_targetConnections;
+}
+
+void TargetSide::BeginStopping()
+{
+  m_stopping = true;
+  m_onChange();
+}
+
+TargetState TargetSide::State() const
+{
+  if (!m_target) {
+    return TargetState::Absent;
+  }
+  return m_stopping || m_admission.IsDraining() ? TargetState::Draining
+                                                : TargetState::Ready;
+}
+
+bool TargetSide::HasFreeSlot() const
+{
+  return State() == TargetState::Ready && m_admission.HasRoom(Clock::now());
+}
+
+const std::string& TargetSide::ServiceName() const
+{
+  return m_target ? m_target->m_service : m_options.m_service;
+}
+
+std::shared_ptr<const wire::CallRequest> TargetSide::FindRunning(
+  const std::string& aRequestId) const
+{
+  const auto found = m_running.find(aRequestId);
+  return found == m_running.end() ? nullptr : found->second;
+}
+
+TargetStatus TargetSide::Status() const
+{
+  TargetStatus status;
+  status.m_state = State();
+  status.m_leaseLost = m_leaseLost;
+  status.m_slots = m_admission.Slots();
+  status.m_running = m_admission.Running();
+  status.m_queued = m_admission.Queued();
+  status.m_connections =
+    m_pool->Idle() + static_cast<size_t>(m_admission.Running());
+  status.m_requestLimit = m_admission.Rate().PerSecond();
+  if (m_target) {
+    status.m_service = m_target->m_service;
+    status.m_address = m_target->m_address;
+  }
+  return status;
+}
+
+void TargetSide::UpdateLimits(TimePoint aNow)
+{
+  const routing::ServiceRoute* route =
+    m_view && m_target ? m_view->Find(m_target->m_service) : nullptr;
+  admission::Limits limits;
+  if (route != nullptr) {
+    // Each running request occupies one connection.
+    limits.m_slots = std::min(m_target->m_slots, MaxConnections());
+    limits.m_queueLimit = static_cast<size_t>(route->m_queueLimit);
+    limits.m_queueTimeout = route->m_queueTimeout;
+  }
+  Apply(m_admission.SetLimits(limits, aNow), aNow);
+}
+
+void TargetSide::UpdateDraining(TimePoint aNow)
+{
+  const bool draining = m_target && !IsInUse();
+  if (draining == m_admission.IsDraining()) {
+    return;
+  }
+  Apply(m_admission.SetDraining(draining, aNow), aNow);
+  m_onChange();
+}
+
+} // namespace wigeonfold::node
