Release the proposal of leaves only when their entry was applied

Cause: any applied command counted as the one under way, so a change could free the next proposal early and the same starts be proposed twice. The state is the same either way; found by reading.

--- a/apps/wigeonfold-control/Core.cpp
+++ b/apps/wigeonfold-control/Core.cpp
@@ -256,7 +256,6 @@
     m_onFailure(applied.error());
     return std::nullopt;
   }
-  m_leavingProposals.OnApplied();
   const auto& result = applied.value();
   if (result && result->outcome == wire::AcceptOutcome::Accepted) {
     ++m_accepted;
@@ -307,7 +306,11 @@
 
 void Core::PublishLeaving()
 {
-  for (const std::string& node : m_registry.TakeChangedLeaving()) {
+  const std::set<std::string> changed = m_registry.TakeChangedLeaving();
+  if (!changed.empty()) {
+    m_leavingProposals.OnApplied();
+  }
+  for (const std::string& node : changed) {
     m_channels.m_coreToNet.Push(
       SetLeaving{ node, m_registry.Leaving().Find(node) });
   }
--- a/libs/registry/include/wigeonfold/registry/LeavingProposals.h
+++ b/libs/registry/include/wigeonfold/registry/LeavingProposals.h
@@ -23,7 +23,7 @@
     const LeavingStarts& aStored,
     TimePoint aNow);
   void OnProposed(TimePoint aNow);
-  // An entry with starts was applied.
+  // An entry that added starts was applied.
   void OnApplied() { m_proposedAt.reset(); }
 
   static constexpr size_t kMaxWaiting = 4096; // nodes
