Don't use a target on one late report of a start that ended before

Cause: the node had been restarted. It knew that the start that left, born at ...889052, was leaving, and then took a late report of the start before it, born at ...880045 and killed since, for that of a new target at the same address. On the users' platform the target answers such requests with 421, since they name the instance; in the native dialect nothing does.

Change: a start that began before one that is known to leave needs a second, newer report. It is not refused for good, since the leave may be another writer's. And the state is updated before it is announced, so that a target that left is not announced as ready for an instant.

LateReportOfAnEarlierStartIsNotEnough fails with the condition taken out.

--- a/apps/wigeonfold-node/TargetSide.h
+++ b/apps/wigeonfold-node/TargetSide.h
@@ -172,7 +172,7 @@
   TimePoint m_leaseEnd{};
   bool m_leaseLost = false;
   bool m_usable = false;
-  size_t m_reportsNeeded = 0; // reports of a start before it is used
+  bool m_leavingKnown = false; // see SetUsable()
   bool m_stopping = false;
   bool m_rejectNew = false;
   std::unordered_map<uint64_t, ServedCall> m_calls;
--- a/apps/wigeonfold-node/TargetState.cpp
+++ b/apps/wigeonfold-node/TargetState.cpp
@@ -65,9 +65,12 @@
                        before->m_slots != m_target->m_slots || otherInstance;
   if (changed) {
     UpdateLimits(aNow);
-    m_onChange();
   }
+  // Before the change is announced, which tells the state as well.
   UpdateDraining(aNow);
+  if (changed) {
+    m_onChange();
+  }
   return result;
 }
 
@@ -96,16 +99,19 @@
 void TargetSide::SetUsable(bool aLeavingKnown, TimePoint aNow)
 {
   m_usable = true;
-  m_reportsNeeded = aLeavingKnown ? 1 : 2;
+  m_leavingKnown = aLeavingKnown;
   UpdateDraining(aNow);
 }
 
-// Precondition: the target has reported.
+// Precondition: the target has reported. A single report is not enough where it
+// may be a late one.
 bool TargetSide::IsInUse() const
 {
+  const bool mayBeLate = !m_leavingKnown || m_reports.IsFollowedByLeaving();
+  const size_t reportsNeeded = mayBeLate ? 2 : 1;
   const bool drainedByView = m_view && m_view->IsDrained(m_options.m_nodeName);
   return m_target->m_state == discovery::ReportedState::Ready && m_usable &&
-         m_reports.CurrentReports() >= m_reportsNeeded && !m_leaseLost &&
+         m_reports.CurrentReports() >= reportsNeeded && !m_leaseLost &&
          !drainedByView;
 }
 
--- a/apps/wigeonfold-node/test/LeavingTarget_test.cpp
+++ b/apps/wigeonfold-node/test/LeavingTarget_test.cpp
@@ -144,5 +144,29 @@
   EXPECT_EQ(Call(1, Post("/lots")).m_status, 200);
 }
 
+// The restarted node hears late of a start that ended before the one that left.
+TEST_F(LeavingTarget, LateReportOfAnEarlierStartIsNotEnough)
+{
+  TestTarget& target = ServeAtPeer(
+    [](int, const std::string&) { return Reaction{ CompleteAnswer("x") }; });
+  Restart(1);
+  RunOnIoThread([&] {
+    ViewUpdate update;
+    update.m_leaving = { { { "later", 200 }, true } };
+    m_nodes[1]->OnView(update);
+  });
+  SetView({ EndpointOf(1) });
+  m_announced.clear();
+  Announce(1, target.Port());
+  ExpectOutcome(Call(1, Post("/lots")), 503, "not-run", "draining");
+  EXPECT_EQ(target.m_requests, 0);
+  for (const wire::EndpointRecord& record : m_announced) {
+    EXPECT_EQ(record.state, wire::EndpointState::Draining);
+  }
+  // Another writer's leave must not shut the target out.
+  Announce(1, target.Port());
+  EXPECT_EQ(Call(1, Post("/lots")).m_status, 200);
+}
+
 } // namespace
 } // namespace wigeonfold::node
--- a/libs/discovery/include/wigeonfold/discovery/TargetReport.h
+++ b/libs/discovery/include/wigeonfold/discovery/TargetReport.h
@@ -69,6 +69,10 @@
   // Reports of the newest start that were applied, each newer than the one
   // before.
   size_t CurrentReports() const { return m_currentReports; }
+  // Whether a start that began after Current() is known to leave. Then the
+  // newest report is a late one of a start that has ended, or the leave was
+  // another writer's.
+  bool IsFollowedByLeaving() const;
 
   // Last start that is known to leave or to have left.
   std::optional<TargetStart> LastLeaving() const;
--- a/libs/discovery/src/TargetReport.cpp
+++ b/libs/discovery/src/TargetReport.cpp
@@ -65,6 +65,16 @@
   return m_leaving.empty() ? std::nullopt : std::optional(m_leaving.back());
 }
 
+bool TargetReportTracker::IsFollowedByLeaving() const
+{
+  return m_current &&
+         std::any_of(m_leaving.begin(),
+                     m_leaving.end(),
+                     [this](const TargetStart& aStart) {
+                       return m_current->m_startedAtMs < aStart.m_startedAtMs;
+                     });
+}
+
 std::optional<TargetStart> TargetReportTracker::LeavingStartOf(
   const TargetReport& aReport) const
 {
--- a/scripts/soak_leaving.py
+++ b/scripts/soak_leaving.py
@@ -86,6 +86,9 @@
 
         A report from before the leave arrives after each of `late_seconds`.
         """
+        process = self.fleet.processes["target-%d" % self.i]
+        if process is not self.process:
+            self.begin(process)  # it has not reported yet
         late = [(seconds, self.report()) for seconds in late_seconds]
         self.reporting = how == "draining"
         self.state = "draining"
