Acknowledge no change that one lost disk beside a silent end can undo

What callers saw: a control VM ended without SIGTERM after its successor had caught up, a change was answered 200, and the VM that answered lost its disk. The change could not be read any more and no change was accepted again, 51 s after all VMs were back.

Cause: a voter that ended stays listed until its successor is promoted, 1.5 s later. The gate counted listed voters, so a change on two of three was acknowledged, and the loss of one of them leaves no quorum.

Ruled out: loss of the entry, which is on both disks left.

Change: the leader counts voters that answered after the entry was appended and have synced the current membership. Entries are acknowledged once these are a majority plus the tolerated losses, as long as a VM in contact may become a voter, for 3.5 s at most. Answers to resent changes wait alike. Leaves are told to nodes as pending meanwhile.

--- a/apps/wigeonfold-control/ControlSettings.cpp
+++ b/apps/wigeonfold-control/ControlSettings.cpp
@@ -56,6 +56,7 @@
   aSettings.m_policy.m_voters = 2 * losses + 1;
   if (aSettings.m_automaticMembers) {
     aSettings.m_toleratedLosses = losses;
+    aSettings.m_raft.m_toleratedLosses = losses;
   }
 }
 
--- a/apps/wigeonfold-control/Core.cpp
+++ b/apps/wigeonfold-control/Core.cpp
@@ -121,6 +121,12 @@
   MaybeBootstrap(aNow);
   MaybeProposeCluster(aNow);
   AddInitialVoters(aNow);
+  m_raft.SetVoterOutlook(aNow,
+                         consensus::MakeVoterOutlook(m_raft.CurrentMembership(),
+                                                     m_raft.Self(),
+                                                     m_peers,
+                                                     m_settings.m_policy,
+                                                     aNow));
   MaintainMembership(aNow);
   CheckReplaced(aNow);
   ProposeLeaving(aNow);
@@ -202,6 +208,7 @@
       m_raft.OnSnapshotTaken(aNow, snapshotIndex, m_registry.Snapshot());
     }
   } while (snapshotIndex != 0);
+  AnswerSurviving();
   PublishMembership();
 }
 
@@ -280,7 +287,7 @@
     Answer(call.m_callId, registry::FormatMembership(*call.m_plan));
   } else if (aResult) {
     LogDecision(*aResult);
-    Answer(call.m_callId, call.m_format->FormatAcceptResult(*aResult));
+    AnswerOnceSurviving(call.m_callId, *call.m_format, aEntry.index, *aResult);
   }
 }
 
@@ -310,10 +317,28 @@
   if (!changed.empty()) {
     m_leavingProposals.OnApplied();
   }
+  const int64_t applied = m_raft.AppliedIndex();
+  const int64_t surviving = m_raft.SurvivingIndex();
   for (const std::string& node : changed) {
-    m_channels.m_coreToNet.Push(
-      SetLeaving{ node, m_registry.Leaving().Find(node) });
+    m_pendingLeaving[node] = applied;
+    if (applied > surviving) {
+      SendLeaving(node, true);
+    }
   }
+  std::erase_if(m_pendingLeaving, [&](const auto& aPending) {
+    const auto& [node, index] = aPending;
+    if (index > surviving) {
+      return false;
+    }
+    SendLeaving(node, false);
+    return true;
+  });
+}
+
+void Core::SendLeaving(const std::string& aNode, bool aPending)
+{
+  m_channels.m_coreToNet.Push(
+    SetLeaving{ aNode, m_registry.Leaving().Find(aNode), aPending });
 }
 
 void Core::PublishMembership()
--- a/apps/wigeonfold-control/Core.h
+++ b/apps/wigeonfold-control/Core.h
@@ -53,6 +53,16 @@
     const registry::OperatorFormat* m_format = nullptr; // for the answer
   };
 
+  // A change that is applied and not acknowledged, see AnswerOnceSurviving().
+  struct UnacknowledgedCall
+  {
+    int64_t m_index = 0;
+    CallId m_callId = 0;
+    TimePoint m_since;
+    const registry::OperatorFormat* m_format = nullptr;
+    registry::ApiReply m_reply;
+  };
+
   void Schedule();
   void OnTimer();
   void Housekeep(TimePoint aNow);
@@ -71,6 +81,7 @@
   void PublishTree();
   void PublishMembership();
   void PublishLeaving();
+  void SendLeaving(const std::string& aNode, bool aPending);
   void PublishSummary(TimePoint aNow);
 
   // ---- Cluster formation and membership ----
@@ -112,6 +123,13 @@
                              const registry::MembershipPlan& aPlan,
                              TimePoint aNow);
   void ExpireCalls(TimePoint aNow);
+  // Answers now, or once the group keeps the entries up to aIndex after the
+  // loss of as many disks as it tolerates.
+  void AnswerOnceSurviving(CallId aCallId,
+                           const registry::OperatorFormat& aFormat,
+                           int64_t aIndex,
+                           const wire::AcceptResult& aResult);
+  void AnswerSurviving();
 
   boost::asio::steady_timer m_timer;
   const ControlSettings& m_settings;
@@ -124,6 +142,7 @@
   // Of m_registry; nullptr after a change, until it is needed again.
   RegistryViewPtr m_registryView;
   std::map<int64_t, PendingCall> m_pending; // by log index
+  std::vector<UnacknowledgedCall> m_unacknowledged;
   // Last state sent to the net thread.
   wire::Membership m_publishedMembership;
   std::string m_publishedClusterId;
@@ -137,6 +156,9 @@
   std::map<consensus::MemberId, consensus::ControlVmState> m_peers;
   consensus::ChangeGate m_changeGate;
   registry::LeavingProposals m_leavingProposals;
+  // Nodes whose leaving starts are applied and must not be acknowledged yet,
+  // with the last log index that changed them.
+  std::map<std::string, int64_t> m_pendingLeaving;
   bool m_bootstrapSettled = false;    // done, refused or not configured
   bool m_addingInitialVoters = false; // since this run created the cluster
   // Member ids by name: this VM and the initial voters that this run tried to
--- a/apps/wigeonfold-control/CoreCalls.cpp
+++ b/apps/wigeonfold-control/CoreCalls.cpp
@@ -118,7 +118,7 @@
   // This member holds the lease and has applied all that is committed.
   if (const auto known = m_registry.CertainResult(aCall.m_change)) {
     LogDecision(*known);
-    Answer(aCall.m_callId, format.FormatAcceptResult(*known));
+    AnswerOnceSurviving(aCall.m_callId, format, m_raft.AppliedIndex(), *known);
     return;
   }
   wire::RegistryCommand command;
@@ -153,6 +153,48 @@
       at->second.m_callId, *at->second.m_format, "not committed in time");
     at = m_pending.erase(at);
   }
+  std::erase_if(m_unacknowledged, [&](const UnacknowledgedCall& aCall) {
+    const bool expired = aNow - aCall.m_since >= kCallTimeout;
+    if (expired) {
+      AnswerUnknown(aCall.m_callId,
+                    *aCall.m_format,
+                    "too few voters answer to keep it after a lost disk");
+    }
+    return expired;
+  });
+}
+
+// Only an acceptance is a promise.
+void Core::AnswerOnceSurviving(CallId aCallId,
+                               const registry::OperatorFormat& aFormat,
+                               int64_t aIndex,
+                               const wire::AcceptResult& aResult)
+{
+  registry::ApiReply reply = aFormat.FormatAcceptResult(aResult);
+  if (aResult.outcome != wire::AcceptOutcome::Accepted ||
+      aIndex <= m_raft.SurvivingIndex()) {
+    Answer(aCallId, std::move(reply));
+    return;
+  }
+  m_unacknowledged.push_back(
+    { aIndex, aCallId, Clock::now(), &aFormat, std::move(reply) });
+}
+
+void Core::AnswerSurviving()
+{
+  const int64_t surviving = m_raft.SurvivingIndex();
+  std::erase_if(m_unacknowledged, [&](UnacknowledgedCall& aCall) {
+    if (aCall.m_index > surviving) {
+      return false;
+    }
+    m_log.Record(
+      EventId::AcknowledgementHeld,
+      { { "index", std::to_string(aCall.m_index) },
+        { "held_ms",
+          std::to_string(ToMilliseconds(Clock::now() - aCall.m_since)) } });
+    Answer(aCall.m_callId, std::move(aCall.m_reply));
+    return true;
+  });
 }
 
 // ---- Targets that leave ----------------------------------------------------
--- a/apps/wigeonfold-control/Messages.h
+++ b/apps/wigeonfold-control/Messages.h
@@ -88,6 +88,7 @@
 {
   std::string m_nodeName;
   std::vector<TargetStart> m_starts;
+  bool m_isPending = false; // must not be acknowledged yet
 };
 
 // To the leader, which stores it.
--- a/apps/wigeonfold-control/Network.cpp
+++ b/apps/wigeonfold-control/Network.cpp
@@ -159,7 +159,9 @@
     Execute(m_sessions.SetFreshness(age->m_freshnessAge, age->m_measuredAt));
   } else if (auto* leaving = std::get_if<SetLeaving>(&aMessage)) {
     Execute(m_sessions.SetLeaving(
-      leaving->m_nodeName, std::move(leaving->m_starts), Clock::now()));
+      leaving->m_nodeName,
+      { std::move(leaving->m_starts), leaving->m_isPending },
+      Clock::now()));
   } else if (auto* forward = std::get_if<ForwardLeaving>(&aMessage)) {
     m_peers.SendLeaving(forward->m_toMember, forward->m_report);
   } else if (std::holds_alternative<AnnounceStopping>(aMessage)) {
--- a/idl/control.thrift
+++ b/idl/control.thrift
@@ -113,6 +113,9 @@
   // The starts of the node's targets that left, as stored by the control VMs.
   // Set with confirm, and when they have changed.
   5: optional list<common.TargetStart> leaving,
+  // The group may still lose the newest of them together with a disk, so they
+  // must not be acknowledged yet.
+  6: bool leavingPending,
 }
 
 struct NodeStatus {
--- a/idl/raft.thrift
+++ b/idl/raft.thrift
@@ -93,4 +93,8 @@
   // says that they read it.
   18: binary packedEntries,
   19: i64 packedLength,
+  // AppendRequest: entries up to this index may be acknowledged, since the group
+  // keeps them after the loss of as many disks as it tolerates. Members that
+  // don't send it acknowledge what is committed.
+  20: optional i64 survivingIndex,
 }
--- a/libs/base/include/wigeonfold/base/Events.h
+++ b/libs/base/include/wigeonfold/base/Events.h
@@ -58,6 +58,7 @@
   X(ReleaseInvalid,         1300, Warning, "a configuration could not be parsed or is invalid") \
   X(ChangeDecided,          1301, Info,    "a change was accepted, conflicted with another one or was refused") \
   X(CallUnanswered,         1302, Warning, "an operator's call ended without a known outcome") \
+  X(AcknowledgementHeld,    1303, Info,    "an accepted change was acknowledged later, since a voter did not answer and its replacement was awaited") \
   X(EndpointResync,         1400, Info,    "a control VM missed endpoint changes and asked for a full transfer") \
   X(VersionDistributed,     1500, Info,    "a committed version is distributed to the nodes") \
   X(NodeRefusedVersion,     1501, Warning, "a node refused a version") \
--- a/libs/consensus/include/wigeonfold/consensus/ChangeGate.h
+++ b/libs/consensus/include/wigeonfold/consensus/ChangeGate.h
@@ -30,7 +30,7 @@
 
 private:
   const size_t m_losses;
-  const Duration m_contactTimeout;
+  const MembershipPolicyOptions m_options;
   std::optional<TimePoint> m_waitingSince;
 };
 
--- a/libs/consensus/include/wigeonfold/consensus/MembershipPolicy.h
+++ b/libs/consensus/include/wigeonfold/consensus/MembershipPolicy.h
@@ -3,6 +3,7 @@
 
 #include "wigeonfold/base/Time.h"
 #include "wigeonfold/consensus/Membership.h"
+#include "wigeonfold/consensus/Raft.h"
 #include "wigeonfold/wire/gen/control_types.h"
 
 #include <map>
@@ -62,6 +63,21 @@
   const MembershipPolicyOptions& aOptions,
   TimePoint aNow);
 
+// Whether a VM other than aSelf that is not a voter is in contact and not
+// stopping, so that it may become a voter. Thread safe.
+bool HasReplacement(const wire::Membership& aMembership,
+                    MemberId aSelf,
+                    const std::map<MemberId, ControlVmState>& aVms,
+                    const MembershipPolicyOptions& aOptions,
+                    TimePoint aNow);
+
+// What Raft has to know of aVms. Thread safe.
+VoterOutlook MakeVoterOutlook(const wire::Membership& aMembership,
+                              MemberId aSelf,
+                              const std::map<MemberId, ControlVmState>& aVms,
+                              const MembershipPolicyOptions& aOptions,
+                              TimePoint aNow);
+
 // Whether a voter that is to stop should run on until it is demoted: a learner,
 // or a VM in contact that may become one, can take its place. Without that, one
 // disk that is lost right after its end leaves the group without a quorum.
--- a/libs/consensus/include/wigeonfold/consensus/Raft.h
+++ b/libs/consensus/include/wigeonfold/consensus/Raft.h
@@ -65,6 +65,13 @@
   // follower that was away for a few minutes needs no snapshot (10 min at 0.5
   // changes/s are 300 entries).
   int64_t m_retainedEntries = 1000;
+  // Disks that may be lost at once without the loss of what was acknowledged;
+  // see SurvivingIndex().
+  size_t m_toleratedLosses = 0;
+  // Maximum time for which an acknowledgement waits for a voter that doesn't
+  // answer or for the member that replaces it. Covers the time after which a
+  // voter is replaced, and the two membership changes.
+  Duration m_maxSurvivalWait = std::chrono::milliseconds(3500);
 };
 
 // ---- State, actions and results --------------------------------------------
@@ -137,6 +144,15 @@
   bool NeedsPersistence() const { return m_sequence != 0; }
 };
 
+// VMs beside the voters, as the leader's owner knows them.
+struct VoterOutlook
+{
+  // A VM that is not a voter may become one.
+  bool m_hasReplacement = false;
+  // Voters that said that they are about to end.
+  std::set<MemberId> m_stopping;
+};
+
 enum class Role
 {
   Follower,
@@ -194,6 +210,9 @@
   Result<LogPosition> ProposeChange(TimePoint aNow,
                                     const MembershipChange& aChange);
 
+  // Used by SurvivingIndex() on the leader; call at least once per heartbeat.
+  void SetVoterOutlook(TimePoint aNow, VoterOutlook aOutlook);
+
   // Returns and clears the actions due since the last call.
   RaftActions TakeActions();
 
@@ -216,6 +235,10 @@
   int64_t Term() const { return m_hardState.m_term; }
   int64_t CommitIndex() const { return m_hardState.m_commit; }
   int64_t AppliedIndex() const { return m_applied; }
+  // Committed entries up to this index may be acknowledged: the group keeps
+  // them and elects a leader after the loss of m_toleratedLosses disks. Never
+  // decreases; 0 after a start until a leader is heard of. See Survival.cpp.
+  int64_t SurvivingIndex() const { return m_survivingIndex; }
   LogPosition LastPosition() const { return m_log.Last(); }
   MemberId LeaderId() const { return m_leader; } // 0 when unknown
   // The leader's entry in the membership; nothing when the leader is unknown or
@@ -247,6 +270,7 @@
     std::deque<int64_t> m_inflight; // last index of each unacknowledged append
     TimePoint m_confirmedAt;        // sending time of the last round answered
     bool m_confirmed = false;       // m_confirmedAt is set
+    int64_t m_answeredIndex = 0;    // last index before the round answered last
     RaftSnapshot m_snapshot;        // being sent
     size_t m_offset = 0;            // offset of the chunk sent last
     TimePoint m_chunkSentAt;
@@ -274,6 +298,7 @@
   {
     int64_t m_number = 0;
     TimePoint m_sentAt;
+    int64_t m_lastIndex = 0; // of the log when the round was sent
   };
 
   // A snapshot being received.
@@ -351,6 +376,11 @@
   int64_t QuorumAgeMs() const;
   void HandleAppendReply(const wire::RaftMessage& aMessage);
 
+  // Survival.cpp
+  int64_t IndexOnEnoughVoters() const;
+  int64_t AnsweredIndex(MemberId aVoter) const;
+  void UpdateSurvivingIndex();
+
   // Follower.cpp
   void HandleAppendRequest(wire::RaftMessage& aMessage);
   bool MergeEntries(wire::RaftMessage& aMessage);
@@ -425,6 +455,11 @@
   TimePoint m_heartbeatDue;
   TimePoint m_leaderSince;
   int64_t m_termStartIndex = 0; // first entry of the current term
+  VoterOutlook m_outlook;
+  int64_t m_survivalAwaited = 0; // index for which m_survivingIndex waits
+  TimePoint m_survivalAwaitedSince;
+
+  int64_t m_survivingIndex = 0;
 };
 
 } // namespace wigeonfold::consensus
--- a/libs/consensus/src/ChangeGate.cpp
+++ b/libs/consensus/src/ChangeGate.cpp
@@ -1,12 +1,10 @@
 #include "wigeonfold/consensus/ChangeGate.h"
 
-#include <algorithm>
-
 namespace wigeonfold::consensus {
 
 ChangeGate::ChangeGate(size_t aLosses, const MembershipPolicyOptions& aOptions)
   : m_losses(aLosses)
-  , m_contactTimeout(aOptions.m_replaceAfter)
+  , m_options(aOptions)
 {
 }
 
@@ -23,12 +21,7 @@
     m_waitingSince.reset();
     return true;
   }
-  const bool mayGrow =
-    std::any_of(aVms.begin(), aVms.end(), [&](const auto& aVm) {
-      return aVm.first != aSelf && !IsVoter(aMembership, aVm.first) &&
-             aNow - aVm.second.m_contactAt < m_contactTimeout;
-    });
-  if (!mayGrow) {
+  if (!HasReplacement(aMembership, aSelf, aVms, m_options, aNow)) {
     return true;
   }
   m_waitingSince = m_waitingSince.value_or(aNow);
--- a/libs/consensus/src/Election.cpp
+++ b/libs/consensus/src/Election.cpp
@@ -154,6 +154,7 @@
   m_rounds.clear();
   UpdateProgressSet();
   m_termStartIndex = m_log.Last().m_index + 1;
+  m_survivalAwaited = 0;
   // Entries of earlier terms are committed only by an entry of the current
   // term.
   AppendAsLeader(wire::LogEntryKind::Noop, "");
--- a/libs/consensus/src/Follower.cpp
+++ b/libs/consensus/src/Follower.cpp
@@ -64,6 +64,12 @@
     return;
   }
   CommitTo(std::min(aMessage.commitIndex, m_verified));
+  const int64_t surviving = aMessage.__isset.survivingIndex
+                              ? aMessage.survivingIndex
+                              : aMessage.commitIndex;
+  m_survivingIndex =
+    std::max(m_survivingIndex,
+             std::min({ surviving, m_verified, m_hardState.m_commit }));
   if (aMessage.quorumAgeMs >= 0 && aMessage.commitIndex <= m_verified) {
     m_freshnessAt = m_now;
     m_freshnessAge = std::chrono::milliseconds(aMessage.quorumAgeMs);
--- a/libs/consensus/src/Leader.cpp
+++ b/libs/consensus/src/Leader.cpp
@@ -144,7 +144,7 @@
 void Raft::SendHeartbeats()
 {
   ++m_round;
-  m_rounds.push_back({ m_round, m_now });
+  m_rounds.push_back({ m_round, m_now, m_log.Last().m_index });
   while (m_now - m_rounds.front().m_sentAt > m_settings.m_electionMax) {
     m_rounds.pop_front();
   }
@@ -198,6 +198,7 @@
   message.commitIndex = m_hardState.m_commit;
   message.round = m_round;
   message.quorumAgeMs = QuorumAgeMs();
+  message.__set_survivingIndex(m_survivingIndex);
   if (aWithEntries) {
     message.entries = m_log.Slice(
       aProgress.m_next, m_log.Last().m_index, m_settings.m_maxMessageBytes);
@@ -242,6 +243,7 @@
     progress.m_inflight.clear();
   }
   AdvanceCommit();
+  UpdateSurvivingIndex();
   // AdvanceCommit may have ended the leadership and cleared m_progress.
   if (m_role == Role::Leader && m_progress.contains(aMessage.fromMember)) {
     SendAppends(aMessage.fromMember, m_progress[aMessage.fromMember]);
@@ -294,6 +296,7 @@
     return;
   }
   CommitTo(index);
+  UpdateSurvivingIndex();
   if (MembershipCommitted()) {
     UpdateProgressSet();
   }
@@ -324,6 +327,8 @@
     aProgress.m_confirmed = true;
     aProgress.m_confirmedAt = found->m_sentAt;
   }
+  aProgress.m_answeredIndex =
+    std::max(aProgress.m_answeredIndex, found->m_lastIndex);
 }
 
 TimePoint Raft::QuorumConfirmedAt(TimePoint aNow, bool aGrace) const
--- a/libs/consensus/src/MembershipPolicy.cpp
+++ b/libs/consensus/src/MembershipPolicy.cpp
@@ -225,6 +225,36 @@
   return Policy(aMembership, aSelf, aVms, aCaughtUp, aOptions, aNow).Next();
 }
 
+bool HasReplacement(const wire::Membership& aMembership,
+                    MemberId aSelf,
+                    const Vms& aVms,
+                    const MembershipPolicyOptions& aOptions,
+                    TimePoint aNow)
+{
+  return std::any_of(aVms.begin(), aVms.end(), [&](const auto& aVm) {
+    const auto& [id, vm] = aVm;
+    return id != aSelf && !IsVoter(aMembership, id) && !vm.m_hello.stopping &&
+           aNow - vm.m_contactAt < aOptions.m_replaceAfter;
+  });
+}
+
+VoterOutlook MakeVoterOutlook(const wire::Membership& aMembership,
+                              MemberId aSelf,
+                              const Vms& aVms,
+                              const MembershipPolicyOptions& aOptions,
+                              TimePoint aNow)
+{
+  VoterOutlook outlook;
+  outlook.m_hasReplacement =
+    HasReplacement(aMembership, aSelf, aVms, aOptions, aNow);
+  for (const auto& [id, vm] : aVms) {
+    if (vm.m_hello.stopping) {
+      outlook.m_stopping.insert(id);
+    }
+  }
+  return outlook;
+}
+
 bool ShouldAwaitDemotion(const wire::Membership& aMembership,
                          MemberId aSelf,
                          const Vms& aVms,
@@ -232,12 +262,7 @@
                          TimePoint aNow)
 {
   return IsVoter(aMembership, aSelf) &&
-         std::any_of(aVms.begin(), aVms.end(), [&](const auto& aVm) {
-           const auto& [id, vm] = aVm;
-           return id != aSelf && !IsVoter(aMembership, id) &&
-                  !vm.m_hello.stopping &&
-                  aNow - vm.m_contactAt < aOptions.m_replaceAfter;
-         });
+         HasReplacement(aMembership, aSelf, aVms, aOptions, aNow);
 }
 
 bool MayFormCluster(const wire::ControlHello& aSelf,
--- a/libs/consensus/test/Cluster.h
+++ b/libs/consensus/test/Cluster.h
@@ -59,6 +59,7 @@
     RaftActions m_actions;
   };
   std::deque<Write> m_writes;
+  std::map<MemberId, TimePoint> m_heardAt; // last message from each member
   int64_t m_applied = 0;
   uint64_t m_appliedHash = 0; // over all applied entries in order
 };
@@ -78,9 +79,10 @@
 public:
   static constexpr int64_t kStepMs = 5;
 
-  Cluster(size_t aVoters, uint64_t aSeed)
+  Cluster(size_t aVoters, uint64_t aSeed, size_t aToleratedLosses = 0)
     : m_random(aSeed)
   {
+    m_settings.m_toleratedLosses = aToleratedLosses;
     m_settings.m_snapshotEntries = 20;
     m_settings.m_retainedEntries = 5;
     m_settings.m_chunkBytes = 64;
@@ -157,6 +159,7 @@
       node.m_writes.pop_front();
     }
     node.m_writes.clear();
+    node.m_heardAt.clear();
     node.m_raft.reset();
   }
 
@@ -311,13 +314,17 @@
   std::map<MemberId, FakeNode> m_nodes;
   FakeNetwork m_network;
 
-private:
+protected:
   struct Packet
   {
     int64_t m_dueMs = 0;
     std::string m_bytes;
   };
 
+  RaftSettings m_settings;
+  std::mt19937_64 m_random;
+  int64_t m_nowMs = 0;
+
   static void Require(bool aCondition, const std::string& aText)
   {
     if (!aCondition) {
@@ -368,6 +375,8 @@
     if (found == m_nodes.end() || !found->second.m_raft) {
       return;
     }
+    found->second.m_heardAt[message.value().fromMember] =
+      LocalTime(found->second);
     found->second.m_raft->Receive(LocalTime(found->second), message.value());
     ExecuteActions(found->second);
   }
@@ -475,9 +484,7 @@
     }
   }
 
-  RaftSettings m_settings;
-  std::mt19937_64 m_random;
-  int64_t m_nowMs = 0;
+private:
   MemberId m_lastId = 0;
   int64_t m_commands = 0;
   int64_t m_maxCommit = 0;
--- a/libs/distribution/include/wigeonfold/distribution/NodeSessions.h
+++ b/libs/distribution/include/wigeonfold/distribution/NodeSessions.h
@@ -99,6 +99,15 @@
   TargetStart m_start;
 };
 
+// The leaving starts of a node's targets that the control VMs have stored.
+struct StoredLeaving
+{
+  std::vector<TargetStart> m_starts; // oldest first
+  // The group may still lose the newest together with a disk. They hold for a
+  // node that starts, but no target is told yet that its leave is stored.
+  bool m_isPending = false;
+};
+
 using NodeAction =
   std::variant<SendToNode, CloseNode, NodeRefused, LeavingReported>;
 using NodeActions = std::vector<NodeAction>;
@@ -171,11 +180,11 @@
   // as current, Duration::max() if it never was. When the age drops by more
   // than a heartbeat interval, all nodes get a heartbeat at once.
   NodeActions SetFreshness(Duration aAge, TimePoint aNow);
-  // Sets the leaving starts of a node's targets that are stored, oldest first.
-  // Call it for an applied start before the SetFreshness that covers its entry:
-  // a node relies on knowing all of them once it is confirmed.
+  // Sets the leaving starts of a node's targets that are stored. Call it for an
+  // applied start before the SetFreshness that covers its entry: a node relies
+  // on knowing all of them once it is confirmed.
   NodeActions SetLeaving(const std::string& aNodeName,
-                         std::vector<TargetStart> aStarts,
+                         StoredLeaving aLeaving,
                          TimePoint aNow);
   // Sets the control VMs that are members. Nodes receive the list in the reply
   // to their hello and, after a change, with their next heartbeat.
@@ -273,9 +282,8 @@
                      const wire::NodeStatus& aStatus,
                      TimePoint aNow);
   void SendLeaving(const Session& aSession, TimePoint aNow);
-  // The stored leaving starts of the node's targets.
-  const std::vector<TargetStart>& StoredLeaving(
-    const std::string& aNodeName) const;
+  void AddLeaving(wire::Heartbeat& aBeat, const std::string& aNodeName) const;
+  const StoredLeaving& LeavingOf(const std::string& aNodeName) const;
   void UpdateConfirmed(Session& aSession, const wire::NodeStatus& aStatus);
 
   wire::Heartbeat MakeHeartbeat(TimePoint aNow) const;
@@ -317,7 +325,7 @@
   TimePoint m_freshnessAgeAt;    // time of the call that set m_freshnessAge
   std::vector<wire::ControlEndpoint> m_controlVms;
   uint64_t m_controlVmsVersion = 1;
-  std::map<std::string, std::vector<TargetStart>> m_leaving; // by node name
+  std::map<std::string, StoredLeaving> m_leaving; // by node name
   bool m_endpointsComplete = true;
 
   // Encoded updates by the state they start from: nodes that confirmed the same
--- a/libs/distribution/include/wigeonfold/distribution/Subscriber.h
+++ b/libs/distribution/include/wigeonfold/distribution/Subscriber.h
@@ -237,7 +237,7 @@
   void SendStatus(TimePoint aNow);
   void RequestResync(bool aFull, TimePoint aNow);
   void SendAnnouncement(TimePoint aNow);
-  void OnStoredLeaving(std::vector<TargetStart> aStarts);
+  void OnStoredLeaving(std::vector<TargetStart> aStarts, bool aIsPending);
   // Reports all starts as stored if the control VM stores none.
   void SkipStoringLeaving();
   void CheckAnnouncement(TimePoint aNow);
--- a/libs/distribution/src/NodeSessions.cpp
+++ b/libs/distribution/src/NodeSessions.cpp
@@ -288,7 +288,7 @@
   if (aStatus.__isset.confirm) {
     wire::Heartbeat beat = MakeHeartbeat(aNow);
     beat.__set_confirm(aStatus.confirm);
-    beat.__set_leaving(wire::ToWire(StoredLeaving(info.m_nodeName)));
+    AddLeaving(beat, info.m_nodeName);
     Send(aSession.m_id, FrameType::Heartbeat, EncodeShared(beat));
   }
   return true;
@@ -313,10 +313,11 @@
                                  TimePoint aNow)
 {
   const std::string& node = aSession.m_info.m_nodeName;
+  const StoredLeaving& stored = LeavingOf(node);
   bool isStored = false;
   for (TargetStart& start : wire::FromWire(aStatus.leaving)) {
-    if (Covers(StoredLeaving(node), start)) {
-      isStored = true;
+    if (Covers(stored.m_starts, start)) {
+      isStored = !stored.m_isPending;
     } else {
       m_actions.emplace_back(LeavingReported{ node, std::move(start) });
     }
@@ -330,27 +331,34 @@
 void NodeSessions::SendLeaving(const Session& aSession, TimePoint aNow)
 {
   wire::Heartbeat beat = MakeHeartbeat(aNow);
-  beat.__set_leaving(wire::ToWire(StoredLeaving(aSession.m_info.m_nodeName)));
+  AddLeaving(beat, aSession.m_info.m_nodeName);
   Send(aSession.m_id, FrameType::Heartbeat, EncodeShared(beat));
 }
 
-const std::vector<TargetStart>& NodeSessions::StoredLeaving(
-  const std::string& aNodeName) const
+void NodeSessions::AddLeaving(wire::Heartbeat& aBeat,
+                              const std::string& aNodeName) const
 {
-  static const std::vector<TargetStart> kNone;
+  const StoredLeaving& leaving = LeavingOf(aNodeName);
+  aBeat.__set_leaving(wire::ToWire(leaving.m_starts));
+  aBeat.leavingPending = leaving.m_isPending;
+}
+
+const StoredLeaving& NodeSessions::LeavingOf(const std::string& aNodeName) const
+{
+  static const StoredLeaving kNone;
   const auto found = m_leaving.find(aNodeName);
   return found == m_leaving.end() ? kNone : found->second;
 }
 
 NodeActions NodeSessions::SetLeaving(const std::string& aNodeName,
-                                     std::vector<TargetStart> aStarts,
+                                     StoredLeaving aLeaving,
                                      TimePoint aNow)
 {
-  if (aStarts.empty()) {
+  if (aLeaving.m_starts.empty()) {
     m_leaving.erase(aNodeName);
     return {};
   }
-  m_leaving[aNodeName] = std::move(aStarts);
+  m_leaving[aNodeName] = std::move(aLeaving);
   const auto named = m_byName.find(aNodeName);
   if (named != m_byName.end()) {
     SendLeaving(m_sessions.at(named->second), aNow);
--- a/libs/distribution/src/Subscriber.cpp
+++ b/libs/distribution/src/Subscriber.cpp
@@ -364,7 +364,7 @@
   }
   RecordFreshness(aNow);
   if (aBeat.__isset.leaving) {
-    OnStoredLeaving(wire::FromWire(aBeat.leaving));
+    OnStoredLeaving(wire::FromWire(aBeat.leaving), aBeat.leavingPending);
   }
   NoteConfirmation(aBeat);
   CheckReady(aNow);
@@ -502,8 +502,15 @@
   return TakeActions();
 }
 
-void Subscriber::OnStoredLeaving(std::vector<TargetStart> aStarts)
+void Subscriber::OnStoredLeaving(std::vector<TargetStart> aStarts,
+                                 bool aIsPending)
 {
+  if (aIsPending) {
+    for (const TargetStart& start : aStarts) {
+      m_actions.emplace_back(NoteLeaving{ start, false });
+    }
+    return;
+  }
   m_storedLeaving = std::move(aStarts);
   std::erase_if(m_unstoredLeaving, [&](const TargetStart& aOne) {
     return Covers(m_storedLeaving, aOne);
--- a/libs/distribution/test/NodeSessions_test.cpp
+++ b/libs/distribution/test/NodeSessions_test.cpp
@@ -283,7 +283,7 @@
 // ready once it is confirmed, and has to know by then what is stored.
 TEST_F(OneNode, ConfirmationCarriesTheStoredStartsThatLeft)
 {
-  Execute(m_sessions.SetLeaving("n", { { "i", 7 } }, m_now));
+  Execute(m_sessions.SetLeaving("n", { { { "i", 7 } } }, m_now));
   ASSERT_FALSE(m_heartbeats.empty());
   EXPECT_EQ(wire::FromWire(m_heartbeats.back().leaving),
             (std::vector<TargetStart>{ { "i", 7 } }));
@@ -308,7 +308,7 @@
     EXPECT_EQ(m_leaving.back().m_start, TargetStart({ "i", 7 }));
     m_leaving.clear();
   }
-  Execute(m_sessions.SetLeaving("n", { { "i", 7 } }, m_now));
+  Execute(m_sessions.SetLeaving("n", { { { "i", 7 } } }, m_now));
   m_heartbeats.clear();
   // The heartbeat that said so was lost.
   SendStatus(status);
@@ -317,6 +317,30 @@
   EXPECT_TRUE(m_heartbeats.back().__isset.leaving);
 }
 
+// A leave that one lost disk can still undo is known to a node that starts, and
+// its target is not told yet that it is stored.
+TEST_F(OneNode, PendingLeaveIsNotStoredYet)
+{
+  auto status = StatusOf({ 1, 0 });
+  status.__set_leaving({ wire::ToWire(TargetStart{ "i", 7 }) });
+  Execute(m_sessions.SetLeaving("n", { { { "i", 7 } }, true }, m_now));
+  ASSERT_FALSE(m_heartbeats.empty());
+  EXPECT_TRUE(m_heartbeats.back().leavingPending);
+  m_heartbeats.clear();
+  SendStatus(status);
+  EXPECT_TRUE(m_heartbeats.empty());
+  status.__set_confirm(5);
+  SendStatus(status);
+  ASSERT_FALSE(m_heartbeats.empty());
+  EXPECT_TRUE(m_heartbeats.back().leavingPending);
+  EXPECT_EQ(wire::FromWire(m_heartbeats.back().leaving),
+            (std::vector<TargetStart>{ { "i", 7 } }));
+  Execute(m_sessions.SetLeaving("n", { { { "i", 7 } } }, m_now));
+  EXPECT_FALSE(m_heartbeats.back().leavingPending);
+  EXPECT_EQ(wire::FromWire(m_heartbeats.back().leaving),
+            (std::vector<TargetStart>{ { "i", 7 } }));
+}
+
 TEST_F(OneNode, HelloReplyCarriesTheFloorOfAnEarlierRun)
 {
   SendStatus(StatusOf({ 1, 17 }));
--- a/libs/distribution/test/Subscriber_test.cpp
+++ b/libs/distribution/test/Subscriber_test.cpp
@@ -181,6 +181,28 @@
     1U);
 }
 
+// A leave that one lost disk can still undo drains the target and is reported
+// on until it is stored for good.
+TEST(Subscriber, PendingLeaveIsNotStoredYet)
+{
+  Fixture fixture;
+  wire::HelloReply reply;
+  reply.storesLeaving = true;
+  fixture.Feed(wire::FrameType::HelloReply, reply);
+  const TargetStart start{ "i", 7 };
+  (void)fixture.m_node.StoreLeaving(start, fixture.m_now);
+  auto beat = BeatWithLeaving({ start });
+  beat.leavingPending = true;
+  const auto actions = fixture.Feed(wire::FrameType::Heartbeat, beat);
+  ASSERT_EQ(CountOf<NoteLeaving>(actions), 1U);
+  for (const SubscriberAction& action : actions) {
+    if (const auto* note = std::get_if<NoteLeaving>(&action)) {
+      EXPECT_FALSE(note->m_stored);
+    }
+  }
+  EXPECT_EQ(StatusIn(actions)->leaving.size(), 1U);
+}
+
 // During an update of the control VMs, some don't store starts that leave yet.
 TEST(Subscriber, ControlVmThatStoresNoStartsBlocksNoLeave)
 {
--- a/libs/wire/gen/include/wigeonfold/wire/gen/control_types.h
+++ b/libs/wire/gen/include/wigeonfold/wire/gen/control_types.h
@@ -656,12 +656,13 @@
 std::ostream& operator<<(std::ostream& out, const EndpointUpdate& obj);
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : freshnessAgeMs(false), newest(false), controlVms(false), confirm(false), leaving(false) {}
+  _Heartbeat__isset() : freshnessAgeMs(false), newest(false), controlVms(false), confirm(false), leaving(false), leavingPending(false) {}
   bool freshnessAgeMs :1;
   bool newest :1;
   bool controlVms :1;
   bool confirm :1;
   bool leaving :1;
+  bool leavingPending :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -673,7 +674,8 @@
   Heartbeat& operator=(Heartbeat&&) noexcept;
   Heartbeat() noexcept
             : freshnessAgeMs(0),
-              confirm(0) {
+              confirm(0),
+              leavingPending(0) {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -682,6 +684,7 @@
   std::vector<ControlEndpoint>  controlVms;
   int64_t confirm;
   std::vector< ::wigeonfold::wire::TargetStart>  leaving;
+  bool leavingPending;
 
   _Heartbeat__isset __isset;
 
@@ -695,6 +698,8 @@
 
   void __set_leaving(const std::vector< ::wigeonfold::wire::TargetStart> & val);
 
+  void __set_leavingPending(const bool val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(freshnessAgeMs == rhs.freshnessAgeMs))
@@ -713,6 +718,8 @@
       return false;
     else if (__isset.leaving && !(leaving == rhs.leaving))
       return false;
+    if (!(leavingPending == rhs.leavingPending))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
--- a/libs/wire/gen/include/wigeonfold/wire/gen/raft_types.h
+++ b/libs/wire/gen/include/wigeonfold/wire/gen/raft_types.h
@@ -377,7 +377,7 @@
 std::ostream& operator<<(std::ostream& out, const LogEntryList& obj);
 
 typedef struct _RaftMessage__isset {
-  _RaftMessage__isset() : kind(false), fromMember(false), toMember(false), term(false), logIndex(false), logTerm(false), commitIndex(false), entries(false), granted(false), round(false), snapshotOffset(false), snapshotSize(false), snapshotData(false), quorumAgeMs(false), rejectedIndex(false), early(false), packedEntries(false), packedLength(false) {}
+  _RaftMessage__isset() : kind(false), fromMember(false), toMember(false), term(false), logIndex(false), logTerm(false), commitIndex(false), entries(false), granted(false), round(false), snapshotOffset(false), snapshotSize(false), snapshotData(false), quorumAgeMs(false), rejectedIndex(false), early(false), packedEntries(false), packedLength(false), survivingIndex(false) {}
   bool kind :1;
   bool fromMember :1;
   bool toMember :1;
@@ -396,6 +396,7 @@
   bool early :1;
   bool packedEntries :1;
   bool packedLength :1;
+  bool survivingIndex :1;
 } _RaftMessage__isset;
 
 class RaftMessage : public virtual ::apache::thrift::TBase {
@@ -422,7 +423,8 @@
                 rejectedIndex(0),
                 early(0),
                 packedEntries(),
-                packedLength(0) {
+                packedLength(0),
+                survivingIndex(0) {
   }
 
   virtual ~RaftMessage() noexcept;
@@ -448,6 +450,7 @@
   bool early;
   std::string packedEntries;
   int64_t packedLength;
+  int64_t survivingIndex;
 
   _RaftMessage__isset __isset;
 
@@ -487,6 +490,8 @@
 
   void __set_packedLength(const int64_t val);
 
+  void __set_survivingIndex(const int64_t val);
+
   bool operator == (const RaftMessage & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -525,6 +530,10 @@
       return false;
     if (!(packedLength == rhs.packedLength))
       return false;
+    if (__isset.survivingIndex != rhs.__isset.survivingIndex)
+      return false;
+    else if (__isset.survivingIndex && !(survivingIndex == rhs.survivingIndex))
+      return false;
     return true;
   }
   bool operator != (const RaftMessage &rhs) const {
--- a/libs/wire/gen/src/control_types.cpp
+++ b/libs/wire/gen/src/control_types.cpp
@@ -1715,6 +1715,10 @@
   this->leaving = val;
 __isset.leaving = true;
 }
+
+void Heartbeat::__set_leavingPending(const bool val) {
+  this->leavingPending = val;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -1807,6 +1811,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leavingPending);
+          this->__isset.leavingPending = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1863,6 +1875,10 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("leavingPending", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->leavingPending);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1875,6 +1891,7 @@
   swap(a.controlVms, b.controlVms);
   swap(a.confirm, b.confirm);
   swap(a.leaving, b.leaving);
+  swap(a.leavingPending, b.leavingPending);
   swap(a.__isset, b.__isset);
 }
 
@@ -1884,6 +1901,7 @@
   controlVms = other75.controlVms;
   confirm = other75.confirm;
   leaving = other75.leaving;
+  leavingPending = other75.leavingPending;
   __isset = other75.__isset;
 }
 Heartbeat::Heartbeat(Heartbeat&& other76) noexcept {
@@ -1892,6 +1910,7 @@
   controlVms = std::move(other76.controlVms);
   confirm = other76.confirm;
   leaving = std::move(other76.leaving);
+  leavingPending = other76.leavingPending;
   __isset = other76.__isset;
 }
 Heartbeat& Heartbeat::operator=(const Heartbeat& other77) {
@@ -1900,6 +1919,7 @@
   controlVms = other77.controlVms;
   confirm = other77.confirm;
   leaving = other77.leaving;
+  leavingPending = other77.leavingPending;
   __isset = other77.__isset;
   return *this;
 }
@@ -1909,6 +1929,7 @@
   controlVms = std::move(other78.controlVms);
   confirm = other78.confirm;
   leaving = std::move(other78.leaving);
+  leavingPending = other78.leavingPending;
   __isset = other78.__isset;
   return *this;
 }
@@ -1920,6 +1941,7 @@
   out << ", " << "controlVms="; (__isset.controlVms ? (out << to_string(controlVms)) : (out << "<null>"));
   out << ", " << "confirm="; (__isset.confirm ? (out << to_string(confirm)) : (out << "<null>"));
   out << ", " << "leaving="; (__isset.leaving ? (out << to_string(leaving)) : (out << "<null>"));
+  out << ", " << "leavingPending=" << to_string(leavingPending);
   out << ")";
 }
 
--- a/libs/wire/gen/src/raft_types.cpp
+++ b/libs/wire/gen/src/raft_types.cpp
@@ -972,6 +972,11 @@
 void RaftMessage::__set_packedLength(const int64_t val) {
   this->packedLength = val;
 }
+
+void RaftMessage::__set_survivingIndex(const int64_t val) {
+  this->survivingIndex = val;
+__isset.survivingIndex = true;
+}
 std::ostream& operator<<(std::ostream& out, const RaftMessage& obj)
 {
   obj.printTo(out);
@@ -1158,6 +1163,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->survivingIndex);
+          this->__isset.survivingIndex = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1255,6 +1268,11 @@
   xfer += oprot->writeI64(this->packedLength);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.survivingIndex) {
+    xfer += oprot->writeFieldBegin("survivingIndex", ::apache::thrift::protocol::T_I64, 20);
+    xfer += oprot->writeI64(this->survivingIndex);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1280,6 +1298,7 @@
   swap(a.early, b.early);
   swap(a.packedEntries, b.packedEntries);
   swap(a.packedLength, b.packedLength);
+  swap(a.survivingIndex, b.survivingIndex);
   swap(a.__isset, b.__isset);
 }
 
@@ -1302,6 +1321,7 @@
   early = other40.early;
   packedEntries = other40.packedEntries;
   packedLength = other40.packedLength;
+  survivingIndex = other40.survivingIndex;
   __isset = other40.__isset;
 }
 RaftMessage::RaftMessage(RaftMessage&& other41) noexcept {
@@ -1323,6 +1343,7 @@
   early = other41.early;
   packedEntries = std::move(other41.packedEntries);
   packedLength = other41.packedLength;
+  survivingIndex = other41.survivingIndex;
   __isset = other41.__isset;
 }
 RaftMessage& RaftMessage::operator=(const RaftMessage& other42) {
@@ -1344,6 +1365,7 @@
   early = other42.early;
   packedEntries = other42.packedEntries;
   packedLength = other42.packedLength;
+  survivingIndex = other42.survivingIndex;
   __isset = other42.__isset;
   return *this;
 }
@@ -1366,6 +1388,7 @@
   early = other43.early;
   packedEntries = std::move(other43.packedEntries);
   packedLength = other43.packedLength;
+  survivingIndex = other43.survivingIndex;
   __isset = other43.__isset;
   return *this;
 }
@@ -1390,6 +1413,7 @@
   out << ", " << "early=" << to_string(early);
   out << ", " << "packedEntries=" << to_string(packedEntries);
   out << ", " << "packedLength=" << to_string(packedLength);
+  out << ", " << "survivingIndex="; (__isset.survivingIndex ? (out << to_string(survivingIndex)) : (out << "<null>"));
   out << ")";
 }
 
