Ignore reports of a service other than that of the node's settings

What callers saw: after one heartbeat of another writer that named a service of the configuration, all 50 requests that began at the node ran with the wrong caller service, and 0 of 20 requests reached the node's own target afterwards, until the node was restarted.

Cause: a report was taken for the own target's if it named any known service, and the reported service went before that of the settings.

Change: with a configured service, reports that name another one are ignored as foreign, and callers' requests name the configured one.

ForeignReport.OfAnotherKnownServiceLeavesTheTargetInUse fails without the change; OwnServiceNeedsNoConfiguration passed before too.

--- a/apps/wigeonfold-node/NodeSettings.h
+++ b/apps/wigeonfold-node/NodeSettings.h
@@ -22,7 +22,7 @@
   SocketAddress m_localListen;  // HTTP for the own target and operators
   // HTTP dialect of callers and of the own target: "native" or "platform".
   std::string m_dialect = "native";
-  std::string m_service; // service of the own target until it announces one
+  std::string m_service; // of the own target; empty: the one it announces
   // Interfaces of the platform, for reports of the own target and for the
   // node's readiness; not served when absent.
   std::optional<SocketAddress> m_announceListen;
--- a/apps/wigeonfold-node/TargetSide.h
+++ b/apps/wigeonfold-node/TargetSide.h
@@ -33,7 +33,9 @@
 {
   std::string m_nodeName;
   Duration m_announceLease{};
-  std::string m_service; // of the own target before its first announcement
+  // Service of the own target; reports that name another one are ignored. If
+  // empty, the target may report any service of the view.
+  std::string m_service;
 };
 
 // Serves the requests of the node's own callers and of peers. The target gets
--- a/apps/wigeonfold-node/TargetState.cpp
+++ b/apps/wigeonfold-node/TargetState.cpp
@@ -74,16 +74,17 @@
   return result;
 }
 
-// Another writer's report may name a service that nobody knows. Reports that
-// the target has left name none.
+// Another writer's report may name any service. Reports that the target has
+// left name none. Without a configured service the view's services are all that
+// is known.
 bool TargetSide::MayBeOfOwnTarget(const Announcement& aAnnouncement) const
 {
   const std::string& service = aAnnouncement.m_service;
   if (service.empty() || service == ServiceName()) {
     return true;
   }
-  return m_view ? m_view->Find(service) != nullptr
-                : m_options.m_service.empty();
+  return m_options.m_service.empty() &&
+         (!m_view || m_view->Find(service) != nullptr);
 }
 
 void TargetSide::NoteLeaving(const TargetStart& aStart, TimePoint aNow)
@@ -158,7 +159,8 @@
 
 const std::string& TargetSide::ServiceName() const
 {
-  return m_target ? m_target->m_service : m_options.m_service;
+  return m_options.m_service.empty() && m_target ? m_target->m_service
+                                                 : m_options.m_service;
 }
 
 std::shared_ptr<const wire::CallRequest> TargetSide::FindRunning(
--- a/apps/wigeonfold-node/test/ForeignReport_test.cpp
+++ b/apps/wigeonfold-node/test/ForeignReport_test.cpp
@@ -52,6 +52,43 @@
   }
 }
 
+// Another writer's report may name a service that the configuration knows. The
+// requests of the node's callers would name it as theirs, and the node's own
+// target would get no request any more.
+TEST_F(ForeignReport, OfAnotherKnownServiceLeavesTheTargetInUse)
+{
+  m_service = "lots";
+  Restart(1);
+  SetView({ EndpointOf(1) },
+          { { "services/ledgers", "route.prefix", "/ledgers" } });
+  Report(OwnReport());
+  for (const char* instance : { "i-odd", "i" }) {
+    Announcement odd = OwnReport();
+    odd.m_service = "ledgers";
+    odd.m_instance = instance;
+    odd.m_startedAtMs = 5;
+    odd.m_sequence = 7;
+    odd.m_address = { "127.0.0.1", 1 };
+    Report(odd);
+    EXPECT_EQ(Service(), "lots") << instance;
+    EXPECT_EQ(Call(0, Post("/lots")).m_body, "x") << instance;
+  }
+  Report(OwnReport());
+  EXPECT_EQ(Call(0, Post("/lots")).m_body, "x");
+}
+
+// The configuration may name the service later than the target.
+TEST_F(ForeignReport, OwnServiceNeedsNoConfiguration)
+{
+  m_service = "ledgers";
+  Restart(1);
+  SetView({ EndpointOf(1) });
+  Announcement own = OwnReport();
+  own.m_service = "ledgers";
+  Report(own);
+  EXPECT_EQ(Service(), "ledgers");
+}
+
 // A report of the same start with a great sequence number: later ones of the
 // target look late, but show that it is there, and still say that it leaves.
 TEST_F(ForeignReport, WithAGreatSequenceNumberDoesNotHideLaterReports)
