Don't use a target on reports that may be older than its restarted node

What callers would see: a request reaches a target whose leave was acknowledged, after a restart of its node beside control VMs without a quorum.

Cause: a node that nobody can tell which starts left used its target from the second report on. Two late heartbeats from before the leave are enough.

Evidence: LateReportsAreNotEnoughWhereNobodyKnowsWhoLeft; three late reports put the target in use before. Not shown with real processes.

Change: reports that arrive within 10 s after the node's start don't count where the starts that left are unknown. Such a node becomes ready after 10 s without a fresh control VM, so its target is used two heartbeats later at most than before, unless a control VM that is not current named a floor. The health path was weighed as proof: its answers may be false.

--- a/apps/wigeonfold-node/DataPlane.cpp
+++ b/apps/wigeonfold-node/DataPlane.cpp
@@ -58,15 +58,17 @@
   , m_identity{ aSettings.m_name, aNodeEpoch, std::nullopt }
   , m_link(aSettings.m_linkRate)
   , m_largeAnswers(m_link)
-  , m_target(
-      { aSettings.m_name, aSettings.m_announceLease, aSettings.m_service },
-      admission::MakeQueue(aSettings.m_queue),
-      MakeTargetPool(aIo, aSettings.m_targetConnectTimeout),
-      *m_dialect,
-      m_link,
-      m_largeAnswers,
-      m_decisionLog,
-      [this] { AnnounceEndpoint(); })
+  , m_target({ aSettings.m_name,
+               aSettings.m_announceLease,
+               aSettings.m_service,
+               aSettings.m_maxReportDelay },
+             admission::MakeQueue(aSettings.m_queue),
+             MakeTargetPool(aIo, aSettings.m_targetConnectTimeout),
+             *m_dialect,
+             m_link,
+             m_largeAnswers,
+             m_decisionLog,
+             [this] { AnnounceEndpoint(); })
   , m_peerClient(aIo,
                  m_identity,
                  aSettings.m_peerConnectTimeout,
--- a/apps/wigeonfold-node/NodeSettings.h
+++ b/apps/wigeonfold-node/NodeSettings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "wigeonfold/base/Settings.h"
+#include "wigeonfold/discovery/TargetReport.h"
 #include "wigeonfold/net/LinkPolicy.h"
 
 #include <optional>
@@ -50,6 +51,8 @@
   Duration m_peerConnectTimeout{};
   Duration m_targetConnectTimeout{};
   Duration m_announceLease{}; // a target must announce itself this often
+  // Not read from the file.
+  Duration m_maxReportDelay = discovery::TargetReportTracker::kMaxDelay;
   // [fault-injection], for tests of whole processes
   net::LinkFaults m_linkFaults;
   // [drain]
--- a/apps/wigeonfold-node/TargetSide.cpp
+++ b/apps/wigeonfold-node/TargetSide.cpp
@@ -51,6 +51,7 @@
   , m_largeAnswers(aLargeAnswers)
   , m_log(aLog)
   , m_onChange(std::move(aOnChange))
+  , m_startedAt(Clock::now())
 {
 }
 
--- a/apps/wigeonfold-node/TargetSide.h
+++ b/apps/wigeonfold-node/TargetSide.h
@@ -36,6 +36,7 @@
   // Service of the own target; reports that name another one are ignored. If
   // empty, the target may report any service of the view.
   std::string m_service;
+  Duration m_maxReportDelay = discovery::TargetReportTracker::kMaxDelay;
 };
 
 // Serves the requests of the node's own callers and of peers. The target gets
@@ -66,7 +67,8 @@
   void NoteLimit(const TargetStart& aStart, double aPerSecond, TimePoint aNow);
   // The node is ready. Before that the target gets no request, since its report
   // may be a late one. aLeavingKnown: all starts that left before this node's
-  // start are known; otherwise the target is used from its second report on.
+  // start are known; otherwise the target is used from the second report on
+  // that can't be older than the node.
   void SetUsable(bool aLeavingKnown, TimePoint aNow);
   // Begins a graceful shutdown: a ready target is reported as draining from now
   // on.
@@ -169,6 +171,7 @@
   const std::function<void()> m_onChange;
   std::shared_ptr<const routing::View> m_view;
   std::unordered_map<std::string, std::vector<admission::Share>> m_shares;
+  const TimePoint m_startedAt;
   discovery::TargetReportTracker m_reports;
   std::optional<Announcement> m_target;
   TimePoint m_leaseEnd{};
--- a/apps/wigeonfold-node/TargetState.cpp
+++ b/apps/wigeonfold-node/TargetState.cpp
@@ -37,7 +37,9 @@
     return discovery::ReportResult::Foreign;
   }
   const auto result =
-    m_reports.Apply(aAnnouncement, std::chrono::system_clock::now());
+    m_reports.Apply(aAnnouncement,
+                    std::chrono::system_clock::now(),
+                    aNow - m_startedAt < m_options.m_maxReportDelay);
   if (m_target && !m_leaseLost && aAnnouncement.Start() == m_target->Start()) {
     // A late report of the current start is a sign of life as well. All of them
     // look late after another writer's report with a great sequence number.
@@ -104,12 +106,13 @@
   UpdateDraining(aNow);
 }
 
-// Precondition: the target has reported. A single report is not enough where it
-// may be a late one.
+// Precondition: the target has reported. Where its report may be a late one of
+// a start that left, reports older than the node are not enough, and neither is
+// a single one.
 bool TargetSide::IsInUse() const
 {
   const bool mayBeLate = !m_leavingKnown || m_reports.IsFollowedByLeaving();
-  const size_t reportsNeeded = mayBeLate ? 2 : 1;
+  const size_t reportsNeeded = mayBeLate ? 2 : 0;
   const bool drainedByView = m_view && m_view->IsDrained(m_options.m_nodeName);
   return m_target->m_state == discovery::ReportedState::Ready && m_usable &&
          m_reports.CurrentReports() >= reportsNeeded && !m_leaseLost &&
--- a/apps/wigeonfold-node/test/LeavingTarget_test.cpp
+++ b/apps/wigeonfold-node/test/LeavingTarget_test.cpp
@@ -144,6 +144,27 @@
   EXPECT_EQ(Call(1, Post("/lots")).m_status, 200);
 }
 
+// As before, and two reports are late: any number of them may be as old as a
+// leave that an earlier run of the node acknowledged.
+TEST_F(LeavingTarget, LateReportsAreNotEnoughWhereNobodyKnowsWhoLeft)
+{
+  TestTarget& target = ServeAtPeer(
+    [](int, const std::string&) { return Reaction{ CompleteAnswer("x") }; });
+  m_maxReportDelay = 300ms;
+  Restart(1);
+  SetView({ EndpointOf(1) }, {}, true, false);
+  for (int report = 0; report < 3; ++report) {
+    Announce(1, target.Port());
+    ExpectOutcome(Call(1, Post("/lots")), 503, "not-run", "draining");
+  }
+  EXPECT_EQ(target.m_requests, 0);
+  std::this_thread::sleep_for(m_maxReportDelay);
+  Announce(1, target.Port());
+  ExpectOutcome(Call(1, Post("/lots")), 503, "not-run", "draining");
+  Announce(1, target.Port());
+  EXPECT_EQ(Call(1, Post("/lots")).m_status, 200);
+}
+
 // The restarted node hears late of a start that ended before the one that left.
 TEST_F(LeavingTarget, LateReportOfAnEarlierStartIsNotEnough)
 {
--- a/apps/wigeonfold-node/test/TestNodes.h
+++ b/apps/wigeonfold-node/test/TestNodes.h
@@ -203,6 +203,7 @@
     settings.m_targetConnectTimeout = 250ms;
     settings.m_announceLease = m_announceLease;
     settings.m_service = m_service;
+    settings.m_maxReportDelay = m_maxReportDelay;
     settings.m_drainLinger = 100ms;
     settings.m_drainLimit = 10s;
     auto node = std::make_unique<DataPlane>(
@@ -366,6 +367,7 @@
   // Of nodes that are started from now on.
   Duration m_announceLease = 60s;
   std::string m_service;
+  Duration m_maxReportDelay{};
   asio::io_context m_io{ 1 };
   asio::executor_work_guard<asio::io_context::executor_type> m_guard;
   EventLog m_log;
--- a/libs/discovery/include/wigeonfold/discovery/TargetReport.h
+++ b/libs/discovery/include/wigeonfold/discovery/TargetReport.h
@@ -55,9 +55,12 @@
 class TargetReportTracker
 {
 public:
-  // aReceived is the wall clock.
+  // aReceived is the wall clock. aMayPrecedeNode: the node runs for less than
+  // kMaxDelay, so the report may be older than the node; it isn't counted in
+  // CurrentReports().
   ReportResult Apply(const TargetReport& aReport,
-                     std::chrono::system_clock::time_point aReceived);
+                     std::chrono::system_clock::time_point aReceived,
+                     bool aMayPrecedeNode = false);
   // The start leaves, as its answer or another node says; it may not have
   // reported yet. Returns whether Current() has changed.
   bool NoteLeaving(const TargetStart& aStart);
@@ -66,8 +69,8 @@
   // Its state is Gone once the start has left.
   const std::optional<TargetReport>& Current() const { return m_current; }
 
-  // Reports of the newest start that were applied, each newer than the one
-  // before.
+  // Reports of the newest start that were applied and don't precede the node,
+  // each newer than the one before.
   size_t CurrentReports() const { return m_currentReports; }
   // Whether a start that began after Current() is known to leave. Then the
   // newest report is a late one of a start that has ended, or the leave was
@@ -80,6 +83,8 @@
   // when the report made no start leave.
   std::optional<TargetStart> LeavingStartOf(const TargetReport& aReport) const;
 
+  // Time for which a report may be under way.
+  static constexpr std::chrono::seconds kMaxDelay{ 10 };
   // A start time further ahead of the wall clock than this is not one. The
   // clocks of a target and its node, on one VM, differ by less.
   static constexpr std::chrono::seconds kMaxClockAhead{ 60 };
--- a/libs/discovery/src/TargetReport.cpp
+++ b/libs/discovery/src/TargetReport.cpp
@@ -90,7 +90,8 @@
 
 ReportResult TargetReportTracker::Apply(
   const TargetReport& aReport,
-  std::chrono::system_clock::time_point aReceived)
+  std::chrono::system_clock::time_point aReceived,
+  bool aMayPrecedeNode)
 {
   if (aReport.m_startedAtMs > SinceEpochMs(aReceived + kMaxClockAhead)) {
     return ReportResult::Foreign;
@@ -112,7 +113,7 @@
     Remember(m_retired, m_current->Start());
     m_currentReports = 0;
   }
-  ++m_currentReports;
+  m_currentReports += aMayPrecedeNode ? 0 : 1;
   m_current = aReport;
   if (aReport.m_state == ReportedState::Draining) {
     Remember(m_leaving, aReport.Start());
