Let the seeds be the first voters of a new cluster

Cause: the creator started as the only voter and added the others one by one. When its disk was lost, the logs of the others held no voter that is left, and kept everybody from creating a cluster. Its earlier hello kept the next seed from it as well.

Change: the first membership has the seeds as voters, named by member id. VMs that hold it tell of it until a leader is known, and a VM with an empty log that is named takes it over. Hellos of a VM whose address answers with a newer id don't count. A leader appends the first membership once more, as another one may stand at the same position elsewhere.

FirstStart.FormsThoughAnyVmLosesItsDiskAtAnyMoment fails for each seed when the creator starts alone, and HelloOfALostDiskKeepsNobodyFromCreatingTheCluster when all hellos count.

--- a/apps/wigeonfold-control/Core.cpp
+++ b/apps/wigeonfold-control/Core.cpp
@@ -149,11 +149,13 @@
     }
     m_raft.Receive(now, std::move(received->m_message));
     ExecuteRaftActions(now);
+    MaybeProposeCluster(now);
   } else if (auto* hello = std::get_if<HelloReceived>(&aMessage)) {
     consensus::ControlVmState& vm = m_peers[hello->m_hello.memberId];
     vm.m_hello = std::move(hello->m_hello);
     vm.m_helloAt = now;
     vm.m_contactAt = now;
+    MaybeJoinFormation(now);
   } else if (auto* connected = std::get_if<ConnectedPeers>(&aMessage)) {
     // For a VM that is not a member an open connection counts as contact. A
     // member has to send Raft messages, since an open connection may carry no
@@ -176,6 +178,7 @@
   const TimePoint now = Clock::now();
   m_raft.OnPersisted(now, aReport.m_sequence);
   ExecuteRaftActions(now);
+  MaybeProposeCluster(now);
 }
 
 // ---- Raft ------------------------------------------------------------------
@@ -346,8 +349,9 @@
   const wire::Membership& membership = m_raft.CurrentMembership();
   const std::string& cluster = m_registry.ClusterId();
   const bool hasLog = HasLog();
+  const auto formation = Formation();
   if (membership == m_publishedMembership && cluster == m_publishedClusterId &&
-      hasLog == m_publishedHasLog) {
+      hasLog == m_publishedHasLog && formation == m_publishedFormation) {
     return;
   }
   if (cluster != m_publishedClusterId) {
@@ -358,7 +362,9 @@
   m_publishedMembership = membership;
   m_publishedClusterId = cluster;
   m_publishedHasLog = hasLog;
-  m_channels.m_coreToNet.Push(SetPeers{ membership, cluster, hasLog });
+  m_publishedFormation = formation;
+  m_channels.m_coreToNet.Push(
+    SetPeers{ membership, cluster, hasLog, formation });
 }
 
 void Core::PublishSummary(TimePoint aNow)
--- a/apps/wigeonfold-control/Core.h
+++ b/apps/wigeonfold-control/Core.h
@@ -88,9 +88,14 @@
   // This VM as a voter.
   wire::Member OwnMember() const;
   bool HasLog() const;
+  // The first membership, while it is all that this VM knows of the cluster.
+  std::optional<wire::Membership> Formation() const;
   void MaintainMembership(TimePoint aNow);
   void CheckReplaced(TimePoint aNow);
   void MaybeBootstrap(TimePoint aNow);
+  void MaybeJoinFormation(TimePoint aNow);
+  wire::Membership NewMembership() const;
+  std::set<std::string> SeedAddresses() const;
   bool CanBootstrap(TimePoint aNow);
   void MaybeProposeCluster(TimePoint aNow);
   void AddInitialVoters(TimePoint aNow);
@@ -147,6 +152,7 @@
   wire::Membership m_publishedMembership;
   std::string m_publishedClusterId;
   bool m_publishedHasLog = false;
+  std::optional<wire::Membership> m_publishedFormation;
   TimePoint m_startedAt;
   TimePoint m_nextHousekeeping;
   std::function<void()> m_onMayEnd; // set while this VM is stopping
--- a/apps/wigeonfold-control/CoreCalls.cpp
+++ b/apps/wigeonfold-control/CoreCalls.cpp
@@ -108,6 +108,10 @@
   if (Redirect(aCall.m_callId, aCall.m_target, format, aNow)) {
     return;
   }
+  if (!m_registry.IsBootstrapped()) {
+    AnswerUnknown(aCall.m_callId, format, "the cluster is being created");
+    return;
+  }
   if (!m_changeGate.MayAccept(
         m_raft.CurrentMembership(), m_raft.Self(), m_peers, aNow)) {
     AnswerUnknown(aCall.m_callId,
--- a/apps/wigeonfold-control/CoreFormation.cpp
+++ b/apps/wigeonfold-control/CoreFormation.cpp
@@ -51,13 +51,9 @@
 bool Core::CanBootstrap(TimePoint aNow)
 {
   if (m_settings.m_automaticMembers) {
-    std::set<std::string> seeds;
-    for (const SocketAddress& seed : m_settings.m_seeds) {
-      seeds.insert(ToString(seed));
-    }
     wire::ControlHello self = MakeHello(m_settings, m_raft.Self());
     self.hasLog = HasLog();
-    return consensus::MayFormCluster(self, seeds, m_peers);
+    return consensus::MayFormCluster(self, SeedAddresses(), m_peers);
   }
   std::set<std::string> missing = m_settings.m_initialVoters;
   missing.erase(m_settings.m_name);
@@ -77,11 +73,42 @@
          (!waitForSeeds || aNow - m_startedAt >= kBootstrapWait);
 }
 
+std::set<std::string> Core::SeedAddresses() const
+{
+  std::set<std::string> seeds;
+  for (const SocketAddress& seed : m_settings.m_seeds) {
+    seeds.insert(ToString(seed));
+  }
+  return seeds;
+}
+
+wire::Membership Core::NewMembership() const
+{
+  if (m_settings.m_automaticMembers) {
+    return consensus::FirstMembership(MakeHello(m_settings, m_raft.Self()),
+                                      SeedAddresses(),
+                                      m_peers,
+                                      m_settings.m_policy);
+  }
+  wire::Membership membership;
+  membership.members.push_back(OwnMember());
+  return membership;
+}
+
 bool Core::HasLog() const
 {
   return m_raft.LastPosition().m_index != 0;
 }
 
+std::optional<wire::Membership> Core::Formation() const
+{
+  const wire::Membership& membership = m_raft.CurrentMembership();
+  return m_raft.LastPosition().m_index == 1 && m_raft.LeaderId() == 0 &&
+             consensus::VoterCount(membership) > 1
+           ? std::optional(membership)
+           : std::nullopt;
+}
+
 // Proposes one membership step at a time, once the previous one is committed.
 void Core::MaintainMembership(TimePoint aNow)
 {
@@ -136,13 +163,26 @@
     return;
   }
   m_bootstrapSettled = true;
-  wire::Membership membership;
-  membership.members.push_back(OwnMember());
-  const Status done = m_raft.Bootstrap(aNow, membership);
+  const Status done = m_raft.Bootstrap(aNow, NewMembership());
   m_addingInitialVoters = static_cast<bool>(done);
   m_idByName[m_settings.m_name] = m_raft.Self();
 }
 
+// A VM that is named by its member id has the disk that it had when the cluster
+// was formed, so it may take part even after a restart.
+void Core::MaybeJoinFormation(TimePoint aNow)
+{
+  if (!m_settings.m_automaticMembers || HasLog() || m_raft.LeaderId() != 0) {
+    return;
+  }
+  const wire::Membership* formation =
+    consensus::FindFormation(m_raft.Self(), m_peers);
+  if (formation && m_raft.Bootstrap(aNow, *formation)) {
+    m_bootstrapSettled = true;
+    ExecuteRaftActions(aNow);
+  }
+}
+
 void Core::MaybeProposeCluster(TimePoint aNow)
 {
   const bool ready = m_raft.GetRole() == consensus::Role::Leader &&
@@ -162,6 +202,7 @@
     m_log.Record(EventId::ClusterCreated,
                  { { "cluster", bootstrap.clusterId },
                    { "generation", std::to_string(bootstrap.generation) } });
+    ExecuteRaftActions(aNow);
   }
 }
 
--- a/apps/wigeonfold-control/Messages.h
+++ b/apps/wigeonfold-control/Messages.h
@@ -63,6 +63,8 @@
   wire::Membership m_membership;
   std::string m_clusterId;
   bool m_hasLog = false; // this VM's data folder holds a log
+  // See ControlHello.
+  std::optional<wire::Membership> m_formation;
 };
 
 struct AddSeeds
--- a/apps/wigeonfold-control/Network.cpp
+++ b/apps/wigeonfold-control/Network.cpp
@@ -147,9 +147,7 @@
   } else if (auto* peers = std::get_if<SetPeers>(&aMessage)) {
     m_peers.SetMembership(peers->m_membership);
     m_peers.SetClusterId(peers->m_clusterId);
-    if (peers->m_hasLog) {
-      m_peers.SetHasLog();
-    }
+    m_peers.SetLog(peers->m_hasLog, peers->m_formation);
     m_sessions.SetControlVms(ToControlEndpoints(peers->m_membership));
   } else if (auto* seeds = std::get_if<AddSeeds>(&aMessage)) {
     m_peers.AddSeeds(seeds->m_seeds);
--- a/apps/wigeonfold-control/PeerLinks.cpp
+++ b/apps/wigeonfold-control/PeerLinks.cpp
@@ -120,10 +120,12 @@
   }
 }
 
-void PeerLinks::SetHasLog()
+void PeerLinks::SetLog(bool aHasLog,
+                       const std::optional<wire::Membership>& aFormation)
 {
-  if (!m_hasLog) {
-    m_hasLog = true;
+  if (m_hasLog != aHasLog || m_formation != aFormation) {
+    m_hasLog = aHasLog;
+    m_formation = aFormation;
     SendHelloToAll();
   }
 }
@@ -266,6 +268,9 @@
   hello.readsPackedEntries = true;
   hello.readsLeavingReports = true;
   hello.stopping = m_announcesStopping;
+  if (m_formation) {
+    hello.__set_formation(*m_formation);
+  }
   aConnection->Send(FrameType::ControlHello, hello);
 }
 
--- a/apps/wigeonfold-control/PeerLinks.h
+++ b/apps/wigeonfold-control/PeerLinks.h
@@ -59,8 +59,9 @@
   // Connects to these members, in addition to the seeds.
   void SetMembership(const wire::Membership& aMembership);
   void SetClusterId(const std::string& aClusterId);
-  // The data folder holds a log now. Sends a hello that says so.
-  void SetHasLog();
+  // Whether the data folder holds a log, and ControlHello.formation. Sends a
+  // hello when one has changed.
+  void SetLog(bool aHasLog, const std::optional<wire::Membership>& aFormation);
   // This VM is stopping. Sends a hello that says so.
   void SetStopping();
   // Further addresses to connect to.
@@ -138,6 +139,7 @@
   const PeerHandlers m_handlers;
   std::string m_clusterId;
   bool m_hasLog = false;
+  std::optional<wire::Membership> m_formation;
   bool m_announcesStopping = false;
   std::unique_ptr<net::Listener> m_listener;
   std::map<std::string, Dialer> m_dialers; // by address
--- a/idl/control.thrift
+++ b/idl/control.thrift
@@ -1,6 +1,7 @@
 // Messages between a node and a control VM, and endpoint exchange between
 // control VMs.
 include "common.thrift"
+include "raft.thrift"
 namespace cpp wigeonfold.wire
 
 enum EndpointState {
@@ -182,6 +183,9 @@
   12: bool readsLeavingReports,
   // The VM got SIGTERM and ends once a learner has taken its place as a voter.
   13: bool stopping,
+  // The first membership of a cluster, while the sender holds it and knows no
+  // leader. A VM with an empty log whose id is a voter of it takes it over.
+  14: optional raft.Membership formation,
 }
 
 // A start of the target beside a node leaves. Sent to the leader by the control
--- a/libs/consensus/include/wigeonfold/consensus/MembershipPolicy.h
+++ b/libs/consensus/include/wigeonfold/consensus/MembershipPolicy.h
@@ -91,9 +91,25 @@
 // Whether this VM is the one that creates the cluster: its configuration allows
 // it, its data folder is empty, every seed has sent a hello with an empty data
 // folder, and its address is the least among the seeds that are allowed to.
+// Hellos of a VM that answers with a newer id by now don't count.
 // aSeeds holds the peer addresses of the other seeds. Thread safe.
 bool MayFormCluster(const wire::ControlHello& aSelf,
                     const std::set<std::string>& aSeeds,
                     const std::map<MemberId, ControlVmState>& aVms);
 
+// The first membership that this VM creates: the seeds as voters, so that no
+// single disk holds all of the new cluster, or this VM alone when there are
+// fewer than three seeds or aOptions wants fewer voters. Precondition:
+// MayFormCluster(). Thread safe.
+wire::Membership FirstMembership(const wire::ControlHello& aSelf,
+                                 const std::set<std::string>& aSeeds,
+                                 const std::map<MemberId, ControlVmState>& aVms,
+                                 const MembershipPolicyOptions& aOptions);
+
+// The first membership of which another VM tells and aSelf is a voter; nullptr
+// for none. Thread safe.
+const wire::Membership* FindFormation(
+  MemberId aSelf,
+  const std::map<MemberId, ControlVmState>& aVms);
+
 } // namespace wigeonfold::consensus
--- a/libs/consensus/include/wigeonfold/consensus/Raft.h
+++ b/libs/consensus/include/wigeonfold/consensus/Raft.h
@@ -191,9 +191,9 @@
   // unless aIndex is the index of the last request and still of use.
   void OnSnapshotTaken(TimePoint aNow, int64_t aIndex, std::string aState);
 
-  // Starts a new group whose only voter is this member. Fails with Conflict
-  // unless the log is empty and the term is 0, and with InvalidArgument when
-  // this member is not the only voter of aMembership.
+  // Starts a new group, or joins one that others start with the same
+  // membership. Fails with Conflict unless the log is empty and the term is 0,
+  // and with InvalidArgument when this member is not a voter of aMembership.
   Status Bootstrap(TimePoint aNow, const wire::Membership& aMembership);
 
   // Appends a command and returns its position. The command has succeeded when
--- a/libs/consensus/src/Election.cpp
+++ b/libs/consensus/src/Election.cpp
@@ -1,6 +1,8 @@
 // Terms, elections, pre-votes and votes.
 #include "wigeonfold/consensus/Raft.h"
 
+#include "wigeonfold/wire/Codec.h"
+
 #include <utility>
 
 namespace wigeonfold::consensus {
@@ -156,8 +158,14 @@
   m_termStartIndex = m_log.Last().m_index + 1;
   m_survivalAwaited = 0;
   // Entries of earlier terms are committed only by an entry of the current
-  // term.
-  AppendAsLeader(wire::LogEntryKind::Noop, "");
+  // term. The first membership is not replicated: a member may have taken over
+  // another one from a creator that lost its disk, at the same position.
+  if (m_memberships.back().m_index == 1) {
+    AppendAsLeader(wire::LogEntryKind::Membership,
+                   wire::Encode(CurrentMembership()));
+  } else {
+    AppendAsLeader(wire::LogEntryKind::Noop, "");
+  }
   SendHeartbeats();
 }
 
--- a/libs/consensus/src/MembershipPolicy.cpp
+++ b/libs/consensus/src/MembershipPolicy.cpp
@@ -265,6 +265,28 @@
          HasReplacement(aMembership, aSelf, aVms, aOptions, aNow);
 }
 
+namespace {
+
+// Whether the VM's address has answered with another id since.
+bool IsSuperseded(const ControlVmState& aVm, const Vms& aVms)
+{
+  return std::any_of(aVms.begin(), aVms.end(), [&](const auto& aOther) {
+    const ControlVmState& other = aOther.second;
+    return other.m_hello.memberId != aVm.m_hello.memberId &&
+           other.m_hello.peerAddress == aVm.m_hello.peerAddress &&
+           other.m_helloAt > aVm.m_helloAt;
+  });
+}
+
+wire::Member ToVoter(const wire::ControlHello& aHello)
+{
+  wire::Member member = ToMember(aHello);
+  member.voter = true;
+  return member;
+}
+
+} // namespace
+
 bool MayFormCluster(const wire::ControlHello& aSelf,
                     const std::set<std::string>& aSeeds,
                     const Vms& aVms)
@@ -275,6 +297,9 @@
   std::set<std::string> missing = aSeeds;
   for (const auto& [id, vm] : aVms) {
     const wire::ControlHello& hello = vm.m_hello;
+    if (IsSuperseded(vm, aVms)) {
+      continue;
+    }
     if (hello.hasLog || !hello.clusterId.empty()) {
       return false;
     }
@@ -286,4 +311,34 @@
   return missing.empty();
 }
 
+wire::Membership FirstMembership(const wire::ControlHello& aSelf,
+                                 const std::set<std::string>& aSeeds,
+                                 const Vms& aVms,
+                                 const MembershipPolicyOptions& aOptions)
+{
+  wire::Membership membership;
+  membership.members.push_back(ToVoter(aSelf));
+  constexpr size_t kVoters = 3;
+  if (aSeeds.size() + 1 < kVoters || aOptions.m_voters < kVoters) {
+    return membership;
+  }
+  for (const auto& [id, vm] : aVms) {
+    if (membership.members.size() < kVoters && !IsSuperseded(vm, aVms) &&
+        aSeeds.count(vm.m_hello.peerAddress) > 0) {
+      membership.members.push_back(ToVoter(vm.m_hello));
+    }
+  }
+  return membership;
+}
+
+const wire::Membership* FindFormation(MemberId aSelf, const Vms& aVms)
+{
+  for (const auto& [id, vm] : aVms) {
+    if (vm.m_hello.__isset.formation && IsVoter(vm.m_hello.formation, aSelf)) {
+      return &vm.m_hello.formation;
+    }
+  }
+  return nullptr;
+}
+
 } // namespace wigeonfold::consensus
--- a/libs/consensus/src/Raft.cpp
+++ b/libs/consensus/src/Raft.cpp
@@ -70,11 +70,10 @@
       ErrorCode::Conflict, "bootstrap", "", "the data folder is not empty"
     };
   }
-  if (!IsVoter(aMembership, m_self) || VoterCount(aMembership) != 1) {
-    return Error{ ErrorCode::InvalidArgument,
-                  "bootstrap",
-                  "",
-                  "this member must be the only voter" };
+  if (!IsVoter(aMembership, m_self)) {
+    return Error{
+      ErrorCode::InvalidArgument, "bootstrap", "", "this member must be a voter"
+    };
   }
   SetTerm(1);
   wire::LogEntry entry;
--- a/libs/consensus/test/ManagedCluster.h
+++ b/libs/consensus/test/ManagedCluster.h
@@ -39,6 +39,7 @@
   void Kill(MemberId aId)
   {
     Crash(aId);
+    m_vms.at(aId).m_mayBootstrap = false;
     m_vms.at(aId).m_known.clear();
     m_vms.at(aId).m_stopSince.reset();
   }
@@ -203,7 +204,11 @@
     hello.peerAddress = hello.name;
     hello.mayBootstrap = vm.m_mayBootstrap;
     hello.stopping = vm.m_stopSince.has_value();
-    hello.hasLog = m_nodes.at(aId).m_raft->LastPosition().m_index != 0;
+    const Raft& raft = *m_nodes.at(aId).m_raft;
+    hello.hasLog = raft.LastPosition().m_index != 0;
+    if (raft.LastPosition().m_index == 1 && raft.LeaderId() == 0) {
+      hello.__set_formation(raft.CurrentMembership());
+    }
     return hello;
   }
 
@@ -288,13 +293,15 @@
     }
     seeds.erase(AddressOf(aVm.m_address));
     Raft& raft = *m_nodes.at(aId).m_raft;
-    if (raft.LastPosition().m_index == 0 && raft.LeaderId() == 0 &&
-        MayFormCluster(HelloOf(aId), seeds, aVm.m_known)) {
-      wire::Membership membership;
-      membership.members.push_back(MakeMember(aId, true));
-      membership.members.back().name = AddressOf(aVm.m_address);
-      membership.members.back().peerAddress = AddressOf(aVm.m_address);
-      (void)raft.Bootstrap(Now(aId), membership);
+    if (raft.LastPosition().m_index != 0 || raft.LeaderId() != 0) {
+      return;
+    }
+    const wire::ControlHello self = HelloOf(aId);
+    if (const auto* formation = FindFormation(aId, aVm.m_known)) {
+      (void)raft.Bootstrap(Now(aId), *formation);
+    } else if (MayFormCluster(self, seeds, aVm.m_known)) {
+      (void)raft.Bootstrap(Now(aId),
+                           FirstMembership(self, seeds, aVm.m_known, m_policy));
     }
   }
 
--- a/libs/consensus/test/MembershipPolicy_test.cpp
+++ b/libs/consensus/test/MembershipPolicy_test.cpp
@@ -206,6 +206,45 @@
                              Vms({ Hello(1, false), Hello(3) })));
 }
 
+// The first seed said that it may create the cluster, and lost its disk.
+TEST(Formation, HelloOfALostDiskKeepsNobodyFromCreatingTheCluster)
+{
+  auto vms = Vms({ Hello(1), Hello(3) });
+  wire::ControlHello again = Hello(1, false);
+  again.memberId = 11;
+  vms[11].m_hello = again;
+  EXPECT_FALSE(MayFormCluster(Hello(2), { "10.0.0.1:1", "10.0.0.3:1" }, vms));
+  vms[11].m_helloAt = vms[1].m_helloAt + 1s;
+  EXPECT_TRUE(MayFormCluster(Hello(2), { "10.0.0.1:1", "10.0.0.3:1" }, vms));
+  const auto first =
+    FirstMembership(Hello(2), { "10.0.0.1:1", "10.0.0.3:1" }, vms, {});
+  EXPECT_EQ(VoterCount(first), 3U);
+  EXPECT_TRUE(IsVoter(first, 11));
+}
+
+// One disk must not hold all of a new cluster.
+TEST(Formation, SeedsAreTheFirstVoters)
+{
+  const auto vms = Vms({ Hello(2), Hello(3), Hello(4) });
+  const std::set<std::string> seeds = { "10.0.0.2:1", "10.0.0.3:1" };
+  const auto first = FirstMembership(Hello(1), seeds, vms, {});
+  EXPECT_EQ(VoterCount(first), 3U);
+  EXPECT_FALSE(IsVoter(first, 4));
+  MembershipPolicyOptions one;
+  one.m_voters = 1;
+  EXPECT_EQ(VoterCount(FirstMembership(Hello(1), seeds, vms, one)), 1U);
+}
+
+TEST(Formation, OnlyAVmThatIsNamedByItsIdTakesPart)
+{
+  auto hello = Hello(1);
+  hello.__set_formation(FirstMembership(
+    Hello(1), { "10.0.0.2:1", "10.0.0.3:1" }, Vms({ Hello(2), Hello(3) }), {}));
+  const auto vms = Vms({ hello });
+  EXPECT_NE(FindFormation(2, vms), nullptr);
+  EXPECT_EQ(FindFormation(22, vms), nullptr);
+}
+
 TEST(Formation, CreatesNoSecondCluster)
 {
   auto member = Hello(2);
--- a/libs/consensus/test/Survival_test.cpp
+++ b/libs/consensus/test/Survival_test.cpp
@@ -110,6 +110,47 @@
   EXPECT_NE(m_cluster->Accept(3500), 0);
 }
 
+// Guards against a cluster that never forms, or loses its first change, because
+// one disk is lost at the first start: the creator was the only voter of the
+// log that the others held, while that log kept them from forming another one.
+class FirstStart : public testing::TestWithParam<uint64_t>
+{};
+
+TEST_P(FirstStart, FormsThoughAnyVmLosesItsDiskAtAnyMoment)
+{
+  for (int64_t moment = 0; moment <= 1500; moment += 50) {
+    for (MemberId lost = 1; lost <= 3; ++lost) {
+      ManagedCluster cluster(3, 1, GetParam());
+      cluster.RunManaged(moment);
+      cluster.Wipe(lost);
+      EXPECT_NO_THROW(cluster.Recover()) << lost << " after " << moment;
+    }
+  }
+}
+
+TEST_P(FirstStart, FormsThoughAnyVmIsRestartedAtAnyMoment)
+{
+  for (int64_t moment = 0; moment <= 1500; moment += 50) {
+    for (MemberId restarted = 1; restarted <= 3; ++restarted) {
+      ManagedCluster cluster(3, 1, GetParam());
+      cluster.RunManaged(moment);
+      cluster.Kill(restarted);
+      cluster.RunManaged(500);
+      EXPECT_NO_THROW(cluster.Recover()) << restarted << " after " << moment;
+    }
+  }
+}
+
+TEST_P(FirstStart, KeepsItsFirstChangeThoughADiskIsLost)
+{
+  ManagedCluster cluster(3, 1, GetParam());
+  const MemberId acknowledging = cluster.Accept();
+  ASSERT_NE(acknowledging, 0);
+  cluster.Wipe(acknowledging);
+  EXPECT_NO_THROW(cluster.Recover());
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, FirstStart, testing::Range<uint64_t>(1, 5));
 INSTANTIATE_TEST_SUITE_P(Seeds, Survival, testing::Range<uint64_t>(1, 9));
 
 } // namespace
--- a/libs/wire/gen/include/wigeonfold/wire/gen/control_types.h
+++ b/libs/wire/gen/include/wigeonfold/wire/gen/control_types.h
@@ -18,6 +18,7 @@
 #include <functional>
 #include <memory>
 #include "wigeonfold/wire/gen/common_types.h"
+#include "wigeonfold/wire/gen/raft_types.h"
 
 
 namespace wigeonfold { namespace wire {
@@ -1003,7 +1004,7 @@
 std::ostream& operator<<(std::ostream& out, const EndpointSync& obj);
 
 typedef struct _ControlHello__isset {
-  _ControlHello__isset() : memberId(false), name(false), clusterId(false), availabilityZone(false), peerAddress(false), apiAddress(false), nodeAddress(false), operatorAddress(false), hasLog(false), mayBootstrap(false), readsPackedEntries(false), readsLeavingReports(false), stopping(false) {}
+  _ControlHello__isset() : memberId(false), name(false), clusterId(false), availabilityZone(false), peerAddress(false), apiAddress(false), nodeAddress(false), operatorAddress(false), hasLog(false), mayBootstrap(false), readsPackedEntries(false), readsLeavingReports(false), stopping(false), formation(false) {}
   bool memberId :1;
   bool name :1;
   bool clusterId :1;
@@ -1017,6 +1018,7 @@
   bool readsPackedEntries :1;
   bool readsLeavingReports :1;
   bool stopping :1;
+  bool formation :1;
 } _ControlHello__isset;
 
 class ControlHello : public virtual ::apache::thrift::TBase {
@@ -1056,6 +1058,7 @@
   bool readsPackedEntries;
   bool readsLeavingReports;
   bool stopping;
+   ::wigeonfold::wire::Membership formation;
 
   _ControlHello__isset __isset;
 
@@ -1085,6 +1088,8 @@
 
   void __set_stopping(const bool val);
 
+  void __set_formation(const  ::wigeonfold::wire::Membership& val);
+
   bool operator == (const ControlHello & rhs) const
   {
     if (!(memberId == rhs.memberId))
@@ -1113,6 +1118,10 @@
       return false;
     if (!(stopping == rhs.stopping))
       return false;
+    if (__isset.formation != rhs.__isset.formation)
+      return false;
+    else if (__isset.formation && !(formation == rhs.formation))
+      return false;
     return true;
   }
   bool operator != (const ControlHello &rhs) const {
--- a/libs/wire/gen/src/control_types.cpp
+++ b/libs/wire/gen/src/control_types.cpp
@@ -2768,6 +2768,11 @@
 void ControlHello::__set_stopping(const bool val) {
   this->stopping = val;
 }
+
+void ControlHello::__set_formation(const  ::wigeonfold::wire::Membership& val) {
+  this->formation = val;
+__isset.formation = true;
+}
 std::ostream& operator<<(std::ostream& out, const ControlHello& obj)
 {
   obj.printTo(out);
@@ -2900,6 +2905,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->formation.read(iprot);
+          this->__isset.formation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2969,6 +2982,11 @@
   xfer += oprot->writeBool(this->stopping);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.formation) {
+    xfer += oprot->writeFieldBegin("formation", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->formation.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2989,6 +3007,7 @@
   swap(a.readsPackedEntries, b.readsPackedEntries);
   swap(a.readsLeavingReports, b.readsLeavingReports);
   swap(a.stopping, b.stopping);
+  swap(a.formation, b.formation);
   swap(a.__isset, b.__isset);
 }
 
@@ -3006,6 +3025,7 @@
   readsPackedEntries = other109.readsPackedEntries;
   readsLeavingReports = other109.readsLeavingReports;
   stopping = other109.stopping;
+  formation = other109.formation;
   __isset = other109.__isset;
 }
 ControlHello::ControlHello(ControlHello&& other110) noexcept {
@@ -3022,6 +3042,7 @@
   readsPackedEntries = other110.readsPackedEntries;
   readsLeavingReports = other110.readsLeavingReports;
   stopping = other110.stopping;
+  formation = std::move(other110.formation);
   __isset = other110.__isset;
 }
 ControlHello& ControlHello::operator=(const ControlHello& other111) {
@@ -3038,6 +3059,7 @@
   readsPackedEntries = other111.readsPackedEntries;
   readsLeavingReports = other111.readsLeavingReports;
   stopping = other111.stopping;
+  formation = other111.formation;
   __isset = other111.__isset;
   return *this;
 }
@@ -3055,6 +3077,7 @@
   readsPackedEntries = other112.readsPackedEntries;
   readsLeavingReports = other112.readsLeavingReports;
   stopping = other112.stopping;
+  formation = std::move(other112.formation);
   __isset = other112.__isset;
   return *this;
 }
@@ -3074,6 +3097,7 @@
   out << ", " << "readsPackedEntries=" << to_string(readsPackedEntries);
   out << ", " << "readsLeavingReports=" << to_string(readsLeavingReports);
   out << ", " << "stopping=" << to_string(stopping);
+  out << ", " << "formation="; (__isset.formation ? (out << to_string(formation)) : (out << "<null>"));
   out << ")";
 }
 
