Demote a voter that is one too many

What callers would see: a control VM ends without notice, a change is acknowledged at once, and one lost disk ends the group.

Cause: a voter that was stopped and started again before it was demoted stayed a voter beside its successor. Four voters need three, so a silent end of one leaves nothing to spare, and no VM was left that could be waited for.

Evidence: MembershipModel found it (all killed, one stopped and restarted, a silent replacement, a disk lost after a change): four voters for good.

Change: the leader demotes a voter beyond the wanted number, first one without contact, and acknowledgements wait for that as for a replacement. VoterThatIsBackAfterItWasReplacedIsOneTooMany and VoterWithoutContactIsTheOneTooMany guard it.

--- a/libs/consensus/include/wigeonfold/consensus/MembershipPolicy.h
+++ b/libs/consensus/include/wigeonfold/consensus/MembershipPolicy.h
@@ -49,6 +49,7 @@
 //   stay, which are those that aren't stopping;
 // - a voter that is stopping, the leader itself among them, is demoted once
 //   m_voters others stay;
+// - a voter beyond m_voters is demoted, preferably one without contact;
 // - a voter without contact is demoted when a learner that has caught up can
 //   replace it and the other voters in contact form a quorum without it;
 // - a learner without contact for m_removeAfter is removed.
--- a/libs/consensus/include/wigeonfold/consensus/Raft.h
+++ b/libs/consensus/include/wigeonfold/consensus/Raft.h
@@ -147,7 +147,7 @@
 // VMs beside the voters, as the leader's owner knows them.
 struct VoterOutlook
 {
-  // A VM that is not a voter may become one.
+  // A VM that is not a voter may become one, or there is a voter to spare.
   bool m_hasReplacement = false;
   // Voters that said that they are about to end.
   std::set<MemberId> m_stopping;
--- a/libs/consensus/src/MembershipPolicy.cpp
+++ b/libs/consensus/src/MembershipPolicy.cpp
@@ -54,6 +54,7 @@
                              &Policy::AddLearner,
                              &Policy::PromoteLearner,
                              &Policy::DemoteStoppingVoter,
+                             &Policy::DemoteSurplusVoter,
                              &Policy::DemoteUnreachableVoter,
                              &Policy::RemoveUnreachableLearner }) {
       if (auto found = (this->*step)()) {
@@ -177,6 +178,26 @@
     return std::nullopt;
   }
 
+  // A voter that had said that it was stopping, and was replaced, is back.
+  std::optional<MembershipStep> DemoteSurplusVoter() const
+  {
+    if (StayingVoters() <= m_options.m_voters) {
+      return std::nullopt;
+    }
+    const wire::Member* surplus = nullptr;
+    for (const wire::Member& member : m_membership.members) {
+      if (member.voter && member.memberId != m_self &&
+          (surplus == nullptr || InContact(surplus->memberId))) {
+        surplus = &member;
+      }
+    }
+    if (surplus == nullptr || !HasQuorumWithout(surplus->memberId)) {
+      return std::nullopt;
+    }
+    return MembershipStep{ { Kind::Demote, *surplus },
+                           "more voters than wanted" };
+  }
+
   std::optional<MembershipStep> DemoteUnreachableVoter() const
   {
     if (FindPromotableLearner() == nullptr) {
@@ -246,6 +267,7 @@
 {
   VoterOutlook outlook;
   outlook.m_hasReplacement =
+    VoterCount(aMembership) > aOptions.m_voters ||
     HasReplacement(aMembership, aSelf, aVms, aOptions, aNow);
   for (const auto& [id, vm] : aVms) {
     if (vm.m_hello.stopping) {
--- a/libs/consensus/test/MembershipPolicy_test.cpp
+++ b/libs/consensus/test/MembershipPolicy_test.cpp
@@ -299,6 +299,31 @@
   EXPECT_EQ(Voters(), (std::set<MemberId>{ 1, 4, 5 }));
 }
 
+// A voter is stopped and back before it was demoted. Four voters need three of
+// them, so they bear no more losses than three do, and a silent end of one
+// leaves nothing to spare.
+TEST_F(MembershipPolicy, VoterThatIsBackAfterItWasReplacedIsOneTooMany)
+{
+  for (const MemberId id : { 1, 2, 3, 4 }) {
+    AddMember(id, true);
+  }
+  ASSERT_TRUE(ApplyAllSteps());
+  EXPECT_EQ(Voters().size(), 3U);
+  EXPECT_TRUE(IsVoter(m_membership, 1));
+}
+
+TEST_F(MembershipPolicy, VoterWithoutContactIsTheOneTooMany)
+{
+  for (const MemberId id : { 1, 2, 3, 4 }) {
+    AddMember(id, true);
+  }
+  m_vms[2].m_contactAt = m_now - m_options.m_replaceAfter;
+  const auto step = Next();
+  ASSERT_TRUE(step);
+  EXPECT_EQ(step->m_change.m_kind, Kind::Demote);
+  EXPECT_EQ(step->m_change.m_member.memberId, 2);
+}
+
 // Its successor votes, but the group needs three of four voters until the
 // stopping one is demoted: one lost disk would leave two.
 TEST_F(MembershipPolicy, StoppingVoterAwaitsItsDemotionOnceItsSuccessorVotes)
