Tell of the first membership whenever no leader is known

What callers would see: a control VM is restarted in the first moments of the first start, another one loses its disk, and no leader is elected.

Cause: a voter of the first membership that was restarted before it had stored it grants no vote, and the others told of that membership only while their log held nothing else.

Evidence: MembershipModel found it with four VMs (a restart 0.1 s after the start, a lost disk 0.7 s later).

Change: a VM whose log holds the first membership names it in its hellos whenever it knows no leader.

--- a/apps/wigeonfold-control/Core.h
+++ b/apps/wigeonfold-control/Core.h
@@ -88,7 +88,8 @@
   // This VM as a voter.
   wire::Member OwnMember() const;
   bool HasLog() const;
-  // The first membership, while it is all that this VM knows of the cluster.
+  // The first membership, while this VM knows no leader. A voter of it that was
+  // restarted with an empty log grants no vote without it.
   std::optional<wire::Membership> Formation() const;
   void MaintainMembership(TimePoint aNow);
   void CheckReplaced(TimePoint aNow);
--- a/apps/wigeonfold-control/CoreFormation.cpp
+++ b/apps/wigeonfold-control/CoreFormation.cpp
@@ -102,10 +102,10 @@
 
 std::optional<wire::Membership> Core::Formation() const
 {
-  const wire::Membership& membership = m_raft.CurrentMembership();
-  return m_raft.LastPosition().m_index == 1 && m_raft.LeaderId() == 0 &&
-             consensus::VoterCount(membership) > 1
-           ? std::optional(membership)
+  const wire::Membership* first = m_raft.FirstMembership();
+  return first != nullptr && m_raft.LeaderId() == 0 &&
+             consensus::VoterCount(*first) > 1
+           ? std::optional(*first)
            : std::nullopt;
 }
 
--- a/idl/control.thrift
+++ b/idl/control.thrift
@@ -183,8 +183,8 @@
   12: bool readsLeavingReports,
   // The VM got SIGTERM and ends once a learner has taken its place as a voter.
   13: bool stopping,
-  // The first membership of a cluster, while the sender holds it and knows no
-  // leader. A VM with an empty log whose id is a voter of it takes it over.
+  // The first membership of the cluster, if the sender's log holds it and the
+  // sender knows no leader. A VM with an empty log whose id is a voter of it takes it over.
   14: optional raft.Membership formation,
 }
 
--- a/libs/consensus/include/wigeonfold/consensus/Raft.h
+++ b/libs/consensus/include/wigeonfold/consensus/Raft.h
@@ -247,6 +247,9 @@
   // The newest membership in the log, committed or not.
   const wire::Membership& CurrentMembership() const;
   bool MembershipCommitted() const;
+  // The membership with which the group was started; nullptr when the log
+  // doesn't hold it.
+  const wire::Membership* FirstMembership() const;
   // The last synced index that the member has reported; nothing when this
   // member is not the leader or does not replicate to that member.
   std::optional<int64_t> MatchIndex(MemberId aId) const;
--- a/libs/consensus/src/Raft.cpp
+++ b/libs/consensus/src/Raft.cpp
@@ -448,6 +448,13 @@
   return m_memberships.empty() ? none : m_memberships.back().m_membership;
 }
 
+const wire::Membership* Raft::FirstMembership() const
+{
+  const bool isFirst =
+    !m_memberships.empty() && m_memberships.front().m_index == 1;
+  return isFirst ? &m_memberships.front().m_membership : nullptr;
+}
+
 bool Raft::MembershipCommitted() const
 {
   return m_memberships.empty() ||
--- a/libs/consensus/test/ManagedCluster.h
+++ b/libs/consensus/test/ManagedCluster.h
@@ -39,7 +39,6 @@
   void Kill(MemberId aId)
   {
     Crash(aId);
-    m_vms.at(aId).m_mayBootstrap = false;
     m_vms.at(aId).m_known.clear();
     m_vms.at(aId).m_stopSince.reset();
   }
@@ -206,8 +205,8 @@
     hello.stopping = vm.m_stopSince.has_value();
     const Raft& raft = *m_nodes.at(aId).m_raft;
     hello.hasLog = raft.LastPosition().m_index != 0;
-    if (raft.LastPosition().m_index == 1 && raft.LeaderId() == 0) {
-      hello.__set_formation(raft.CurrentMembership());
+    if (raft.FirstMembership() != nullptr && raft.LeaderId() == 0) {
+      hello.__set_formation(*raft.FirstMembership());
     }
     return hello;
   }
