Promote the successor of an unreachable voter before its demotion

What callers would see: a control VM is down for a second and a half beside a spare one, another one loses its disk as it comes back, and the group has no leader any more.

Cause: the voter without contact was demoted first. Until its successor was promoted the group had two voters, of which none may be lost, though three VMs had all entries.

Change: the successor is promoted first, if it and the voters in contact form a quorum; the voter without contact is one too many then and is demoted. SuccessorOfAnUnreachableVoterIsPromotedFirst guards it.

--- a/libs/consensus/include/wigeonfold/consensus/MembershipPolicy.h
+++ b/libs/consensus/include/wigeonfold/consensus/MembershipPolicy.h
@@ -50,8 +50,8 @@
 // - a voter that is stopping, the leader itself among them, is demoted once
 //   m_voters others stay;
 // - a voter beyond m_voters is demoted, preferably one without contact;
-// - a voter without contact is demoted when a learner that has caught up can
-//   replace it and the other voters in contact form a quorum without it;
+// - a learner that has caught up is promoted when a voter has no contact, which
+//   is one too many then, if it and the voters in contact form a quorum;
 // - a learner without contact for m_removeAfter is removed.
 // aVms is keyed by member id; aCaughtUp holds the members whose log is up to
 // date. A removed id never votes again; its VM rejoins as a learner.
--- a/libs/consensus/src/MembershipPolicy.cpp
+++ b/libs/consensus/src/MembershipPolicy.cpp
@@ -55,7 +55,7 @@
                              &Policy::PromoteLearner,
                              &Policy::DemoteStoppingVoter,
                              &Policy::DemoteSurplusVoter,
-                             &Policy::DemoteUnreachableVoter,
+                             &Policy::PromoteSuccessorOfUnreachableVoter,
                              &Policy::RemoveUnreachableLearner }) {
       if (auto found = (this->*step)()) {
         return found;
@@ -103,6 +103,15 @@
     return otherVoters > 0 && votersInContact >= otherVoters / 2 + 1;
   }
 
+  size_t VotersInContact() const
+  {
+    const auto& members = m_membership.members;
+    return static_cast<size_t>(std::count_if(
+      members.begin(), members.end(), [this](const wire::Member& aMember) {
+        return aMember.voter && InContact(aMember.memberId);
+      }));
+  }
+
   std::optional<MembershipStep> RemoveMemberWithLostDisk() const
   {
     for (const auto& [id, vm] : m_vms) {
@@ -198,19 +207,19 @@
                            "more voters than wanted" };
   }
 
-  std::optional<MembershipStep> DemoteUnreachableVoter() const
+  // Before the voter is demoted, as one too many: if it is back by then, the
+  // group bears the loss of another one, which two voters would not.
+  std::optional<MembershipStep> PromoteSuccessorOfUnreachableVoter() const
   {
-    if (FindPromotableLearner() == nullptr) {
+    const wire::Member* learner = FindPromotableLearner();
+    const size_t reachable = VotersInContact();
+    const size_t voters = VoterCount(m_membership);
+    if (learner == nullptr || reachable == voters ||
+        reachable + 1 < (voters + 1) / 2 + 1) {
       return std::nullopt;
     }
-    for (const wire::Member& member : m_membership.members) {
-      if (member.voter && !InContact(member.memberId) &&
-          HasQuorumWithout(member.memberId)) {
-        return MembershipStep{ { Kind::Demote, member },
-                               "no contact and a learner can replace it" };
-      }
-    }
-    return std::nullopt;
+    return MembershipStep{ { Kind::Promote, *learner },
+                           "caught up and a voter has no contact" };
   }
 
   std::optional<MembershipStep> RemoveUnreachableLearner() const
--- a/libs/consensus/test/MembershipPolicy_test.cpp
+++ b/libs/consensus/test/MembershipPolicy_test.cpp
@@ -119,6 +119,25 @@
   EXPECT_EQ(Voters(), (std::set<MemberId>{ 1, 2, 9 }));
 }
 
+// The voter may be back when its successor is promoted. If it were demoted
+// first, two voters would be left for a moment, and one lost disk would end the
+// group though three VMs have all entries.
+TEST_F(MembershipPolicy, SuccessorOfAnUnreachableVoterIsPromotedFirst)
+{
+  for (const MemberId id : { 1, 2, 3 }) {
+    AddMember(id, true);
+  }
+  AddMember(4, false);
+  m_caughtUp = { 1, 2, 4 };
+  m_vms[3].m_contactAt = m_now - m_options.m_replaceAfter;
+  const auto first = Next();
+  ASSERT_TRUE(first);
+  EXPECT_EQ(first->m_change.m_kind, Kind::Promote);
+  EXPECT_EQ(first->m_change.m_member.memberId, 4);
+  ASSERT_TRUE(ApplyAllSteps());
+  EXPECT_EQ(Voters(), (std::set<MemberId>{ 1, 2, 4 }));
+}
+
 TEST_F(MembershipPolicy, KeepsAnUnreachableVoterWithoutAReplacement)
 {
   AddMember(1, true);
