Promote the learner that was heard of last

What callers would see: a spare control VM ends, a voter is stopped and replaced by that spare, and one lost disk ends the group.

Cause: of several learners in contact the first listed one was promoted.

Change: the learner with the last contact is promoted. LearnerHeardOfLastIsPromoted guards it.

--- a/libs/consensus/src/MembershipPolicy.cpp
+++ b/libs/consensus/src/MembershipPolicy.cpp
@@ -152,16 +152,22 @@
     return std::nullopt;
   }
 
+  // Of several the one heard of last: another one may have ended just now.
   const wire::Member* FindPromotableLearner() const
   {
+    const wire::Member* best = nullptr;
     for (const wire::Member& member : m_membership.members) {
-      if (!member.voter && InContact(member.memberId) &&
-          !IsStopping(m_vms, member.memberId) &&
-          m_caughtUp.count(member.memberId) > 0) {
-        return &member;
+      const MemberId id = member.memberId;
+      const bool isPromotable = !member.voter && InContact(id) &&
+                                !IsStopping(m_vms, id) &&
+                                m_caughtUp.count(id) > 0;
+      if (isPromotable &&
+          (best == nullptr ||
+           TimeSinceContact(id) < TimeSinceContact(best->memberId))) {
+        best = &member;
       }
     }
-    return nullptr;
+    return best;
   }
 
   std::optional<MembershipStep> PromoteLearner() const
--- a/libs/consensus/test/MembershipPolicy_test.cpp
+++ b/libs/consensus/test/MembershipPolicy_test.cpp
@@ -138,6 +138,21 @@
   EXPECT_EQ(Voters(), (std::set<MemberId>{ 1, 2, 4 }));
 }
 
+// A learner that has just ended is in contact for a while longer.
+TEST_F(MembershipPolicy, LearnerHeardOfLastIsPromoted)
+{
+  for (const MemberId id : { 1, 2 }) {
+    AddMember(id, true);
+  }
+  AddMember(3, false);
+  AddMember(4, false);
+  m_caughtUp = { 1, 2, 3, 4 };
+  m_vms[3].m_contactAt = m_now - 200ms;
+  const auto step = Next();
+  ASSERT_TRUE(step);
+  EXPECT_EQ(step->m_change.m_member.memberId, 4);
+}
+
 TEST_F(MembershipPolicy, KeepsAnUnreachableVoterWithoutAReplacement)
 {
   AddMember(1, true);
