Count voters in one place

Cause: the policy and ShouldAwaitDemotion each counted the voters that stay, and a third count had the same shape.

Change: CountVoters serves all three, and the comment on VoterOutlook says what it holds. No behaviour changes.

--- a/libs/consensus/include/wigeonfold/consensus/Raft.h
+++ b/libs/consensus/include/wigeonfold/consensus/Raft.h
@@ -144,7 +144,8 @@
   bool NeedsPersistence() const { return m_sequence != 0; }
 };
 
-// VMs beside the voters, as the leader's owner knows them.
+// Changes of the voters that are to be expected. Raft doesn't know it from its
+// own messages.
 struct VoterOutlook
 {
   // A VM that is not a voter may become one, or there is a voter to spare.
--- a/libs/consensus/src/MembershipPolicy.cpp
+++ b/libs/consensus/src/MembershipPolicy.cpp
@@ -29,6 +29,17 @@
   return vm != aVms.end() && vm->second.m_hello.stopping;
 }
 
+// The voters that aMatches selects.
+template<class Predicate>
+size_t CountVoters(const wire::Membership& aMembership, Predicate aMatches)
+{
+  const auto& members = aMembership.members;
+  return static_cast<size_t>(std::count_if(
+    members.begin(), members.end(), [&](const wire::Member& aMember) {
+      return aMember.voter && aMatches(aMember.memberId);
+    }));
+}
+
 // Evaluates the rules of NextMembershipStep for one state.
 class Policy
 {
@@ -81,11 +92,8 @@
 
   size_t StayingVoters() const
   {
-    const auto& members = m_membership.members;
-    return static_cast<size_t>(std::count_if(
-      members.begin(), members.end(), [this](const wire::Member& aMember) {
-        return aMember.voter && !IsStopping(m_vms, aMember.memberId);
-      }));
+    return CountVoters(
+      m_membership, [this](MemberId aId) { return !IsStopping(m_vms, aId); });
   }
 
   // Whether the voters in contact form a quorum of all voters but the excluded
@@ -105,11 +113,8 @@
 
   size_t VotersInContact() const
   {
-    const auto& members = m_membership.members;
-    return static_cast<size_t>(std::count_if(
-      members.begin(), members.end(), [this](const wire::Member& aMember) {
-        return aMember.voter && InContact(aMember.memberId);
-      }));
+    return CountVoters(m_membership,
+                       [this](MemberId aId) { return InContact(aId); });
   }
 
   std::optional<MembershipStep> RemoveMemberWithLostDisk() const
@@ -301,13 +306,10 @@
   if (!IsVoter(aMembership, aSelf)) {
     return false;
   }
-  const auto& members = aMembership.members;
-  const auto others = std::count_if(
-    members.begin(), members.end(), [&](const wire::Member& aMember) {
-      return aMember.voter && aMember.memberId != aSelf &&
-             !IsStopping(aVms, aMember.memberId);
-    });
-  return static_cast<size_t>(others) >= aOptions.m_voters ||
+  const size_t others = CountVoters(aMembership, [&](MemberId aId) {
+    return aId != aSelf && !IsStopping(aVms, aId);
+  });
+  return others >= aOptions.m_voters ||
          HasReplacement(aMembership, aSelf, aVms, aOptions, aNow);
 }
 
