Log the end of a target and the requests that it ran

The log named an outcome for each request, but no line said that a target had ended, which requests it was running then, or that two requests had the same content.

CrashDetector tells the end of a target from a single lost connection: all requests under way were lost and the target refuses connections, has started anew or is silent for its lease. TargetEnded and RequestAtCrash name the requests with a hash of their content, which the lines of callers' nodes carry as well; wigeonfold_node_target_crashes counts the ends. No decision uses it yet.

--- a/apps/wigeonfold-node/CallerSide.cpp
+++ b/apps/wigeonfold-node/CallerSide.cpp
@@ -1,5 +1,7 @@
 #include "CallerSide.h"
 
+#include "wigeonfold/forwarding/Fingerprint.h"
+
 #include <algorithm>
 
 namespace wigeonfold::node {
@@ -73,6 +75,7 @@
     parsed.m_request->depth = parent->depth + 1;
     parsed.m_request->repeat = parent->repeat;
   }
+  const uint64_t fingerprint = forwarding::FingerprintOf(*parsed.m_request);
   const uint64_t id = ++m_lastId;
   forwarding::CallSpec spec;
   spec.m_idempotent = parsed.m_request->idempotent;
@@ -94,6 +97,7 @@
                 std::move(aRespond),
                 now,
                 parsed.m_deadline + kOutcomeGrace,
+                fingerprint,
                 0,
                 forwarding::kNoTarget });
   ActiveCall& call = added.first->second;
@@ -303,6 +307,7 @@
   const wire::CallRequest& request = *aCall.m_request;
   std::vector<EventField> fields{
     { "request", request.requestId },
+    { "content", forwarding::FormatFingerprint(aCall.m_fingerprint) },
     { "route", request.route },
     { "service", request.serviceName },
     { "outcome", InfoOf(aOutcome).m_reason },
--- a/apps/wigeonfold-node/CallerSide.h
+++ b/apps/wigeonfold-node/CallerSide.h
@@ -77,7 +77,8 @@
     forwarding::Call m_call;
     net::HttpRespond m_respond;
     TimePoint m_arrived{};
-    TimePoint m_expiresAt{};  // deadline plus kOutcomeGrace
+    TimePoint m_expiresAt{}; // deadline plus kOutcomeGrace
+    uint64_t m_fingerprint = 0;
     size_t m_bytes = 0;       // of the request body
     std::string m_lastTarget; // node of the latest attempt, or kNoTarget
     std::vector<Attempt> m_attempts;
--- a/apps/wigeonfold-node/DataPlane.cpp
+++ b/apps/wigeonfold-node/DataPlane.cpp
@@ -339,6 +339,7 @@
   const TargetStatus status = m_target.Status();
   m_metrics.SetTargetLoad(status.m_running, status.m_queued, status.m_slots);
   m_metrics.SetTargetRequestLimit(status.m_requestLimit.value_or(0));
+  m_metrics.SetTargetCrashes(status.m_crashes);
 }
 
 // ---- Graceful shutdown -----------------------------------------------------
--- a/apps/wigeonfold-node/Messages.h
+++ b/apps/wigeonfold-node/Messages.h
@@ -83,6 +83,7 @@
   int m_queued = 0;  // requests that wait for a slot
   size_t m_connections = 0;
   std::optional<double> m_requestLimit; // requests per second, as it names it
+  size_t m_crashes = 0;                 // ends of the target under requests
 };
 
 // Answer to a StatusQuery. From the data thread to the HTTP thread.
--- a/apps/wigeonfold-node/NodeMetrics.cpp
+++ b/apps/wigeonfold-node/NodeMetrics.cpp
@@ -33,6 +33,9 @@
   , m_requestLimit(aMetrics.Gauge(
       "wigeonfold_node_target_request_limit",
       "Requests per second that the own target takes, 0 without a limit"))
+  , m_crashes(aMetrics.Gauge(
+      "wigeonfold_node_target_crashes",
+      "Ends of the own target while it ran requests, since the node's start"))
   , m_controlReceived(aMetrics.Gauge(kControlBytes,
                                      kControlBytesHelp,
                                      { { "direction", "received" } }))
@@ -76,6 +79,11 @@
   m_requestLimit.Set(aPerSecond);
 }
 
+void NodeMetrics::SetTargetCrashes(size_t aCrashes)
+{
+  m_crashes.Set(static_cast<double>(aCrashes));
+}
+
 void NodeMetrics::SetControlBytes(uint64_t aReceived, uint64_t aSent)
 {
   m_controlReceived.Set(static_cast<double>(aReceived));
--- a/apps/wigeonfold-node/NodeMetrics.h
+++ b/apps/wigeonfold-node/NodeMetrics.h
@@ -25,6 +25,8 @@
   void SetTargetLoad(int aRunning, int aQueued, int aSlots);
   // Requests per second that the own target takes; 0: it names no limit.
   void SetTargetRequestLimit(double aPerSecond);
+  // Ends of the own target under requests since the node's start.
+  void SetTargetCrashes(size_t aCrashes);
   // Frame bytes exchanged with control VMs since the start.
   void SetControlBytes(uint64_t aReceived, uint64_t aSent);
 
@@ -37,6 +39,7 @@
   prometheus::Gauge& m_queued;
   prometheus::Gauge& m_slots;
   prometheus::Gauge& m_requestLimit;
+  prometheus::Gauge& m_crashes;
   prometheus::Gauge& m_controlReceived;
   prometheus::Gauge& m_controlSent;
 };
--- a/apps/wigeonfold-node/TargetSide.cpp
+++ b/apps/wigeonfold-node/TargetSide.cpp
@@ -2,10 +2,12 @@
 // state are in TargetState.cpp.
 #include "TargetSide.h"
 
+#include "wigeonfold/forwarding/Fingerprint.h"
 #include "wigeonfold/wire/Codec.h"
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace wigeonfold::node {
 
@@ -23,6 +25,9 @@
 // Weight of the newest sample in the moving average of the latency: 1/8, as in
 // TCP's round-trip time estimate.
 constexpr int64_t kLatencyDivisor = 8;
+// Signs that the target has ended, for logs.
+constexpr const char* kRefusesConnections = "refuses-connections";
+constexpr const char* kIsSilent = "silent";
 
 // Time until the request's latency objective, aLeft being that until its
 // deadline; zero without an objective.
@@ -55,6 +60,13 @@
 {
 }
 
+TargetSide::~TargetSide()
+{
+  if (m_probe) {
+    m_probe->Close();
+  }
+}
+
 // ---- Requests --------------------------------------------------------------
 
 uint64_t TargetSide::Serve(std::shared_ptr<const wire::CallRequest> aRequest,
@@ -177,6 +189,7 @@
   if (m_target && !m_leaseLost && aNow >= m_leaseEnd) {
     m_leaseLost = true;
     m_pool->CloseIdle();
+    OnTargetEnded(m_target->m_instance, kIsSilent, aNow);
     UpdateDraining(aNow);
   }
   Apply(m_admission.Tick(aNow), aNow);
@@ -281,6 +294,9 @@
               aConnected ? targetCall.OnConnected(now)
                          : targetCall.OnConnectFailed(),
               now);
+      if (!aConnected && m_crashDetector.MayHaveEnded()) {
+        OnTargetEnded(m_target->m_instance, kRefusesConnections, now);
+      }
     }
   });
 }
@@ -292,6 +308,10 @@
   if (!aCall.m_request->requestId.empty()) {
     m_running[aCall.m_request->requestId] = aCall.m_request;
   }
+  m_crashDetector.OnWritten(aId,
+                            { aCall.m_request->requestId,
+                              forwarding::FingerprintOf(*aCall.m_request),
+                              aNow });
   TargetRequest request;
   request.m_call = aCall.m_request;
   request.m_extra = m_dialect.TargetFields(
@@ -406,6 +426,9 @@
   if (aNow + forwarding::Call::kMinRetryTime < call.m_deadline) {
     m_health.Note(*aStep.m_end);
   }
+  if (call.m_started != TimePoint{}) {
+    NoteEnd(aId, *aStep.m_end, aNow);
+  }
   if (*aStep.m_end == Outcome::Answered) {
     m_work.Note(call.m_request->route, aNow - call.m_started);
     m_sizes.Note(call.m_request->route, call.m_exchange.m_body.size());
@@ -425,6 +448,75 @@
   Apply(std::move(next), aNow);
 }
 
+// ---- End of the target -----------------------------------------------------
+
+// Notes how a request ended that was written to the target.
+void TargetSide::NoteEnd(uint64_t aId, Outcome aOutcome, TimePoint aNow)
+{
+  switch (aOutcome) {
+    case Outcome::Answered:
+    case Outcome::AnsweredFailure:
+    case Outcome::Shed:
+    case Outcome::AnswerUnusable:
+      m_crashDetector.OnAnswered(aId, aNow);
+      break;
+    case Outcome::TargetLost:
+      m_crashDetector.OnLost(aId, aNow);
+      CheckTargetEnded();
+      break;
+    case Outcome::TargetRefused:
+      m_crashDetector.OnNotSent(aId);
+      break;
+    default:
+      m_crashDetector.OnAbandoned(aId, aNow);
+      break;
+  }
+}
+
+// Opens a connection to a target that may have ended, to see whether it accepts
+// it. The connection is kept for the next request.
+void TargetSide::CheckTargetEnded()
+{
+  if (m_probe || !m_crashDetector.MayHaveEnded()) {
+    return;
+  }
+  m_probe = m_pool->Open([this](bool aConnected) {
+    const TargetConnectionPtr probe = std::exchange(m_probe, nullptr);
+    if (aConnected) {
+      m_pool->GiveBack(probe);
+    } else if (m_crashDetector.MayHaveEnded()) {
+      OnTargetEnded(m_target->m_instance, kRefusesConnections, Clock::now());
+    }
+  });
+}
+
+void TargetSide::OnTargetEnded(const std::string& aInstance,
+                               const char* aSign,
+                               TimePoint aNow)
+{
+  const forwarding::TargetCrash crash = m_crashDetector.OnEnded(aNow);
+  if (crash.m_requests.empty()) {
+    return;
+  }
+  ++m_crashes;
+  m_log.Record(EventId::TargetEnded,
+               { { "instance", aInstance },
+                 { "sign", aSign },
+                 { "requests", std::to_string(crash.m_requests.size()) } });
+  for (const forwarding::WrittenRequest& request : crash.m_requests) {
+    if (m_log.Admits(EventId::RequestAtCrash, aNow)) {
+      m_log.Record(
+        EventId::RequestAtCrash,
+        { { "request", request.m_requestId },
+          { "content", forwarding::FormatFingerprint(request.m_fingerprint) },
+          { "instance", aInstance },
+          { "ran-ms",
+            std::to_string(ToMilliseconds(aNow - request.m_written)) },
+          { "alone", crash.IsAlone() ? "yes" : "no" } });
+    }
+  }
+}
+
 void TargetSide::FillResponse(TargetReply& aReply,
                               Exchange& aExchange,
                               bool aIsHead)
--- a/apps/wigeonfold-node/TargetSide.h
+++ b/apps/wigeonfold-node/TargetSide.h
@@ -11,6 +11,7 @@
 #include "wigeonfold/forwarding/Call.h"
 #include "wigeonfold/forwarding/Dialect.h"
 #include "wigeonfold/forwarding/TargetCall.h"
+#include "wigeonfold/forwarding/TargetCrash.h"
 #include "wigeonfold/forwarding/TargetHealth.h"
 #include "wigeonfold/observe/DecisionLog.h"
 
@@ -54,6 +55,9 @@
              const forwarding::AnswerSendQueue& aLargeAnswers,
              observe::DecisionLog& aLog,
              std::function<void()> aOnChange);
+  ~TargetSide();
+  TargetSide(const TargetSide&) = delete;
+  TargetSide& operator=(const TargetSide&) = delete;
 
   void SetView(std::shared_ptr<const routing::View> aView, TimePoint aNow);
   // Takes over a report of the target. Late reports and those of a target that
@@ -146,6 +150,11 @@
   void Write(uint64_t aId, ServedCall& aCall, TimePoint aNow);
   forwarding::AnswerKind Classify(const Exchange& aExchange) const;
   void OnExchange(uint64_t aId, Exchange aExchange);
+  void NoteEnd(uint64_t aId, forwarding::Outcome aOutcome, TimePoint aNow);
+  void CheckTargetEnded();
+  void OnTargetEnded(const std::string& aInstance,
+                     const char* aSign,
+                     TimePoint aNow);
   void OnNotice(const ServedCall& aCall,
                 const Exchange& aExchange,
                 TimePoint aNow);
@@ -191,6 +200,9 @@
   std::deque<admission::Decision> m_decisions; // not carried out yet
   bool m_applying = false;                     // Apply() is running
   forwarding::TargetHealth m_health;
+  forwarding::CrashDetector m_crashDetector;
+  TargetConnectionPtr m_probe; // tells whether the target accepts connections
+  size_t m_crashes = 0;        // ends of the target under requests
   forwarding::WorkEstimates m_work; // time at the target, by route
   forwarding::AnswerSizes m_sizes;
   int64_t m_latencyUs = 0; // from write to answer, moving average
--- a/apps/wigeonfold-node/TargetState.cpp
+++ b/apps/wigeonfold-node/TargetState.cpp
@@ -5,6 +5,13 @@
 
 namespace wigeonfold::node {
 
+namespace {
+
+// Sign that an earlier start of the target has ended, for logs.
+constexpr const char* kStartedAnew = "started-anew";
+
+} // namespace
+
 const char* ToString(TargetState aState)
 {
   switch (aState) {
@@ -57,6 +64,9 @@
                              before->m_startedAtMs != m_target->m_startedAtMs ||
                              !(before->m_address == m_target->m_address) ||
                              before->m_connections != m_target->m_connections;
+  if (before && before->Start() != m_target->Start()) {
+    OnTargetEnded(before->m_instance, kStartedAnew, aNow);
+  }
   if (otherInstance) {
     m_health = {};
     m_admission.Rate().Reset();
@@ -184,6 +194,7 @@
   status.m_connections =
     m_pool->Idle() + static_cast<size_t>(m_admission.Running());
   status.m_requestLimit = m_admission.Rate().PerSecond();
+  status.m_crashes = m_crashes;
   if (m_target) {
     status.m_service = m_target->m_service;
     status.m_address = m_target->m_address;
--- a/libs/base/include/wigeonfold/base/Events.h
+++ b/libs/base/include/wigeonfold/base/Events.h
@@ -92,7 +92,9 @@
   X(TargetLimitChanged,     2118, Info,    "the node's own target named another limit on its requests per second, or none any more") \
   X(TargetNoticeMalformed,  2119, Warning, "the node's own target said something of itself that can't be read; it is ignored") \
   X(LeaveAcknowledged,      2120, Info,    "a report that the node's own target leaves was answered with success") \
-  X(LeaveNotStored,         2121, Warning, "a report that the node's own target leaves was refused, since the control VMs did not store it in time")
+  X(LeaveNotStored,         2121, Warning, "a report that the node's own target leaves was refused, since the control VMs did not store it in time") \
+  X(TargetEnded,            2122, Warning, "the node's own target ended while it ran requests") \
+  X(RequestAtCrash,         2123, Warning, "a request that the node's own target may have been running when it ended")
 // clang-format on
 
 enum class EventId : int
