--- a/apps/wigeonfold-control/Network.cpp
+++ b/apps/wigeonfold-control/Network.cpp
@@ -75,15 +75,7 @@
               },
               [this](const wire::EndpointSync& aSync,
                      const net::ConnectionPtr& aConnection) {
-                const auto answer = m_table.OnSync(aSync, Clock::now());
-                if (!answer) {
-                  return;
-                }
-                if (answer->request) {
-                  m_log.Record(EventId::EndpointResync,
-                               { { "peer", aConnection->Peer() } });
-                }
-                aConnection->Send(wire::FrameType::EndpointSync, *answer);
+                OnSync(aSync, aConnection);
               },
               [this](const wire::LeavingReport& aReport) {
                 m_channels.m_netToCore.TryPush(LeavingReceived{
@@ -129,7 +121,7 @@
 {
   m_peers.Tick(aNow);
   m_table.Tick(aNow);
-  SyncEndpoints(aNow);
+  SyncWithPeers(aNow);
   CheckEndpointsComplete(aNow);
   Execute(m_sessions.OnTick(aNow));
   if (aNow >= m_nextSummary) {
@@ -176,21 +168,46 @@
   }
 }
 
-void Network::SyncEndpoints(TimePoint aNow)
+void Network::OnSync(const wire::EndpointSync& aSync,
+                     const net::ConnectionPtr& aConnection)
+{
+  const TimePoint now = Clock::now();
+  if (aSync.__isset.crashes) {
+    Execute(m_sessions.MergeCrashes(aSync.crashes, now));
+  }
+  const auto answer = m_table.OnSync(aSync, now);
+  if (!answer) {
+    return;
+  }
+  if (answer->request) {
+    m_log.Record(EventId::EndpointResync, { { "peer", aConnection->Peer() } });
+  }
+  aConnection->Send(wire::FrameType::EndpointSync, *answer);
+}
+
+// Endpoints and crash records.
+void Network::SyncWithPeers(TimePoint aNow)
 {
   const auto members = m_peers.MemberConnections();
   std::erase_if(m_syncs, [&members](const auto& aSync) {
     return members.count(aSync.first) == 0;
   });
+  const discovery::CrashLedger& crashes = m_sessions.Crashes();
   for (const auto& [member, connection] : members) {
     SyncState& state = m_syncs[member];
+    const bool newCrashes = state.m_crashes != crashes.Revision();
     if (state.m_connection != connection.get()) {
       state.m_connection = connection.get();
+      state.m_crashes = 0;
       StartSync(member, connection);
-    } else if (state.m_cursor != m_table.SyncCursor() ||
+    } else if (state.m_cursor != m_table.SyncCursor() || newCrashes ||
                aNow >= state.m_nextSync) {
-      connection->Send(wire::FrameType::EndpointSync,
-                       m_table.SyncSince(state.m_cursor));
+      wire::EndpointSync sync = m_table.SyncSince(state.m_cursor);
+      if (newCrashes) {
+        sync.__set_crashes(crashes.Since(state.m_crashes, aNow));
+        state.m_crashes = crashes.Revision();
+      }
+      connection->Send(wire::FrameType::EndpointSync, sync);
     } else {
       continue;
     }
@@ -272,8 +289,12 @@
   net::ConnectionHandlers handlers;
   handlers.m_onFrame = [this](const net::ConnectionPtr& aConnection,
                               const wire::Frame& aFrame) {
-    Execute(m_sessions.OnFrame(
-      FindSessionId(aConnection.get()), aFrame, Clock::now()));
+    const TimePoint now = Clock::now();
+    const uint64_t crashes = m_sessions.Crashes().Revision();
+    Execute(m_sessions.OnFrame(FindSessionId(aConnection.get()), aFrame, now));
+    if (m_sessions.Crashes().Revision() != crashes) {
+      SyncWithPeers(now);
+    }
   };
   handlers.m_onClose = [this](const net::ConnectionPtr& aConnection,
                               const Error& aError) {
--- a/apps/wigeonfold-control/Network.h
+++ b/apps/wigeonfold-control/Network.h
@@ -46,13 +46,16 @@
   struct SyncState
   {
     net::Connection* m_connection = nullptr;
-    int64_t m_cursor = 0; // of the table when it was last sent
+    int64_t m_cursor = 0;   // of the table when it was last sent
+    uint64_t m_crashes = 0; // revision of the crash ledger then
     TimePoint m_nextSync;
   };
 
   void Schedule();
   void Tick(TimePoint aNow);
-  void SyncEndpoints(TimePoint aNow);
+  void OnSync(const wire::EndpointSync& aSync,
+              const net::ConnectionPtr& aConnection);
+  void SyncWithPeers(TimePoint aNow);
   void StartSync(int64_t aMember, const net::ConnectionPtr& aConnection);
   void CheckEndpointsComplete(TimePoint aNow);
   void PublishSummary(TimePoint aNow);
--- a/apps/wigeonfold-node/CallerSide.cpp
+++ b/apps/wigeonfold-node/CallerSide.cpp
@@ -6,6 +6,7 @@
 
 namespace wigeonfold::node {
 
+using discovery::CrashVerdict;
 using forwarding::AttemptKey;
 using forwarding::CallStep;
 using forwarding::Outcome;
@@ -29,6 +30,7 @@
                        forwarding::Dialect& aDialect,
                        NodeMetrics& aMetrics,
                        admission::Link& aLink,
+                       const discovery::CrashLedger& aCrashes,
                        observe::DecisionLog& aLog)
   : m_nodeName(std::move(aNodeName))
   , m_chooser(std::move(aChooser))
@@ -37,6 +39,7 @@
   , m_dialect(aDialect)
   , m_metrics(aMetrics)
   , m_link(aLink)
+  , m_crashLedger(aCrashes)
   , m_log(aLog)
 {
 }
@@ -76,11 +79,19 @@
     parsed.m_request->repeat = parent->repeat;
   }
   const uint64_t fingerprint = forwarding::FingerprintOf(*parsed.m_request);
+  const discovery::CrashJudgement judgement =
+    m_crashLedger.Judge(fingerprint, now);
+  if (judgement.m_verdict == CrashVerdict::Quarantine) {
+    LogQuarantined(*parsed.m_request, fingerprint, judgement.m_left, now);
+    Reject(Outcome::Quarantined, aRespond, judgement.m_left);
+    return;
+  }
   const uint64_t id = ++m_lastId;
   forwarding::CallSpec spec;
   spec.m_idempotent = parsed.m_request->idempotent;
   spec.m_deadline = parsed.m_deadline;
   spec.m_maxAttempts = parsed.m_maxAttempts;
+  spec.m_fingerprint = fingerprint;
   spec.m_fromRetriedRequest = parsed.m_request->repeat;
   if (parsed.m_request->__isset.objectiveLeadUs) {
     spec.m_objective = parsed.m_deadline - std::chrono::microseconds(
@@ -101,6 +112,7 @@
                 0,
                 forwarding::kNoTarget });
   ActiveCall& call = added.first->second;
+  call.m_call.SetIsolated(judgement.m_verdict == CrashVerdict::Isolate);
   call.m_bytes = call.m_request->body.size();
   m_bytes += call.m_bytes;
   m_deadlines.Add(call.m_expiresAt, id);
@@ -108,10 +120,30 @@
   Execute(id, call.m_call.Start(now));
 }
 
-void CallerSide::Reject(Outcome aOutcome, const net::HttpRespond& aRespond)
+void CallerSide::Reject(Outcome aOutcome,
+                        const net::HttpRespond& aRespond,
+                        Duration aRetryAfter)
 {
   m_metrics.CountOutcome(aOutcome);
-  aRespond(m_dialect.LocalAnswer({ aOutcome, forwarding::kNoTarget }));
+  aRespond(
+    m_dialect.LocalAnswer({ aOutcome, forwarding::kNoTarget, aRetryAfter }));
+}
+
+void CallerSide::LogQuarantined(const wire::CallRequest& aRequest,
+                                uint64_t aFingerprint,
+                                Duration aLeft,
+                                TimePoint aNow)
+{
+  if (!m_log.Admits(EventId::RequestQuarantined, aNow)) {
+    return;
+  }
+  m_log.Record(
+    EventId::RequestQuarantined,
+    { { "request", aRequest.requestId },
+      { "content", forwarding::FormatFingerprint(aFingerprint) },
+      { "route", aRequest.route },
+      { "crashes", std::to_string(m_crashLedger.CrashesOf(aFingerprint)) },
+      { "left-ms", std::to_string(ToMilliseconds(aLeft)) } });
 }
 
 void CallerSide::OnCallerDisconnected(uint64_t aId)
@@ -242,6 +274,9 @@
   if (aOutcome == Outcome::AnsweredFailure) {
     call.m_failureResponse = call.m_response;
   }
+  // Targets may have ended since the attempt began.
+  const auto judgement = m_crashLedger.Judge(call.m_fingerprint, Clock::now());
+  call.m_call.SetIsolated(judgement.m_verdict == CrashVerdict::Isolate);
   const wire::TargetLoad* load =
     call.m_response.__isset.load ? &call.m_response.load : nullptr;
   Execute(
--- a/apps/wigeonfold-node/CallerSide.h
+++ b/apps/wigeonfold-node/CallerSide.h
@@ -30,6 +30,7 @@
              forwarding::Dialect& aDialect,
              NodeMetrics& aMetrics,
              admission::Link& aLink,
+             const discovery::CrashLedger& aCrashes,
              observe::DecisionLog& aLog);
 
   // aView must not be null. Calls under way keep the view they started with.
@@ -89,7 +90,13 @@
     std::optional<wire::CallResponse> m_failureResponse;
   };
 
-  void Reject(forwarding::Outcome aOutcome, const net::HttpRespond& aRespond);
+  void Reject(forwarding::Outcome aOutcome,
+              const net::HttpRespond& aRespond,
+              Duration aRetryAfter = Duration::zero());
+  void LogQuarantined(const wire::CallRequest& aRequest,
+                      uint64_t aFingerprint,
+                      Duration aLeft,
+                      TimePoint aNow);
   void Execute(uint64_t aId, const forwarding::CallStep& aStep);
   void Start(uint64_t aId,
              ActiveCall& aCall,
@@ -114,6 +121,7 @@
   forwarding::Dialect& m_dialect;
   NodeMetrics& m_metrics;
   admission::Link& m_link;
+  const discovery::CrashLedger& m_crashLedger;
   observe::DecisionLog& m_log;
   std::shared_ptr<const routing::View> m_view;
   bool m_ready = false;
--- a/apps/wigeonfold-node/ControlLink.cpp
+++ b/apps/wigeonfold-node/ControlLink.cpp
@@ -97,6 +97,8 @@
     Execute(m_subscriber.Announce(*record, now));
   } else if (const auto* leaving = std::get_if<TargetStart>(&aMessage)) {
     Execute(m_subscriber.StoreLeaving(*leaving, now));
+  } else if (const auto* crashes = std::get_if<CrashRecords>(&aMessage)) {
+    Execute(m_subscriber.ReportCrashes(*crashes, now));
   } else {
     Execute(m_subscriber.OnPeerVersion(std::get<Version>(aMessage), now));
   }
@@ -235,6 +237,14 @@
   Publish();
 }
 
+void ControlLink::Do(const distribution::NoteCrashes& aAction)
+{
+  CrashRecords& crashes = Unpublished().m_crashes;
+  crashes.insert(
+    crashes.end(), aAction.m_records.begin(), aAction.m_records.end());
+  Publish();
+}
+
 // ---- Views -----------------------------------------------------------------
 
 // Keeps the view for TakeOrBuildView(), because a state that passes the check
--- a/apps/wigeonfold-node/DataPlane.cpp
+++ b/apps/wigeonfold-node/DataPlane.cpp
@@ -67,6 +67,7 @@
              *m_dialect,
              m_link,
              m_largeAnswers,
+             m_crashLedger,
              m_decisionLog,
              [this] { AnnounceEndpoint(); })
   , m_peerClient(aIo,
@@ -88,6 +89,7 @@
       *m_dialect,
       aMetrics,
       m_link,
+      m_crashLedger,
       m_decisionLog)
   , m_peerServer(aIo,
                  m_identity,
@@ -168,6 +170,7 @@
   for (const KnownLeaving& leaving : aUpdate.m_leaving) {
     OnKnownLeaving(leaving);
   }
+  m_crashLedger.Merge(aUpdate.m_crashes, Clock::now());
   if (aUpdate.m_view) {
     m_view = aUpdate.m_view;
     m_digest = aUpdate.m_digest;
@@ -276,6 +279,15 @@
   }
 }
 
+void DataPlane::ShareCrashes(TimePoint aNow)
+{
+  const uint64_t revision = m_crashLedger.Revision();
+  if (revision != m_sharedCrashes && m_hooks.m_onCrashes &&
+      m_hooks.m_onCrashes(m_crashLedger.Since(m_sharedCrashes, aNow))) {
+    m_sharedCrashes = revision;
+  }
+}
+
 // After a restart, a node must not serve an older version than before. A
 // control VM that has just started may not know the newest version yet, so
 // other nodes are asked too: connecting to a node exchanges versions.
@@ -312,6 +324,7 @@
   m_callerSide.Tick(now);
   m_peerServer.Tick(now);
   Answer(m_leaveAnswers.TakeExpired(now), false);
+  ShareCrashes(now);
   if (m_announcePending) {
     AnnounceEndpoint();
   }
@@ -336,6 +349,7 @@
 void DataPlane::EverySecond()
 {
   m_target.Sweep();
+  m_crashLedger.Tick(Clock::now());
   const TargetStatus status = m_target.Status();
   m_metrics.SetTargetLoad(status.m_running, status.m_queued, status.m_slots);
   m_metrics.SetTargetRequestLimit(status.m_requestLimit.value_or(0));
--- a/apps/wigeonfold-node/DataPlane.h
+++ b/apps/wigeonfold-node/DataPlane.h
@@ -6,6 +6,7 @@
 #include "NodeSettings.h"
 #include "PeerServer.h"
 
+#include "wigeonfold/discovery/CrashLedger.h"
 #include "wigeonfold/discovery/LeaveAnswers.h"
 
 #include <boost/asio/io_context.hpp>
@@ -33,6 +34,9 @@
     std::function<void(const TargetStart&)> m_onLeaving;
     // Answers an announcement.
     std::function<void(const AnnouncementAnswer&)> m_onAnswer;
+    // Crash records changed and are to be shared with other nodes. When it
+    // returns false, it is called again on the next tick.
+    std::function<bool(const CrashRecords&)> m_onCrashes;
   };
 
   // aDialect is spoken by callers and by the node's own target. aMetrics and
@@ -73,6 +77,7 @@
   void OnKnownLeaving(const KnownLeaving& aLeaving);
   void Answer(const std::vector<uint64_t>& aIds, bool aAcknowledged);
   void OnPeerVersion(const Version& aVersion);
+  void ShareCrashes(TimePoint aNow);
   void QueryPeerVersions();
   void OnLingerOver();
   void FinishIfDrained(TimePoint aNow);
@@ -86,6 +91,8 @@
   const std::unique_ptr<forwarding::Dialect> m_dialect;
   PeerIdentity m_identity;
   admission::Link m_link;
+  discovery::CrashLedger m_crashLedger;
+  uint64_t m_sharedCrashes = 0; // revision of the ledger that was shared last
   forwarding::AnswerSendQueue m_largeAnswers;
   TargetSide m_target;
   discovery::LeaveAnswers m_leaveAnswers;
--- a/apps/wigeonfold-node/Messages.h
+++ b/apps/wigeonfold-node/Messages.h
@@ -6,6 +6,7 @@
 #include "wigeonfold/base/Version.h"
 #include "wigeonfold/discovery/TargetReport.h"
 #include "wigeonfold/routing/View.h"
+#include "wigeonfold/wire/gen/control_types.h"
 
 #include <optional>
 #include <string>
@@ -20,6 +21,8 @@
   bool m_stored = false; // by the control VMs
 };
 
+using CrashRecords = std::vector<wire::CrashRecord>;
+
 // From the control thread to the data thread.
 struct ViewUpdate
 {
@@ -31,6 +34,8 @@
   // Starts of the node's target that leave, as announced before a restart or
   // stored by the control VMs. They precede m_ready.
   std::vector<KnownLeaving> m_leaving;
+  // New or changed ones, as other nodes report them.
+  CrashRecords m_crashes;
 };
 
 // A target's report of itself.
@@ -104,9 +109,10 @@
 using DataToHttp = std::variant<StatusReport, AnnouncementAnswer>;
 
 // From the data thread to the control thread: the node's own endpoint changed,
-// a peer reported a newer version, or a start of the target leaves and is to be
-// stored.
-using DataToControl = std::variant<wire::EndpointRecord, Version, TargetStart>;
+// a peer reported a newer version, a start of the target leaves and is to be
+// stored, or crash records changed.
+using DataToControl =
+  std::variant<wire::EndpointRecord, Version, TargetStart, CrashRecords>;
 
 // Limit on the total size of request bodies in memory, applied to the requests
 // of callers and to those for the node's own target separately. With both at
--- a/apps/wigeonfold-node/Node.cpp
+++ b/apps/wigeonfold-node/Node.cpp
@@ -119,6 +119,9 @@
   hooks.m_onLeaving = [this](const TargetStart& aStart) {
     SendToControl(aStart);
   };
+  hooks.m_onCrashes = [this](const CrashRecords& aRecords) {
+    return SendToControl(aRecords);
+  };
   hooks.m_onAnswer = [this](const AnnouncementAnswer& aAnswer) {
     SendToHttp(aAnswer);
   };
--- a/apps/wigeonfold-node/TargetSide.cpp
+++ b/apps/wigeonfold-node/TargetSide.cpp
@@ -2,6 +2,7 @@
 // state are in TargetState.cpp.
 #include "TargetSide.h"
 
+#include "wigeonfold/base/Hash.h"
 #include "wigeonfold/forwarding/Fingerprint.h"
 #include "wigeonfold/wire/Codec.h"
 
@@ -12,6 +13,7 @@
 namespace wigeonfold::node {
 
 using admission::Decision;
+using discovery::CrashVerdict;
 using forwarding::AnswerKind;
 using forwarding::Outcome;
 using forwarding::TargetStep;
@@ -38,6 +40,14 @@
            : Duration::zero();
 }
 
+// Whether the target may end, or hang, because of a request that ended so.
+bool MayHaveEndedTarget(Outcome aOutcome)
+{
+  return aOutcome == Outcome::TargetLost ||
+         aOutcome == Outcome::ExpiredAfterWrite ||
+         aOutcome == Outcome::CancelledAfterWrite;
+}
+
 } // namespace
 
 TargetSide::TargetSide(TargetSideOptions aOptions,
@@ -46,6 +56,7 @@
                        const forwarding::Dialect& aDialect,
                        const admission::Link& aLink,
                        const forwarding::AnswerSendQueue& aLargeAnswers,
+                       discovery::CrashLedger& aCrashes,
                        observe::DecisionLog& aLog,
                        std::function<void()> aOnChange)
   : m_options(std::move(aOptions))
@@ -54,6 +65,7 @@
   , m_dialect(aDialect)
   , m_link(aLink)
   , m_largeAnswers(aLargeAnswers)
+  , m_crashLedger(aCrashes)
   , m_log(aLog)
   , m_onChange(std::move(aOnChange))
   , m_startedAt(Clock::now())
@@ -75,11 +87,19 @@
                            OnTargetReply aReply)
 {
   const uint64_t id = ++m_lastId;
-  if (const auto outcome = CheckServable(*aRequest)) {
+  const uint64_t fingerprint = forwarding::FingerprintOf(*aRequest);
+  const discovery::CrashJudgement judgement =
+    m_crashLedger.Judge(fingerprint, aNow);
+  auto refusal = CheckServable(*aRequest);
+  if (judgement.m_verdict == CrashVerdict::Quarantine) {
+    refusal = Outcome::Quarantined;
+  }
+  if (refusal) {
     TargetReply reply;
-    reply.m_outcome = *outcome;
+    reply.m_outcome = *refusal;
     Exchange none;
     FillResponse(reply, none, false);
+    reply.m_response.retryAfterUs = ToMicroseconds(judgement.m_left);
     aReply(std::move(reply));
     return id;
   }
@@ -99,7 +119,10 @@
       aDeadline - std::chrono::microseconds(aRequest->objectiveLeadUs),
       request.m_work);
   }
+  request.m_isolated = judgement.m_verdict == CrashVerdict::Isolate;
   ServedCall call{ forwarding::TargetCall(aDeadline) };
+  call.m_fingerprint = fingerprint;
+  call.m_isolated = request.m_isolated;
   call.m_expectedBytes = ExpectedLargeAnswer(*aRequest);
   request.m_linkWait = LinkWait(call.m_expectedBytes, request.m_work, aNow);
   m_expectedBytes += call.m_expectedBytes;
@@ -186,6 +209,9 @@
 
 void TargetSide::Tick(TimePoint aNow)
 {
+  if (m_heldSlot && aNow >= m_heldSlot->m_until) {
+    ReleaseHeldSlot(aNow);
+  }
   if (m_target && !m_leaseLost && aNow >= m_leaseEnd) {
     m_leaseLost = true;
     m_pool->CloseIdle();
@@ -217,24 +243,52 @@
     if (call == m_calls.end()) {
       // Cancelled after the decision: its slot is free again.
       if (decision.m_start) {
-        const auto more = m_admission.Finished(decision.m_id, aNow);
-        m_decisions.insert(m_decisions.end(), more.begin(), more.end());
+        FreeSlot(decision.m_id, aNow);
       }
       continue;
     }
-    forwarding::TargetCall& targetCall = call->second.m_call;
-    call->second.m_retryAfter = decision.m_retryAfter;
-    if (!decision.m_start) {
-      LogRejection(call->second, decision, aNow);
-    }
-    Execute(decision.m_id,
-            decision.m_start ? targetCall.OnAdmitted(aNow)
-                             : targetCall.OnRejected(decision.m_reason),
-            aNow);
+    CarryOut(decision, call->second, aNow);
   }
   m_applying = false;
 }
 
+// aCall may be destroyed when this returns.
+void TargetSide::CarryOut(const Decision& aDecision,
+                          ServedCall& aCall,
+                          TimePoint aNow)
+{
+  forwarding::TargetCall& targetCall = aCall.m_call;
+  aCall.m_retryAfter = aDecision.m_retryAfter;
+  if (!aDecision.m_start) {
+    LogRejection(aCall, aDecision, aNow);
+    Execute(aDecision.m_id, targetCall.OnRejected(aDecision.m_reason), aNow);
+    return;
+  }
+  if (aCall.m_isolated) {
+    // Another such request may have been convicted while this one waited.
+    const auto judgement = m_crashLedger.Judge(aCall.m_fingerprint, aNow);
+    if (judgement.m_verdict == CrashVerdict::Quarantine) {
+      aCall.m_retryAfter = judgement.m_left;
+      Execute(aDecision.m_id, targetCall.OnQuarantined(), aNow);
+      FreeSlot(aDecision.m_id, aNow);
+      return;
+    }
+    m_log.Record(
+      EventId::RequestIsolated,
+      { { "request", aCall.m_request->requestId },
+        { "content", forwarding::FormatFingerprint(aCall.m_fingerprint) },
+        { "crashes",
+          std::to_string(m_crashLedger.CrashesOf(aCall.m_fingerprint)) } });
+  }
+  Execute(aDecision.m_id, targetCall.OnAdmitted(aNow), aNow);
+}
+
+// Frees the slot of a request that is not in m_calls any more.
+void TargetSide::FreeSlot(uint64_t aId, TimePoint aNow)
+{
+  Apply(m_admission.Finished(aId, aNow), aNow);
+}
+
 void TargetSide::LogRejection(const ServedCall& aCall,
                               const Decision& aDecision,
                               TimePoint aNow)
@@ -308,10 +362,8 @@
   if (!aCall.m_request->requestId.empty()) {
     m_running[aCall.m_request->requestId] = aCall.m_request;
   }
-  m_crashDetector.OnWritten(aId,
-                            { aCall.m_request->requestId,
-                              forwarding::FingerprintOf(*aCall.m_request),
-                              aNow });
+  m_crashDetector.OnWritten(
+    aId, { aCall.m_request->requestId, aCall.m_fingerprint, aNow });
   TargetRequest request;
   request.m_call = aCall.m_request;
   request.m_extra = m_dialect.TargetFields(
@@ -418,7 +470,10 @@
     m_pool->GiveBack(std::move(call.m_connection));
   }
   std::vector<Decision> next;
-  if (aStep.m_releaseSlot) {
+  if (aStep.m_releaseSlot && call.m_isolated &&
+      MayHaveEndedTarget(*aStep.m_end)) {
+    HoldSlot(aId, aNow);
+  } else if (aStep.m_releaseSlot) {
     next = m_admission.Finished(aId, aNow);
   }
   // A failure this close to the deadline says that the request took long, not
@@ -427,7 +482,7 @@
     m_health.Note(*aStep.m_end);
   }
   if (call.m_started != TimePoint{}) {
-    NoteEnd(aId, *aStep.m_end, aNow);
+    NoteEnd(aId, call, *aStep.m_end, aNow);
   }
   if (*aStep.m_end == Outcome::Answered) {
     m_work.Note(call.m_request->route, aNow - call.m_started);
@@ -451,11 +506,17 @@
 // ---- End of the target -----------------------------------------------------
 
 // Notes how a request ended that was written to the target.
-void TargetSide::NoteEnd(uint64_t aId, Outcome aOutcome, TimePoint aNow)
+void TargetSide::NoteEnd(uint64_t aId,
+                         const ServedCall& aCall,
+                         Outcome aOutcome,
+                         TimePoint aNow)
 {
   switch (aOutcome) {
     case Outcome::Answered:
     case Outcome::AnsweredFailure:
+      NoteCompleted(aCall, aNow);
+      m_crashDetector.OnAnswered(aId, aNow);
+      break;
     case Outcome::Shed:
     case Outcome::AnswerUnusable:
       m_crashDetector.OnAnswered(aId, aNow);
@@ -473,6 +534,31 @@
   }
 }
 
+void TargetSide::NoteCompleted(const ServedCall& aCall, TimePoint aNow)
+{
+  const size_t crashes = m_crashLedger.CrashesOf(aCall.m_fingerprint);
+  m_crashLedger.NoteCompleted(aCall.m_fingerprint, aNow);
+  if (crashes > 0 && m_log.Admits(EventId::RequestExonerated, aNow)) {
+    m_log.Record(
+      EventId::RequestExonerated,
+      { { "request", aCall.m_request->requestId },
+        { "content", forwarding::FormatFingerprint(aCall.m_fingerprint) },
+        { "crashes", std::to_string(crashes) } });
+  }
+}
+
+void TargetSide::HoldSlot(uint64_t aId, TimePoint aNow)
+{
+  m_heldSlot = HeldSlot{ aId, aNow + m_options.m_announceLease };
+}
+
+void TargetSide::ReleaseHeldSlot(TimePoint aNow)
+{
+  if (const auto held = std::exchange(m_heldSlot, std::nullopt)) {
+    FreeSlot(held->m_id, aNow);
+  }
+}
+
 // Opens a connection to a target that may have ended, to see whether it accepts
 // it. The connection is kept for the next request.
 void TargetSide::CheckTargetEnded()
@@ -484,6 +570,7 @@
     const TargetConnectionPtr probe = std::exchange(m_probe, nullptr);
     if (aConnected) {
       m_pool->GiveBack(probe);
+      ReleaseHeldSlot(Clock::now());
     } else if (m_crashDetector.MayHaveEnded()) {
       OnTargetEnded(m_target->m_instance, kRefusesConnections, Clock::now());
     }
@@ -499,11 +586,27 @@
     return;
   }
   ++m_crashes;
+  const auto eventId = static_cast<int64_t>(
+    Hash64(m_options.m_nodeName + '/' + aInstance + '/' +
+           std::to_string(ToMicroseconds(aNow.time_since_epoch()))));
+  for (const forwarding::WrittenRequest& request : crash.m_requests) {
+    m_crashLedger.AddCrash(
+      request.m_fingerprint, eventId, crash.IsAlone(), aNow);
+  }
+  LogCrash(crash, aInstance, aSign, aNow);
+  ReleaseHeldSlot(aNow);
+}
+
+void TargetSide::LogCrash(const forwarding::TargetCrash& aCrash,
+                          const std::string& aInstance,
+                          const char* aSign,
+                          TimePoint aNow)
+{
   m_log.Record(EventId::TargetEnded,
                { { "instance", aInstance },
                  { "sign", aSign },
-                 { "requests", std::to_string(crash.m_requests.size()) } });
-  for (const forwarding::WrittenRequest& request : crash.m_requests) {
+                 { "requests", std::to_string(aCrash.m_requests.size()) } });
+  for (const forwarding::WrittenRequest& request : aCrash.m_requests) {
     if (m_log.Admits(EventId::RequestAtCrash, aNow)) {
       m_log.Record(
         EventId::RequestAtCrash,
@@ -512,7 +615,9 @@
           { "instance", aInstance },
           { "ran-ms",
             std::to_string(ToMilliseconds(aNow - request.m_written)) },
-          { "alone", crash.IsAlone() ? "yes" : "no" } });
+          { "alone", aCrash.IsAlone() ? "yes" : "no" },
+          { "crashes",
+            std::to_string(m_crashLedger.CrashesOf(request.m_fingerprint)) } });
     }
   }
 }
--- a/apps/wigeonfold-node/TargetSide.h
+++ b/apps/wigeonfold-node/TargetSide.h
@@ -7,6 +7,7 @@
 
 #include "wigeonfold/admission/Admission.h"
 #include "wigeonfold/admission/Link.h"
+#include "wigeonfold/discovery/CrashLedger.h"
 #include "wigeonfold/forwarding/AnswerParts.h"
 #include "wigeonfold/forwarding/Call.h"
 #include "wigeonfold/forwarding/Dialect.h"
@@ -53,6 +54,7 @@
              const forwarding::Dialect& aDialect,
              const admission::Link& aLink,
              const forwarding::AnswerSendQueue& aLargeAnswers,
+             discovery::CrashLedger& aCrashes,
              observe::DecisionLog& aLog,
              std::function<void()> aOnChange);
   ~TargetSide();
@@ -127,6 +129,8 @@
   {
     forwarding::TargetCall m_call;
     std::shared_ptr<const wire::CallRequest> m_request;
+    uint64_t m_fingerprint = 0;
+    bool m_isolated = false; // runs alone
     TimePoint m_deadline{};
     TimePoint m_arrived{};
     TimePoint m_started{};
@@ -138,6 +142,14 @@
     Exchange m_exchange;
   };
 
+  // The slot of an isolated request that ended without an answer. No other
+  // request starts until the target has shown whether it ended.
+  struct HeldSlot
+  {
+    uint64_t m_id = 0;
+    TimePoint m_until{};
+  };
+
   bool MayBeOfOwnTarget(const Announcement& aAnnouncement) const;
   std::optional<forwarding::Outcome> CheckServable(
     const wire::CallRequest& aRequest) const;
@@ -145,16 +157,30 @@
   Duration LinkWait(size_t aBytes, Duration aWork, TimePoint aNow) const;
   const std::vector<admission::Share>& SharesOf(const std::string& aAccount);
   void Apply(std::vector<admission::Decision> aDecisions, TimePoint aNow);
+  void CarryOut(const admission::Decision& aDecision,
+                ServedCall& aCall,
+                TimePoint aNow);
+  void FreeSlot(uint64_t aId, TimePoint aNow);
   void Execute(uint64_t aId, forwarding::TargetStep aStep, TimePoint aNow);
   void Connect(uint64_t aId, ServedCall& aCall, TimePoint aNow);
   void Write(uint64_t aId, ServedCall& aCall, TimePoint aNow);
   forwarding::AnswerKind Classify(const Exchange& aExchange) const;
   void OnExchange(uint64_t aId, Exchange aExchange);
-  void NoteEnd(uint64_t aId, forwarding::Outcome aOutcome, TimePoint aNow);
+  void NoteEnd(uint64_t aId,
+               const ServedCall& aCall,
+               forwarding::Outcome aOutcome,
+               TimePoint aNow);
+  void NoteCompleted(const ServedCall& aCall, TimePoint aNow);
+  void HoldSlot(uint64_t aId, TimePoint aNow);
+  void ReleaseHeldSlot(TimePoint aNow);
   void CheckTargetEnded();
   void OnTargetEnded(const std::string& aInstance,
                      const char* aSign,
                      TimePoint aNow);
+  void LogCrash(const forwarding::TargetCrash& aCrash,
+                const std::string& aInstance,
+                const char* aSign,
+                TimePoint aNow);
   void OnNotice(const ServedCall& aCall,
                 const Exchange& aExchange,
                 TimePoint aNow);
@@ -176,6 +202,7 @@
   const forwarding::Dialect& m_dialect;
   const admission::Link& m_link;
   const forwarding::AnswerSendQueue& m_largeAnswers;
+  discovery::CrashLedger& m_crashLedger;
   observe::DecisionLog& m_log;
   const std::function<void()> m_onChange;
   std::shared_ptr<const routing::View> m_view;
@@ -203,6 +230,7 @@
   forwarding::CrashDetector m_crashDetector;
   TargetConnectionPtr m_probe; // tells whether the target accepts connections
   size_t m_crashes = 0;        // ends of the target under requests
+  std::optional<HeldSlot> m_heldSlot;
   forwarding::WorkEstimates m_work; // time at the target, by route
   forwarding::AnswerSizes m_sizes;
   int64_t m_latencyUs = 0; // from write to answer, moving average
--- a/apps/wigeonfold-node/TargetState.cpp
+++ b/apps/wigeonfold-node/TargetState.cpp
@@ -51,6 +51,7 @@
     // A late report of the current start is a sign of life as well. All of them
     // look late after another writer's report with a great sequence number.
     m_leaseEnd = aNow + m_options.m_announceLease;
+    ReleaseHeldSlot(aNow);
   }
   if (result != discovery::ReportResult::Applied) {
     return result;
--- a/idl/common.thrift
+++ b/idl/common.thrift
@@ -21,6 +21,24 @@
   2: double perSecond,
 }
 
+// The end of a target while it may have been running a request.
+struct CrashEvent {
+  // Differs for each end of a target.
+  1: i64 id,
+  // No other request was under way there.
+  2: bool alone,
+  3: i64 ageMs,
+  // A target has run the request to its end, so the crash was not its doing.
+  4: bool refuted,
+}
+
+// The ends of targets that may have been running requests with the same
+// content.
+struct CrashRecord {
+  1: i64 fingerprint,
+  2: list<CrashEvent> events,
+}
+
 // One branch of the settings tree, or its tombstone when removed is true.
 struct BranchState {
   1: string path,
--- a/idl/control.thrift
+++ b/idl/control.thrift
@@ -117,6 +117,9 @@
   // The group may still lose the newest of them together with a disk, so they
   // must not be acknowledged yet.
   6: bool leavingPending,
+  // Crash records that are new or have changed since the last heartbeat that
+  // had some; all of them in the first one of a session.
+  7: optional list<common.CrashRecord> crashes,
 }
 
 struct NodeStatus {
@@ -140,6 +143,8 @@
   11: optional i64 confirm,
   // Starts of the node's targets that leave and are not known to be stored.
   12: optional list<common.TargetStart> leaving,
+  // Like Heartbeat.crashes.
+  13: optional list<common.CrashRecord> crashes,
 }
 
 // The control VM has no capacity for this session now.
@@ -161,6 +166,9 @@
   7: i64 cursor,
   // Asks the receiver, who is the owner, for a full transfer.
   8: bool request,
+  // Crash records that are new or have changed since the last sync on this
+  // connection that had some.
+  9: optional list<common.CrashRecord> crashes,
 }
 
 // First message on a connection between two control VMs.
--- a/libs/admission/include/wigeonfold/admission/Admission.h
+++ b/libs/admission/include/wigeonfold/admission/Admission.h
@@ -4,6 +4,7 @@
 #include "wigeonfold/admission/Queue.h"
 #include "wigeonfold/admission/RateLimit.h"
 
+#include <deque>
 #include <unordered_map>
 #include <vector>
 
@@ -21,6 +22,7 @@
   TooLate,            // no slot would be free in time for the latency objective
   // The limit that the target names would let it start too late for that.
   RateLimited,
+  Isolation, // it has to run alone, and the others did not end in time
 };
 
 const char* ToString(RejectReason aReason);
@@ -95,10 +97,19 @@
   Duration ExpectedWait(int aPriority, TimePoint aNow) const;
 
   int Running() const { return static_cast<int>(m_running.size()); }
-  int Queued() const { return static_cast<int>(m_queue->Size()); }
+  int Queued() const
+  {
+    return static_cast<int>(m_queue->Size() + m_isolated.size());
+  }
   int Slots() const { return m_limits.m_slots; }
   bool IsDraining() const { return m_draining; }
 
+  // Longest time for which requests that run alone keep others from starting
+  // before they start themselves. Most requests end within it.
+  static constexpr Duration kMaxIsolationWait = std::chrono::milliseconds(500);
+  // Isolated requests that wait at a time.
+  static constexpr size_t kMaxIsolated = 8;
+
 private:
   struct RunningRequest
   {
@@ -122,12 +133,22 @@
                       TimePoint aNow) const;
   Duration RateWait(int aPriority, TimePoint aNow) const;
   RejectReason CheckExpiry(const Request& aRequest, TimePoint aNow) const;
+  std::vector<Decision> OfferIsolated(const Request& aRequest, TimePoint aNow);
+  // Whether an isolated request waits or runs.
+  bool IsIsolating() const { return !m_isolated.empty() || m_runsIsolated; }
+  void ExpireIsolated(std::vector<Decision>& aDecisions, TimePoint aNow);
+  bool StartIsolated(std::vector<Decision>& aDecisions, TimePoint aNow);
   void StartQueued(std::vector<Decision>& aDecisions, TimePoint aNow);
+  void Start(const Request& aRequest,
+             std::vector<Decision>& aDecisions,
+             TimePoint aNow);
 
   std::unique_ptr<Queue> m_queue;
   Limits m_limits;
   RateLimit m_rate;
   bool m_draining = false;
+  std::deque<Request> m_isolated; // waiting, oldest first
+  bool m_runsIsolated = false;
   std::unordered_map<uint64_t, RunningRequest> m_running;
 };
 
--- a/libs/admission/include/wigeonfold/admission/Queue.h
+++ b/libs/admission/include/wigeonfold/admission/Queue.h
@@ -39,6 +39,8 @@
   // time, if the request started now. Other answers on the link have to go
   // first.
   Duration m_linkWait{};
+  // Runs only while no other request does.
+  bool m_isolated = false;
 };
 
 // Strategy that orders waiting requests. Not thread safe.
--- a/libs/admission/src/Admission.cpp
+++ b/libs/admission/src/Admission.cpp
@@ -1,6 +1,7 @@
 #include "wigeonfold/admission/Admission.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace wigeonfold::admission {
 
@@ -34,6 +35,8 @@
       return "too-late";
     case RejectReason::RateLimited:
       return "rate-limited";
+    case RejectReason::Isolation:
+      return "isolation";
   }
   return "none";
 }
@@ -71,6 +74,9 @@
       m_queue->Remove(request.m_id);
       decisions.push_back({ request.m_id, false, RejectReason::Draining });
     }
+    for (const Request& request : std::exchange(m_isolated, {})) {
+      decisions.push_back({ request.m_id, false, RejectReason::Draining });
+    }
   }
   StartQueued(decisions, aNow);
   return decisions;
@@ -78,6 +84,9 @@
 
 std::vector<Decision> Admission::Offer(const Request& aRequest, TimePoint aNow)
 {
+  if (aRequest.m_isolated) {
+    return OfferIsolated(aRequest, aNow);
+  }
   std::vector<Decision> decisions;
   RejectReason reason =
     m_draining ? RejectReason::Draining : CheckExpiry(aRequest, aNow);
@@ -113,8 +122,12 @@
   std::vector<Decision> decisions;
   const auto running = m_running.find(aId);
   if (running != m_running.end()) {
-    m_queue->OnFinished(running->second.m_request,
-                        aNow - running->second.m_started);
+    if (running->second.m_request.m_isolated) {
+      m_runsIsolated = false;
+    } else {
+      m_queue->OnFinished(running->second.m_request,
+                          aNow - running->second.m_started);
+    }
     m_running.erase(running);
   }
   StartQueued(decisions, aNow);
@@ -123,15 +136,18 @@
 
 bool Admission::Cancel(uint64_t aId)
 {
-  return m_queue->Remove(aId);
+  const auto removed = std::erase_if(
+    m_isolated, [aId](const Request& aOne) { return aOne.m_id == aId; });
+  return removed > 0 || m_queue->Remove(aId);
 }
 
 std::vector<Decision> Admission::Tick(TimePoint aNow)
 {
   std::vector<Decision> decisions;
-  if (m_queue->Size() == 0) {
+  if (m_queue->Size() == 0 && m_isolated.empty()) {
     return decisions;
   }
+  ExpireIsolated(decisions, aNow);
   for (const Request& request : m_queue->Waiting()) {
     RejectReason reason = CheckExpiry(request, aNow);
     if (reason == RejectReason::None &&
@@ -149,7 +165,7 @@
 
 bool Admission::HasRoom(TimePoint aNow) const
 {
-  return Running() < m_limits.m_slots && m_queue->Size() == 0 &&
+  return Running() < m_limits.m_slots && Queued() == 0 && !m_runsIsolated &&
          m_rate.WaitFor(1, aNow) == Duration::zero();
 }
 
@@ -210,11 +226,15 @@
     return Duration::max();
   }
   Duration remaining{};
+  Duration longest{}; // of the remaining times
   for (const auto& [id, running] : m_running) {
     const Duration expected = running.m_request.m_work;
     // A request that has run longer than expected is probably one of the few
     // long ones, so some time is always expected to remain.
-    remaining += std::max(expected - (aNow - running.m_started), expected / 4);
+    const Duration left =
+      std::max(expected - (aNow - running.m_started), expected / 4);
+    remaining += left;
+    longest = std::max(longest, left);
   }
   // Slots become free evenly spread over the mean remaining time, so the first
   // one after 1 / m_slots of it.
@@ -222,6 +242,12 @@
   if (Running() >= m_limits.m_slots) {
     wait = remaining / m_limits.m_slots / m_limits.m_slots;
   }
+  if (IsIsolating()) {
+    wait = longest;
+    for (const Request& isolated : m_isolated) {
+      wait += isolated.m_work;
+    }
+  }
   Duration work{};
   for (const Request& waiting : m_queue->Waiting()) {
     if (waiting.m_priority >= aPriority) {
@@ -267,10 +293,78 @@
            : RejectReason::None;
 }
 
+// ---- Requests that run alone -----------------------------------------------
+
+// Late answers are accepted: the request was lost before, or it has waited for
+// the others.
+std::vector<Decision> Admission::OfferIsolated(const Request& aRequest,
+                                               TimePoint aNow)
+{
+  std::vector<Decision> decisions;
+  RejectReason reason =
+    m_draining ? RejectReason::Draining : CheckExpiry(aRequest, aNow);
+  if (reason == RejectReason::None && m_isolated.size() >= kMaxIsolated) {
+    reason = RejectReason::Isolation;
+  }
+  if (reason != RejectReason::None) {
+    decisions.push_back({ aRequest.m_id, false, reason, kMaxIsolationWait });
+    return decisions;
+  }
+  m_isolated.push_back(aRequest);
+  StartQueued(decisions, aNow);
+  return decisions;
+}
+
+// Rejects the isolated requests for which the running ones did not end in time,
+// so that one long request does not keep the target idle.
+void Admission::ExpireIsolated(std::vector<Decision>& aDecisions,
+                               TimePoint aNow)
+{
+  std::erase_if(m_isolated, [&](const Request& aOne) {
+    const bool expired = aNow >= aOne.m_deadline;
+    const bool waitedTooLong = aNow - aOne.m_arrived > kMaxIsolationWait;
+    if (expired || waitedTooLong) {
+      aDecisions.push_back(
+        { aOne.m_id,
+          false,
+          expired ? RejectReason::Expired : RejectReason::Isolation,
+          kMaxIsolationWait });
+    }
+    return expired || waitedTooLong;
+  });
+}
+
+// Starts the oldest isolated request if no other request runs. Returns whether
+// other requests may start.
+bool Admission::StartIsolated(std::vector<Decision>& aDecisions, TimePoint aNow)
+{
+  if (!m_isolated.empty() && m_running.empty()) {
+    const Request next = m_isolated.front();
+    m_isolated.pop_front();
+    m_runsIsolated = true;
+    Start(next, aDecisions, aNow);
+  }
+  return !IsIsolating();
+}
+
+// ---- Start -----------------------------------------------------------------
+
+void Admission::Start(const Request& aRequest,
+                      std::vector<Decision>& aDecisions,
+                      TimePoint aNow)
+{
+  m_rate.OnSent(aNow);
+  m_running[aRequest.m_id] = RunningRequest{ aRequest, aNow };
+  aDecisions.push_back({ aRequest.m_id, true, RejectReason::None });
+}
+
 void Admission::StartQueued(std::vector<Decision>& aDecisions, TimePoint aNow)
 {
   while (Running() < m_limits.m_slots &&
          m_rate.WaitFor(1, aNow) == Duration::zero()) {
+    if (!StartIsolated(aDecisions, aNow)) {
+      return;
+    }
     const auto next = m_queue->Pop();
     if (!next) {
       return;
@@ -281,9 +375,7 @@
       aDecisions.push_back({ next->m_id, false, reason });
       continue;
     }
-    m_rate.OnSent(aNow);
-    m_running[next->m_id] = RunningRequest{ *next, aNow };
-    aDecisions.push_back({ next->m_id, true, RejectReason::None });
+    Start(*next, aDecisions, aNow);
   }
 }
 
--- a/libs/distribution/include/wigeonfold/distribution/NodeSessions.h
+++ b/libs/distribution/include/wigeonfold/distribution/NodeSessions.h
@@ -5,6 +5,7 @@
 #include "wigeonfold/base/TargetStart.h"
 #include "wigeonfold/base/Time.h"
 #include "wigeonfold/base/Version.h"
+#include "wigeonfold/discovery/CrashLedger.h"
 #include "wigeonfold/discovery/EndpointTable.h"
 #include "wigeonfold/distribution/Floors.h"
 #include "wigeonfold/distribution/HelloLimit.h"
@@ -186,6 +187,10 @@
   NodeActions SetLeaving(const std::string& aNodeName,
                          StoredLeaving aLeaving,
                          TimePoint aNow);
+  // Takes over what another control VM knows of requests that may have ended
+  // targets, and passes it on to the nodes.
+  NodeActions MergeCrashes(const std::vector<wire::CrashRecord>& aRecords,
+                           TimePoint aNow);
   // Sets the control VMs that are members. Nodes receive the list in the reply
   // to their hello and, after a change, with their next heartbeat.
   void SetControlVms(std::vector<wire::ControlEndpoint> aVms);
@@ -207,6 +212,8 @@
   Duration FreshnessAge(TimePoint aNow) const;
   // Number of nodes that reported the newest version in force.
   size_t UpToDateNodes() const;
+  // What the nodes and other control VMs reported.
+  const discovery::CrashLedger& Crashes() const { return m_crashes; }
 
 private:
   // An update that the node has not confirmed yet.
@@ -239,6 +246,7 @@
     TimePoint m_nextEndpoints;
     TimePoint m_nextHeartbeat;
     TimePoint m_lastFrame;
+    uint64_t m_crashesSent = 0; // revision of m_crashes
   };
   using Payload = std::shared_ptr<const std::string>;
   struct EncodedConfig
@@ -282,6 +290,9 @@
                      const wire::NodeStatus& aStatus,
                      TimePoint aNow);
   void SendLeaving(const Session& aSession, TimePoint aNow);
+  // Send what the sessions, or one of them, were not sent yet.
+  void ShareCrashes(TimePoint aNow);
+  void SendCrashes(Session& aSession, TimePoint aNow);
   void AddLeaving(wire::Heartbeat& aBeat, const std::string& aNodeName) const;
   const StoredLeaving& LeavingOf(const std::string& aNodeName) const;
   void UpdateConfirmed(Session& aSession, const wire::NodeStatus& aStatus);
@@ -326,6 +337,7 @@
   std::vector<wire::ControlEndpoint> m_controlVms;
   uint64_t m_controlVmsVersion = 1;
   std::map<std::string, StoredLeaving> m_leaving; // by node name
+  discovery::CrashLedger m_crashes;
   bool m_endpointsComplete = true;
 
   // Encoded updates by the state they start from: nodes that confirmed the same
--- a/libs/distribution/include/wigeonfold/distribution/Subscriber.h
+++ b/libs/distribution/include/wigeonfold/distribution/Subscriber.h
@@ -8,6 +8,7 @@
 #include "wigeonfold/base/TargetStart.h"
 #include "wigeonfold/base/Time.h"
 #include "wigeonfold/base/Version.h"
+#include "wigeonfold/discovery/CrashLedger.h"
 #include "wigeonfold/discovery/Endpoints.h"
 #include "wigeonfold/settings/Tree.h"
 #include "wigeonfold/wire/Frame.h"
@@ -137,13 +138,20 @@
   bool m_stored = false;
 };
 
+// Requests may have ended targets, as other nodes report.
+struct NoteCrashes
+{
+  std::vector<wire::CrashRecord> m_records;
+};
+
 using SubscriberAction = std::variant<ConnectTo,
                                       SendFrame,
                                       CloseSession,
                                       ApplyState,
                                       ReportRefusal,
                                       BecomeReady,
-                                      NoteLeaving>;
+                                      NoteLeaving,
+                                      NoteCrashes>;
 using SubscriberActions = std::vector<SubscriberAction>;
 
 // ---- State machine ---------------------------------------------------------
@@ -183,6 +191,12 @@
   // have stored it, which a NoteLeaving says.
   SubscriberActions StoreLeaving(const TargetStart& aStart, TimePoint aNow);
 
+  // Requests may have ended targets, as this node has seen. Sent to the control
+  // VM of each session from now on.
+  SubscriberActions ReportCrashes(
+    const std::vector<wire::CrashRecord>& aRecords,
+    TimePoint aNow);
+
   // Adds control VMs to connect to, such as seeds from a changed settings file.
   // Known addresses are skipped. Beyond a maximum, the unused control VM with
   // the most failures is replaced.
@@ -207,6 +221,8 @@
   // applied.
   const std::optional<Version>& Refused() const { return m_refused; }
   const std::string& Refusal() const { return m_refusal; }
+  // Requests that may have ended targets, as this node and others report.
+  const discovery::CrashLedger& Crashes() const { return m_crashes; }
   // Bytes of the frames of all sessions since the start, headers included.
   uint64_t ControlBytesReceived() const { return m_bytesReceived; }
   uint64_t ControlBytesSent() const { return m_bytesSent; }
@@ -234,6 +250,7 @@
   void Send(const Session& aSession, wire::FrameType aType, const T& aMessage);
   void SendHello(const Session& aSession, bool aProbe);
   wire::NodeStatus MakeStatus() const;
+  void AddCrashes(wire::NodeStatus& aStatus, TimePoint aNow);
   void SendStatus(TimePoint aNow);
   void RequestResync(bool aFull, TimePoint aNow);
   void SendAnnouncement(TimePoint aNow);
@@ -306,6 +323,8 @@
   std::vector<TargetStart> m_unstoredLeaving; // oldest first
   std::vector<TargetStart> m_storedLeaving;   // as the control VMs said last
   bool m_controlStoresLeaving = true;         // the session's control VM
+  discovery::CrashLedger m_crashes;
+  uint64_t m_crashesSent = 0; // revision of m_crashes, in this session
   int64_t m_sequence = 0;
   TimePoint m_nextAnnouncementCheck;
 
--- a/libs/distribution/src/NodeSessions.cpp
+++ b/libs/distribution/src/NodeSessions.cpp
@@ -224,6 +224,9 @@
                                       m_options.m_heartbeat * fraction);
   m_table.RenewSession(aHello.nodeName);
   SendHelloReply(aSession, aHello.nodeName, aNow);
+  // Before the confirmation that makes the node ready.
+  aSession.m_crashesSent = 0;
+  SendCrashes(aSession, aNow);
   if (aSession.m_confirmed) {
     m_floors.Raise(aHello.nodeName, *aSession.m_confirmed);
   }
@@ -280,6 +283,10 @@
   info.m_inForce = ToVersion(aStatus.__isset.inForce, aStatus.inForce);
   RecordRefusal(aSession, aStatus);
   ReportLeaving(aSession, aStatus, aNow);
+  if (aStatus.__isset.crashes) {
+    m_crashes.Merge(aStatus.crashes, aNow);
+    ShareCrashes(aNow);
+  }
   if (info.m_inForce) {
     m_floors.Raise(info.m_nodeName, *info.m_inForce);
   }
@@ -366,6 +373,39 @@
   return TakeActions();
 }
 
+// ---- Requests that may have ended targets ----------------------------------
+
+NodeActions NodeSessions::MergeCrashes(
+  const std::vector<wire::CrashRecord>& aRecords,
+  TimePoint aNow)
+{
+  m_crashes.Merge(aRecords, aNow);
+  ShareCrashes(aNow);
+  return TakeActions();
+}
+
+void NodeSessions::ShareCrashes(TimePoint aNow)
+{
+  for (auto& [id, session] : m_sessions) {
+    if (session.m_established) {
+      SendCrashes(session, aNow);
+    }
+  }
+}
+
+void NodeSessions::SendCrashes(Session& aSession, TimePoint aNow)
+{
+  if (aSession.m_crashesSent == m_crashes.Revision()) {
+    return;
+  }
+  wire::Heartbeat beat = MakeHeartbeat(aNow);
+  beat.__set_crashes(m_crashes.Since(aSession.m_crashesSent, aNow));
+  aSession.m_crashesSent = m_crashes.Revision();
+  Send(aSession.m_id, FrameType::Heartbeat, EncodeShared(beat));
+}
+
+// ---- Confirmation of updates -----------------------------------------------
+
 void NodeSessions::UpdateConfirmed(Session& aSession,
                                    const wire::NodeStatus& aStatus)
 {
@@ -413,6 +453,7 @@
 
 NodeActions NodeSessions::OnTick(TimePoint aNow)
 {
+  m_crashes.Tick(aNow);
   wire::Heartbeat beat = MakeHeartbeat(aNow);
   const Payload payload = EncodeShared(beat);
   Payload withVms; // encoded for the first session that needs the list
--- a/libs/distribution/src/Subscriber.cpp
+++ b/libs/distribution/src/Subscriber.cpp
@@ -246,6 +246,7 @@
   if (m_probe && aNow - m_probe->m_lastFrame > m_options.m_silence) {
     CloseProbe(aNow);
   }
+  m_crashes.Tick(aNow);
   CheckAnnouncement(aNow);
   CheckFreshness(aNow);
   CheckReady(aNow);
@@ -350,6 +351,11 @@
   }
   m_controlStoresLeaving = aReply.storesLeaving;
   SkipStoringLeaving();
+  // The control VM may have started anew and know none of them.
+  m_crashesSent = 0;
+  if (m_crashes.Size() > 0) {
+    SendStatus(aNow);
+  }
   RecordFreshness(aNow);
   ++m_sequence;
   SendAnnouncement(aNow);
@@ -366,6 +372,10 @@
   if (aBeat.__isset.leaving) {
     OnStoredLeaving(wire::FromWire(aBeat.leaving), aBeat.leavingPending);
   }
+  if (aBeat.__isset.crashes) {
+    m_crashes.Merge(aBeat.crashes, aNow);
+    m_actions.emplace_back(NoteCrashes{ aBeat.crashes });
+  }
   NoteConfirmation(aBeat);
   CheckReady(aNow);
   if (!aBeat.__isset.confirm) {
@@ -446,9 +456,30 @@
   if (!m_ready && m_state) {
     status.__set_confirm(ToMicroseconds(aNow.time_since_epoch()));
   }
+  AddCrashes(status, aNow);
   Send(*m_main, FrameType::NodeStatus, status);
 }
 
+// Adds the crash records that the control VM of this session was not sent yet.
+void Subscriber::AddCrashes(wire::NodeStatus& aStatus, TimePoint aNow)
+{
+  if (m_crashesSent != m_crashes.Revision()) {
+    aStatus.__set_crashes(m_crashes.Since(m_crashesSent, aNow));
+    m_crashesSent = m_crashes.Revision();
+  }
+}
+
+SubscriberActions Subscriber::ReportCrashes(
+  const std::vector<wire::CrashRecord>& aRecords,
+  TimePoint aNow)
+{
+  m_crashes.Merge(aRecords, aNow);
+  if (m_crashesSent != m_crashes.Revision()) {
+    SendStatus(aNow);
+  }
+  return TakeActions();
+}
+
 // Requests are rate-limited: a control VM that can't send a usable update must
 // not be asked in a loop.
 void Subscriber::RequestResync(bool aFull, TimePoint aNow)
--- a/libs/distribution/test/Sessions_test.cpp
+++ b/libs/distribution/test/Sessions_test.cpp
@@ -116,6 +116,66 @@
   RC_ASSERT(world.m_node->InForce() == Version({ 1, before }));
 }
 
+constexpr uint64_t kFingerprint = 7;
+
+std::vector<wire::CrashRecord> MakeCrash()
+{
+  wire::CrashRecord record;
+  record.fingerprint = static_cast<int64_t>(kFingerprint);
+  record.events.emplace_back().id = 1;
+  return { record };
+}
+
+TestControlVm& ControlVmOfNode(TestWorld& aWorld)
+{
+  return *aWorld.m_controls[aWorld.m_open.begin()->second];
+}
+
+// Otherwise a request that ends its targets does so again at a node that was
+// restarted, or after the control VM that knew of it was.
+TEST(Sessions, CrashRecordsSurviveRestartsOfTheNodeAndOfItsControlVm)
+{
+  TestWorld world;
+  world.Settle();
+  world.ReportCrashes(MakeCrash());
+  world.Settle();
+  EXPECT_EQ(ControlVmOfNode(world).m_sessions.Crashes().CrashesOf(kFingerprint),
+            1U);
+
+  world.StartNode();
+  EXPECT_EQ(world.m_node->Crashes().CrashesOf(kFingerprint), 0U);
+  // It may get another control VM; the control VMs tell each other.
+  for (size_t control = 0; control < TestWorld::kControls; ++control) {
+    world.MergeCrashes(control, MakeCrash());
+  }
+  world.Settle();
+  EXPECT_EQ(world.m_node->Crashes().CrashesOf(kFingerprint), 1U);
+
+  const size_t control = world.m_open.begin()->second;
+  const SessionId session = world.m_open.begin()->first;
+  world.m_controls[control] =
+    std::make_unique<TestControlVm>(static_cast<int64_t>(control) + 10);
+  world.m_controls[control]->m_sessions.OnOpened(session, world.m_now);
+  world.Disconnect(session);
+  world.Settle();
+  EXPECT_EQ(ControlVmOfNode(world).m_sessions.Crashes().CrashesOf(kFingerprint),
+            1U);
+}
+
+// A record that nobody has to be told of any more causes no further messages.
+TEST(Sessions, CrashRecordsAreSentOnce)
+{
+  TestWorld world;
+  world.Settle();
+  world.ReportCrashes(MakeCrash());
+  world.Settle();
+  auto& sessions = ControlVmOfNode(world).m_sessions;
+  const uint64_t revision = sessions.Crashes().Revision();
+  const auto actions = sessions.MergeCrashes(MakeCrash(), world.m_now);
+  EXPECT_TRUE(actions.empty());
+  EXPECT_EQ(sessions.Crashes().Revision(), revision);
+}
+
 TEST(Sessions, NodeMovesFromAStaleControlVmToAFresherOne)
 {
   TestWorld world;
--- a/libs/distribution/test/TestWorld.h
+++ b/libs/distribution/test/TestWorld.h
@@ -140,6 +140,18 @@
               m_trees[static_cast<size_t>(aVersion)], m_now));
   }
 
+  void ReportCrashes(const std::vector<wire::CrashRecord>& aRecords)
+  {
+    Execute(m_node->ReportCrashes(aRecords, m_now));
+  }
+
+  void MergeCrashes(size_t aControl,
+                    const std::vector<wire::CrashRecord>& aRecords)
+  {
+    Execute(aControl,
+            m_controls[aControl]->m_sessions.MergeCrashes(aRecords, m_now));
+  }
+
   void Tick(Duration aStep)
   {
     m_now += aStep;
--- a/libs/forwarding/include/wigeonfold/forwarding/Call.h
+++ b/libs/forwarding/include/wigeonfold/forwarding/Call.h
@@ -29,6 +29,7 @@
   bool m_fromRetriedRequest = false;
   // Latest time at which an answer meets the latency objective; zero: none.
   TimePoint m_objective{};
+  uint64_t m_fingerprint = 0; // of the content
 };
 
 // Instruction to send the request to an endpoint.
@@ -88,6 +89,11 @@
   // and for idempotent requests only. Hook for hedging against slow targets.
   CallStep Hedge(TimePoint aNow);
 
+  // Whether further attempts go only to the target designated for requests with
+  // this content, since targets may have ended because of one. Such a request
+  // is never sent to two targets at the same time.
+  void SetIsolated(bool aIsolated) { m_isolated = aIsolated; }
+
   // Number of refusals by targets' nodes that are followed by another attempt.
   static constexpr size_t kMaxRefusals = 3;
   // No retry is made with less time left until the deadline, since no other
@@ -111,6 +117,7 @@
   bool HasTimeToRetry(TimePoint aNow) const;
   routing::AttemptResult ResultOf(Outcome aOutcome, TimePoint aNow) const;
   Duration UntilObjective(TimePoint aNow) const;
+  const routing::Endpoint* ChooseEndpoint(TimePoint aNow);
   std::optional<StartAttempt> StartNext(TimePoint aNow);
   CallStep End(
     Outcome aOutcome,
@@ -130,6 +137,7 @@
   bool m_failureAnswered = false; // a target ran it and answered a failure
   size_t m_deliveries = 0; // ended attempts that may have reached a target
   size_t m_refusals = 0;   // ended attempts that a target's node refused
+  bool m_isolated = false; // see SetIsolated()
   bool m_over = false;
 };
 
--- a/libs/forwarding/include/wigeonfold/forwarding/Outcome.h
+++ b/libs/forwarding/include/wigeonfold/forwarding/Outcome.h
@@ -37,6 +37,10 @@
   TooLate,     // an answer would miss the latency objective
   RateLimited, // the same, because of the limit that the target names
   Draining,
+  IsolationBusy, // it has to run alone, and other requests did not end in time
+
+  // Rejected at either node.
+  Quarantined, // targets ended each time that they ran such a request
 
   // Failed between the caller's node and the target.
   ExpiredBeforeWrite,
--- a/libs/forwarding/include/wigeonfold/forwarding/TargetCall.h
+++ b/libs/forwarding/include/wigeonfold/forwarding/TargetCall.h
@@ -39,6 +39,8 @@
 
   TargetStep OnAdmitted(TimePoint aNow);
   TargetStep OnRejected(admission::RejectReason aReason);
+  // Targets have ended because of such a request since it began to wait.
+  TargetStep OnQuarantined();
   TargetStep OnConnected(TimePoint aNow);
   TargetStep OnConnectFailed();
   // The target's complete answer. aReusable: the connection can carry further
--- a/libs/forwarding/src/Call.cpp
+++ b/libs/forwarding/src/Call.cpp
@@ -94,8 +94,8 @@
 CallStep Call::Hedge(TimePoint aNow)
 {
   CallStep step;
-  if (m_over || !m_spec.m_idempotent || m_outstanding.size() != 1 ||
-      aNow >= m_spec.m_deadline) {
+  if (m_over || !m_spec.m_idempotent || m_isolated ||
+      m_outstanding.size() != 1 || aNow >= m_spec.m_deadline) {
     return step;
   }
   step.m_start = StartNext(aNow);
@@ -128,6 +128,16 @@
   return std::max(m_spec.m_objective - aNow, Duration::zero());
 }
 
+const routing::Endpoint* Call::ChooseEndpoint(TimePoint aNow)
+{
+  if (m_isolated) {
+    return m_context.m_chooser.ChooseDesignated(
+      m_route, m_tried, m_context.m_tracker, m_spec.m_fingerprint, aNow);
+  }
+  return m_context.m_chooser.Choose(
+    m_route, m_tried, m_context.m_tracker, UntilObjective(aNow), aNow);
+}
+
 // Starts an attempt at an endpoint that was not tried yet. Nothing if there is
 // none, or if the attempts, refusals or retry budget are used up.
 std::optional<StartAttempt> Call::StartNext(TimePoint aNow)
@@ -138,8 +148,7 @@
       m_refusals > kMaxRefusals) {
     return std::nullopt;
   }
-  const routing::Endpoint* endpoint = m_context.m_chooser.Choose(
-    m_route, m_tried, m_context.m_tracker, UntilObjective(aNow), aNow);
+  const routing::Endpoint* endpoint = ChooseEndpoint(aNow);
   if (endpoint == nullptr ||
       (deliveries > 0 && !m_budget.TryRetry(m_route.m_retryBudgetPercent))) {
     return std::nullopt;
--- a/libs/forwarding/src/Outcome.cpp
+++ b/libs/forwarding/src/Outcome.cpp
@@ -34,6 +34,8 @@
     { Outcome::TooLate,              "too-late",              RunState::NotRun,  503, true,  true,  Result::Refused },
     { Outcome::RateLimited,          "rate-limited",          RunState::NotRun,  503, true,  true,  Result::Refused },
     { Outcome::Draining,             "draining",              RunState::NotRun,  503, true,  true,  Result::Draining },
+    { Outcome::IsolationBusy,        "isolation-busy",        RunState::NotRun,  503, true,  false, Result::Refused },
+    { Outcome::Quarantined,          "quarantined",           RunState::NotRun,  503, true,  false, Result::Refused },
     { Outcome::ExpiredBeforeWrite,   "expired-before-write",  RunState::NotRun,  504, false, false, Result::Refused },
     { Outcome::ExpiredAfterWrite,    "expired-after-write",   RunState::Unknown, 504, false, false, Result::Failed },
     { Outcome::PeerNotWritten,       "peer-not-written",      RunState::NotRun,  503, false, true,  Result::Failed },
@@ -98,6 +100,8 @@
       return Outcome::TooLate;
     case admission::RejectReason::RateLimited:
       return Outcome::RateLimited;
+    case admission::RejectReason::Isolation:
+      return Outcome::IsolationBusy;
   }
   return Outcome::QueueFull;
 }
--- a/libs/forwarding/src/TargetCall.cpp
+++ b/libs/forwarding/src/TargetCall.cpp
@@ -26,6 +26,11 @@
   return m_state == State::Waiting ? End(OutcomeOf(aReason)) : TargetStep{};
 }
 
+TargetStep TargetCall::OnQuarantined()
+{
+  return m_state == State::Waiting ? End(Outcome::Quarantined) : TargetStep{};
+}
+
 TargetStep TargetCall::OnConnected(TimePoint aNow)
 {
   if (m_state != State::Connecting) {
--- a/libs/routing/include/wigeonfold/routing/Chooser.h
+++ b/libs/routing/include/wigeonfold/routing/Chooser.h
@@ -82,6 +82,15 @@
                          Duration aTimeLeft,
                          TimePoint aNow);
 
+  // Endpoint for a request that is to reach one target only, or nullptr when
+  // every endpoint was tried. Nodes with the same endpoints choose the same one
+  // for the same fingerprint, the avoided ones last (rendezvous hashing).
+  const Endpoint* ChooseDesignated(const ServiceRoute& aRoute,
+                                   const std::vector<std::string>& aTried,
+                                   const Tracker& aTracker,
+                                   uint64_t aFingerprint,
+                                   TimePoint aNow) const;
+
 private:
   std::vector<const Endpoint*> Candidates(
     const ServiceRoute& aRoute,
--- a/libs/routing/src/Chooser.cpp
+++ b/libs/routing/src/Chooser.cpp
@@ -1,5 +1,7 @@
 #include "wigeonfold/routing/Chooser.h"
 
+#include "wigeonfold/base/Hash.h"
+
 #include <algorithm>
 #include <map>
 
@@ -318,6 +320,24 @@
   return available.empty() ? untried : available;
 }
 
+const Endpoint* Chooser::ChooseDesignated(
+  const ServiceRoute& aRoute,
+  const std::vector<std::string>& aTried,
+  const Tracker& aTracker,
+  uint64_t aFingerprint,
+  TimePoint aNow) const
+{
+  const auto weight = [aFingerprint](const Endpoint* aEndpoint) {
+    return Hash64(aEndpoint->m_nodeName + '/' + std::to_string(aFingerprint));
+  };
+  const CandidateList all = Candidates(aRoute, aTried, aTracker, aNow);
+  const auto greatest =
+    std::max_element(all.begin(), all.end(), [&](auto* aOne, auto* aOther) {
+      return weight(aOne) < weight(aOther);
+    });
+  return greatest == all.end() ? nullptr : *greatest;
+}
+
 const Endpoint* Chooser::Choose(const ServiceRoute& aRoute,
                                 const std::vector<std::string>& aTried,
                                 const Tracker& aTracker,
--- a/libs/routing/test/Chooser_test.cpp
+++ b/libs/routing/test/Chooser_test.cpp
@@ -55,6 +55,27 @@
   EXPECT_FALSE(tracker.IsAvoided(route.m_endpoints[0], kStart + 1s));
 }
 
+// Otherwise a request that ends its targets runs at several of them at a time.
+TEST(ChooserTest, AllNodesDesignateTheSameTarget)
+{
+  const ServiceRoute route = MakeRoute({ "a", "b", "c", "a" });
+  const Tracker tracker;
+  const Chooser one("a", MakeRoundRobin());
+  const Chooser other("c", MakeRandom(1));
+  std::set<std::string> designated;
+  for (uint64_t fingerprint = 0; fingerprint < 100; ++fingerprint) {
+    const Endpoint* endpoint =
+      one.ChooseDesignated(route, {}, tracker, fingerprint, kStart);
+    EXPECT_EQ(endpoint,
+              other.ChooseDesignated(route, {}, tracker, fingerprint, kStart));
+    designated.insert(endpoint->m_nodeName);
+    const Endpoint* next = one.ChooseDesignated(
+      route, { endpoint->m_nodeName }, tracker, fingerprint, kStart);
+    EXPECT_NE(next, endpoint);
+  }
+  EXPECT_EQ(designated.size(), 4U);
+}
+
 TEST(ChooserTest, IgnoresEjectionOfMoreThanHalf)
 {
   const ServiceRoute route = MakeRoute({ "a", "a", "a" });
--- a/libs/wire/gen/include/wigeonfold/wire/gen/common_types.h
+++ b/libs/wire/gen/include/wigeonfold/wire/gen/common_types.h
@@ -42,6 +42,10 @@
 
 class TargetLimit;
 
+class CrashEvent;
+
+class CrashRecord;
+
 class BranchState;
 
 class Operation;
@@ -201,6 +205,123 @@
 
 std::ostream& operator<<(std::ostream& out, const TargetLimit& obj);
 
+typedef struct _CrashEvent__isset {
+  _CrashEvent__isset() : id(false), alone(false), ageMs(false), refuted(false) {}
+  bool id :1;
+  bool alone :1;
+  bool ageMs :1;
+  bool refuted :1;
+} _CrashEvent__isset;
+
+class CrashEvent : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashEvent(const CrashEvent&) noexcept;
+  CrashEvent(CrashEvent&&) noexcept;
+  CrashEvent& operator=(const CrashEvent&) noexcept;
+  CrashEvent& operator=(CrashEvent&&) noexcept;
+  CrashEvent() noexcept
+             : id(0),
+               alone(0),
+               ageMs(0),
+               refuted(0) {
+  }
+
+  virtual ~CrashEvent() noexcept;
+  int64_t id;
+  bool alone;
+  int64_t ageMs;
+  bool refuted;
+
+  _CrashEvent__isset __isset;
+
+  void __set_id(const int64_t val);
+
+  void __set_alone(const bool val);
+
+  void __set_ageMs(const int64_t val);
+
+  void __set_refuted(const bool val);
+
+  bool operator == (const CrashEvent & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(alone == rhs.alone))
+      return false;
+    if (!(ageMs == rhs.ageMs))
+      return false;
+    if (!(refuted == rhs.refuted))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashEvent &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashEvent & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashEvent &a, CrashEvent &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashEvent& obj);
+
+typedef struct _CrashRecord__isset {
+  _CrashRecord__isset() : fingerprint(false), events(false) {}
+  bool fingerprint :1;
+  bool events :1;
+} _CrashRecord__isset;
+
+class CrashRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashRecord(const CrashRecord&);
+  CrashRecord(CrashRecord&&) noexcept;
+  CrashRecord& operator=(const CrashRecord&);
+  CrashRecord& operator=(CrashRecord&&) noexcept;
+  CrashRecord() noexcept
+              : fingerprint(0) {
+  }
+
+  virtual ~CrashRecord() noexcept;
+  int64_t fingerprint;
+  std::vector<CrashEvent>  events;
+
+  _CrashRecord__isset __isset;
+
+  void __set_fingerprint(const int64_t val);
+
+  void __set_events(const std::vector<CrashEvent> & val);
+
+  bool operator == (const CrashRecord & rhs) const
+  {
+    if (!(fingerprint == rhs.fingerprint))
+      return false;
+    if (!(events == rhs.events))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashRecord &a, CrashRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashRecord& obj);
+
 typedef struct _BranchState__isset {
   _BranchState__isset() : path(false), settings(false), modified(false), removed(false) {}
   bool path :1;
--- a/libs/wire/gen/include/wigeonfold/wire/gen/control_types.h
+++ b/libs/wire/gen/include/wigeonfold/wire/gen/control_types.h
@@ -657,13 +657,14 @@
 std::ostream& operator<<(std::ostream& out, const EndpointUpdate& obj);
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : freshnessAgeMs(false), newest(false), controlVms(false), confirm(false), leaving(false), leavingPending(false) {}
+  _Heartbeat__isset() : freshnessAgeMs(false), newest(false), controlVms(false), confirm(false), leaving(false), leavingPending(false), crashes(false) {}
   bool freshnessAgeMs :1;
   bool newest :1;
   bool controlVms :1;
   bool confirm :1;
   bool leaving :1;
   bool leavingPending :1;
+  bool crashes :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -686,6 +687,7 @@
   int64_t confirm;
   std::vector< ::wigeonfold::wire::TargetStart>  leaving;
   bool leavingPending;
+  std::vector< ::wigeonfold::wire::CrashRecord>  crashes;
 
   _Heartbeat__isset __isset;
 
@@ -701,6 +703,8 @@
 
   void __set_leavingPending(const bool val);
 
+  void __set_crashes(const std::vector< ::wigeonfold::wire::CrashRecord> & val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(freshnessAgeMs == rhs.freshnessAgeMs))
@@ -721,6 +725,10 @@
       return false;
     if (!(leavingPending == rhs.leavingPending))
       return false;
+    if (__isset.crashes != rhs.__isset.crashes)
+      return false;
+    else if (__isset.crashes && !(crashes == rhs.crashes))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
@@ -740,7 +748,7 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 typedef struct _NodeStatus__isset {
-  _NodeStatus__isset() : inForce(false), refused(false), refusal(false), controlBytesReceived(false), controlBytesSent(false), endpointSource(false), endpointCursor(false), resync(false), resyncFull(false), belowFloor(false), confirm(false), leaving(false) {}
+  _NodeStatus__isset() : inForce(false), refused(false), refusal(false), controlBytesReceived(false), controlBytesSent(false), endpointSource(false), endpointCursor(false), resync(false), resyncFull(false), belowFloor(false), confirm(false), leaving(false), crashes(false) {}
   bool inForce :1;
   bool refused :1;
   bool refusal :1;
@@ -753,6 +761,7 @@
   bool belowFloor :1;
   bool confirm :1;
   bool leaving :1;
+  bool crashes :1;
 } _NodeStatus__isset;
 
 class NodeStatus : public virtual ::apache::thrift::TBase {
@@ -787,6 +796,7 @@
   bool belowFloor;
   int64_t confirm;
   std::vector< ::wigeonfold::wire::TargetStart>  leaving;
+  std::vector< ::wigeonfold::wire::CrashRecord>  crashes;
 
   _NodeStatus__isset __isset;
 
@@ -814,6 +824,8 @@
 
   void __set_leaving(const std::vector< ::wigeonfold::wire::TargetStart> & val);
 
+  void __set_crashes(const std::vector< ::wigeonfold::wire::CrashRecord> & val);
+
   bool operator == (const NodeStatus & rhs) const
   {
     if (__isset.inForce != rhs.__isset.inForce)
@@ -848,6 +860,10 @@
       return false;
     else if (__isset.leaving && !(leaving == rhs.leaving))
       return false;
+    if (__isset.crashes != rhs.__isset.crashes)
+      return false;
+    else if (__isset.crashes && !(crashes == rhs.crashes))
+      return false;
     return true;
   }
   bool operator != (const NodeStatus &rhs) const {
@@ -912,7 +928,7 @@
 std::ostream& operator<<(std::ostream& out, const RetryLater& obj);
 
 typedef struct _EndpointSync__isset {
-  _EndpointSync__isset() : owner(false), full(false), records(false), removedNodes(false), incarnation(false), baseCursor(false), cursor(false), request(false) {}
+  _EndpointSync__isset() : owner(false), full(false), records(false), removedNodes(false), incarnation(false), baseCursor(false), cursor(false), request(false), crashes(false) {}
   bool owner :1;
   bool full :1;
   bool records :1;
@@ -921,6 +937,7 @@
   bool baseCursor :1;
   bool cursor :1;
   bool request :1;
+  bool crashes :1;
 } _EndpointSync__isset;
 
 class EndpointSync : public virtual ::apache::thrift::TBase {
@@ -948,6 +965,7 @@
   int64_t baseCursor;
   int64_t cursor;
   bool request;
+  std::vector< ::wigeonfold::wire::CrashRecord>  crashes;
 
   _EndpointSync__isset __isset;
 
@@ -967,6 +985,8 @@
 
   void __set_request(const bool val);
 
+  void __set_crashes(const std::vector< ::wigeonfold::wire::CrashRecord> & val);
+
   bool operator == (const EndpointSync & rhs) const
   {
     if (!(owner == rhs.owner))
@@ -985,6 +1005,10 @@
       return false;
     if (!(request == rhs.request))
       return false;
+    if (__isset.crashes != rhs.__isset.crashes)
+      return false;
+    else if (__isset.crashes && !(crashes == rhs.crashes))
+      return false;
     return true;
   }
   bool operator != (const EndpointSync &rhs) const {
--- a/libs/wire/gen/src/common_types.cpp
+++ b/libs/wire/gen/src/common_types.cpp
@@ -416,6 +416,316 @@
 }
 
 
+CrashEvent::~CrashEvent() noexcept {
+}
+
+
+void CrashEvent::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void CrashEvent::__set_alone(const bool val) {
+  this->alone = val;
+}
+
+void CrashEvent::__set_ageMs(const int64_t val) {
+  this->ageMs = val;
+}
+
+void CrashEvent::__set_refuted(const bool val) {
+  this->refuted = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashEvent& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashEvent::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->alone);
+          this->__isset.alone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageMs);
+          this->__isset.ageMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->refuted);
+          this->__isset.refuted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashEvent::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashEvent");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("alone", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->alone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMs", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->ageMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("refuted", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->refuted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashEvent &a, CrashEvent &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.alone, b.alone);
+  swap(a.ageMs, b.ageMs);
+  swap(a.refuted, b.refuted);
+  swap(a.__isset, b.__isset);
+}
+
+CrashEvent::CrashEvent(const CrashEvent& other12) noexcept {
+  id = other12.id;
+  alone = other12.alone;
+  ageMs = other12.ageMs;
+  refuted = other12.refuted;
+  __isset = other12.__isset;
+}
+CrashEvent::CrashEvent(CrashEvent&& other13) noexcept {
+  id = other13.id;
+  alone = other13.alone;
+  ageMs = other13.ageMs;
+  refuted = other13.refuted;
+  __isset = other13.__isset;
+}
+CrashEvent& CrashEvent::operator=(const CrashEvent& other14) noexcept {
+  id = other14.id;
+  alone = other14.alone;
+  ageMs = other14.ageMs;
+  refuted = other14.refuted;
+  __isset = other14.__isset;
+  return *this;
+}
+CrashEvent& CrashEvent::operator=(CrashEvent&& other15) noexcept {
+  id = other15.id;
+  alone = other15.alone;
+  ageMs = other15.ageMs;
+  refuted = other15.refuted;
+  __isset = other15.__isset;
+  return *this;
+}
+void CrashEvent::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashEvent(";
+  out << "id=" << to_string(id);
+  out << ", " << "alone=" << to_string(alone);
+  out << ", " << "ageMs=" << to_string(ageMs);
+  out << ", " << "refuted=" << to_string(refuted);
+  out << ")";
+}
+
+
+CrashRecord::~CrashRecord() noexcept {
+}
+
+
+void CrashRecord::__set_fingerprint(const int64_t val) {
+  this->fingerprint = val;
+}
+
+void CrashRecord::__set_events(const std::vector<CrashEvent> & val) {
+  this->events = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fingerprint);
+          this->__isset.fingerprint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->events.clear();
+            uint32_t _size16;
+            ::apache::thrift::protocol::TType _etype19;
+            xfer += iprot->readListBegin(_etype19, _size16);
+            this->events.resize(_size16);
+            uint32_t _i20;
+            for (_i20 = 0; _i20 < _size16; ++_i20)
+            {
+              xfer += this->events[_i20].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.events = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashRecord");
+
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->fingerprint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("events", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->events.size()));
+    std::vector<CrashEvent> ::const_iterator _iter21;
+    for (_iter21 = this->events.begin(); _iter21 != this->events.end(); ++_iter21)
+    {
+      xfer += (*_iter21).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashRecord &a, CrashRecord &b) {
+  using ::std::swap;
+  swap(a.fingerprint, b.fingerprint);
+  swap(a.events, b.events);
+  swap(a.__isset, b.__isset);
+}
+
+CrashRecord::CrashRecord(const CrashRecord& other22) {
+  fingerprint = other22.fingerprint;
+  events = other22.events;
+  __isset = other22.__isset;
+}
+CrashRecord::CrashRecord(CrashRecord&& other23) noexcept {
+  fingerprint = other23.fingerprint;
+  events = std::move(other23.events);
+  __isset = other23.__isset;
+}
+CrashRecord& CrashRecord::operator=(const CrashRecord& other24) {
+  fingerprint = other24.fingerprint;
+  events = other24.events;
+  __isset = other24.__isset;
+  return *this;
+}
+CrashRecord& CrashRecord::operator=(CrashRecord&& other25) noexcept {
+  fingerprint = other25.fingerprint;
+  events = std::move(other25.events);
+  __isset = other25.__isset;
+  return *this;
+}
+void CrashRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashRecord(";
+  out << "fingerprint=" << to_string(fingerprint);
+  out << ", " << "events=" << to_string(events);
+  out << ")";
+}
+
+
 BranchState::~BranchState() noexcept {
 }
 
@@ -475,17 +785,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->settings.clear();
-            uint32_t _size12;
-            ::apache::thrift::protocol::TType _ktype13;
-            ::apache::thrift::protocol::TType _vtype14;
-            xfer += iprot->readMapBegin(_ktype13, _vtype14, _size12);
-            uint32_t _i16;
-            for (_i16 = 0; _i16 < _size12; ++_i16)
+            uint32_t _size26;
+            ::apache::thrift::protocol::TType _ktype27;
+            ::apache::thrift::protocol::TType _vtype28;
+            xfer += iprot->readMapBegin(_ktype27, _vtype28, _size26);
+            uint32_t _i30;
+            for (_i30 = 0; _i30 < _size26; ++_i30)
             {
-              std::string _key17;
-              xfer += iprot->readString(_key17);
-              std::string& _val18 = this->settings[_key17];
-              xfer += iprot->readString(_val18);
+              std::string _key31;
+              xfer += iprot->readString(_key31);
+              std::string& _val32 = this->settings[_key31];
+              xfer += iprot->readString(_val32);
             }
             xfer += iprot->readMapEnd();
           }
@@ -534,11 +844,11 @@
   xfer += oprot->writeFieldBegin("settings", ::apache::thrift::protocol::T_MAP, 2);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->settings.size()));
-    std::map<std::string, std::string> ::const_iterator _iter19;
-    for (_iter19 = this->settings.begin(); _iter19 != this->settings.end(); ++_iter19)
+    std::map<std::string, std::string> ::const_iterator _iter33;
+    for (_iter33 = this->settings.begin(); _iter33 != this->settings.end(); ++_iter33)
     {
-      xfer += oprot->writeString(_iter19->first);
-      xfer += oprot->writeString(_iter19->second);
+      xfer += oprot->writeString(_iter33->first);
+      xfer += oprot->writeString(_iter33->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -566,34 +876,34 @@
   swap(a.__isset, b.__isset);
 }
 
-BranchState::BranchState(const BranchState& other20) {
-  path = other20.path;
-  settings = other20.settings;
-  modified = other20.modified;
-  removed = other20.removed;
-  __isset = other20.__isset;
-}
-BranchState::BranchState(BranchState&& other21) noexcept {
-  path = std::move(other21.path);
-  settings = std::move(other21.settings);
-  modified = std::move(other21.modified);
-  removed = other21.removed;
-  __isset = other21.__isset;
-}
-BranchState& BranchState::operator=(const BranchState& other22) {
-  path = other22.path;
-  settings = other22.settings;
-  modified = other22.modified;
-  removed = other22.removed;
-  __isset = other22.__isset;
+BranchState::BranchState(const BranchState& other34) {
+  path = other34.path;
+  settings = other34.settings;
+  modified = other34.modified;
+  removed = other34.removed;
+  __isset = other34.__isset;
+}
+BranchState::BranchState(BranchState&& other35) noexcept {
+  path = std::move(other35.path);
+  settings = std::move(other35.settings);
+  modified = std::move(other35.modified);
+  removed = other35.removed;
+  __isset = other35.__isset;
+}
+BranchState& BranchState::operator=(const BranchState& other36) {
+  path = other36.path;
+  settings = other36.settings;
+  modified = other36.modified;
+  removed = other36.removed;
+  __isset = other36.__isset;
   return *this;
 }
-BranchState& BranchState::operator=(BranchState&& other23) noexcept {
-  path = std::move(other23.path);
-  settings = std::move(other23.settings);
-  modified = std::move(other23.modified);
-  removed = other23.removed;
-  __isset = other23.__isset;
+BranchState& BranchState::operator=(BranchState&& other37) noexcept {
+  path = std::move(other37.path);
+  settings = std::move(other37.settings);
+  modified = std::move(other37.modified);
+  removed = other37.removed;
+  __isset = other37.__isset;
   return *this;
 }
 void BranchState::printTo(std::ostream& out) const {
@@ -656,9 +966,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast24;
-          xfer += iprot->readI32(ecast24);
-          this->kind = static_cast<OperationKind::type>(ecast24);
+          int32_t ecast38;
+          xfer += iprot->readI32(ecast38);
+          this->kind = static_cast<OperationKind::type>(ecast38);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -735,34 +1045,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Operation::Operation(const Operation& other25) {
-  kind = other25.kind;
-  path = other25.path;
-  key = other25.key;
-  value = other25.value;
-  __isset = other25.__isset;
-}
-Operation::Operation(Operation&& other26) noexcept {
-  kind = other26.kind;
-  path = std::move(other26.path);
-  key = std::move(other26.key);
-  value = std::move(other26.value);
-  __isset = other26.__isset;
-}
-Operation& Operation::operator=(const Operation& other27) {
-  kind = other27.kind;
-  path = other27.path;
-  key = other27.key;
-  value = other27.value;
-  __isset = other27.__isset;
+Operation::Operation(const Operation& other39) {
+  kind = other39.kind;
+  path = other39.path;
+  key = other39.key;
+  value = other39.value;
+  __isset = other39.__isset;
+}
+Operation::Operation(Operation&& other40) noexcept {
+  kind = other40.kind;
+  path = std::move(other40.path);
+  key = std::move(other40.key);
+  value = std::move(other40.value);
+  __isset = other40.__isset;
+}
+Operation& Operation::operator=(const Operation& other41) {
+  kind = other41.kind;
+  path = other41.path;
+  key = other41.key;
+  value = other41.value;
+  __isset = other41.__isset;
   return *this;
 }
-Operation& Operation::operator=(Operation&& other28) noexcept {
-  kind = other28.kind;
-  path = std::move(other28.path);
-  key = std::move(other28.key);
-  value = std::move(other28.value);
-  __isset = other28.__isset;
+Operation& Operation::operator=(Operation&& other42) noexcept {
+  kind = other42.kind;
+  path = std::move(other42.path);
+  key = std::move(other42.key);
+  value = std::move(other42.value);
+  __isset = other42.__isset;
   return *this;
 }
 void Operation::printTo(std::ostream& out) const {
--- a/libs/wire/gen/src/control_types.cpp
+++ b/libs/wire/gen/src/control_types.cpp
@@ -1719,6 +1719,11 @@
 void Heartbeat::__set_leavingPending(const bool val) {
   this->leavingPending = val;
 }
+
+void Heartbeat::__set_crashes(const std::vector< ::wigeonfold::wire::CrashRecord> & val) {
+  this->crashes = val;
+__isset.crashes = true;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -1819,6 +1824,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crashes.clear();
+            uint32_t _size73;
+            ::apache::thrift::protocol::TType _etype76;
+            xfer += iprot->readListBegin(_etype76, _size73);
+            this->crashes.resize(_size73);
+            uint32_t _i77;
+            for (_i77 = 0; _i77 < _size73; ++_i77)
+            {
+              xfer += this->crashes[_i77].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1848,10 +1873,10 @@
     xfer += oprot->writeFieldBegin("controlVms", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->controlVms.size()));
-      std::vector<ControlEndpoint> ::const_iterator _iter73;
-      for (_iter73 = this->controlVms.begin(); _iter73 != this->controlVms.end(); ++_iter73)
+      std::vector<ControlEndpoint> ::const_iterator _iter78;
+      for (_iter78 = this->controlVms.begin(); _iter78 != this->controlVms.end(); ++_iter78)
       {
-        xfer += (*_iter73).write(oprot);
+        xfer += (*_iter78).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1866,10 +1891,10 @@
     xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
-      std::vector< ::wigeonfold::wire::TargetStart> ::const_iterator _iter74;
-      for (_iter74 = this->leaving.begin(); _iter74 != this->leaving.end(); ++_iter74)
+      std::vector< ::wigeonfold::wire::TargetStart> ::const_iterator _iter79;
+      for (_iter79 = this->leaving.begin(); _iter79 != this->leaving.end(); ++_iter79)
       {
-        xfer += (*_iter74).write(oprot);
+        xfer += (*_iter79).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1879,6 +1904,19 @@
   xfer += oprot->writeBool(this->leavingPending);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.crashes) {
+    xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 7);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
+      std::vector< ::wigeonfold::wire::CrashRecord> ::const_iterator _iter80;
+      for (_iter80 = this->crashes.begin(); _iter80 != this->crashes.end(); ++_iter80)
+      {
+        xfer += (*_iter80).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1892,45 +1930,50 @@
   swap(a.confirm, b.confirm);
   swap(a.leaving, b.leaving);
   swap(a.leavingPending, b.leavingPending);
+  swap(a.crashes, b.crashes);
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other75) {
-  freshnessAgeMs = other75.freshnessAgeMs;
-  newest = other75.newest;
-  controlVms = other75.controlVms;
-  confirm = other75.confirm;
-  leaving = other75.leaving;
-  leavingPending = other75.leavingPending;
-  __isset = other75.__isset;
-}
-Heartbeat::Heartbeat(Heartbeat&& other76) noexcept {
-  freshnessAgeMs = other76.freshnessAgeMs;
-  newest = std::move(other76.newest);
-  controlVms = std::move(other76.controlVms);
-  confirm = other76.confirm;
-  leaving = std::move(other76.leaving);
-  leavingPending = other76.leavingPending;
-  __isset = other76.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other77) {
-  freshnessAgeMs = other77.freshnessAgeMs;
-  newest = other77.newest;
-  controlVms = other77.controlVms;
-  confirm = other77.confirm;
-  leaving = other77.leaving;
-  leavingPending = other77.leavingPending;
-  __isset = other77.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other81) {
+  freshnessAgeMs = other81.freshnessAgeMs;
+  newest = other81.newest;
+  controlVms = other81.controlVms;
+  confirm = other81.confirm;
+  leaving = other81.leaving;
+  leavingPending = other81.leavingPending;
+  crashes = other81.crashes;
+  __isset = other81.__isset;
+}
+Heartbeat::Heartbeat(Heartbeat&& other82) noexcept {
+  freshnessAgeMs = other82.freshnessAgeMs;
+  newest = std::move(other82.newest);
+  controlVms = std::move(other82.controlVms);
+  confirm = other82.confirm;
+  leaving = std::move(other82.leaving);
+  leavingPending = other82.leavingPending;
+  crashes = std::move(other82.crashes);
+  __isset = other82.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other83) {
+  freshnessAgeMs = other83.freshnessAgeMs;
+  newest = other83.newest;
+  controlVms = other83.controlVms;
+  confirm = other83.confirm;
+  leaving = other83.leaving;
+  leavingPending = other83.leavingPending;
+  crashes = other83.crashes;
+  __isset = other83.__isset;
   return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other78) noexcept {
-  freshnessAgeMs = other78.freshnessAgeMs;
-  newest = std::move(other78.newest);
-  controlVms = std::move(other78.controlVms);
-  confirm = other78.confirm;
-  leaving = std::move(other78.leaving);
-  leavingPending = other78.leavingPending;
-  __isset = other78.__isset;
+Heartbeat& Heartbeat::operator=(Heartbeat&& other84) noexcept {
+  freshnessAgeMs = other84.freshnessAgeMs;
+  newest = std::move(other84.newest);
+  controlVms = std::move(other84.controlVms);
+  confirm = other84.confirm;
+  leaving = std::move(other84.leaving);
+  leavingPending = other84.leavingPending;
+  crashes = std::move(other84.crashes);
+  __isset = other84.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -1942,6 +1985,7 @@
   out << ", " << "confirm="; (__isset.confirm ? (out << to_string(confirm)) : (out << "<null>"));
   out << ", " << "leaving="; (__isset.leaving ? (out << to_string(leaving)) : (out << "<null>"));
   out << ", " << "leavingPending=" << to_string(leavingPending);
+  out << ", " << "crashes="; (__isset.crashes ? (out << to_string(crashes)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2001,6 +2045,11 @@
   this->leaving = val;
 __isset.leaving = true;
 }
+
+void NodeStatus::__set_crashes(const std::vector< ::wigeonfold::wire::CrashRecord> & val) {
+  this->crashes = val;
+__isset.crashes = true;
+}
 std::ostream& operator<<(std::ostream& out, const NodeStatus& obj)
 {
   obj.printTo(out);
@@ -2121,14 +2170,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving.clear();
-            uint32_t _size79;
-            ::apache::thrift::protocol::TType _etype82;
-            xfer += iprot->readListBegin(_etype82, _size79);
-            this->leaving.resize(_size79);
-            uint32_t _i83;
-            for (_i83 = 0; _i83 < _size79; ++_i83)
+            uint32_t _size85;
+            ::apache::thrift::protocol::TType _etype88;
+            xfer += iprot->readListBegin(_etype88, _size85);
+            this->leaving.resize(_size85);
+            uint32_t _i89;
+            for (_i89 = 0; _i89 < _size85; ++_i89)
             {
-              xfer += this->leaving[_i83].read(iprot);
+              xfer += this->leaving[_i89].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2137,6 +2186,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crashes.clear();
+            uint32_t _size90;
+            ::apache::thrift::protocol::TType _etype93;
+            xfer += iprot->readListBegin(_etype93, _size90);
+            this->crashes.resize(_size90);
+            uint32_t _i94;
+            for (_i94 = 0; _i94 < _size90; ++_i94)
+            {
+              xfer += this->crashes[_i94].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2205,10 +2274,23 @@
     xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 12);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
-      std::vector< ::wigeonfold::wire::TargetStart> ::const_iterator _iter84;
-      for (_iter84 = this->leaving.begin(); _iter84 != this->leaving.end(); ++_iter84)
+      std::vector< ::wigeonfold::wire::TargetStart> ::const_iterator _iter95;
+      for (_iter95 = this->leaving.begin(); _iter95 != this->leaving.end(); ++_iter95)
       {
-        xfer += (*_iter84).write(oprot);
+        xfer += (*_iter95).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.crashes) {
+    xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 13);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
+      std::vector< ::wigeonfold::wire::CrashRecord> ::const_iterator _iter96;
+      for (_iter96 = this->crashes.begin(); _iter96 != this->crashes.end(); ++_iter96)
+      {
+        xfer += (*_iter96).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2233,69 +2315,74 @@
   swap(a.belowFloor, b.belowFloor);
   swap(a.confirm, b.confirm);
   swap(a.leaving, b.leaving);
+  swap(a.crashes, b.crashes);
   swap(a.__isset, b.__isset);
 }
 
-NodeStatus::NodeStatus(const NodeStatus& other85) {
-  inForce = other85.inForce;
-  refused = other85.refused;
-  refusal = other85.refusal;
-  controlBytesReceived = other85.controlBytesReceived;
-  controlBytesSent = other85.controlBytesSent;
-  endpointSource = other85.endpointSource;
-  endpointCursor = other85.endpointCursor;
-  resync = other85.resync;
-  resyncFull = other85.resyncFull;
-  belowFloor = other85.belowFloor;
-  confirm = other85.confirm;
-  leaving = other85.leaving;
-  __isset = other85.__isset;
-}
-NodeStatus::NodeStatus(NodeStatus&& other86) noexcept {
-  inForce = std::move(other86.inForce);
-  refused = std::move(other86.refused);
-  refusal = std::move(other86.refusal);
-  controlBytesReceived = other86.controlBytesReceived;
-  controlBytesSent = other86.controlBytesSent;
-  endpointSource = other86.endpointSource;
-  endpointCursor = other86.endpointCursor;
-  resync = other86.resync;
-  resyncFull = other86.resyncFull;
-  belowFloor = other86.belowFloor;
-  confirm = other86.confirm;
-  leaving = std::move(other86.leaving);
-  __isset = other86.__isset;
-}
-NodeStatus& NodeStatus::operator=(const NodeStatus& other87) {
-  inForce = other87.inForce;
-  refused = other87.refused;
-  refusal = other87.refusal;
-  controlBytesReceived = other87.controlBytesReceived;
-  controlBytesSent = other87.controlBytesSent;
-  endpointSource = other87.endpointSource;
-  endpointCursor = other87.endpointCursor;
-  resync = other87.resync;
-  resyncFull = other87.resyncFull;
-  belowFloor = other87.belowFloor;
-  confirm = other87.confirm;
-  leaving = other87.leaving;
-  __isset = other87.__isset;
+NodeStatus::NodeStatus(const NodeStatus& other97) {
+  inForce = other97.inForce;
+  refused = other97.refused;
+  refusal = other97.refusal;
+  controlBytesReceived = other97.controlBytesReceived;
+  controlBytesSent = other97.controlBytesSent;
+  endpointSource = other97.endpointSource;
+  endpointCursor = other97.endpointCursor;
+  resync = other97.resync;
+  resyncFull = other97.resyncFull;
+  belowFloor = other97.belowFloor;
+  confirm = other97.confirm;
+  leaving = other97.leaving;
+  crashes = other97.crashes;
+  __isset = other97.__isset;
+}
+NodeStatus::NodeStatus(NodeStatus&& other98) noexcept {
+  inForce = std::move(other98.inForce);
+  refused = std::move(other98.refused);
+  refusal = std::move(other98.refusal);
+  controlBytesReceived = other98.controlBytesReceived;
+  controlBytesSent = other98.controlBytesSent;
+  endpointSource = other98.endpointSource;
+  endpointCursor = other98.endpointCursor;
+  resync = other98.resync;
+  resyncFull = other98.resyncFull;
+  belowFloor = other98.belowFloor;
+  confirm = other98.confirm;
+  leaving = std::move(other98.leaving);
+  crashes = std::move(other98.crashes);
+  __isset = other98.__isset;
+}
+NodeStatus& NodeStatus::operator=(const NodeStatus& other99) {
+  inForce = other99.inForce;
+  refused = other99.refused;
+  refusal = other99.refusal;
+  controlBytesReceived = other99.controlBytesReceived;
+  controlBytesSent = other99.controlBytesSent;
+  endpointSource = other99.endpointSource;
+  endpointCursor = other99.endpointCursor;
+  resync = other99.resync;
+  resyncFull = other99.resyncFull;
+  belowFloor = other99.belowFloor;
+  confirm = other99.confirm;
+  leaving = other99.leaving;
+  crashes = other99.crashes;
+  __isset = other99.__isset;
   return *this;
 }
-NodeStatus& NodeStatus::operator=(NodeStatus&& other88) noexcept {
-  inForce = std::move(other88.inForce);
-  refused = std::move(other88.refused);
-  refusal = std::move(other88.refusal);
-  controlBytesReceived = other88.controlBytesReceived;
-  controlBytesSent = other88.controlBytesSent;
-  endpointSource = other88.endpointSource;
-  endpointCursor = other88.endpointCursor;
-  resync = other88.resync;
-  resyncFull = other88.resyncFull;
-  belowFloor = other88.belowFloor;
-  confirm = other88.confirm;
-  leaving = std::move(other88.leaving);
-  __isset = other88.__isset;
+NodeStatus& NodeStatus::operator=(NodeStatus&& other100) noexcept {
+  inForce = std::move(other100.inForce);
+  refused = std::move(other100.refused);
+  refusal = std::move(other100.refusal);
+  controlBytesReceived = other100.controlBytesReceived;
+  controlBytesSent = other100.controlBytesSent;
+  endpointSource = other100.endpointSource;
+  endpointCursor = other100.endpointCursor;
+  resync = other100.resync;
+  resyncFull = other100.resyncFull;
+  belowFloor = other100.belowFloor;
+  confirm = other100.confirm;
+  leaving = std::move(other100.leaving);
+  crashes = std::move(other100.crashes);
+  __isset = other100.__isset;
   return *this;
 }
 void NodeStatus::printTo(std::ostream& out) const {
@@ -2313,6 +2400,7 @@
   out << ", " << "belowFloor=" << to_string(belowFloor);
   out << ", " << "confirm="; (__isset.confirm ? (out << to_string(confirm)) : (out << "<null>"));
   out << ", " << "leaving="; (__isset.leaving ? (out << to_string(leaving)) : (out << "<null>"));
+  out << ", " << "crashes="; (__isset.crashes ? (out << to_string(crashes)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2392,22 +2480,22 @@
   swap(a.__isset, b.__isset);
 }
 
-RetryLater::RetryLater(const RetryLater& other89) noexcept {
-  afterMs = other89.afterMs;
-  __isset = other89.__isset;
+RetryLater::RetryLater(const RetryLater& other101) noexcept {
+  afterMs = other101.afterMs;
+  __isset = other101.__isset;
 }
-RetryLater::RetryLater(RetryLater&& other90) noexcept {
-  afterMs = other90.afterMs;
-  __isset = other90.__isset;
+RetryLater::RetryLater(RetryLater&& other102) noexcept {
+  afterMs = other102.afterMs;
+  __isset = other102.__isset;
 }
-RetryLater& RetryLater::operator=(const RetryLater& other91) noexcept {
-  afterMs = other91.afterMs;
-  __isset = other91.__isset;
+RetryLater& RetryLater::operator=(const RetryLater& other103) noexcept {
+  afterMs = other103.afterMs;
+  __isset = other103.__isset;
   return *this;
 }
-RetryLater& RetryLater::operator=(RetryLater&& other92) noexcept {
-  afterMs = other92.afterMs;
-  __isset = other92.__isset;
+RetryLater& RetryLater::operator=(RetryLater&& other104) noexcept {
+  afterMs = other104.afterMs;
+  __isset = other104.__isset;
   return *this;
 }
 void RetryLater::printTo(std::ostream& out) const {
@@ -2453,6 +2541,11 @@
 void EndpointSync::__set_request(const bool val) {
   this->request = val;
 }
+
+void EndpointSync::__set_crashes(const std::vector< ::wigeonfold::wire::CrashRecord> & val) {
+  this->crashes = val;
+__isset.crashes = true;
+}
 std::ostream& operator<<(std::ostream& out, const EndpointSync& obj)
 {
   obj.printTo(out);
@@ -2501,14 +2594,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size93;
-            ::apache::thrift::protocol::TType _etype96;
-            xfer += iprot->readListBegin(_etype96, _size93);
-            this->records.resize(_size93);
-            uint32_t _i97;
-            for (_i97 = 0; _i97 < _size93; ++_i97)
+            uint32_t _size105;
+            ::apache::thrift::protocol::TType _etype108;
+            xfer += iprot->readListBegin(_etype108, _size105);
+            this->records.resize(_size105);
+            uint32_t _i109;
+            for (_i109 = 0; _i109 < _size105; ++_i109)
             {
-              xfer += this->records[_i97].read(iprot);
+              xfer += this->records[_i109].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2521,14 +2614,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removedNodes.clear();
-            uint32_t _size98;
-            ::apache::thrift::protocol::TType _etype101;
-            xfer += iprot->readListBegin(_etype101, _size98);
-            this->removedNodes.resize(_size98);
-            uint32_t _i102;
-            for (_i102 = 0; _i102 < _size98; ++_i102)
+            uint32_t _size110;
+            ::apache::thrift::protocol::TType _etype113;
+            xfer += iprot->readListBegin(_etype113, _size110);
+            this->removedNodes.resize(_size110);
+            uint32_t _i114;
+            for (_i114 = 0; _i114 < _size110; ++_i114)
             {
-              xfer += iprot->readString(this->removedNodes[_i102]);
+              xfer += iprot->readString(this->removedNodes[_i114]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2569,6 +2662,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crashes.clear();
+            uint32_t _size115;
+            ::apache::thrift::protocol::TType _etype118;
+            xfer += iprot->readListBegin(_etype118, _size115);
+            this->crashes.resize(_size115);
+            uint32_t _i119;
+            for (_i119 = 0; _i119 < _size115; ++_i119)
+            {
+              xfer += this->crashes[_i119].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2597,10 +2710,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<EndpointRecord> ::const_iterator _iter103;
-    for (_iter103 = this->records.begin(); _iter103 != this->records.end(); ++_iter103)
+    std::vector<EndpointRecord> ::const_iterator _iter120;
+    for (_iter120 = this->records.begin(); _iter120 != this->records.end(); ++_iter120)
     {
-      xfer += (*_iter103).write(oprot);
+      xfer += (*_iter120).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2609,10 +2722,10 @@
   xfer += oprot->writeFieldBegin("removedNodes", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removedNodes.size()));
-    std::vector<std::string> ::const_iterator _iter104;
-    for (_iter104 = this->removedNodes.begin(); _iter104 != this->removedNodes.end(); ++_iter104)
+    std::vector<std::string> ::const_iterator _iter121;
+    for (_iter121 = this->removedNodes.begin(); _iter121 != this->removedNodes.end(); ++_iter121)
     {
-      xfer += oprot->writeString((*_iter104));
+      xfer += oprot->writeString((*_iter121));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2634,6 +2747,19 @@
   xfer += oprot->writeBool(this->request);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.crashes) {
+    xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 9);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
+      std::vector< ::wigeonfold::wire::CrashRecord> ::const_iterator _iter122;
+      for (_iter122 = this->crashes.begin(); _iter122 != this->crashes.end(); ++_iter122)
+      {
+        xfer += (*_iter122).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2649,53 +2775,58 @@
   swap(a.baseCursor, b.baseCursor);
   swap(a.cursor, b.cursor);
   swap(a.request, b.request);
+  swap(a.crashes, b.crashes);
   swap(a.__isset, b.__isset);
 }
 
-EndpointSync::EndpointSync(const EndpointSync& other105) {
-  owner = other105.owner;
-  full = other105.full;
-  records = other105.records;
-  removedNodes = other105.removedNodes;
-  incarnation = other105.incarnation;
-  baseCursor = other105.baseCursor;
-  cursor = other105.cursor;
-  request = other105.request;
-  __isset = other105.__isset;
-}
-EndpointSync::EndpointSync(EndpointSync&& other106) noexcept {
-  owner = other106.owner;
-  full = other106.full;
-  records = std::move(other106.records);
-  removedNodes = std::move(other106.removedNodes);
-  incarnation = other106.incarnation;
-  baseCursor = other106.baseCursor;
-  cursor = other106.cursor;
-  request = other106.request;
-  __isset = other106.__isset;
-}
-EndpointSync& EndpointSync::operator=(const EndpointSync& other107) {
-  owner = other107.owner;
-  full = other107.full;
-  records = other107.records;
-  removedNodes = other107.removedNodes;
-  incarnation = other107.incarnation;
-  baseCursor = other107.baseCursor;
-  cursor = other107.cursor;
-  request = other107.request;
-  __isset = other107.__isset;
+EndpointSync::EndpointSync(const EndpointSync& other123) {
+  owner = other123.owner;
+  full = other123.full;
+  records = other123.records;
+  removedNodes = other123.removedNodes;
+  incarnation = other123.incarnation;
+  baseCursor = other123.baseCursor;
+  cursor = other123.cursor;
+  request = other123.request;
+  crashes = other123.crashes;
+  __isset = other123.__isset;
+}
+EndpointSync::EndpointSync(EndpointSync&& other124) noexcept {
+  owner = other124.owner;
+  full = other124.full;
+  records = std::move(other124.records);
+  removedNodes = std::move(other124.removedNodes);
+  incarnation = other124.incarnation;
+  baseCursor = other124.baseCursor;
+  cursor = other124.cursor;
+  request = other124.request;
+  crashes = std::move(other124.crashes);
+  __isset = other124.__isset;
+}
+EndpointSync& EndpointSync::operator=(const EndpointSync& other125) {
+  owner = other125.owner;
+  full = other125.full;
+  records = other125.records;
+  removedNodes = other125.removedNodes;
+  incarnation = other125.incarnation;
+  baseCursor = other125.baseCursor;
+  cursor = other125.cursor;
+  request = other125.request;
+  crashes = other125.crashes;
+  __isset = other125.__isset;
   return *this;
 }
-EndpointSync& EndpointSync::operator=(EndpointSync&& other108) noexcept {
-  owner = other108.owner;
-  full = other108.full;
-  records = std::move(other108.records);
-  removedNodes = std::move(other108.removedNodes);
-  incarnation = other108.incarnation;
-  baseCursor = other108.baseCursor;
-  cursor = other108.cursor;
-  request = other108.request;
-  __isset = other108.__isset;
+EndpointSync& EndpointSync::operator=(EndpointSync&& other126) noexcept {
+  owner = other126.owner;
+  full = other126.full;
+  records = std::move(other126.records);
+  removedNodes = std::move(other126.removedNodes);
+  incarnation = other126.incarnation;
+  baseCursor = other126.baseCursor;
+  cursor = other126.cursor;
+  request = other126.request;
+  crashes = std::move(other126.crashes);
+  __isset = other126.__isset;
   return *this;
 }
 void EndpointSync::printTo(std::ostream& out) const {
@@ -2709,6 +2840,7 @@
   out << ", " << "baseCursor=" << to_string(baseCursor);
   out << ", " << "cursor=" << to_string(cursor);
   out << ", " << "request=" << to_string(request);
+  out << ", " << "crashes="; (__isset.crashes ? (out << to_string(crashes)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3011,74 +3143,74 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlHello::ControlHello(const ControlHello& other109) {
-  memberId = other109.memberId;
-  name = other109.name;
-  clusterId = other109.clusterId;
-  availabilityZone = other109.availabilityZone;
-  peerAddress = other109.peerAddress;
-  apiAddress = other109.apiAddress;
-  nodeAddress = other109.nodeAddress;
-  operatorAddress = other109.operatorAddress;
-  hasLog = other109.hasLog;
-  mayBootstrap = other109.mayBootstrap;
-  readsPackedEntries = other109.readsPackedEntries;
-  readsLeavingReports = other109.readsLeavingReports;
-  stopping = other109.stopping;
-  formation = other109.formation;
-  __isset = other109.__isset;
-}
-ControlHello::ControlHello(ControlHello&& other110) noexcept {
-  memberId = other110.memberId;
-  name = std::move(other110.name);
-  clusterId = std::move(other110.clusterId);
-  availabilityZone = std::move(other110.availabilityZone);
-  peerAddress = std::move(other110.peerAddress);
-  apiAddress = std::move(other110.apiAddress);
-  nodeAddress = std::move(other110.nodeAddress);
-  operatorAddress = std::move(other110.operatorAddress);
-  hasLog = other110.hasLog;
-  mayBootstrap = other110.mayBootstrap;
-  readsPackedEntries = other110.readsPackedEntries;
-  readsLeavingReports = other110.readsLeavingReports;
-  stopping = other110.stopping;
-  formation = std::move(other110.formation);
-  __isset = other110.__isset;
-}
-ControlHello& ControlHello::operator=(const ControlHello& other111) {
-  memberId = other111.memberId;
-  name = other111.name;
-  clusterId = other111.clusterId;
-  availabilityZone = other111.availabilityZone;
-  peerAddress = other111.peerAddress;
-  apiAddress = other111.apiAddress;
-  nodeAddress = other111.nodeAddress;
-  operatorAddress = other111.operatorAddress;
-  hasLog = other111.hasLog;
-  mayBootstrap = other111.mayBootstrap;
-  readsPackedEntries = other111.readsPackedEntries;
-  readsLeavingReports = other111.readsLeavingReports;
-  stopping = other111.stopping;
-  formation = other111.formation;
-  __isset = other111.__isset;
+ControlHello::ControlHello(const ControlHello& other127) {
+  memberId = other127.memberId;
+  name = other127.name;
+  clusterId = other127.clusterId;
+  availabilityZone = other127.availabilityZone;
+  peerAddress = other127.peerAddress;
+  apiAddress = other127.apiAddress;
+  nodeAddress = other127.nodeAddress;
+  operatorAddress = other127.operatorAddress;
+  hasLog = other127.hasLog;
+  mayBootstrap = other127.mayBootstrap;
+  readsPackedEntries = other127.readsPackedEntries;
+  readsLeavingReports = other127.readsLeavingReports;
+  stopping = other127.stopping;
+  formation = other127.formation;
+  __isset = other127.__isset;
+}
+ControlHello::ControlHello(ControlHello&& other128) noexcept {
+  memberId = other128.memberId;
+  name = std::move(other128.name);
+  clusterId = std::move(other128.clusterId);
+  availabilityZone = std::move(other128.availabilityZone);
+  peerAddress = std::move(other128.peerAddress);
+  apiAddress = std::move(other128.apiAddress);
+  nodeAddress = std::move(other128.nodeAddress);
+  operatorAddress = std::move(other128.operatorAddress);
+  hasLog = other128.hasLog;
+  mayBootstrap = other128.mayBootstrap;
+  readsPackedEntries = other128.readsPackedEntries;
+  readsLeavingReports = other128.readsLeavingReports;
+  stopping = other128.stopping;
+  formation = std::move(other128.formation);
+  __isset = other128.__isset;
+}
+ControlHello& ControlHello::operator=(const ControlHello& other129) {
+  memberId = other129.memberId;
+  name = other129.name;
+  clusterId = other129.clusterId;
+  availabilityZone = other129.availabilityZone;
+  peerAddress = other129.peerAddress;
+  apiAddress = other129.apiAddress;
+  nodeAddress = other129.nodeAddress;
+  operatorAddress = other129.operatorAddress;
+  hasLog = other129.hasLog;
+  mayBootstrap = other129.mayBootstrap;
+  readsPackedEntries = other129.readsPackedEntries;
+  readsLeavingReports = other129.readsLeavingReports;
+  stopping = other129.stopping;
+  formation = other129.formation;
+  __isset = other129.__isset;
   return *this;
 }
-ControlHello& ControlHello::operator=(ControlHello&& other112) noexcept {
-  memberId = other112.memberId;
-  name = std::move(other112.name);
-  clusterId = std::move(other112.clusterId);
-  availabilityZone = std::move(other112.availabilityZone);
-  peerAddress = std::move(other112.peerAddress);
-  apiAddress = std::move(other112.apiAddress);
-  nodeAddress = std::move(other112.nodeAddress);
-  operatorAddress = std::move(other112.operatorAddress);
-  hasLog = other112.hasLog;
-  mayBootstrap = other112.mayBootstrap;
-  readsPackedEntries = other112.readsPackedEntries;
-  readsLeavingReports = other112.readsLeavingReports;
-  stopping = other112.stopping;
-  formation = std::move(other112.formation);
-  __isset = other112.__isset;
+ControlHello& ControlHello::operator=(ControlHello&& other130) noexcept {
+  memberId = other130.memberId;
+  name = std::move(other130.name);
+  clusterId = std::move(other130.clusterId);
+  availabilityZone = std::move(other130.availabilityZone);
+  peerAddress = std::move(other130.peerAddress);
+  apiAddress = std::move(other130.apiAddress);
+  nodeAddress = std::move(other130.nodeAddress);
+  operatorAddress = std::move(other130.operatorAddress);
+  hasLog = other130.hasLog;
+  mayBootstrap = other130.mayBootstrap;
+  readsPackedEntries = other130.readsPackedEntries;
+  readsLeavingReports = other130.readsLeavingReports;
+  stopping = other130.stopping;
+  formation = std::move(other130.formation);
+  __isset = other130.__isset;
   return *this;
 }
 void ControlHello::printTo(std::ostream& out) const {
@@ -3194,26 +3326,26 @@
   swap(a.__isset, b.__isset);
 }
 
-LeavingReport::LeavingReport(const LeavingReport& other113) {
-  nodeName = other113.nodeName;
-  start = other113.start;
-  __isset = other113.__isset;
+LeavingReport::LeavingReport(const LeavingReport& other131) {
+  nodeName = other131.nodeName;
+  start = other131.start;
+  __isset = other131.__isset;
 }
-LeavingReport::LeavingReport(LeavingReport&& other114) noexcept {
-  nodeName = std::move(other114.nodeName);
-  start = std::move(other114.start);
-  __isset = other114.__isset;
+LeavingReport::LeavingReport(LeavingReport&& other132) noexcept {
+  nodeName = std::move(other132.nodeName);
+  start = std::move(other132.start);
+  __isset = other132.__isset;
 }
-LeavingReport& LeavingReport::operator=(const LeavingReport& other115) {
-  nodeName = other115.nodeName;
-  start = other115.start;
-  __isset = other115.__isset;
+LeavingReport& LeavingReport::operator=(const LeavingReport& other133) {
+  nodeName = other133.nodeName;
+  start = other133.start;
+  __isset = other133.__isset;
   return *this;
 }
-LeavingReport& LeavingReport::operator=(LeavingReport&& other116) noexcept {
-  nodeName = std::move(other116.nodeName);
-  start = std::move(other116.start);
-  __isset = other116.__isset;
+LeavingReport& LeavingReport::operator=(LeavingReport&& other134) noexcept {
+  nodeName = std::move(other134.nodeName);
+  start = std::move(other134.start);
+  __isset = other134.__isset;
   return *this;
 }
 void LeavingReport::printTo(std::ostream& out) const {
