Don't offer a target that has ended

What callers saw: for 3 s after the end of a target, its node counted as ready. Requests were sent there and back again, and a request with three such refusals was answered 503 although other targets had room.

Cause: the state of a target followed its reports only; an ended one stayed ready until its lease ran out.

Change: a target without a request under way that refuses connections is announced as draining until its next report.

--- a/apps/wigeonfold-node/Messages.h
+++ b/apps/wigeonfold-node/Messages.h
@@ -69,8 +69,9 @@
 {
   Absent, // never announced
   Ready,
-  // The target or its node shuts down, the lease is lost, the configuration
-  // drains the node, or the node doesn't know yet which starts have left.
+  // The target or its node shuts down, the lease is lost, the target refuses
+  // connections, the configuration drains the node, or the node doesn't know
+  // yet which starts have left.
   Draining,
 };
 
--- a/apps/wigeonfold-node/TargetSide.cpp
+++ b/apps/wigeonfold-node/TargetSide.cpp
@@ -348,8 +348,8 @@
               aConnected ? targetCall.OnConnected(now)
                          : targetCall.OnConnectFailed(),
               now);
-      if (!aConnected && m_crashDetector.MayHaveEnded()) {
-        OnTargetEnded(m_target->m_instance, kRefusesConnections, now);
+      if (!aConnected) {
+        OnConnectionRefused(now);
       }
     }
   });
@@ -571,12 +571,24 @@
     if (aConnected) {
       m_pool->GiveBack(probe);
       ReleaseHeldSlot(Clock::now());
-    } else if (m_crashDetector.MayHaveEnded()) {
-      OnTargetEnded(m_target->m_instance, kRefusesConnections, Clock::now());
+    } else {
+      OnConnectionRefused(Clock::now());
     }
   });
 }
 
+// A target without a request under way that refuses connections has ended. Its
+// callers are told to choose another one until it reports again.
+void TargetSide::OnConnectionRefused(TimePoint aNow)
+{
+  if (m_crashDetector.HasRunning()) {
+    return;
+  }
+  OnTargetEnded(m_target->m_instance, kRefusesConnections, aNow);
+  m_refusesConnections = true;
+  UpdateDraining(aNow);
+}
+
 void TargetSide::OnTargetEnded(const std::string& aInstance,
                                const char* aSign,
                                TimePoint aNow)
--- a/apps/wigeonfold-node/TargetSide.h
+++ b/apps/wigeonfold-node/TargetSide.h
@@ -174,6 +174,7 @@
   void HoldSlot(uint64_t aId, TimePoint aNow);
   void ReleaseHeldSlot(TimePoint aNow);
   void CheckTargetEnded();
+  void OnConnectionRefused(TimePoint aNow);
   void OnTargetEnded(const std::string& aInstance,
                      const char* aSign,
                      TimePoint aNow);
@@ -212,6 +213,8 @@
   std::optional<Announcement> m_target;
   TimePoint m_leaseEnd{};
   bool m_leaseLost = false;
+  // No connection could be opened since the last report of the target.
+  bool m_refusesConnections = false;
   bool m_usable = false;
   bool m_leavingKnown = false; // see SetUsable()
   bool m_stopping = false;
--- a/apps/wigeonfold-node/TargetState.cpp
+++ b/apps/wigeonfold-node/TargetState.cpp
@@ -60,6 +60,7 @@
   m_target = m_reports.Current();
   m_leaseEnd = aNow + m_options.m_announceLease;
   m_leaseLost = false;
+  m_refusesConnections = false;
   const bool otherInstance = !before ||
                              before->m_instance != m_target->m_instance ||
                              before->m_startedAtMs != m_target->m_startedAtMs ||
@@ -127,7 +128,7 @@
   const bool drainedByView = m_view && m_view->IsDrained(m_options.m_nodeName);
   return m_target->m_state == discovery::ReportedState::Ready && m_usable &&
          m_reports.CurrentReports() >= reportsNeeded && !m_leaseLost &&
-         !drainedByView;
+         !m_refusesConnections && !drainedByView;
 }
 
 void TargetSide::NoteLimit(const TargetStart& aStart,
--- a/libs/forwarding/include/wigeonfold/forwarding/TargetCrash.h
+++ b/libs/forwarding/include/wigeonfold/forwarding/TargetCrash.h
@@ -45,6 +45,8 @@
   // The node closed the connection: cancelled, or past its deadline.
   void OnAbandoned(uint64_t aId, TimePoint aNow);
 
+  // Whether a request is under way.
+  bool HasRunning() const { return !m_running.empty(); }
   // Whether requests were lost and no other is still under way, so that the
   // target may have ended. It has if it refuses connections, has started anew
   // or stays silent.
