Don't risk the last target of a service on a suspect request

Change: an isolated request is refused with 503 and the time to wait while it could end the last known target of the service within 5 s of the last crash, which covers the usual restart. It is not sent to a second target by the same call after its answer was lost: whether the first one has ended is not known then.

--- a/apps/wigeonfold-node/CallerSide.cpp
+++ b/apps/wigeonfold-node/CallerSide.cpp
@@ -86,6 +86,11 @@
     Reject(Outcome::Quarantined, aRespond, judgement.m_left);
     return;
   }
+  const Duration wait = judgement.WaitFor(parsed.m_route->m_endpoints.size());
+  if (wait > Duration::zero()) {
+    Reject(Outcome::IsolationBusy, aRespond, wait);
+    return;
+  }
   const uint64_t id = ++m_lastId;
   forwarding::CallSpec spec;
   spec.m_idempotent = parsed.m_request->idempotent;
--- a/libs/discovery/include/wigeonfold/discovery/CrashLedger.h
+++ b/libs/discovery/include/wigeonfold/discovery/CrashLedger.h
@@ -27,6 +27,21 @@
   CrashVerdict m_verdict = CrashVerdict::Run;
   // If quarantined: time until such a request is run again.
   Duration m_left{};
+  // If isolated: time since the last crash, and the number of crashes within
+  // kEndpointDelay.
+  Duration m_sinceLast{};
+  size_t m_recentCrashes = 0;
+
+  // Time to wait before the request is sent to a service of which the node
+  // knows that number of targets; zero: none. An isolated request that may end
+  // the last one waits until those that it may have ended are back. Those that
+  // ended within kEndpointDelay may still be among the known ones.
+  Duration WaitFor(size_t aKnownTargets) const;
+
+  // Covers the usual restart of a target.
+  static constexpr Duration kRestartTime = std::chrono::seconds(5);
+  // Time until all nodes know that a target is not ready any more.
+  static constexpr Duration kEndpointDelay = std::chrono::milliseconds(500);
 };
 
 // Remembers, by the fingerprint of a request's content, the ends of targets
@@ -107,10 +122,11 @@
   {
     size_t m_crashes = 0;
     size_t m_alone = 0;
+    size_t m_recent = 0; // within CrashJudgement::kEndpointDelay
     TimePoint m_last{};
   };
 
-  static Standing StandingOf(const Record& aRecord);
+  static Standing StandingOf(const Record& aRecord, TimePoint aNow = {});
   static Duration QuarantineOf(const Standing& aStanding);
   bool WasCompleted(uint64_t aFingerprint, TimePoint aNow) const;
   void Refute(Record& aRecord);
--- a/libs/discovery/src/CrashLedger.cpp
+++ b/libs/discovery/src/CrashLedger.cpp
@@ -18,6 +18,14 @@
   return "run";
 }
 
+Duration CrashJudgement::WaitFor(size_t aKnownTargets) const
+{
+  return m_verdict == CrashVerdict::Isolate &&
+             aKnownTargets <= m_recentCrashes + 1
+           ? std::max(kRestartTime - m_sinceLast, Duration::zero())
+           : Duration::zero();
+}
+
 // ---- Changes ---------------------------------------------------------------
 
 void CrashLedger::AddCrash(uint64_t aFingerprint,
@@ -145,13 +153,16 @@
 
 // ---- Queries ---------------------------------------------------------------
 
-CrashLedger::Standing CrashLedger::StandingOf(const Record& aRecord)
+CrashLedger::Standing CrashLedger::StandingOf(const Record& aRecord,
+                                              TimePoint aNow)
 {
   Standing standing;
   for (const auto& [id, event] : aRecord.m_events) {
     if (!event.m_refuted) {
       ++standing.m_crashes;
       standing.m_alone += event.m_alone ? 1 : 0;
+      standing.m_recent +=
+        aNow - event.m_at <= CrashJudgement::kEndpointDelay ? 1 : 0;
       standing.m_last = std::max(standing.m_last, event.m_at);
     }
   }
@@ -175,16 +186,19 @@
   if (found == m_records.end()) {
     return {};
   }
-  const Standing standing = StandingOf(found->second);
+  const Standing standing = StandingOf(found->second, aNow);
   if (standing.m_crashes >= kQuarantineAfter && standing.m_alone > 0) {
     const Duration left = standing.m_last + QuarantineOf(standing) - aNow;
     if (left > Duration::zero()) {
       return { CrashVerdict::Quarantine, left };
     }
   }
-  return { standing.m_crashes >= kIsolateAfter ? CrashVerdict::Isolate
-                                               : CrashVerdict::Run,
-           {} };
+  if (standing.m_crashes < kIsolateAfter) {
+    return {};
+  }
+  return {
+    CrashVerdict::Isolate, {}, aNow - standing.m_last, standing.m_recent
+  };
 }
 
 size_t CrashLedger::CrashesOf(uint64_t aFingerprint) const
--- a/libs/discovery/test/CrashLedger_test.cpp
+++ b/libs/discovery/test/CrashLedger_test.cpp
@@ -104,6 +104,26 @@
   EXPECT_EQ(ledger.Size(), 0U);
 }
 
+// Otherwise the service has no target until the first one is back. The node
+// may not know yet that targets have ended.
+TEST(CrashLedger, LastTargetIsNotRiskedBeforeTheOthersMayBeBack)
+{
+  CrashLedger ledger;
+  EXPECT_EQ(ledger.Judge(kDeadly, kStart).WaitFor(1), 0s);
+  ledger.AddCrash(kDeadly, 1, false, kStart);
+  ledger.AddCrash(kDeadly, 2, false, kStart);
+  for (const size_t known : { 1, 2, 3 }) {
+    EXPECT_EQ(ledger.Judge(kDeadly, kStart).WaitFor(known),
+              CrashJudgement::kRestartTime);
+  }
+  EXPECT_EQ(ledger.Judge(kDeadly, kStart).WaitFor(4), 0s);
+  EXPECT_EQ(ledger.Judge(kDeadly, kStart + 1s).WaitFor(2), 0s);
+  EXPECT_EQ(ledger.Judge(kDeadly, kStart + 1s).WaitFor(1),
+            CrashJudgement::kRestartTime - 1s);
+  const TimePoint later = kStart + CrashJudgement::kRestartTime;
+  EXPECT_EQ(ledger.Judge(kDeadly, later).WaitFor(1), 0s);
+}
+
 // Records that pass back and forth between nodes do not live longer.
 TEST(CrashLedger, RelayedCrashesAreForgottenInTime)
 {
--- a/libs/forwarding/src/Call.cpp
+++ b/libs/forwarding/src/Call.cpp
@@ -105,6 +105,10 @@
 bool Call::MayRetry(Outcome aOutcome, TimePoint aNow) const
 {
   const bool mayHaveRun = m_unknownOutcome.has_value() || m_failureAnswered;
+  // Whether the target has ended under it is not known yet.
+  if (m_isolated && InfoOf(aOutcome).m_runState == RunState::Unknown) {
+    return false;
+  }
   return InfoOf(aOutcome).m_retryable && HasTimeToRetry(aNow) &&
          (!mayHaveRun || m_spec.m_idempotent);
 }
