Don't take a failed answer for a request that was run to its end

Cause: a target that stops work at the deadline answers 504. The request had waited to run alone, the target answered after 8 ms, at the deadline, and the request was taken for innocent of all crashes.

Change: only an answer other than a failure exonerates.

--- a/apps/wigeonfold-node/TargetSide.cpp
+++ b/apps/wigeonfold-node/TargetSide.cpp
@@ -513,10 +513,12 @@
 {
   switch (aOutcome) {
     case Outcome::Answered:
-    case Outcome::AnsweredFailure:
       NoteCompleted(aCall, aNow);
       m_crashDetector.OnAnswered(aId, aNow);
       break;
+    // A target also answers with a failure if it stopped work at the deadline,
+    // so this doesn't show that it ran the request to its end.
+    case Outcome::AnsweredFailure:
     case Outcome::Shed:
     case Outcome::AnswerUnusable:
       m_crashDetector.OnAnswered(aId, aNow);
--- a/apps/wigeonfold-node/test/TestNodes.h
+++ b/apps/wigeonfold-node/test/TestNodes.h
@@ -222,6 +222,10 @@
         [this](const TargetStart& aStart) { m_toStore.push_back(aStart); },
         [this](const AnnouncementAnswer& aAnswer) {
           m_answers.push_back(aAnswer);
+        },
+        [this](const CrashRecords& aRecords) {
+          m_crashes.insert(m_crashes.end(), aRecords.begin(), aRecords.end());
+          return true;
         } });
     EXPECT_TRUE(node->Start());
     return node;
@@ -382,6 +386,7 @@
   std::vector<Version> m_peerVersions;
   std::vector<TargetStart> m_toStore; // leaving starts to be stored
   std::vector<AnnouncementAnswer> m_answers;
+  CrashRecords m_crashes; // to be shared with other nodes
   uint64_t m_lastAnnouncement = 0;
   std::thread m_thread;
 };
