--- a/tests/process/DeadlyRequest_test.py
+++ b/tests/process/DeadlyRequest_test.py
@@ -7,8 +7,10 @@
 file. A target ends without notice when it has worked on a deadly request for a
 moment, and is back RESTART_SECONDS later. The caller of the deadly request gets
 no answer and returns, with the same path and body, at another node. Other
-callers use the same route with other bodies. Exit status 1 if a check fails, 2
-if the run itself failed.
+callers use the same route with other bodies. In some cases nodes and control
+VMs are killed and started again meanwhile, or targets end for other reasons
+while all requests are alike. Exit status 1 if a check fails, 2 if the run
+itself failed.
 """
 import argparse
 import http.client
@@ -40,6 +42,7 @@
 ENDS_ALLOWED = 3
 LATE_ARRIVALS_ALLOWED = 3
 PORTS_PER_CASE = 100
+CALM_SECONDS = 4.0  # without further trouble, at the end of a run
 MIN_SERVED = 0.95  # of the other requests, once the ended targets are back
 DEADLY = b"deadly"
 
@@ -189,14 +192,14 @@
     fleet.start_controls()
     for i in range(len(SERVICES)):
         fleet.start_node(i)
-    for i in range(TARGETS):
-        Target(fleet, i, record)
+    targets = [Target(fleet, i, record) for i in range(TARGETS)]
     draft = fleet.path("draft.json")
     fleet.client("branch", "set", "services/lots", "route.prefix", "/lots", "--draft", draft)
     if fleet.client("accept", "--wait", "--draft", draft).returncode != 0:
         raise RuntimeError("the first change was not accepted")
     wait_until(20, lambda: all(get_json(fleet.vm_address(i, "local"), "/status")["endpoints"] == TARGETS
                                for i in range(len(SERVICES))), "not every node knew all targets within 20 s")
+    return targets
 
 
 def send_deadly(fleet, method, body, end):
@@ -206,23 +209,48 @@
         time.sleep(RETURN_SECONDS)
 
 
-def send_others(fleet, method, end, results):
+def send_others(fleet, case, end, results):
     number = 0
     while time.monotonic() < end:
         number += 1
         sent = time.monotonic()
-        status = call(fleet, TARGETS + number % CALLING_NODES, method, b"healthy %d" % number)
+        body = b"healthy" if case.alike else b"healthy %d" % number
+        status = call(fleet, TARGETS + number % CALLING_NODES, case.method, body)
         results.append((sent, status == 200))
         time.sleep(0.02)
 
 
-def play(fleet, record, method, bodies):
+def restart_processes(fleet, _, end):
+    """Kills a control VM, the leader among them, or a calling node, and starts it again."""
+    names = ["control-%d" % i for i in range(3)] + ["node-%d" % i for i in range(TARGETS, len(SERVICES))]
+    random.shuffle(names)
+    for name in names:
+        if time.monotonic() > end:
+            return
+        fleet.kill(name)
+        time.sleep(0.2)
+        start = fleet.start_control if name.startswith("control") else fleet.start_node
+        start(int(name.split("-")[1]))
+        time.sleep(1.3)
+
+
+def end_targets(_, targets, end):
+    while time.monotonic() < end:
+        random.choice(targets).end()
+        time.sleep(0.7)
+
+
+def play(fleet, targets, record, case):
     """Returns the problems found."""
+    method = case.method
+    bodies = [DEADLY + b" %d" % n for n in range(case.deadly)]
     begin = time.monotonic()
     end = begin + RUN_SECONDS
     results = []
     threads = [threading.Thread(target=send_deadly, args=(fleet, method, body, end)) for body in bodies]
-    threads += [threading.Thread(target=send_others, args=(fleet, method, end, results)) for _ in range(3)]
+    threads += [threading.Thread(target=send_others, args=(fleet, case, end, results)) for _ in range(3)]
+    if case.trouble:
+        threads.append(threading.Thread(target=case.trouble, args=(fleet, targets, end - CALM_SECONDS)))
     for thread in threads:
         thread.start()
     for thread in threads:
@@ -233,11 +261,11 @@
         if late > LATE_ARRIVALS_ALLOWED:
             problems.append("%s reached a target %d times more after it had ended %d" % (body, late, ENDS_ALLOWED))
     # Both rounds of ends may take the targets away once.
-    calm = begin + STABILITY_SECONDS + 2 * RESTART_SECONDS
+    calm = end - CALM_SECONDS / 2 if case.trouble else begin + STABILITY_SECONDS + 2 * RESTART_SECONDS
     judged = [served for sent, served in results if sent > calm]
     share = sum(judged) / max(len(judged), 1)
-    print("%s, %d deadly: %d ends, arrivals %s, late %s, %d of %d other requests served, %.3f from second %.0f on" % (
-        method, len(bodies), len(record.ends), [len(record.arrivals.get(body, [])) for body in bodies],
+    print("%s, %s, %d deadly: %d ends, arrivals %s, late %s, %d of %d other requests served, %.3f from second %.0f on" % (
+        case.name, method, len(bodies), len(record.ends), [len(record.arrivals.get(body, [])) for body in bodies],
         [record.late_arrivals(body) for body in bodies], sum(served for _, served in results), len(results), share,
         calm - begin), flush=True)
     if share < MIN_SERVED:
@@ -245,8 +273,23 @@
     return problems
 
 
-# The number of deadly requests, and how long a target works on one before it ends.
-CASES = [("POST", 1, 0.0), ("GET", 1, 0.2), ("POST", 2, 0.05)]
+class Case:
+    def __init__(self, name, method, deadly, seconds_to_end=0.0, trouble=None, alike=False):
+        self.name = name
+        self.method = method
+        self.deadly = deadly  # number of deadly requests
+        self.seconds_to_end = seconds_to_end  # for which a target works on one
+        self.trouble = trouble
+        self.alike = alike  # all other requests have the same body
+
+
+CASES = [
+    Case("at once", "POST", 1),
+    Case("after some work", "GET", 1, 0.2),
+    Case("two", "POST", 2, 0.05),
+    Case("restarts", "POST", 1, 0.05, restart_processes),
+    Case("other ends, all alike", "POST", 0, trouble=end_targets, alike=True),
+]
 
 
 def main():
@@ -256,13 +299,13 @@
     parser.add_argument("--keep", help="folder for the logs of a failed run")
     arguments = parser.parse_args()
     status = 0
-    for number, (method, count, seconds_to_end) in enumerate(CASES):
+    for number, case in enumerate(CASES):
         work = tempfile.mkdtemp()
         fleet = Fleet(arguments.build, work, arguments.port + number * PORTS_PER_CASE, SERVICES)
         try:
-            record = Record(seconds_to_end)
-            start_fleet(fleet, record)
-            problems = play(fleet, record, method, [DEADLY + b" %d" % n for n in range(count)])
+            record = Record(case.seconds_to_end)
+            targets = start_fleet(fleet, record)
+            problems = play(fleet, targets, record, case)
         except RuntimeError as error:
             print("the run failed: %s" % error)
             return 2
@@ -271,7 +314,7 @@
         for problem in problems:
             print("  FAILED: " + problem)
         if problems and arguments.keep:
-            shutil.copytree(work, os.path.join(arguments.keep, "%s-%d" % (method, count)), dirs_exist_ok=True)
+            shutil.copytree(work, os.path.join(arguments.keep, case.name), dirs_exist_ok=True)
         shutil.rmtree(work)
         status = max(status, 1 if problems else 0)
     print("deadly requests: %s" % ("FAILED" if status else "ok"))
