Log each refusal of a suspect request, and ignore refusals of an earlier start

A request that waits since it could end the last target was refused without a log line; RequestQuarantined now names the reason. A connection that was refused by an earlier start of the target no longer drains the new one. A call whose request was convicted meanwhile is not sent to another target.

--- a/apps/wigeonfold-node/CallerSide.cpp
+++ b/apps/wigeonfold-node/CallerSide.cpp
@@ -81,14 +81,9 @@
   const uint64_t fingerprint = forwarding::FingerprintOf(*parsed.m_request);
   const discovery::CrashJudgement judgement =
     m_crashLedger.Judge(fingerprint, now);
-  if (judgement.m_verdict == CrashVerdict::Quarantine) {
-    LogQuarantined(*parsed.m_request, fingerprint, judgement.m_left, now);
-    Reject(Outcome::Quarantined, aRespond, judgement.m_left);
-    return;
-  }
-  const Duration wait = judgement.WaitFor(parsed.m_route->m_endpoints.size());
-  if (wait > Duration::zero()) {
-    Reject(Outcome::IsolationBusy, aRespond, wait);
+  if (const auto refusal = RefusalOf(judgement, *parsed.m_route)) {
+    LogRefusal(*parsed.m_request, fingerprint, *refusal, now);
+    Reject(refusal->m_outcome, aRespond, refusal->m_retryAfter);
     return;
   }
   const uint64_t id = ++m_lastId;
@@ -134,10 +129,23 @@
     m_dialect.LocalAnswer({ aOutcome, forwarding::kNoTarget, aRetryAfter }));
 }
 
-void CallerSide::LogQuarantined(const wire::CallRequest& aRequest,
-                                uint64_t aFingerprint,
-                                Duration aLeft,
-                                TimePoint aNow)
+std::optional<CallerSide::CrashRefusal> CallerSide::RefusalOf(
+  const discovery::CrashJudgement& aJudgement,
+  const routing::ServiceRoute& aRoute)
+{
+  if (aJudgement.m_verdict == CrashVerdict::Quarantine) {
+    return CrashRefusal{ Outcome::Quarantined, aJudgement.m_left };
+  }
+  const Duration wait = aJudgement.WaitFor(aRoute.m_endpoints.size());
+  return wait > Duration::zero()
+           ? std::optional(CrashRefusal{ Outcome::IsolationBusy, wait })
+           : std::nullopt;
+}
+
+void CallerSide::LogRefusal(const wire::CallRequest& aRequest,
+                            uint64_t aFingerprint,
+                            const CrashRefusal& aRefusal,
+                            TimePoint aNow)
 {
   if (!m_log.Admits(EventId::RequestQuarantined, aNow)) {
     return;
@@ -147,8 +155,9 @@
     { { "request", aRequest.requestId },
       { "content", forwarding::FormatFingerprint(aFingerprint) },
       { "route", aRequest.route },
+      { "reason", InfoOf(aRefusal.m_outcome).m_reason },
       { "crashes", std::to_string(m_crashLedger.CrashesOf(aFingerprint)) },
-      { "left-ms", std::to_string(ToMilliseconds(aLeft)) } });
+      { "left-ms", std::to_string(ToMilliseconds(aRefusal.m_retryAfter)) } });
 }
 
 void CallerSide::OnCallerDisconnected(uint64_t aId)
@@ -281,7 +290,7 @@
   }
   // Targets may have ended since the attempt began.
   const auto judgement = m_crashLedger.Judge(call.m_fingerprint, Clock::now());
-  call.m_call.SetIsolated(judgement.m_verdict == CrashVerdict::Isolate);
+  call.m_call.SetIsolated(judgement.m_verdict != CrashVerdict::Run);
   const wire::TargetLoad* load =
     call.m_response.__isset.load ? &call.m_response.load : nullptr;
   Execute(
--- a/apps/wigeonfold-node/CallerSide.h
+++ b/apps/wigeonfold-node/CallerSide.h
@@ -93,10 +93,19 @@
   void Reject(forwarding::Outcome aOutcome,
               const net::HttpRespond& aRespond,
               Duration aRetryAfter = Duration::zero());
-  void LogQuarantined(const wire::CallRequest& aRequest,
-                      uint64_t aFingerprint,
-                      Duration aLeft,
-                      TimePoint aNow);
+  // Why a request that may end its targets is not run now; nothing if it is.
+  struct CrashRefusal
+  {
+    forwarding::Outcome m_outcome = forwarding::Outcome::Quarantined;
+    Duration m_retryAfter{};
+  };
+  static std::optional<CrashRefusal> RefusalOf(
+    const discovery::CrashJudgement& aJudgement,
+    const routing::ServiceRoute& aRoute);
+  void LogRefusal(const wire::CallRequest& aRequest,
+                  uint64_t aFingerprint,
+                  const CrashRefusal& aRefusal,
+                  TimePoint aNow);
   void Execute(uint64_t aId, const forwarding::CallStep& aStep);
   void Start(uint64_t aId,
              ActiveCall& aCall,
--- a/apps/wigeonfold-node/TargetSide.cpp
+++ b/apps/wigeonfold-node/TargetSide.cpp
@@ -339,20 +339,21 @@
     Execute(aId, aCall.m_call.OnConnected(aNow), aNow);
     return;
   }
-  aCall.m_connection = m_pool->Open([this, aId](bool aConnected) {
-    const auto call = m_calls.find(aId);
-    if (call != m_calls.end()) {
-      const TimePoint now = Clock::now();
-      forwarding::TargetCall& targetCall = call->second.m_call;
-      Execute(aId,
-              aConnected ? targetCall.OnConnected(now)
-                         : targetCall.OnConnectFailed(),
-              now);
-      if (!aConnected) {
-        OnConnectionRefused(now);
+  aCall.m_connection =
+    m_pool->Open([this, aId, start = m_target->Start()](bool aConnected) {
+      const auto call = m_calls.find(aId);
+      if (call != m_calls.end()) {
+        const TimePoint now = Clock::now();
+        forwarding::TargetCall& targetCall = call->second.m_call;
+        Execute(aId,
+                aConnected ? targetCall.OnConnected(now)
+                           : targetCall.OnConnectFailed(),
+                now);
+        if (!aConnected) {
+          OnConnectionRefused(start, now);
+        }
       }
-    }
-  });
+    });
 }
 
 void TargetSide::Write(uint64_t aId, ServedCall& aCall, TimePoint aNow)
@@ -568,25 +569,26 @@
   if (m_probe || !m_crashDetector.MayHaveEnded()) {
     return;
   }
-  m_probe = m_pool->Open([this](bool aConnected) {
+  m_probe = m_pool->Open([this, start = m_target->Start()](bool aConnected) {
     const TargetConnectionPtr probe = std::exchange(m_probe, nullptr);
     if (aConnected) {
       m_pool->GiveBack(probe);
       ReleaseHeldSlot(Clock::now());
     } else {
-      OnConnectionRefused(Clock::now());
+      OnConnectionRefused(start, Clock::now());
     }
   });
 }
 
-// A target without a request under way that refuses connections has ended. Its
-// callers are told to choose another one until it reports again.
-void TargetSide::OnConnectionRefused(TimePoint aNow)
+// A start of the target without a request under way that refuses connections
+// has ended. Its callers are told to choose another target until it reports
+// again.
+void TargetSide::OnConnectionRefused(const TargetStart& aStart, TimePoint aNow)
 {
-  if (m_crashDetector.HasRunning()) {
+  if (m_crashDetector.HasRunning() || m_target->Start() != aStart) {
     return;
   }
-  OnTargetEnded(m_target->m_instance, kRefusesConnections, aNow);
+  OnTargetEnded(aStart.m_instance, kRefusesConnections, aNow);
   m_refusesConnections = true;
   UpdateDraining(aNow);
 }
--- a/apps/wigeonfold-node/TargetSide.h
+++ b/apps/wigeonfold-node/TargetSide.h
@@ -174,7 +174,7 @@
   void HoldSlot(uint64_t aId, TimePoint aNow);
   void ReleaseHeldSlot(TimePoint aNow);
   void CheckTargetEnded();
-  void OnConnectionRefused(TimePoint aNow);
+  void OnConnectionRefused(const TargetStart& aStart, TimePoint aNow);
   void OnTargetEnded(const std::string& aInstance,
                      const char* aSign,
                      TimePoint aNow);
--- a/libs/base/include/wigeonfold/base/Events.h
+++ b/libs/base/include/wigeonfold/base/Events.h
@@ -95,7 +95,7 @@
   X(LeaveNotStored,         2121, Warning, "a report that the node's own target leaves was refused, since the control VMs did not store it in time") \
   X(TargetEnded,            2122, Warning, "the node's own target ended while it ran requests") \
   X(RequestAtCrash,         2123, Warning, "a request that the node's own target may have been running when it ended") \
-  X(RequestQuarantined,     2124, Warning, "a request was refused, since targets ended each time that they ran such a request") \
+  X(RequestQuarantined,     2124, Warning, "a request was refused, since targets ended while they ran such a request") \
   X(RequestIsolated,        2125, Info,    "a request runs alone at the node's own target, since targets ended while they ran such a request") \
   X(RequestExonerated,      2126, Info,    "the node's own target completed a request, so targets did not end because of such a request")
 // clang-format on
