--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -159,11 +159,31 @@
             self.bootstrap = False
             self.start()
 
+    def memory(self):
+        with open(f"/proc/{self.process.pid}/status", encoding="ascii") as file:
+            return next(" ".join(line.split()) for line in file
+                        if line.startswith("VmHWM"))
+
+    def disk_mb(self):
+        return sum(entry.stat().st_size for entry in os.scandir(self.data)) / 1e6
+
     def last_words(self):
         """The uncaught exceptions that the processes reported."""
         with open(self.log_path, encoding="utf-8", errors="replace") as log:
             return {line.strip() for line in log if "what():" in line}
 
+    def lose_disk(self, down_s):
+        """The process is killed, its data folder is gone, and it starts again
+        at its address after down_s."""
+        self.send(signal.SIGKILL)
+        while self.process is not None:
+            time.sleep(0.01)  # until the watcher has noted the end
+        shutil.rmtree(self.data)
+        self.fleet.record(f"{self.name} has lost its disk")
+        time.sleep(down_s)
+        self.bootstrap = False
+        self.start()
+
     def send(self, number, restart=False):
         if self.process is not None and self.process.poll() is None:
             if number in (signal.SIGKILL, signal.SIGTERM):
@@ -254,8 +274,11 @@
 
     FINAL = (400, 409, 412, 413, 422)
 
-    def __init__(self, fleet, record):
+    def __init__(self, fleet, record, patience_s=1.0):
         self.fleet, self.record = fleet, record
+        self.patience_s = patience_s  # the wait for a response
+        self.acknowledged_by = None  # IP address
+        self.last_address = None
 
     def attempt(self, method, body, address):
         host, port = address.split(":")
@@ -263,18 +286,24 @@
         for _ in range(3):
             status, answer, headers = call(
                 host, int(port), method, path, body,
-                {"Content-Type": "application/json"})
+                {"Content-Type": "application/json"}, self.patience_s)
             if status != 307:
                 return status, answer, host
             place = urllib.parse.urlsplit(headers.get("Location", ""))
             host, port, path = place.hostname, place.port, place.path
         return status, answer, host
 
-    def put(self, document, limit_s, note):
-        """The clear answer, or None when there was none in the time."""
-        body = json.dumps(document, ensure_ascii=False).encode()
+    def put(self, document, limit_s, note, quiet=False):
+        """The clear answer, or None when there was none in the time. Asks the
+        node that acknowledged the last order first."""
+        body = (document if isinstance(document, bytes) else
+                json.dumps(document, ensure_ascii=False).encode())
         order = list(self.fleet.seeds)
         random.shuffle(order)
+        if self.acknowledged_by is not None:
+            first = f"{self.acknowledged_by}:{CONTROL_PORT}"
+            order.remove(first)
+            order.insert(0, first)
         backoff = 0.1
         end = time.monotonic() + limit_s
         turn = 0
@@ -282,8 +311,11 @@
             address = order[turn % len(order)]
             turn += 1
             status, answer, host = self.attempt("PUT", body, address)
-            self.record(f"operator PUT {note} to {address}, answered by {host}:"
-                        f" {status} {answer[:160]!r}")
+            if not (quiet and status == 200):
+                self.record(f"operator PUT {note} to {address}, answered by"
+                            f" {host}: {status} {answer[:160]!r}")
+            if status == 200:
+                self.acknowledged_by = host
             if status is not None and (200 <= status < 300
                                        or status in self.FINAL):
                 return status
@@ -297,12 +329,21 @@
         random.shuffle(order)
         end = time.monotonic() + limit_s
         turn = 0
+        last = {}
         while time.monotonic() < end:
-            status, answer, _ = self.attempt("GET", None,
-                                             order[turn % len(order)])
+            address = order[turn % len(order)]
+            status, answer, host = self.attempt("GET", None, address)
             turn += 1
             if status == 200:
-                return json.loads(answer)
+                document = json.loads(answer)
+                self.record(f"operator GET to {address}, answered by {host}:"
+                            f" 200, version {document['version']}")
+                return document
+            said = f"{status} {answer[:120]!r}"
+            if last.get(address) != said:  # repetitions are left out
+                last[address] = said
+                self.record(f"operator GET to {address}, answered by {host}:"
+                            f" {said}")
             time.sleep(0.1)
         return None
 
