--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -98,7 +98,10 @@
         self.process = None
         self.keep_running = False
         self.expected_end = False
-        self.own_ends = []  # times at which the process ended by itself
+        # Times at which the process ended by itself, or used too much memory.
+        self.own_ends = []
+        self.memory_limit_mb = None
+        self.most_memory_mb = 0.0
         self.bootstrap = True
         self.data = os.path.join(fleet.folder, name + ".data")
         self.settings = os.path.join(fleet.folder, name + ".ini")
@@ -142,6 +145,22 @@
         log.close()
         self.fleet.record(f"start {self.name} pid={self.process.pid}")
 
+    def check_memory(self):
+        """The platform kills a process that uses more than memory_mb. Pages of
+        program files are not counted."""
+        if self.memory_limit_mb is None or self.process is None:
+            return
+        try:
+            used_mb = int(self.memory("RssAnon").split()[1]) / 1024
+        except (OSError, StopIteration):
+            return  # it has just ended
+        self.most_memory_mb = max(self.most_memory_mb, used_mb)
+        if used_mb > self.memory_limit_mb:
+            self.fleet.record(f"{self.name} uses {used_mb:.0f} MiB of"
+                              f" {self.memory_limit_mb}: killed by the platform")
+            os.kill(self.process.pid, signal.SIGKILL)
+            self.process.wait()
+
     def check(self):
         """Notes an end of the process and starts it again."""
         if self.process is None or self.process.poll() is None:
@@ -159,10 +178,10 @@
             self.bootstrap = False
             self.start()
 
-    def memory(self):
+    def memory(self, field="VmHWM"):
         with open(f"/proc/{self.process.pid}/status", encoding="ascii") as file:
             return next(" ".join(line.split()) for line in file
-                        if line.startswith("VmHWM"))
+                        if line.startswith(field))
 
     def disk_mb(self):
         return sum(entry.stat().st_size for entry in os.scandir(self.data)) / 1e6
@@ -227,6 +246,7 @@
     def watch(self):
         while not self.stopped.wait(0.02):
             for vm in self.vms:
+                vm.check_memory()
                 vm.check()
 
     def stop(self):
@@ -340,8 +360,8 @@
                             f" 200, version {document['version']}")
                 return document
             said = f"{status} {answer[:120]!r}"
-            if last.get(address) != said:  # repetitions are left out
-                last[address] = said
+            if said not in last.setdefault(address, set()):  # else left out
+                last[address].add(said)
                 self.record(f"operator GET to {address}, answered by {host}:"
                             f" {said}")
             time.sleep(0.1)
