--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -62,7 +62,7 @@
     for _ in range(100):
         prefix = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
         try:
-            for host in (11, 12, 13, 21, 22, 23):
+            for host in (11, 12, 13, 14, 21, 22, 23):
                 for port in (CONTROL_PORT, OUTBOUND_PORT, READY_PORT, APP_PORT,
                              PEER_PORT, NODE_PORT, METRICS_PORT):
                     with socket.socket() as probe:
@@ -243,6 +243,17 @@
             vm.start()
         self.watcher.start()
 
+    def add_control(self, zone):
+        """Starts one more core machine: at a new address, with an empty disk."""
+        prefix = self.controls[0].ip.rsplit(".", 1)[0]
+        vm = Vm(self, "control", f"core-{zone}-2",
+                f"{prefix}.{11 + len(self.controls)}", zone)
+        vm.bootstrap = False
+        vm.start()
+        self.controls.append(vm)
+        self.vms.append(vm)
+        return vm
+
     def watch(self):
         while not self.stopped.wait(0.02):
             for vm in self.vms:
@@ -300,6 +311,11 @@
         self.acknowledged_by = None  # IP address
         self.last_address = None
 
+    def addresses(self):
+        order = [f"{vm.ip}:{CONTROL_PORT}" for vm in self.fleet.controls]
+        random.shuffle(order)
+        return order
+
     def attempt(self, method, body, address):
         host, port = address.split(":")
         path = "/api/config"
@@ -318,12 +334,10 @@
         node that acknowledged the last order first."""
         body = (document if isinstance(document, bytes) else
                 json.dumps(document, ensure_ascii=False).encode())
-        order = list(self.fleet.seeds)
-        random.shuffle(order)
+        order = self.addresses()
         if self.acknowledged_by is not None:
             first = f"{self.acknowledged_by}:{CONTROL_PORT}"
-            order.remove(first)
-            order.insert(0, first)
+            order = [first] + [one for one in order if one != first]
         backoff = 0.1
         end = time.monotonic() + limit_s
         turn = 0
@@ -345,8 +359,7 @@
 
     def read(self, limit_s):
         """The configuration in force, or None."""
-        order = list(self.fleet.seeds)
-        random.shuffle(order)
+        order = self.addresses()
         end = time.monotonic() + limit_s
         turn = 0
         last = {}
