Bound the replicated log in bytes

Change: the retained entries are bounded by 4 MiB as well, and a leader refuses proposals (503, to be sent again) while its log holds 32 MiB.

--- a/libs/consensus/include/wigeonfold/consensus/Log.h
+++ b/libs/consensus/include/wigeonfold/consensus/Log.h
@@ -38,6 +38,13 @@
   // Precondition: Base().m_index < aIndex <= Last().m_index.
   const wire::LogEntry& At(int64_t aIndex) const;
 
+  // Payload bytes of all entries.
+  size_t Bytes() const { return m_bytes; }
+  // The least index such that the entries after it, up to and including aTo,
+  // have at most aMaxBytes of payload. At least Base().m_index, at most aTo.
+  // Precondition: Base().m_index <= aTo <= Last().m_index.
+  int64_t IndexBefore(int64_t aTo, size_t aMaxBytes) const;
+
   // Entries from aFrom to aTo inclusive, limited to aMaxBytes of payload but at
   // least one entry. Precondition: the entries exist.
   std::vector<wire::LogEntry> Slice(int64_t aFrom,
@@ -61,6 +68,7 @@
 private:
   LogPosition m_base;
   std::deque<wire::LogEntry> m_entries;
+  size_t m_bytes = 0; // payload of m_entries
 };
 
 } // namespace wigeonfold::consensus
--- a/libs/consensus/include/wigeonfold/consensus/Raft.h
+++ b/libs/consensus/include/wigeonfold/consensus/Raft.h
@@ -55,16 +55,21 @@
   size_t m_chunkBytes = size_t{ 256 } << 10;
   // Time after which an unacknowledged snapshot chunk is sent again.
   Duration m_chunkRetry = std::chrono::milliseconds(500);
-  // Proposals fail with Exhausted while this many entries are uncommitted.
+  // Proposals fail with Exhausted while this many entries are uncommitted, or
+  // while the log holds this many payload bytes, which is the case when entries
+  // arrive faster than they are committed or than snapshots are written.
   size_t m_maxUncommitted = 4096;
+  size_t m_maxLogBytes = size_t{ 32 } << 20;
   // A snapshot is requested once this many entries or payload bytes have been
   // applied since the last one.
   int64_t m_snapshotEntries = 10000;
   size_t m_snapshotBytes = size_t{ 8 } << 20;
   // Entries before the snapshot's position that stay in the log, so that a
   // follower that was away for a few minutes needs no snapshot (10 min at 0.5
-  // changes/s are 300 entries).
+  // changes/s are 300 entries). Bounded in bytes as well, since an entry takes
+  // up to 1 MiB.
   int64_t m_retainedEntries = 1000;
+  size_t m_retainedBytes = size_t{ 4 } << 20;
   // Disks that may be lost at once without the loss of what was acknowledged;
   // see SurvivingIndex().
   size_t m_toleratedLosses = 0;
--- a/libs/consensus/src/Leader.cpp
+++ b/libs/consensus/src/Leader.cpp
@@ -35,6 +35,13 @@
       ErrorCode::Exhausted, "propose", "", "too many uncommitted entries"
     };
   }
+  if (m_log.Bytes() >= m_settings.m_maxLogBytes) {
+    return Error{ ErrorCode::Exhausted,
+                  "propose",
+                  "",
+                  "the log is full; its entries wait for a commit or for a "
+                  "snapshot" };
+  }
   return AppendAsLeader(wire::LogEntryKind::Command, std::move(aPayload));
 }
 
--- a/libs/consensus/src/Log.cpp
+++ b/libs/consensus/src/Log.cpp
@@ -10,6 +10,9 @@
   , m_entries(std::make_move_iterator(aEntries.begin()),
               std::make_move_iterator(aEntries.end()))
 {
+  for (const wire::LogEntry& entry : m_entries) {
+    m_bytes += entry.payload.size();
+  }
 }
 
 LogPosition Log::Last() const
@@ -41,6 +44,18 @@
   return m_entries[static_cast<size_t>(aIndex - m_base.m_index - 1)];
 }
 
+int64_t Log::IndexBefore(int64_t aTo, size_t aMaxBytes) const
+{
+  int64_t index = aTo;
+  for (size_t bytes = 0; index > m_base.m_index; --index) {
+    bytes += At(index).payload.size();
+    if (bytes > aMaxBytes) {
+      break;
+    }
+  }
+  return index;
+}
+
 std::vector<wire::LogEntry> Log::Slice(int64_t aFrom,
                                        int64_t aTo,
                                        size_t aMaxBytes) const
@@ -72,12 +87,14 @@
 
 void Log::Append(wire::LogEntry aEntry)
 {
+  m_bytes += aEntry.payload.size();
   m_entries.push_back(std::move(aEntry));
 }
 
 void Log::TruncateFrom(int64_t aIndex)
 {
   while (!m_entries.empty() && m_entries.back().index >= aIndex) {
+    m_bytes -= m_entries.back().payload.size();
     m_entries.pop_back();
   }
 }
@@ -86,6 +103,7 @@
 {
   while (!m_entries.empty() && m_entries.front().index <= aIndex) {
     m_base = { m_entries.front().index, m_entries.front().term };
+    m_bytes -= m_entries.front().payload.size();
     m_entries.pop_front();
   }
 }
@@ -93,6 +111,7 @@
 void Log::Reset(LogPosition aBase)
 {
   m_entries.clear();
+  m_bytes = 0;
   m_base = aBase;
 }
 
--- a/libs/consensus/src/Raft.cpp
+++ b/libs/consensus/src/Raft.cpp
@@ -190,7 +190,12 @@
 
 void Raft::CompactLog()
 {
-  const int64_t limit = SnapshotIndex() - m_settings.m_retainedEntries;
+  if (SnapshotIndex() <= m_log.Base().m_index) {
+    return;
+  }
+  const int64_t limit =
+    std::max(SnapshotIndex() - m_settings.m_retainedEntries,
+             m_log.IndexBefore(SnapshotIndex(), m_settings.m_retainedBytes));
   if (limit <= m_log.Base().m_index) {
     return;
   }
--- a/libs/consensus/test/Cluster.h
+++ b/libs/consensus/test/Cluster.h
@@ -80,13 +80,14 @@
   static constexpr int64_t kStepMs = 5;
 
   Cluster(size_t aVoters, uint64_t aSeed, size_t aToleratedLosses = 0)
-    : m_random(aSeed)
+    : Cluster(aVoters, aSeed, SmallLimits(aToleratedLosses))
+  {
+  }
+
+  Cluster(size_t aVoters, uint64_t aSeed, const RaftSettings& aSettings)
+    : m_settings(aSettings)
+    , m_random(aSeed)
   {
-    m_settings.m_toleratedLosses = aToleratedLosses;
-    m_settings.m_snapshotEntries = 20;
-    m_settings.m_retainedEntries = 5;
-    m_settings.m_chunkBytes = 64;
-    m_settings.m_maxMessageBytes = 64;
     wire::Membership membership;
     for (size_t i = 0; i < aVoters; ++i) {
       membership.members.push_back(MakeMember(NewNode(), true));
@@ -103,6 +104,18 @@
     }
   }
 
+  // Limits at which short tests take and send snapshots.
+  static RaftSettings SmallLimits(size_t aToleratedLosses)
+  {
+    RaftSettings settings;
+    settings.m_toleratedLosses = aToleratedLosses;
+    settings.m_snapshotEntries = 20;
+    settings.m_retainedEntries = 5;
+    settings.m_chunkBytes = 64;
+    settings.m_maxMessageBytes = 64;
+    return settings;
+  }
+
   static wire::Member MakeMember(MemberId aId, bool aVoter)
   {
     wire::Member member;
