Limit the settings tree by the memory that it takes

Change: Tree::MemoryBytes() estimates what the containers take (300 bytes a branch, 110 a setting); a change beyond 24 MiB is refused with both figures. The design size (34,000 branches) needs about 18 MiB. Evidence: TreeTest.RefusesMoreSmallBranchesThanMemoryHolds failed before.

--- a/libs/settings/include/wigeonfold/settings/Tree.h
+++ b/libs/settings/include/wigeonfold/settings/Tree.h
@@ -28,6 +28,8 @@
 // in it. The design size (3,100 services, 21,000 drained targets, 10,000 client
 // accounts) needs less than 3 MiB.
 inline constexpr size_t kMaxTreeBytes = size_t{ 4 } << 20;
+// Limit of Tree::MemoryBytes(). The design size needs about 18 MiB.
+inline constexpr size_t kMaxTreeMemoryBytes = size_t{ 24 } << 20;
 
 // Returns the operation that sets one value. Thread safe.
 wire::Operation SetOperation(const std::string& aPath,
@@ -95,6 +97,8 @@
 
   // Total length of all paths, keys and values.
   size_t Bytes() const { return m_bytes; }
+  // Estimate of the memory that the branches take.
+  size_t MemoryBytes() const { return m_bytes + m_overheadBytes; }
 
   // All problems of the whole tree, empty when it is valid. A node refuses a
   // patched tree that has any.
@@ -171,6 +175,7 @@
   // Sums over all branches, so that a change recomputes only its own branches.
   uint64_t m_hashSum = 0;
   size_t m_bytes = 0;
+  size_t m_overheadBytes = 0; // of the containers
   std::shared_ptr<State> m_state = std::make_shared<State>();
 };
 
--- a/libs/settings/src/Combinations.cpp
+++ b/libs/settings/src/Combinations.cpp
@@ -125,6 +125,11 @@
                         " bytes; the limit is " +
                         std::to_string(kMaxTreeBytes));
   }
+  if (aTree.MemoryBytes() > kMaxTreeMemoryBytes) {
+    aProblems.push_back(
+      "the tree would take " + std::to_string(aTree.MemoryBytes()) +
+      " bytes of memory; the limit is " + std::to_string(kMaxTreeMemoryBytes));
+  }
 }
 
 } // namespace wigeonfold::settings
--- a/libs/settings/src/Tree.cpp
+++ b/libs/settings/src/Tree.cpp
@@ -62,6 +62,17 @@
   return bytes;
 }
 
+// Memory that a branch and each of its settings take besides their text: map
+// nodes, string objects and allocator overhead.
+constexpr size_t kBranchOverheadBytes = 300;
+constexpr size_t kSettingOverheadBytes = 110;
+
+size_t OverheadOf(const Branch& aBranch)
+{
+  return kBranchOverheadBytes +
+         kSettingOverheadBytes * aBranch.m_settings.size();
+}
+
 // ---- Wire form -------------------------------------------------------------
 
 wire::BranchState ToState(const std::string& aPath, const Branch& aBranch)
@@ -225,6 +236,7 @@
   aBranch.m_problems = ProblemsOf(aPath, aBranch.m_settings);
   m_hashSum += aBranch.m_hash;
   m_bytes += BytesOf(aPath, aBranch);
+  m_overheadBytes += OverheadOf(aBranch);
   m_state->m_branches[aPath] =
     std::make_shared<const Branch>(std::move(aBranch));
   m_state->m_tombstones.erase(aPath);
@@ -236,6 +248,7 @@
   if (it != m_state->m_branches.end()) {
     m_hashSum -= it->second->m_hash;
     m_bytes -= BytesOf(aPath, *it->second);
+    m_overheadBytes -= OverheadOf(*it->second);
     m_state->m_branches.erase(it);
   }
 }
--- a/libs/settings/test/Tree_test.cpp
+++ b/libs/settings/test/Tree_test.cpp
@@ -279,6 +279,22 @@
   EXPECT_FALSE(Tree().Apply(operations, { 1, 1 }).has_value());
 }
 
+// Short paths and values stay far below the limit in bytes, and take ten times
+// as many in memory.
+TEST(TreeTest, RefusesMoreSmallBranchesThanMemoryHolds)
+{
+  std::vector<wire::Operation> operations;
+  for (size_t i = 0; i < 120'000; ++i) {
+    operations.push_back(
+      Set("offices/o" + std::to_string(i), "share.weight", "1"));
+  }
+  EXPECT_FALSE(Tree().Apply(operations, { 1, 1 }).has_value());
+  operations.resize(40'000);
+  const auto tree = Tree().Apply(operations, { 1, 1 });
+  ASSERT_TRUE(tree.has_value());
+  EXPECT_LT(tree.value().Bytes(), kMaxTreeBytes / 2);
+}
+
 RC_GTEST_PROP(TreeProperty, InvalidChangeLeavesTheTreeUnchanged, ())
 {
   const Tree tree = AnyHistory().back();
