Keep the history of changes encoded, and bound stored results in bytes

Results have 8 MiB in all and list 8 KiB each. Answers on changes and history tell of 2 MiB of encoded changes at most, as JSON takes some ten times that.

--- a/idl/registry.thrift
+++ b/idl/registry.thrift
@@ -88,6 +88,7 @@
   2: common.WireVersion version,
   3: list<common.BranchState> branches,
   4: list<RememberedResult> results,
+  // Read only: snapshots of earlier versions hold the history here.
   5: list<HistoryEntry> history,
   6: common.WireVersion tombstoneHorizon,
   // Digest of the tree.
@@ -98,4 +99,6 @@
   9: i64 baseLabel,
   // The node whose starts changed last is the last one.
   10: list<NodeLeaving> leaving,
+  // Encoded HistoryEntry structs, oldest first.
+  11: list<binary> encodedHistory,
 }
--- a/libs/registry/include/wigeonfold/registry/Registry.h
+++ b/libs/registry/include/wigeonfold/registry/Registry.h
@@ -22,18 +22,29 @@
 struct RegistryLimits
 {
   size_t m_results = 100'000; // results by change id: two days at design size
-  size_t m_history = 10'000;  // accepted changes
+  size_t m_resultBytes = size_t{ 8 } << 20;  // encoded, with their ids
+  size_t m_history = 10'000;                 // accepted changes
   size_t m_historyBytes = size_t{ 8 } << 20; // encoded; the newest is kept
   size_t m_tombstones = 10'000;
   LeavingLimits m_leaving;
 };
 
 // Most problems or changed paths listed in one result. Results are kept for
-// changes that are sent again, so their size has to be bounded.
+// changes that are sent again, so their size has to be bounded; the first item
+// is listed in any case.
 inline constexpr size_t kMaxListedItems = 100;
+inline constexpr size_t kMaxListedBytes = size_t{ 8 } << 10;
 inline constexpr size_t kMaxChangeIdBytes = 64;
 
-using HistoryEntryPtr = std::shared_ptr<const wire::HistoryEntry>;
+// An accepted change and what it did. Kept encoded, since a decoded change of
+// thousands of small values takes several times as much memory.
+struct StoredHistoryEntry
+{
+  Version m_version;
+  std::shared_ptr<const std::string> m_encoded; // a wire::HistoryEntry
+
+  wire::HistoryEntry Decode() const;
+};
 
 // An immutable copy of the state, for readers on other threads.
 struct RegistryView
@@ -42,7 +53,7 @@
   int64_t m_label = 0;     // of the newest release; 0 before the first one
   int64_t m_baseLabel = 0; // of the release that it was based on
   std::shared_ptr<const settings::Tree> m_tree;
-  std::vector<HistoryEntryPtr> m_history; // oldest first
+  std::vector<StoredHistoryEntry> m_history; // oldest first
 };
 
 // Applies committed commands in the order of the log. Deterministic: equal logs
@@ -111,11 +122,7 @@
   {
     wire::AcceptResult m_result;
     int64_t m_contentHash = 0;
-  };
-  struct SizedHistoryEntry
-  {
-    HistoryEntryPtr m_entry;
-    size_t m_bytes = 0; // encoded
+    size_t m_bytes = 0; // encoded, with its id
   };
 
   void Apply(const wire::Bootstrap& aBootstrap);
@@ -125,7 +132,9 @@
   bool FollowsNewest(const wire::Change& aRelease) const;
   void Accept(const wire::Change& aChange, const settings::Tree& aNext);
   void StoreResult(const std::string& aChangeId, StoredResult aResult);
-  void AppendHistory(wire::HistoryEntry aEntry);
+  void AppendHistory(StoredHistoryEntry aEntry);
+  // Fails with Corrupt when an entry can't be decoded.
+  Status RestoreHistory(wire::RegistrySnapshot& aSnapshot);
 
   RegistryLimits m_limits;
   std::string m_clusterId;
@@ -133,9 +142,10 @@
   int64_t m_baseLabel = 0;
   std::shared_ptr<const settings::Tree> m_tree;
   std::unordered_map<std::string, StoredResult> m_results;
-  std::deque<std::string> m_resultOrder;   // oldest first
-  std::deque<SizedHistoryEntry> m_history; // oldest first
-  size_t m_historyBytes = 0;               // encoded
+  std::deque<std::string> m_resultOrder;    // oldest first
+  size_t m_resultBytes = 0;                 // encoded, with their ids
+  std::deque<StoredHistoryEntry> m_history; // oldest first
+  size_t m_historyBytes = 0;                // encoded
   LeavingStarts m_leaving;
 };
 
--- a/libs/registry/src/OperatorRead.cpp
+++ b/libs/registry/src/OperatorRead.cpp
@@ -18,6 +18,9 @@
 using settings::Tree;
 
 constexpr int64_t kDefaultHistory = 20;
+// Encoded changes of which one answer tells. As JSON they take some ten times
+// as much memory.
+constexpr size_t kMaxHistoryAnswerBytes = size_t{ 2 } << 20;
 
 // ---- Request target --------------------------------------------------------
 
@@ -213,12 +216,12 @@
                                     const Version& aSince)
 {
   std::map<std::pair<std::string, std::string>, wire::Edit> merged;
-  for (const HistoryEntryPtr& entry : aRegistry.m_history) {
-    const Version version{ entry->version.generation, entry->version.number };
-    if (version <= aSince) {
+  for (const StoredHistoryEntry& entry : aRegistry.m_history) {
+    if (entry.m_version <= aSince) {
       continue;
     }
-    for (const wire::Edit& edit : entry->edits) {
+    const wire::HistoryEntry decoded = entry.Decode();
+    for (const wire::Edit& edit : decoded.edits) {
       const auto [position, added] =
         merged.try_emplace({ edit.path, edit.key }, edit);
       if (!added) {
@@ -236,6 +239,16 @@
   return edits;
 }
 
+// Encoded size of the changes after aSince.
+size_t HistoryBytesSince(const RegistryView& aRegistry, const Version& aSince)
+{
+  size_t bytes = 0;
+  for (const StoredHistoryEntry& entry : aRegistry.m_history) {
+    bytes += entry.m_version > aSince ? entry.m_encoded->size() : 0;
+  }
+  return bytes;
+}
+
 // True when the kept history holds every change after aSince.
 bool HasHistorySince(const RegistryView& aRegistry, const Version& aSince)
 {
@@ -249,9 +262,9 @@
   if (aRegistry.m_history.empty()) {
     return false;
   }
-  const wire::WireVersion& oldest = aRegistry.m_history.front()->version;
+  const Version& oldest = aRegistry.m_history.front().m_version;
   return aSince < newest &&
-         Version{ oldest.generation, oldest.number - 1 } <= aSince;
+         Version{ oldest.m_generation, oldest.m_number - 1 } <= aSince;
 }
 
 ApiReply ReadChanges(const RegistryView& aRegistry,
@@ -262,7 +275,9 @@
     return FormatProblem(400, "since is not GENERATION.NUMBER");
   }
   const Tree& tree = *aRegistry.m_tree;
-  const bool complete = HasHistorySince(aRegistry, *since);
+  const bool complete =
+    HasHistorySince(aRegistry, *since) &&
+    HistoryBytesSince(aRegistry, *since) <= kMaxHistoryAnswerBytes;
   Json paths = Json::array();
   for (const std::string& path : tree.ChangedSince(*since)) {
     paths.push_back(
@@ -313,11 +328,16 @@
     limit = *number;
   }
   Json entries = Json::array();
+  size_t bytes = 0;
   const auto& history = aRegistry.m_history;
   for (auto entry = history.rbegin();
        entry != history.rend() && static_cast<int64_t>(entries.size()) < limit;
        ++entry) {
-    entries.push_back(HistoryToJson(**entry));
+    bytes += entry->m_encoded->size();
+    if (!entries.empty() && bytes > kMaxHistoryAnswerBytes) {
+      break;
+    }
+    entries.push_back(HistoryToJson(entry->Decode()));
   }
   return Success({ { "version", ToString(aRegistry.m_tree->TreeVersion()) },
                    { "entries", std::move(entries) } });
--- a/libs/registry/src/Registry.cpp
+++ b/libs/registry/src/Registry.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <boost/algorithm/string.hpp>
+#include <boost/outcome/try.hpp>
 #include <map>
 
 namespace wigeonfold::registry {
@@ -29,16 +30,31 @@
   return static_cast<int64_t>(Hash64(wire::Encode(content)));
 }
 
+// Shortens aItems to the limits of what a result lists.
+void LimitListed(std::vector<std::string>& aItems)
+{
+  size_t bytes = 0;
+  size_t listed = 0;
+  for (; listed < std::min(aItems.size(), kMaxListedItems); ++listed) {
+    bytes += aItems[listed].size();
+    if (listed > 0 && bytes > kMaxListedBytes) {
+      break;
+    }
+  }
+  aItems.resize(listed);
+}
+
 wire::AcceptResult InvalidResult(const Version& aNewest,
                                  std::vector<std::string> aProblems)
 {
   wire::AcceptResult result;
   result.outcome = wire::AcceptOutcome::Invalid;
   result.version = wire::ToWire(aNewest);
-  if (aProblems.size() > kMaxListedItems) {
-    const size_t more = aProblems.size() - kMaxListedItems;
-    aProblems.resize(kMaxListedItems);
-    aProblems.push_back("and " + std::to_string(more) + " more problems");
+  const size_t count = aProblems.size();
+  LimitListed(aProblems);
+  if (count > aProblems.size()) {
+    aProblems.push_back("and " + std::to_string(count - aProblems.size()) +
+                        " more problems");
   }
   result.problems = std::move(aProblems);
   return result;
@@ -51,9 +67,7 @@
   result.version = wire::ToWire(aTree.TreeVersion());
   result.changedPaths = aTree.ChangedSince(aBase);
   result.changedCount = static_cast<int32_t>(result.changedPaths.size());
-  if (result.changedPaths.size() > kMaxListedItems) {
-    result.changedPaths.resize(kMaxListedItems);
-  }
+  LimitListed(result.changedPaths);
   return result;
 }
 
@@ -112,6 +126,12 @@
   return edits;
 }
 
+StoredHistoryEntry ToStored(const wire::HistoryEntry& aEntry)
+{
+  return { wire::FromWire(aEntry.version),
+           std::make_shared<const std::string>(wire::Encode(aEntry)) };
+}
+
 Error CorruptSnapshot(const std::string& aDetail)
 {
   return Error{ ErrorCode::Corrupt, "restore registry", "", aDetail };
@@ -119,6 +139,12 @@
 
 } // namespace
 
+// Encoded by this process, or decoded once when it was restored.
+wire::HistoryEntry StoredHistoryEntry::Decode() const
+{
+  return wire::Decode<wire::HistoryEntry>(*m_encoded, "history").value();
+}
+
 Registry::Registry(const RegistryLimits& aLimits)
   : m_limits(aLimits)
   , m_tree(std::make_shared<const Tree>())
@@ -278,7 +304,7 @@
   entry.version = wire::ToWire(aNext.TreeVersion());
   entry.change = aChange;
   entry.edits = EditsBetween(*m_tree, aNext);
-  AppendHistory(std::move(entry));
+  AppendHistory(ToStored(entry));
   m_tree = std::make_shared<const Tree>(
     aNext.WithTombstoneLimit(m_limits.m_tombstones));
   if (aChange.label != 0) {
@@ -289,23 +315,26 @@
 
 void Registry::StoreResult(const std::string& aChangeId, StoredResult aResult)
 {
+  aResult.m_bytes = aChangeId.size() + wire::Encode(aResult.m_result).size();
+  m_resultBytes += aResult.m_bytes;
   m_results.emplace(aChangeId, std::move(aResult));
   m_resultOrder.push_back(aChangeId);
-  while (m_resultOrder.size() > m_limits.m_results) {
-    m_results.erase(m_resultOrder.front());
+  while (m_resultOrder.size() > m_limits.m_results ||
+         (m_resultOrder.size() > 1 && m_resultBytes > m_limits.m_resultBytes)) {
+    const auto oldest = m_results.find(m_resultOrder.front());
+    m_resultBytes -= oldest->second.m_bytes;
+    m_results.erase(oldest);
     m_resultOrder.pop_front();
   }
 }
 
-void Registry::AppendHistory(wire::HistoryEntry aEntry)
+void Registry::AppendHistory(StoredHistoryEntry aEntry)
 {
-  const size_t bytes = wire::Encode(aEntry).size();
-  m_history.push_back(
-    { std::make_shared<const wire::HistoryEntry>(std::move(aEntry)), bytes });
-  m_historyBytes += bytes;
+  m_historyBytes += aEntry.m_encoded->size();
+  m_history.push_back(std::move(aEntry));
   while (m_history.size() > 1 && (m_history.size() > m_limits.m_history ||
                                   m_historyBytes > m_limits.m_historyBytes)) {
-    m_historyBytes -= m_history.front().m_bytes;
+    m_historyBytes -= m_history.front().m_encoded->size();
     m_history.pop_front();
   }
 }
@@ -322,10 +351,7 @@
 RegistryView Registry::View() const
 {
   RegistryView view{ m_clusterId, m_label, m_baseLabel, m_tree, {} };
-  view.m_history.reserve(m_history.size());
-  for (const SizedHistoryEntry& entry : m_history) {
-    view.m_history.push_back(entry.m_entry);
-  }
+  view.m_history.assign(m_history.begin(), m_history.end());
   return view;
 }
 
@@ -350,14 +376,30 @@
     result.contentHash = known.m_contentHash;
     snapshot.results.push_back(std::move(result));
   }
-  snapshot.history.reserve(m_history.size());
-  for (const SizedHistoryEntry& entry : m_history) {
-    snapshot.history.push_back(*entry.m_entry);
+  snapshot.encodedHistory.reserve(m_history.size());
+  for (const StoredHistoryEntry& entry : m_history) {
+    snapshot.encodedHistory.push_back(*entry.m_encoded);
   }
   snapshot.leaving = m_leaving.Export();
   return wire::Encode(snapshot);
 }
 
+Status Registry::RestoreHistory(wire::RegistrySnapshot& aSnapshot)
+{
+  for (const wire::HistoryEntry& entry : aSnapshot.history) {
+    AppendHistory(ToStored(entry));
+  }
+  for (std::string& encoded : aSnapshot.encodedHistory) {
+    const auto entry = wire::Decode<wire::HistoryEntry>(encoded, "snapshot");
+    if (!entry) {
+      return CorruptSnapshot("an entry of the history can't be decoded");
+    }
+    AppendHistory({ wire::FromWire(entry.value().version),
+                    std::make_shared<const std::string>(std::move(encoded)) });
+  }
+  return Ok();
+}
+
 Result<Registry> Registry::Restore(std::string_view aSnapshot,
                                    const RegistryLimits& aLimits)
 {
@@ -388,9 +430,7 @@
       result.changeId,
       StoredResult{ std::move(result.result), result.contentHash });
   }
-  for (wire::HistoryEntry& entry : snapshot.history) {
-    registry.AppendHistory(std::move(entry));
-  }
+  BOOST_OUTCOME_TRYV(registry.RestoreHistory(snapshot));
   registry.Apply(snapshot.leaving);
   return registry;
 }
--- a/libs/registry/test/Registry_test.cpp
+++ b/libs/registry/test/Registry_test.cpp
@@ -10,7 +10,11 @@
 namespace {
 
 // Small enough that the generated logs exceed them.
-constexpr RegistryLimits kSmallLimits{ 8, 5, 2000, 3, { 3, 2 } };
+constexpr RegistryLimits kSmallLimits{ .m_results = 8,
+                                       .m_history = 5,
+                                       .m_historyBytes = 2000,
+                                       .m_tombstones = 3,
+                                       .m_leaving = { 3, 2 } };
 
 wire::RegistryCommand Bootstrap(int64_t aGeneration)
 {
--- a/libs/wire/gen/include/wigeonfold/wire/gen/registry_types.h
+++ b/libs/wire/gen/include/wigeonfold/wire/gen/registry_types.h
@@ -577,7 +577,7 @@
 std::ostream& operator<<(std::ostream& out, const RegistryCommand& obj);
 
 typedef struct _RegistrySnapshot__isset {
-  _RegistrySnapshot__isset() : clusterId(false), version(false), branches(false), results(false), history(false), tombstoneHorizon(false), digest(false), label(false), baseLabel(false), leaving(false) {}
+  _RegistrySnapshot__isset() : clusterId(false), version(false), branches(false), results(false), history(false), tombstoneHorizon(false), digest(false), label(false), baseLabel(false), leaving(false), encodedHistory(false) {}
   bool clusterId :1;
   bool version :1;
   bool branches :1;
@@ -588,6 +588,7 @@
   bool label :1;
   bool baseLabel :1;
   bool leaving :1;
+  bool encodedHistory :1;
 } _RegistrySnapshot__isset;
 
 class RegistrySnapshot : public virtual ::apache::thrift::TBase {
@@ -615,6 +616,7 @@
   int64_t label;
   int64_t baseLabel;
   std::vector<NodeLeaving>  leaving;
+  std::vector<std::string>  encodedHistory;
 
   _RegistrySnapshot__isset __isset;
 
@@ -638,6 +640,8 @@
 
   void __set_leaving(const std::vector<NodeLeaving> & val);
 
+  void __set_encodedHistory(const std::vector<std::string> & val);
+
   bool operator == (const RegistrySnapshot & rhs) const
   {
     if (!(clusterId == rhs.clusterId))
@@ -660,6 +664,8 @@
       return false;
     if (!(leaving == rhs.leaving))
       return false;
+    if (!(encodedHistory == rhs.encodedHistory))
+      return false;
     return true;
   }
   bool operator != (const RegistrySnapshot &rhs) const {
--- a/libs/wire/gen/src/registry_types.cpp
+++ b/libs/wire/gen/src/registry_types.cpp
@@ -1534,6 +1534,10 @@
 void RegistrySnapshot::__set_leaving(const std::vector<NodeLeaving> & val) {
   this->leaving = val;
 }
+
+void RegistrySnapshot::__set_encodedHistory(const std::vector<std::string> & val) {
+  this->encodedHistory = val;
+}
 std::ostream& operator<<(std::ostream& out, const RegistrySnapshot& obj)
 {
   obj.printTo(out);
@@ -1690,6 +1694,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->encodedHistory.clear();
+            uint32_t _size89;
+            ::apache::thrift::protocol::TType _etype92;
+            xfer += iprot->readListBegin(_etype92, _size89);
+            this->encodedHistory.resize(_size89);
+            uint32_t _i93;
+            for (_i93 = 0; _i93 < _size89; ++_i93)
+            {
+              xfer += iprot->readBinary(this->encodedHistory[_i93]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.encodedHistory = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1718,10 +1742,10 @@
   xfer += oprot->writeFieldBegin("branches", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->branches.size()));
-    std::vector< ::wigeonfold::wire::BranchState> ::const_iterator _iter89;
-    for (_iter89 = this->branches.begin(); _iter89 != this->branches.end(); ++_iter89)
+    std::vector< ::wigeonfold::wire::BranchState> ::const_iterator _iter94;
+    for (_iter94 = this->branches.begin(); _iter94 != this->branches.end(); ++_iter94)
     {
-      xfer += (*_iter89).write(oprot);
+      xfer += (*_iter94).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1730,10 +1754,10 @@
   xfer += oprot->writeFieldBegin("results", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->results.size()));
-    std::vector<RememberedResult> ::const_iterator _iter90;
-    for (_iter90 = this->results.begin(); _iter90 != this->results.end(); ++_iter90)
+    std::vector<RememberedResult> ::const_iterator _iter95;
+    for (_iter95 = this->results.begin(); _iter95 != this->results.end(); ++_iter95)
     {
-      xfer += (*_iter90).write(oprot);
+      xfer += (*_iter95).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1742,10 +1766,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<HistoryEntry> ::const_iterator _iter91;
-    for (_iter91 = this->history.begin(); _iter91 != this->history.end(); ++_iter91)
+    std::vector<HistoryEntry> ::const_iterator _iter96;
+    for (_iter96 = this->history.begin(); _iter96 != this->history.end(); ++_iter96)
     {
-      xfer += (*_iter91).write(oprot);
+      xfer += (*_iter96).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1770,10 +1794,22 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
-    std::vector<NodeLeaving> ::const_iterator _iter92;
-    for (_iter92 = this->leaving.begin(); _iter92 != this->leaving.end(); ++_iter92)
+    std::vector<NodeLeaving> ::const_iterator _iter97;
+    for (_iter97 = this->leaving.begin(); _iter97 != this->leaving.end(); ++_iter97)
+    {
+      xfer += (*_iter97).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("encodedHistory", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->encodedHistory.size()));
+    std::vector<std::string> ::const_iterator _iter98;
+    for (_iter98 = this->encodedHistory.begin(); _iter98 != this->encodedHistory.end(); ++_iter98)
     {
-      xfer += (*_iter92).write(oprot);
+      xfer += oprot->writeBinary((*_iter98));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1796,61 +1832,66 @@
   swap(a.label, b.label);
   swap(a.baseLabel, b.baseLabel);
   swap(a.leaving, b.leaving);
+  swap(a.encodedHistory, b.encodedHistory);
   swap(a.__isset, b.__isset);
 }
 
-RegistrySnapshot::RegistrySnapshot(const RegistrySnapshot& other93) {
-  clusterId = other93.clusterId;
-  version = other93.version;
-  branches = other93.branches;
-  results = other93.results;
-  history = other93.history;
-  tombstoneHorizon = other93.tombstoneHorizon;
-  digest = other93.digest;
-  label = other93.label;
-  baseLabel = other93.baseLabel;
-  leaving = other93.leaving;
-  __isset = other93.__isset;
-}
-RegistrySnapshot::RegistrySnapshot(RegistrySnapshot&& other94) noexcept {
-  clusterId = std::move(other94.clusterId);
-  version = std::move(other94.version);
-  branches = std::move(other94.branches);
-  results = std::move(other94.results);
-  history = std::move(other94.history);
-  tombstoneHorizon = std::move(other94.tombstoneHorizon);
-  digest = other94.digest;
-  label = other94.label;
-  baseLabel = other94.baseLabel;
-  leaving = std::move(other94.leaving);
-  __isset = other94.__isset;
-}
-RegistrySnapshot& RegistrySnapshot::operator=(const RegistrySnapshot& other95) {
-  clusterId = other95.clusterId;
-  version = other95.version;
-  branches = other95.branches;
-  results = other95.results;
-  history = other95.history;
-  tombstoneHorizon = other95.tombstoneHorizon;
-  digest = other95.digest;
-  label = other95.label;
-  baseLabel = other95.baseLabel;
-  leaving = other95.leaving;
-  __isset = other95.__isset;
+RegistrySnapshot::RegistrySnapshot(const RegistrySnapshot& other99) {
+  clusterId = other99.clusterId;
+  version = other99.version;
+  branches = other99.branches;
+  results = other99.results;
+  history = other99.history;
+  tombstoneHorizon = other99.tombstoneHorizon;
+  digest = other99.digest;
+  label = other99.label;
+  baseLabel = other99.baseLabel;
+  leaving = other99.leaving;
+  encodedHistory = other99.encodedHistory;
+  __isset = other99.__isset;
+}
+RegistrySnapshot::RegistrySnapshot(RegistrySnapshot&& other100) noexcept {
+  clusterId = std::move(other100.clusterId);
+  version = std::move(other100.version);
+  branches = std::move(other100.branches);
+  results = std::move(other100.results);
+  history = std::move(other100.history);
+  tombstoneHorizon = std::move(other100.tombstoneHorizon);
+  digest = other100.digest;
+  label = other100.label;
+  baseLabel = other100.baseLabel;
+  leaving = std::move(other100.leaving);
+  encodedHistory = std::move(other100.encodedHistory);
+  __isset = other100.__isset;
+}
+RegistrySnapshot& RegistrySnapshot::operator=(const RegistrySnapshot& other101) {
+  clusterId = other101.clusterId;
+  version = other101.version;
+  branches = other101.branches;
+  results = other101.results;
+  history = other101.history;
+  tombstoneHorizon = other101.tombstoneHorizon;
+  digest = other101.digest;
+  label = other101.label;
+  baseLabel = other101.baseLabel;
+  leaving = other101.leaving;
+  encodedHistory = other101.encodedHistory;
+  __isset = other101.__isset;
   return *this;
 }
-RegistrySnapshot& RegistrySnapshot::operator=(RegistrySnapshot&& other96) noexcept {
-  clusterId = std::move(other96.clusterId);
-  version = std::move(other96.version);
-  branches = std::move(other96.branches);
-  results = std::move(other96.results);
-  history = std::move(other96.history);
-  tombstoneHorizon = std::move(other96.tombstoneHorizon);
-  digest = other96.digest;
-  label = other96.label;
-  baseLabel = other96.baseLabel;
-  leaving = std::move(other96.leaving);
-  __isset = other96.__isset;
+RegistrySnapshot& RegistrySnapshot::operator=(RegistrySnapshot&& other102) noexcept {
+  clusterId = std::move(other102.clusterId);
+  version = std::move(other102.version);
+  branches = std::move(other102.branches);
+  results = std::move(other102.results);
+  history = std::move(other102.history);
+  tombstoneHorizon = std::move(other102.tombstoneHorizon);
+  digest = other102.digest;
+  label = other102.label;
+  baseLabel = other102.baseLabel;
+  leaving = std::move(other102.leaving);
+  encodedHistory = std::move(other102.encodedHistory);
+  __isset = other102.__isset;
   return *this;
 }
 void RegistrySnapshot::printTo(std::ostream& out) const {
@@ -1866,6 +1907,7 @@
   out << ", " << "label=" << to_string(label);
   out << ", " << "baseLabel=" << to_string(baseLabel);
   out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "encodedHistory=" << to_string(encodedHistory);
   out << ")";
 }
 
