Keep the group when a voter ends for good and a disk is lost at once

Cause: of three voters one is left, and the successor, which has all entries, is a learner. Only a leader can promote it. At a gap of 0 no reaction to the silence can be fast enough. Change: - A learner that has caught up is kept as a fourth voter (standby), so that what is committed is on three of four, and thus on each two. - A member is known to be lost when its address answers with another id over a connection that was opened after the member was known (LostDisks). The quorum of an even group is then half of its voters, without the lost ones (QuorumSizeAfterLoss); it overlaps each majority in a sound voter, so two groups can't form. - While a membership change is uncommitted, votes, commits and the lease need quorums of both memberships: a quorum of five could miss the two that are left of four. A commit of a membership is stored at once, and a removed member goes on voting, since others may not know of it yet. Survival.ChangeIsAcknowledgedOnceTheVoterIsReplaced asserts a wait that a standby voter makes needless; it keeps its assertions without one, and ChangeBesideAStandbyVoterIsAcknowledgedAtOnce is new. Not held: a voter that ends for good while another one is only cut off or down; the group waits for the latter.

--- a/apps/wigeonfold-control/ControlSettings.cpp
+++ b/apps/wigeonfold-control/ControlSettings.cpp
@@ -54,6 +54,7 @@
   const auto losses =
     static_cast<size_t>(aFile.Integer(kControl, "tolerated-losses", 1, 0, 10));
   aSettings.m_policy.m_voters = 2 * losses + 1;
+  aSettings.m_policy.m_standbyVoters = losses > 0 ? 1 : 0;
   if (aSettings.m_automaticMembers) {
     aSettings.m_toleratedLosses = losses;
     aSettings.m_raft.m_toleratedLosses = losses;
--- a/apps/wigeonfold-control/Core.cpp
+++ b/apps/wigeonfold-control/Core.cpp
@@ -121,12 +121,7 @@
   MaybeBootstrap(aNow);
   MaybeProposeCluster(aNow);
   AddInitialVoters(aNow);
-  m_raft.SetVoterOutlook(aNow,
-                         consensus::MakeVoterOutlook(m_raft.CurrentMembership(),
-                                                     m_raft.Self(),
-                                                     m_peers,
-                                                     m_settings.m_policy,
-                                                     aNow));
+  UpdateVoterOutlook(aNow);
   MaintainMembership(aNow);
   CheckReplaced(aNow);
   ProposeLeaving(aNow);
@@ -155,6 +150,9 @@
     vm.m_hello = std::move(hello->m_hello);
     vm.m_helloAt = now;
     vm.m_contactAt = now;
+    if (hello->m_dialedAt) {
+      vm.m_dialedAt = std::max(vm.m_dialedAt, hello->m_dialedAt);
+    }
     MaybeJoinFormation(now);
   } else if (auto* connected = std::get_if<ConnectedPeers>(&aMessage)) {
     // For a VM that is not a member an open connection counts as contact. A
--- a/apps/wigeonfold-control/Core.h
+++ b/apps/wigeonfold-control/Core.h
@@ -6,6 +6,7 @@
 
 #include "wigeonfold/base/Events.h"
 #include "wigeonfold/consensus/ChangeGate.h"
+#include "wigeonfold/consensus/LostDisks.h"
 #include "wigeonfold/registry/LeavingProposals.h"
 
 #include <boost/asio/io_context.hpp>
@@ -91,6 +92,7 @@
   // The first membership, while this VM knows no leader. A voter of it that was
   // restarted with an empty log grants no vote without it.
   std::optional<wire::Membership> Formation() const;
+  void UpdateVoterOutlook(TimePoint aNow);
   void MaintainMembership(TimePoint aNow);
   void CheckReplaced(TimePoint aNow);
   void MaybeBootstrap(TimePoint aNow);
@@ -161,6 +163,7 @@
 
   // Control VMs whose hello arrived since the start, by member id.
   std::map<consensus::MemberId, consensus::ControlVmState> m_peers;
+  consensus::LostDisks m_lostDisks;
   consensus::ChangeGate m_changeGate;
   registry::LeavingProposals m_leavingProposals;
   // Nodes whose leaving starts are applied and must not be acknowledged yet,
--- a/apps/wigeonfold-control/CoreFormation.cpp
+++ b/apps/wigeonfold-control/CoreFormation.cpp
@@ -109,6 +109,16 @@
            : std::nullopt;
 }
 
+void Core::UpdateVoterOutlook(TimePoint aNow)
+{
+  const wire::Membership& membership = m_raft.CurrentMembership();
+  m_lostDisks.Update(membership, m_raft.PreviousMembership(), aNow);
+  consensus::VoterOutlook outlook = consensus::MakeVoterOutlook(
+    membership, m_raft.Self(), m_peers, m_settings.m_policy, aNow);
+  outlook.m_lost = m_lostDisks.Find(m_peers);
+  m_raft.SetVoterOutlook(aNow, std::move(outlook));
+}
+
 // Proposes one membership step at a time, once the previous one is committed.
 void Core::MaintainMembership(TimePoint aNow)
 {
--- a/apps/wigeonfold-control/Messages.h
+++ b/apps/wigeonfold-control/Messages.h
@@ -38,6 +38,9 @@
 struct HelloReceived
 {
   wire::ControlHello m_hello;
+  // When this VM began to open the connection to the address that the hello
+  // names; nothing when the other side opened it.
+  std::optional<TimePoint> m_dialedAt;
 };
 
 // A start of a target leaves, as its node or another control VM says.
--- a/apps/wigeonfold-control/Network.cpp
+++ b/apps/wigeonfold-control/Network.cpp
@@ -66,8 +66,9 @@
             aSeed + 1,
             aLog,
             PeerHandlers{
-              [this](const wire::ControlHello& aHello) {
-                m_channels.m_netToCore.Push(HelloReceived{ aHello });
+              [this](const wire::ControlHello& aHello,
+                     std::optional<TimePoint> aDialedAt) {
+                m_channels.m_netToCore.Push(HelloReceived{ aHello, aDialedAt });
               },
               [this](wire::RaftMessage aMessage) {
                 m_channels.m_netToCore.TryPush(
--- a/apps/wigeonfold-control/PeerLinks.cpp
+++ b/apps/wigeonfold-control/PeerLinks.cpp
@@ -203,6 +203,7 @@
 void PeerLinks::Connect(Dialer& aDialer)
 {
   aDialer.m_active = true;
+  aDialer.m_attemptedAt = Clock::now();
   const std::string key = ToString(aDialer.m_address);
   net::Connect(m_io,
                aDialer.m_address,
@@ -224,7 +225,9 @@
     ScheduleRetry(dialer);
     return;
   }
-  const Link& link = AddLink(aResult.value(), true);
+  Link& link = AddLink(aResult.value(), true);
+  link.m_dialedAddress = aKey;
+  link.m_dialedAt = dialer.m_attemptedAt;
   dialer.m_connection = link.m_connection.get();
   SendHello(link.m_connection);
 }
@@ -355,7 +358,11 @@
   if (dialer) {
     dialer->m_backoff.Reset();
   }
-  m_handlers.m_onHello(aHello);
+  const bool answersAtItsAddress =
+    link.m_outgoing && link.m_dialedAddress == aHello.peerAddress;
+  m_handlers.m_onHello(aHello,
+                       answersAtItsAddress ? std::optional(link.m_dialedAt)
+                                           : std::nullopt);
 }
 
 void PeerLinks::Drop(const net::ConnectionPtr& aConnection)
--- a/apps/wigeonfold-control/PeerLinks.h
+++ b/apps/wigeonfold-control/PeerLinks.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -27,7 +28,10 @@
 // Called on the thread of the io_context.
 struct PeerHandlers
 {
-  std::function<void(const wire::ControlHello&)> m_onHello;
+  // With the time at which this VM began to open the connection to the address
+  // that the hello names; nothing when the other side opened it.
+  std::function<void(const wire::ControlHello&, std::optional<TimePoint>)>
+    m_onHello;
   std::function<void(wire::RaftMessage)> m_onRaft;
   // The connection is the one to answer on.
   std::function<void(const wire::EndpointSync&, const net::ConnectionPtr&)>
@@ -95,6 +99,8 @@
     int64_t m_memberId = 0;
     std::string m_name;
     bool m_outgoing = false;
+    std::string m_dialedAddress; // of an outgoing one
+    TimePoint m_dialedAt;        // when it began to be opened
     bool m_readsPackedEntries = false;
     bool m_readsLeavingReports = false;
     TimePoint m_lastReceived;  // last frame
@@ -106,8 +112,9 @@
     SocketAddress m_address;
     Backoff m_backoff;
     TimePoint m_nextAttempt;
-    bool m_active = false; // attempt in progress or connected
-    bool m_isSelf = false; // the address is this VM's own
+    TimePoint m_attemptedAt; // start of the last attempt
+    bool m_active = false;   // attempt in progress or connected
+    bool m_isSelf = false;   // the address is this VM's own
     net::Connection* m_connection = nullptr;
   };
 
--- a/apps/wigeonfold-control/test/PeerLinks_test.cpp
+++ b/apps/wigeonfold-control/test/PeerLinks_test.cpp
@@ -54,12 +54,13 @@
 
   PeerLinks Make(int64_t aMemberId)
   {
-    return PeerLinks(m_io,
-                     m_settings,
-                     aMemberId,
-                     1,
-                     m_log,
-                     { [](const auto&) {}, [](auto) {}, [](auto&, auto&) {} });
+    return PeerLinks(
+      m_io,
+      m_settings,
+      aMemberId,
+      1,
+      m_log,
+      { [](const auto&, auto) {}, [](auto) {}, [](auto&, auto&) {} });
   }
 
   // Ticks every 50 ms, as the net thread does, until the condition holds.
@@ -114,12 +115,13 @@
   ASSERT_TRUE(first.Start());
   ControlSettings other = m_settings;
   other.m_seeds = { first.Address() };
-  PeerLinks second(m_io,
-                   other,
-                   2,
-                   1,
-                   m_log,
-                   { [](const auto&) {}, [](auto) {}, [](auto&, auto&) {} });
+  PeerLinks second(
+    m_io,
+    other,
+    2,
+    1,
+    m_log,
+    { [](const auto&, auto) {}, [](auto) {}, [](auto&, auto&) {} });
   ASSERT_TRUE(second.Start());
   int ticks = 0;
   constexpr int kTicks = 50; // 2.5 s, more than the silence timeout
@@ -131,5 +133,55 @@
   }
 }
 
+// Guards against a member that is taken for one with a lost disk: only the VM
+// that answers at the member's own address proves it, so a hello that names
+// another address, or comes over a connection of the other side, proves
+// nothing.
+TEST_F(PeerLinksTest, HelloOfADialedAddressIsTold)
+{
+  const TimePoint start = Clock::now();
+  std::optional<TimePoint> toldToFirst;
+  std::optional<TimePoint> toldToSecond;
+  int hellos = 0;
+  const auto note = [&hellos](std::optional<TimePoint>& aTold) {
+    return PeerHandlers{ [&hellos, &aTold](const auto&,
+                                           std::optional<TimePoint> aDialedAt) {
+                          ++hellos;
+                          aTold = aTold ? aTold : aDialedAt;
+                        },
+                         [](auto) {},
+                         [](auto&, auto&) {} };
+  };
+  PeerLinks probe = Make(9);
+  ASSERT_TRUE(probe.Start()); // finds a free port
+  m_settings.m_peerListen = probe.Address();
+  m_settings.m_peerAddress = probe.Address();
+  probe.Stop();
+  PeerLinks first(m_io, m_settings, 1, 1, m_log, note(toldToFirst));
+  ASSERT_TRUE(first.Start());
+  ControlSettings other = m_settings;
+  other.m_peerListen = { "127.0.0.1", 0 };
+  other.m_seeds = { first.Address() };
+  PeerLinks second(m_io, other, 2, 1, m_log, note(toldToSecond));
+  ASSERT_TRUE(second.Start());
+  RunUntil({ &first, &second }, [&] { return hellos >= 4; });
+  EXPECT_FALSE(toldToFirst);
+  ASSERT_TRUE(toldToSecond);
+  EXPECT_GT(*toldToSecond, start);
+
+  // The third dials another address than the hello names.
+  m_settings.m_peerAddress.m_port = 1;
+  m_settings.m_peerListen = { "127.0.0.1", 0 };
+  PeerLinks misnamed(m_io, m_settings, 3, 1, m_log, note(toldToFirst));
+  ASSERT_TRUE(misnamed.Start());
+  other.m_seeds = { misnamed.Address() };
+  std::optional<TimePoint> toldToThird;
+  hellos = 0;
+  PeerLinks third(m_io, other, 4, 1, m_log, note(toldToThird));
+  ASSERT_TRUE(third.Start());
+  RunUntil({ &misnamed, &third }, [&] { return hellos >= 4; });
+  EXPECT_FALSE(toldToThird);
+}
+
 } // namespace
 } // namespace wigeonfold::control
--- a/libs/consensus/include/wigeonfold/consensus/Membership.h
+++ b/libs/consensus/include/wigeonfold/consensus/Membership.h
@@ -42,6 +42,12 @@
 size_t VoterCount(const wire::Membership& aMembership);
 // Smallest number of voters that is a majority.
 size_t QuorumSize(const wire::Membership& aMembership);
+// Votes that a group of aVoters needs once aLost of them are known to have lost
+// their disks. Lost voters don't count among them. The quorum has a voter that
+// is not lost in common with every majority of all voters, and with every other
+// quorum of this kind: it is a majority of those that are left, and at least
+// half of all. So an even group goes on with one vote less than a majority.
+size_t QuorumSizeAfterLoss(size_t aVoters, size_t aLost);
 
 // The membership after the change. Fails with NotFound when the member is not
 // in the membership, and with InvalidArgument or Conflict on an impossible
--- a/libs/consensus/include/wigeonfold/consensus/MembershipPolicy.h
+++ b/libs/consensus/include/wigeonfold/consensus/MembershipPolicy.h
@@ -18,6 +18,10 @@
   // Number of voters to maintain. Odd, so that no partition can split them into
   // two halves without a quorum.
   size_t m_voters = 3;
+  // Voters beyond m_voters that are kept while all voters are in contact. With
+  // one of them, a voter that ends for good and a lost disk leave a quorum even
+  // at the same moment (QuorumSizeAfterLoss). 0 or 1.
+  size_t m_standbyVoters = 0;
   // A voter without contact for this long is replaced by a learner that has
   // caught up. Longer than an election, so that a short stall replaces no one.
   Duration m_replaceAfter = std::chrono::milliseconds(1500);
@@ -31,6 +35,9 @@
   wire::ControlHello m_hello;
   TimePoint m_helloAt{};   // when m_hello arrived
   TimePoint m_contactAt{}; // last message, or last seen connected
+  // Start of the newest connection that this VM opened to it and on which it
+  // answered.
+  std::optional<TimePoint> m_dialedAt;
 };
 
 struct MembershipStep
@@ -45,11 +52,12 @@
 //   another member id, which means that the member lost its disk, and the other
 //   voters in contact form a quorum without it;
 // - a control VM in contact that is not a member is added as a learner;
-// - a learner that has caught up is promoted while fewer voters than m_voters
-//   stay, which are those that aren't stopping;
+// - a learner that has caught up is promoted while fewer voters than m_voters,
+//   with the standby ones, stay, which are those that aren't stopping;
 // - a voter that is stopping, the leader itself among them, is demoted once
 //   m_voters others stay;
-// - a voter beyond m_voters is demoted, preferably one without contact;
+// - a voter beyond m_voters and the standby ones is demoted, preferably one
+//   without contact, and a voter without contact beyond m_voters as well;
 // - a learner that has caught up is promoted when a voter has no contact, which
 //   is one too many then, if it and the voters in contact form a quorum;
 // - a learner without contact for m_removeAfter is removed.
@@ -72,7 +80,7 @@
                     const MembershipPolicyOptions& aOptions,
                     TimePoint aNow);
 
-// What Raft has to know of aVms. Thread safe.
+// What Raft has to know of aVms, but for the lost disks. Thread safe.
 VoterOutlook MakeVoterOutlook(const wire::Membership& aMembership,
                               MemberId aSelf,
                               const std::map<MemberId, ControlVmState>& aVms,
--- a/libs/consensus/include/wigeonfold/consensus/Raft.h
+++ b/libs/consensus/include/wigeonfold/consensus/Raft.h
@@ -157,6 +157,9 @@
   bool m_hasReplacement = false;
   // Voters that said that they are about to end.
   std::set<MemberId> m_stopping;
+  // Members whose disks are known to be lost, see LostDisks.h. A member that is
+  // listed by mistake may lead to two leaders.
+  std::set<MemberId> m_lost;
 };
 
 enum class Role
@@ -216,7 +219,7 @@
   Result<LogPosition> ProposeChange(TimePoint aNow,
                                     const MembershipChange& aChange);
 
-  // Used by SurvivingIndex() on the leader; call at least once per heartbeat.
+  // Used by elections and by the leader; call at least once per heartbeat.
   void SetVoterOutlook(TimePoint aNow, VoterOutlook aOutlook);
 
   // Returns and clears the actions due since the last call.
@@ -252,6 +255,9 @@
   std::optional<wire::Member> Leader() const;
   // The newest membership in the log, committed or not.
   const wire::Membership& CurrentMembership() const;
+  // The membership that takes effect again if the newest one is truncated; the
+  // newest one once it is known to be committed.
+  const wire::Membership& PreviousMembership() const;
   bool MembershipCommitted() const;
   // The membership with which the group was started; nullptr when the log
   // doesn't hold it.
@@ -336,8 +342,11 @@
   void CollectPersist(RaftActions& aActions);
   void RequestSnapshot(RaftActions& aActions);
   void AddEvent(EventId aId, std::vector<EventField> aFields);
-  bool InMembership() const;
-  const wire::Membership& PreviousMembership() const;
+  bool MayVote() const;
+  // The least value, of the newest membership and of the one before it, that a
+  // quorum of each has reached. See Quorum.h.
+  template<class Value, class ValueOf>
+  Value ValueOfQuorums(Value aNone, ValueOf aValueOf) const;
   int64_t SnapshotIndex() const;
 
   // Election.cpp
@@ -352,6 +361,7 @@
   void StartElection();
   void BecomeLeader();
   void RequestVotes(wire::RaftMessageKind::type aKind, int64_t aTerm);
+  bool HasEnoughVotes() const;
   void CountVotes();
   bool HeardFromLeader() const;
   bool RefusesVotes(const wire::RaftMessage& aMessage) const;
--- a/libs/consensus/src/Election.cpp
+++ b/libs/consensus/src/Election.cpp
@@ -1,4 +1,6 @@
 // Terms, elections, pre-votes and votes.
+#include "Quorum.h"
+
 #include "wigeonfold/consensus/Raft.h"
 
 #include "wigeonfold/wire/Codec.h"
@@ -109,11 +111,17 @@
 
 void Raft::RequestVotes(wire::RaftMessageKind::type aKind, int64_t aTerm)
 {
-  for (const wire::Member& member : CurrentMembership().members) {
-    if (!member.voter || member.memberId == m_self) {
-      continue;
+  std::set<MemberId> voters;
+  for (const auto* membership :
+       { &CurrentMembership(), &PreviousMembership() }) {
+    for (const wire::Member& member : membership->members) {
+      if (member.voter && member.memberId != m_self) {
+        voters.insert(member.memberId);
+      }
     }
-    wire::RaftMessage message = MakeMessage(aKind, member.memberId);
+  }
+  for (const MemberId voter : voters) {
+    wire::RaftMessage message = MakeMessage(aKind, voter);
     message.term = aTerm;
     message.early = m_campaignsEarly;
     message.logIndex = m_log.Last().m_index;
@@ -122,21 +130,32 @@
   }
 }
 
+bool Raft::HasEnoughVotes() const
+{
+  const bool needsAll = m_role == Role::PreCandidate && m_campaignsEarly;
+  if (needsAll) {
+    const auto& members = CurrentMembership().members;
+    return std::all_of(
+      members.begin(), members.end(), [this](const wire::Member& aMember) {
+        return !aMember.voter || m_votes.count(aMember.memberId) > 0;
+      });
+  }
+  const auto hasQuorum = [this](const wire::Membership& aMembership) {
+    return ValueOfQuorum(
+      aMembership, m_outlook.m_lost, false, [this](MemberId aId) {
+        return m_votes.count(aId) > 0;
+      });
+  };
+  return hasQuorum(CurrentMembership()) && hasQuorum(PreviousMembership());
+}
+
 void Raft::CountVotes()
 {
   // This member's own vote counts only once it is synced, like any other.
   if (m_role == Role::Candidate && HardStatePersisted()) {
     m_votes.insert(m_self);
   }
-  const auto& membership = CurrentMembership();
-  const auto granted =
-    std::count_if(m_votes.begin(), m_votes.end(), [&](MemberId aId) {
-      return IsVoter(membership, aId);
-    });
-  const bool needsAll = m_role == Role::PreCandidate && m_campaignsEarly;
-  const auto needed =
-    needsAll ? VoterCount(membership) : QuorumSize(membership);
-  if (static_cast<size_t>(granted) < needed) {
+  if (!HasEnoughVotes()) {
     return;
   }
   if (m_role == Role::PreCandidate) {
@@ -198,7 +217,7 @@
 
 void Raft::HandlePreVoteRequest(const wire::RaftMessage& aMessage)
 {
-  if (!InMembership()) {
+  if (!MayVote()) {
     return;
   }
   wire::RaftMessage reply =
@@ -229,7 +248,7 @@
 
 void Raft::HandleVoteRequest(const wire::RaftMessage& aMessage)
 {
-  if (!InMembership() || RefusesVotes(aMessage)) {
+  if (!MayVote() || RefusesVotes(aMessage)) {
     return;
   }
   if (aMessage.term > m_hardState.m_term) {
--- a/libs/consensus/src/Leader.cpp
+++ b/libs/consensus/src/Leader.cpp
@@ -1,4 +1,6 @@
 // The leader: proposals, replication, commit and lease.
+#include "Quorum.h"
+
 #include "wigeonfold/consensus/Raft.h"
 
 #include "wigeonfold/wire/Codec.h"
@@ -131,13 +133,17 @@
 
 // ---- Replication -----------------------------------------------------------
 
-// A removed member still receives entries until its removal is committed, so
-// that it usually learns of the removal.
+// A removed member still receives entries until its removal is committed: it
+// counts for the quorum of the previous membership, and usually learns of the
+// removal.
 void Raft::UpdateProgressSet()
 {
-  for (const wire::Member& member : CurrentMembership().members) {
-    if (member.memberId != m_self && !m_progress.contains(member.memberId)) {
-      m_progress[member.memberId].m_next = m_log.Last().m_index + 1;
+  for (const auto* membership :
+       { &CurrentMembership(), &PreviousMembership() }) {
+    for (const wire::Member& member : membership->members) {
+      if (member.memberId != m_self && !m_progress.contains(member.memberId)) {
+        m_progress[member.memberId].m_next = m_log.Last().m_index + 1;
+      }
     }
   }
   if (!MembershipCommitted()) {
@@ -284,17 +290,21 @@
 
 // ---- Commit ----------------------------------------------------------------
 
+// While a membership change is uncommitted, quorums of both memberships decide.
+// The new one alone could be formed without any voter of a quorum that is left
+// of the old one after a lost disk.
+template<class Value, class ValueOf>
+Value Raft::ValueOfQuorums(Value aNone, ValueOf aValueOf) const
+{
+  return std::min(
+    ValueOfQuorum(CurrentMembership(), m_outlook.m_lost, aNone, aValueOf),
+    ValueOfQuorum(PreviousMembership(), m_outlook.m_lost, aNone, aValueOf));
+}
+
 void Raft::AdvanceCommit()
 {
-  const wire::Membership& membership = CurrentMembership();
-  std::vector<int64_t> synced;
-  for (const wire::Member& member : membership.members) {
-    if (member.voter) {
-      synced.push_back(MatchIndex(member.memberId).value_or(0));
-    }
-  }
-  std::sort(synced.rbegin(), synced.rend());
-  const int64_t index = synced[QuorumSize(membership) - 1];
+  const auto index = ValueOfQuorums<int64_t>(
+    0, [this](MemberId aId) { return MatchIndex(aId).value_or(0); });
   // An entry of an earlier term that is stored on a majority can still be
   // replaced. It is committed together with the first entry of the current
   // term.
@@ -340,24 +350,16 @@
 
 TimePoint Raft::QuorumConfirmedAt(TimePoint aNow, bool aGrace) const
 {
-  const wire::Membership& membership = CurrentMembership();
   const TimePoint never = aGrace ? m_leaderSince : TimePoint::min();
-  std::vector<TimePoint> confirmed;
-  for (const wire::Member& member : membership.members) {
-    if (!member.voter) {
-      continue;
-    }
-    const auto found = m_progress.find(member.memberId);
-    if (member.memberId == m_self) {
-      confirmed.push_back(aNow);
-    } else if (found != m_progress.end() && found->second.m_confirmed) {
-      confirmed.push_back(std::max(never, found->second.m_confirmedAt));
-    } else {
-      confirmed.push_back(never);
+  return ValueOfQuorums(never, [&](MemberId aId) {
+    const auto found = m_progress.find(aId);
+    if (aId == m_self) {
+      return aNow;
     }
-  }
-  std::sort(confirmed.rbegin(), confirmed.rend());
-  return confirmed[QuorumSize(membership) - 1];
+    return found != m_progress.end() && found->second.m_confirmed
+             ? std::max(never, found->second.m_confirmedAt)
+             : never;
+  });
 }
 
 int64_t Raft::QuorumAgeMs() const
--- /dev/null
+++ b/libs/consensus/src/LostDisks.cpp
@@ -0,0 +1,42 @@
+#include "wigeonfold/consensus/LostDisks.h"
+
+#include <algorithm>
+
+namespace wigeonfold::consensus {
+
+void LostDisks::Update(const wire::Membership& aCurrent,
+                       const wire::Membership& aPrevious,
+                       TimePoint aNow)
+{
+  std::map<MemberId, KnownMember> members;
+  for (const auto* membership : { &aCurrent, &aPrevious }) {
+    for (const wire::Member& member : membership->members) {
+      const auto known = m_members.find(member.memberId);
+      const bool isNew = known == m_members.end();
+      members[member.memberId] = { member.peerAddress,
+                                   isNew ? aNow : known->second.m_since };
+    }
+  }
+  m_members = std::move(members);
+}
+
+std::set<MemberId> LostDisks::Find(
+  const std::map<MemberId, ControlVmState>& aVms) const
+{
+  std::set<MemberId> lost;
+  for (const auto& [id, member] : m_members) {
+    const bool isLost = std::any_of(
+      aVms.begin(), aVms.end(), [&, memberId = id](const auto& aVm) {
+        const ControlVmState& vm = aVm.second;
+        return aVm.first != memberId &&
+               vm.m_hello.peerAddress == member.m_peerAddress &&
+               vm.m_dialedAt && *vm.m_dialedAt > member.m_since;
+      });
+    if (isLost) {
+      lost.insert(id);
+    }
+  }
+  return lost;
+}
+
+} // namespace wigeonfold::consensus
--- a/libs/consensus/src/Membership.cpp
+++ b/libs/consensus/src/Membership.cpp
@@ -89,7 +89,13 @@
 
 size_t QuorumSize(const wire::Membership& aMembership)
 {
-  return VoterCount(aMembership) / 2 + 1;
+  return QuorumSizeAfterLoss(VoterCount(aMembership), 0);
+}
+
+size_t QuorumSizeAfterLoss(size_t aVoters, size_t aLost)
+{
+  const size_t left = aVoters - std::min(aLost, aVoters);
+  return std::max(left / 2 + 1, (aVoters + 1) / 2);
 }
 
 Result<wire::Membership> ApplyChange(const wire::Membership& aMembership,
--- a/libs/consensus/src/MembershipPolicy.cpp
+++ b/libs/consensus/src/MembershipPolicy.cpp
@@ -117,6 +117,13 @@
                        [this](MemberId aId) { return InContact(aId); });
   }
 
+  // Whether one more voter and the voters in contact form a quorum.
+  bool HasQuorumWithNewVoter() const
+  {
+    return VotersInContact() + 1 >=
+           QuorumSizeAfterLoss(VoterCount(m_membership) + 1, 0);
+  }
+
   std::optional<MembershipStep> RemoveMemberWithLostDisk() const
   {
     for (const auto& [id, vm] : m_vms) {
@@ -178,7 +185,11 @@
   std::optional<MembershipStep> PromoteLearner() const
   {
     const wire::Member* learner = FindPromotableLearner();
-    if (learner == nullptr || StayingVoters() >= m_options.m_voters) {
+    const size_t staying = StayingVoters();
+    const size_t wanted = m_options.m_voters + m_options.m_standbyVoters;
+    const bool isStandby = staying >= m_options.m_voters;
+    if (learner == nullptr || staying >= wanted ||
+        (isStandby && !HasQuorumWithNewVoter())) {
       return std::nullopt;
     }
     return MembershipStep{ { Kind::Promote, *learner },
@@ -201,7 +212,8 @@
   // A voter that had said that it was stopping, and was replaced, is back.
   std::optional<MembershipStep> DemoteSurplusVoter() const
   {
-    if (StayingVoters() <= m_options.m_voters) {
+    const size_t staying = StayingVoters();
+    if (staying <= m_options.m_voters) {
       return std::nullopt;
     }
     const wire::Member* surplus = nullptr;
@@ -211,7 +223,11 @@
         surplus = &member;
       }
     }
-    if (surplus == nullptr || !HasQuorumWithout(surplus->memberId)) {
+    const bool isStandby =
+      staying <= m_options.m_voters + m_options.m_standbyVoters &&
+      surplus != nullptr && InContact(surplus->memberId);
+    if (surplus == nullptr || isStandby ||
+        !HasQuorumWithout(surplus->memberId)) {
       return std::nullopt;
     }
     return MembershipStep{ { Kind::Demote, *surplus },
@@ -223,10 +239,8 @@
   std::optional<MembershipStep> PromoteSuccessorOfUnreachableVoter() const
   {
     const wire::Member* learner = FindPromotableLearner();
-    const size_t reachable = VotersInContact();
-    const size_t voters = VoterCount(m_membership);
-    if (learner == nullptr || reachable == voters ||
-        reachable + 1 < (voters + 1) / 2 + 1) {
+    if (learner == nullptr || VotersInContact() == VoterCount(m_membership) ||
+        !HasQuorumWithNewVoter()) {
       return std::nullopt;
     }
     return MembershipStep{ { Kind::Promote, *learner },
--- a/libs/consensus/src/Raft.cpp
+++ b/libs/consensus/src/Raft.cpp
@@ -254,17 +254,22 @@
 
 void Raft::CollectPersist(RaftActions& aActions)
 {
+  // Until a member knows that a membership is committed, it needs a quorum of
+  // the one before as well, whose voters may be gone for good.
+  const bool membershipCommitted =
+    MembershipCommitted() && !m_memberships.empty() &&
+    m_memberships.back().m_index > m_submittedHardState.m_commit;
   const bool hardStateChanged =
     m_hardState.m_term != m_submittedHardState.m_term ||
-    m_hardState.m_vote != m_submittedHardState.m_vote;
+    m_hardState.m_vote != m_submittedHardState.m_vote || membershipCommitted;
   const int64_t last = m_log.Last().m_index;
   if (!hardStateChanged && !m_unsavedSnapshot && m_truncateFrom == 0 &&
       m_unsavedFrom > last) {
     return;
   }
   aActions.m_sequence = m_nextSequence++;
-  // A new commit index alone causes no write; it is stored along with the next
-  // other change.
+  // A new commit index alone causes no write unless it commits a membership; it
+  // is stored along with the next other change.
   if (m_hardState != m_submittedHardState) {
     aActions.m_hardState = m_hardState;
     m_submittedHardState = m_hardState;
@@ -430,15 +435,14 @@
   return m_snapshot ? m_snapshot->m_position.m_index : 0;
 }
 
-// A member whose own removal is not committed still counts as a member: its
-// vote may be needed to elect a leader that replaces that entry.
-bool Raft::InMembership() const
+// A member that knows of its own removal still votes: a candidate that doesn't
+// know whether the removal is committed needs a quorum of the membership before
+// it. Candidates count the votes of their own voters only.
+bool Raft::MayVote() const
 {
-  return FindMember(CurrentMembership(), m_self) != nullptr ||
-         FindMember(PreviousMembership(), m_self) != nullptr;
+  return !m_memberships.empty();
 }
 
-// The membership that takes effect again if the newest one is truncated.
 const wire::Membership& Raft::PreviousMembership() const
 {
   const size_t count = m_memberships.size();
--- a/libs/consensus/src/Survival.cpp
+++ b/libs/consensus/src/Survival.cpp
@@ -1,12 +1,12 @@
 // Which committed entries the group keeps after the loss of disks.
 //
 // A committed entry is synced on a majority of the V voters. After the loss of
-// n disks the group keeps it and elects a leader only if a majority of V is
-// left, so majority + n voters have to be alive when the entry is acknowledged.
-// A voter that ended without notice is listed until it is replaced and must not
-// count: only one that answered after the entry was appended does. Where no
-// other VM can take its place the loss has happened already, and waiting for it
-// would refuse changes as long as one VM is away.
+// n disks the group keeps it and elects a leader only if a quorum is left, so
+// that quorum and n more voters have to be alive when the entry is
+// acknowledged. A voter that ended without notice is listed until it is
+// replaced and must not count: only one that answered after the entry was
+// appended does. Where no other VM can take its place the loss has happened
+// already, and waiting for it would refuse changes as long as one VM is away.
 #include "wigeonfold/consensus/Raft.h"
 
 #include <utility>
@@ -43,7 +43,10 @@
 int64_t Raft::IndexOnEnoughVoters() const
 {
   const wire::Membership& membership = CurrentMembership();
-  const size_t needed = QuorumSize(membership) + m_settings.m_toleratedLosses;
+  const size_t losses = m_settings.m_toleratedLosses;
+  const size_t needed =
+    std::max(QuorumSize(membership),
+             QuorumSizeAfterLoss(VoterCount(membership), losses) + losses);
   std::vector<int64_t> answered;
   for (const wire::Member& member : membership.members) {
     if (member.voter) {
--- a/libs/consensus/test/ManagedCluster.h
+++ b/libs/consensus/test/ManagedCluster.h
@@ -6,6 +6,7 @@
 #include "Cluster.h"
 
 #include "wigeonfold/consensus/ChangeGate.h"
+#include "wigeonfold/consensus/LostDisks.h"
 #include "wigeonfold/consensus/MembershipPolicy.h"
 
 namespace wigeonfold::consensus {
@@ -14,13 +15,17 @@
 {
 public:
   // aVms start at once with empty disks; the first three are the seeds.
-  ManagedCluster(size_t aVms, size_t aToleratedLosses, uint64_t aSeed)
+  ManagedCluster(size_t aVms,
+                 size_t aToleratedLosses,
+                 uint64_t aSeed,
+                 size_t aStandbyVoters = 1)
     : Cluster(0, aSeed, aToleratedLosses)
   {
     m_settings.m_electionMin = milliseconds(600);
     m_settings.m_electionMax = milliseconds(1000);
     m_settings.m_lease = milliseconds(450);
     m_policy.m_voters = 2 * aToleratedLosses + 1;
+    m_policy.m_standbyVoters = aStandbyVoters;
     m_losses = aToleratedLosses;
     for (size_t i = 0; i < aVms; ++i) {
       AddVm(true);
@@ -40,6 +45,7 @@
   {
     Crash(aId);
     m_vms.at(aId).m_known.clear();
+    m_vms.at(aId).m_lostDisks = {};
     m_vms.at(aId).m_stopSince.reset();
   }
 
@@ -138,6 +144,20 @@
     return 0;
   }
 
+  // The running members that vote, the leader first.
+  std::vector<MemberId> Voters()
+  {
+    std::vector<MemberId> voters{ LeaderId() };
+    for (const auto& [id, node] : m_nodes) {
+      const Raft* leader = Leader();
+      if (node.m_raft && leader != nullptr && id != voters.front() &&
+          IsVoter(leader->CurrentMembership(), id)) {
+        voters.push_back(id);
+      }
+    }
+    return voters;
+  }
+
   bool HasVoters(size_t aCount)
   {
     const Raft* leader = Leader();
@@ -174,6 +194,7 @@
     bool m_mayBootstrap = false;
     std::optional<int64_t> m_stopSince; // m_nowMs of the SIGTERM
     std::map<MemberId, ControlVmState> m_known;
+    LostDisks m_lostDisks;
   };
 
   static constexpr int64_t kHelloIntervalMs = 500;
@@ -233,6 +254,7 @@
         known.m_hello = hello;
         known.m_helloAt = now;
         known.m_contactAt = now;
+        known.m_dialedAt = now;
       } else if (FindMember(membership, other) == nullptr) {
         known.m_contactAt = now;
       }
@@ -260,8 +282,11 @@
     ExchangeHellos(aId, aVm);
     MaybeForm(aId, aVm);
     const wire::Membership& membership = raft.CurrentMembership();
-    raft.SetVoterOutlook(
-      now, MakeVoterOutlook(membership, aId, aVm.m_known, m_policy, now));
+    aVm.m_lostDisks.Update(membership, raft.PreviousMembership(), now);
+    VoterOutlook outlook =
+      MakeVoterOutlook(membership, aId, aVm.m_known, m_policy, now);
+    outlook.m_lost = aVm.m_lostDisks.Find(aVm.m_known);
+    raft.SetVoterOutlook(now, std::move(outlook));
     if (raft.GetRole() == Role::Leader && raft.MembershipCommitted()) {
       const auto step = NextMembershipStep(
         membership, aId, aVm.m_known, CaughtUp(raft), m_policy, now);
--- a/libs/consensus/test/MembershipModel_test.cpp
+++ b/libs/consensus/test/MembershipModel_test.cpp
@@ -1,7 +1,8 @@
 // Guards against acknowledged changes that are lost, two leaders of a term, two
 // clusters, and a group that ends for good, in any order of first start,
 // promotions, planned and silent replacements, restarts, cuts, slow disks and
-// disks lost right after an acknowledgement, while one disk is lost at a time.
+// disks lost at any moment, also at the moment at which a voter ends for good,
+// while one disk is lost at a time.
 #include "ManagedCluster.h"
 
 #include <gtest/gtest.h>
@@ -21,6 +22,7 @@
   KillAll,
   ReplacePlanned,
   ReplaceSilently,
+  ReplaceSilentlyAndLoseDisk,
   Cut,
   SlowDisks,
   BadNetwork,
@@ -70,21 +72,22 @@
         break;
       case StepKind::LoseDiskAfterChange:
         AwaitLostDisk();
+        AwaitOthers();
         if (const MemberId id = m_cluster.Accept()) {
           Wipe(id);
         }
         break;
       case StepKind::LoseAnyDisk:
         AwaitLostDisk();
-        AwaitReplacement();
+        AwaitOthers();
         Wipe(VmAt(argument));
         break;
       case StepKind::KillAndRestart:
-        AwaitReplacement();
+        m_hasDisturbed = true;
         Restart(VmAt(argument), argument * 3);
         break;
       case StepKind::StopAndRestart: {
-        AwaitReplacement();
+        m_hasDisturbed = true;
         const MemberId id = VmAt(argument);
         m_cluster.Stop(id);
         m_cluster.RunManaged(500);
@@ -92,7 +95,7 @@
         break;
       }
       case StepKind::KillAll:
-        AwaitReplacement();
+        m_hasDisturbed = true;
         for (auto& [id, node] : m_cluster.m_nodes) {
           m_cluster.Kill(id);
         }
@@ -105,8 +108,13 @@
       case StepKind::ReplaceSilently:
         Replace(VmAt(argument), false);
         break;
+      case StepKind::ReplaceSilentlyAndLoseDisk:
+        Replace(VmAt(argument), false);
+        m_cluster.RunManaged(argument % 4 * 400);
+        Wipe(VmAt(argument / 4));
+        break;
       case StepKind::Cut:
-        AwaitReplacement();
+        m_hasDisturbed = true;
         network.m_partition[VmAt(argument)] = 1;
         m_cluster.RunManaged(argument * 4);
         network.m_partition.clear();
@@ -150,16 +158,29 @@
     }
   }
 
-  // Before a silent voter was replaced, a disk that is lost without an
-  // acknowledgement ends the group (SilentReplacement_test), and so does one
-  // that is lost while another VM is away.
+  void Settle()
+  {
+    m_cluster.m_network = {};
+    StartAll();
+    m_cluster.RunManaged(ManagedCluster::kSyncMs);
+    m_hasLeftSilently = false;
+    m_hasDisturbed = false;
+  }
+
+  // A VM that was away counts as lost for kSyncMs after it is back. With it, a
+  // voter that has just ended for good and a lost disk, too few would be left.
+  void AwaitOthers()
+  {
+    if (m_hasLeftSilently && m_hasDisturbed) {
+      Settle();
+    }
+  }
+
+  // One VM is replaced at a time.
   void AwaitReplacement()
   {
     if (m_hasLeftSilently) {
-      m_cluster.m_network = {};
-      StartAll();
-      m_cluster.RunManaged(ManagedCluster::kSyncMs);
-      m_hasLeftSilently = false;
+      Settle();
     }
   }
 
@@ -189,11 +210,13 @@
     }
     m_cluster.Remove(aId);
     m_hasLeftSilently = !aIsPlanned;
+    m_hasDisturbed = false;
   }
 
   ManagedCluster m_cluster;
   bool m_hasLostDisk = false;
   bool m_hasLeftSilently = false;
+  bool m_hasDisturbed = false; // another VM was away since
 };
 
 void CheckModel(size_t aVms, size_t aLosses)
--- a/libs/consensus/test/Survival_test.cpp
+++ b/libs/consensus/test/Survival_test.cpp
@@ -100,16 +100,33 @@
   EXPECT_NE(m_cluster->Accept(200), 0);
 }
 
-// An ordinary restart beside a learner: a change waits for the voter or for its
-// replacement, and not longer.
+// An ordinary restart beside a learner that is not a standby voter: a change
+// waits for the voter or for its replacement, and not longer.
 TEST_P(Survival, ChangeIsAcknowledgedOnceTheVoterIsReplaced)
 {
+  m_cluster.emplace(3, 1, GetParam(), 0);
+  ASSERT_TRUE(m_cluster->RunManagedUntil(
+    [this] { return m_cluster->HasVoters(3); }, 10000));
+  ASSERT_NE(m_cluster->Accept(), 0);
   AddSuccessor();
   m_cluster->Kill(m_cluster->FollowerId());
   EXPECT_EQ(m_cluster->Accept(500), 0);
   EXPECT_NE(m_cluster->Accept(3500), 0);
 }
 
+// With a standby voter a change needs no wait: the three voters that are left
+// have it, and any two of them go on after a lost disk.
+TEST_P(Survival, ChangeBesideAStandbyVoterIsAcknowledgedAtOnce)
+{
+  AddSuccessor();
+  ASSERT_TRUE(m_cluster->HasVoters(4));
+  m_cluster->Kill(m_cluster->FollowerId());
+  const MemberId acknowledging = m_cluster->Accept(500);
+  ASSERT_NE(acknowledging, 0);
+  m_cluster->Wipe(acknowledging);
+  EXPECT_NO_THROW(m_cluster->Recover());
+}
+
 // Guards against a cluster that never forms, or loses its first change, because
 // one disk is lost at the first start: the creator was the only voter of the
 // log that the others held, while that log kept them from forming another one.
