Answer for any text, and let a fault end one request only

A message that quotes a long text cut it at 80 bytes, also within a UTF-8 character. And an answer that can't be written ended the process: the document format dumped JSON strictly, on the core thread where nothing caught it, and as the outcome is replicated each later leader did the same. Change: TruncateUtf8 cuts between characters (quotes, request ids); DumpJson is the only way to write JSON and replaces invalid bytes. Faults are contained where a request enters: HTTP handlers (500), frames of a peer (the connection is closed), calls at the core and the writing of answers (500), and the decision on a change (refused alike on each replica). Each is logged as HandlerFailed 1006 or ConnectionRejected.

--- a/apps/wigeonfold-control/Api.cpp
+++ b/apps/wigeonfold-control/Api.cpp
@@ -1,5 +1,6 @@
 #include "Api.h"
 
+#include "wigeonfold/base/Text.h"
 #include "wigeonfold/observe/Timeline.h"
 #include "wigeonfold/platform/OperatorCalls.h"
 
@@ -77,27 +78,31 @@
 
 Status Api::Start()
 {
-  auto server = net::ServeHttp(m_io,
-                               m_settings.m_apiListen,
-                               [this](const net::HttpRequest& aRequest,
-                                      net::HttpRespond aRespond,
-                                      const net::HttpOnAbandon&) {
-                                 Serve(aRequest, std::move(aRespond));
-                               });
+  auto server = net::ServeHttp(
+    m_io,
+    m_settings.m_apiListen,
+    [this](const net::HttpRequest& aRequest,
+           net::HttpRespond aRespond,
+           const net::HttpOnAbandon&) { Serve(aRequest, std::move(aRespond)); },
+    {},
+    {},
+    MakeFailureLog());
   if (!server) {
     return server.error();
   }
   m_server = std::move(server.value());
   if (m_settings.m_operatorListen) {
-    auto config = net::ServeHttp(m_io,
-                                 *m_settings.m_operatorListen,
-                                 [this](const net::HttpRequest& aRequest,
-                                        net::HttpRespond aRespond,
-                                        const net::HttpOnAbandon&) {
-                                   ServeConfig(aRequest, std::move(aRespond));
-                                 },
-                                 {},
-                                 { 0, Duration::zero(), kMaxConfigBytes });
+    auto config = net::ServeHttp(
+      m_io,
+      *m_settings.m_operatorListen,
+      [this](const net::HttpRequest& aRequest,
+             net::HttpRespond aRespond,
+             const net::HttpOnAbandon&) {
+        ServeConfig(aRequest, std::move(aRespond));
+      },
+      {},
+      { 0, Duration::zero(), kMaxConfigBytes },
+      MakeFailureLog());
     if (!config) {
       return config.error();
     }
@@ -107,6 +112,13 @@
   return Ok();
 }
 
+net::HttpOnFailure Api::MakeFailureLog()
+{
+  return [this](const Error& aError) {
+    m_log.Record(EventId::HandlerFailed, { { "error", aError.ToString() } });
+  };
+}
+
 void Api::Drain(std::function<void()> aDone)
 {
   if (!m_configServer) {
@@ -283,9 +295,11 @@
       aAnswer.m_cluster.m_nodes.push_back(ToReport(node, now));
     }
   }
-  Answer(aAnswer.m_callId,
-         found->second.m_format->HandleRead(
-           *aAnswer.m_registry, aAnswer.m_cluster, found->second.m_target));
+  const PendingRequest& pending = found->second;
+  Answer(aAnswer.m_callId, registry::FormatOrProblem(m_log, [&] {
+           return pending.m_format->HandleRead(
+             *aAnswer.m_registry, aAnswer.m_cluster, pending.m_target);
+         }));
 }
 
 void Api::Handle(HttpMessage aMessage)
@@ -320,7 +334,7 @@
   body["fresh"] = fresh;
   body["version"] =
     m_coreSummary.m_version ? ToString(*m_coreSummary.m_version) : "";
-  return Text(running && fresh ? 200 : 503, kJson, body.dump() + "\n");
+  return Text(running && fresh ? 200 : 503, kJson, DumpJson(body) + "\n");
 }
 
 net::HttpResponse Api::Timeline() const
--- a/apps/wigeonfold-control/Api.h
+++ b/apps/wigeonfold-control/Api.h
@@ -46,6 +46,7 @@
     TimePoint m_deadline;
   };
 
+  net::HttpOnFailure MakeFailureLog();
   void Serve(const net::HttpRequest& aRequest, net::HttpRespond aRespond);
   void ServeConfig(const net::HttpRequest& aRequest, net::HttpRespond aRespond);
   void HandleAccept(const net::HttpRequest& aRequest,
--- a/apps/wigeonfold-control/CoreCalls.cpp
+++ b/apps/wigeonfold-control/CoreCalls.cpp
@@ -16,7 +16,18 @@
 void Core::Handle(ApiCall aCall)
 {
   const TimePoint now = Clock::now();
-  std::visit([this, now](auto& aTyped) { Execute(aTyped, now); }, aCall);
+  std::visit(
+    [this, now](auto& aTyped) {
+      try {
+        Execute(aTyped, now);
+      } catch (const std::exception& error) {
+        m_log.Record(EventId::HandlerFailed,
+                     { { "step", "execute call" }, { "error", error.what() } });
+        Answer(aTyped.m_callId,
+               registry::FormatProblem(500, "the call can't be executed"));
+      }
+    },
+    aCall);
   ExecuteRaftActions(now);
 }
 
@@ -30,7 +41,9 @@
                          const std::string& aReason)
 {
   m_log.Record(EventId::CallUnanswered, { { "reason", aReason } });
-  Answer(aCallId, aFormat.FormatUnknownOutcome(aReason));
+  Answer(aCallId, registry::FormatOrProblem(m_log, [&] {
+           return aFormat.FormatUnknownOutcome(aReason);
+         }));
 }
 
 // ---- Reads -----------------------------------------------------------------
@@ -174,7 +187,8 @@
                                int64_t aIndex,
                                const wire::AcceptResult& aResult)
 {
-  registry::ApiReply reply = aFormat.FormatAcceptResult(aResult);
+  registry::ApiReply reply = registry::FormatOrProblem(
+    m_log, [&] { return aFormat.FormatAcceptResult(aResult); });
   if (aResult.outcome != wire::AcceptOutcome::Accepted ||
       aIndex <= m_raft.SurvivingIndex()) {
     Answer(aCallId, std::move(reply));
--- a/apps/wigeonfold-control/PeerLinks.cpp
+++ b/apps/wigeonfold-control/PeerLinks.cpp
@@ -259,7 +259,13 @@
     OnFrame(aConnection, aFrame);
   };
   handlers.m_onClose = [this](const net::ConnectionPtr& aConnection,
-                              const Error&) { OnClosed(aConnection); };
+                              const Error& aError) {
+    if (aError.m_code == ErrorCode::Protocol) {
+      m_log.Record(EventId::ConnectionRejected,
+                   { { "error", aError.ToString() } });
+    }
+    OnClosed(aConnection);
+  };
   return handlers;
 }
 
--- a/apps/wigeonfold-load/main.cpp
+++ b/apps/wigeonfold-load/main.cpp
@@ -3,6 +3,7 @@
 #include "Verify.h"
 
 #include "wigeonfold/base/CommandLine.h"
+#include "wigeonfold/base/Text.h"
 #include "wigeonfold/net/Http.h"
 
 #include <boost/algorithm/string.hpp>
@@ -200,7 +201,7 @@
     return true;
   }
   std::ofstream file(aPath);
-  file << aJson.dump(2) << '\n';
+  file << DumpJson(aJson, 2) << '\n';
   if (!file.flush()) {
     std::cerr << "cannot write the results to " << aPath << '\n';
     return false;
--- a/apps/wigeonfold-node/DataPlane.cpp
+++ b/apps/wigeonfold-node/DataPlane.cpp
@@ -154,7 +154,11 @@
       m_callerSide.OnRequest(
         std::move(aRequest), std::move(aRespond), aOnAbandon);
     },
-    m_dialect->RejectFields());
+    m_dialect->RejectFields(),
+    {},
+    [this](const Error& aError) {
+      m_log.Record(EventId::HandlerFailed, { { "error", aError.ToString() } });
+    });
   if (!server) {
     return server.error();
   }
--- a/apps/wigeonfold-node/LocalApi.cpp
+++ b/apps/wigeonfold-node/LocalApi.cpp
@@ -1,5 +1,6 @@
 #include "LocalApi.h"
 
+#include "wigeonfold/base/Text.h"
 #include "wigeonfold/observe/Timeline.h"
 #include "wigeonfold/platform/TargetCalls.h"
 
@@ -118,7 +119,7 @@
     // Text: JSON readers may keep numbers as 53-bit floats.
     json["digest"] = std::to_string(aReport.m_digest);
   }
-  return json.dump() + "\n";
+  return DumpJson(json) + "\n";
 }
 
 LocalApi::LocalApi(boost::asio::io_context& aIo,
@@ -136,15 +137,21 @@
 
 Status LocalApi::Start()
 {
+  const net::HttpOnFailure logFailure = [this](const Error& aError) {
+    m_log.Record(EventId::HandlerFailed, { { "error", aError.ToString() } });
+  };
   if (m_settings.m_announceListen) {
-    auto server =
-      net::ServeHttp(m_io,
-                     *m_settings.m_announceListen,
-                     [this](const net::HttpRequest& aRequest,
-                            net::HttpRespond aRespond,
-                            const auto&) {
-                       HandleTargetReport(aRequest, std::move(aRespond));
-                     });
+    auto server = net::ServeHttp(
+      m_io,
+      *m_settings.m_announceListen,
+      [this](const net::HttpRequest& aRequest,
+             net::HttpRespond aRespond,
+             const auto&) {
+        HandleTargetReport(aRequest, std::move(aRespond));
+      },
+      {},
+      {},
+      logFailure);
     if (!server) {
       return server.error();
     }
@@ -156,7 +163,10 @@
       *m_settings.m_readyListen,
       [this](const net::HttpRequest&, net::HttpRespond aRespond, const auto&) {
         QueryStatus(std::move(aRespond), &LocalApi::ReadyAnswer);
-      });
+      },
+      {},
+      {},
+      logFailure);
     if (!server) {
       return server.error();
     }
@@ -167,7 +177,10 @@
     m_settings.m_localListen,
     [this](net::HttpRequest aRequest, net::HttpRespond aRespond, const auto&) {
       Handle(std::move(aRequest), std::move(aRespond));
-    });
+    },
+    {},
+    {},
+    logFailure);
   if (!server) {
     return server.error();
   }
--- a/apps/wigeonfold-target/Executed.cpp
+++ b/apps/wigeonfold-target/Executed.cpp
@@ -1,5 +1,7 @@
 #include "Executed.h"
 
+#include "wigeonfold/base/Text.h"
+
 #include <nlohmann/json.hpp>
 
 namespace wigeonfold::target {
@@ -12,9 +14,8 @@
 {
   // The request id comes from the caller and may not be valid UTF-8; invalid
   // bytes are replaced.
-  return nlohmann::json{
-    { "id", aId }, { "count", aCount }, { "method", aMethod }
-  }.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
+  return DumpJson(nlohmann::json{
+           { "id", aId }, { "count", aCount }, { "method", aMethod } }) +
          "\n";
 }
 
--- a/apps/wigeonfold-target/Target.cpp
+++ b/apps/wigeonfold-target/Target.cpp
@@ -1,5 +1,6 @@
 #include "Target.h"
 
+#include "wigeonfold/base/Text.h"
 #include "wigeonfold/net/Echo.h"
 
 #include <boost/algorithm/string/predicate.hpp>
@@ -149,7 +150,7 @@
   const net::HttpRequest request{ "PUT",
                                   "/wigeonfold/announce",
                                   { { "Content-Type", "application/json" } },
-                                  announcement.dump() };
+                                  DumpJson(announcement) };
   // A failed announcement isn't handled, as the next one follows within a
   // period.
   m_announcer->Call(request, kAnnouncePeriod, [](const net::HttpOutcome&) {});
@@ -387,7 +388,7 @@
     healthy = m_reportRandom() % 2 == 0;
   }
   const nlohmann::json body{ { "healthy", healthy } };
-  return { healthy ? 200 : kServiceUnavailable, {}, body.dump() + "\n" };
+  return { healthy ? 200 : kServiceUnavailable, {}, DumpJson(body) + "\n" };
 }
 
 net::HttpResponse Target::LoadResponse()
@@ -403,7 +404,7 @@
   const nlohmann::json body{ { "slots", m_settings.m_slots },
                              { "busy", sample.m_busy },
                              { "waiting", sample.m_waiting } };
-  return { 200, {}, body.dump() + "\n" };
+  return { 200, {}, DumpJson(body) + "\n" };
 }
 
 } // namespace wigeonfold::target
--- a/apps/wigeonfold/AcceptCommands.cpp
+++ b/apps/wigeonfold/AcceptCommands.cpp
@@ -2,6 +2,7 @@
 #include "Commands.h"
 #include "Draft.h"
 
+#include "wigeonfold/base/Text.h"
 #include "wigeonfold/registry/OperatorApi.h"
 #include "wigeonfold/wire/Codec.h"
 
@@ -46,7 +47,7 @@
 void PrintResult(Session& aSession, const Json& aResult)
 {
   if (aSession.m_arguments.m_json) {
-    aSession.m_out << aResult.dump(2) << '\n';
+    aSession.m_out << DumpJson(aResult, 2) << '\n';
   }
 }
 
--- a/apps/wigeonfold/BranchCommands.cpp
+++ b/apps/wigeonfold/BranchCommands.cpp
@@ -2,6 +2,7 @@
 #include "Commands.h"
 #include "Draft.h"
 
+#include "wigeonfold/base/Text.h"
 #include "wigeonfold/registry/OperatorApi.h"
 #include "wigeonfold/settings/Schema.h"
 #include "wigeonfold/wire/Codec.h"
@@ -134,7 +135,7 @@
     return ReportError(aSession.m_err, changes.error());
   }
   if (aSession.m_arguments.m_json) {
-    aSession.m_out << changes.value().dump(2) << '\n';
+    aSession.m_out << DumpJson(changes.value(), 2) << '\n';
     return ExitStatus::Success;
   }
   aSession.m_out << since << " -> " << TextOf(changes.value(), "version")
@@ -203,7 +204,7 @@
                          arguments.m_key + " does not apply at " +
                            FormatPath(arguments.m_path));
   }
-  aSession.m_out << (arguments.m_json ? value->dump(2)
+  aSession.m_out << (arguments.m_json ? DumpJson(*value, 2)
                                       : TextOf(*value, "value"))
                  << '\n';
   return ExitStatus::Success;
@@ -219,7 +220,7 @@
   }
   const Json& json = branch.value();
   if (arguments.m_json) {
-    aSession.m_out << json.dump(2) << '\n';
+    aSession.m_out << DumpJson(json, 2) << '\n';
     return ExitStatus::Success;
   }
   aSession.m_out << FormatPath(arguments.m_path) << " at version "
@@ -294,7 +295,7 @@
                { "changedSinceBase",
                  changes.value().value("paths", Json::array()) } };
   if (arguments.m_json) {
-    aSession.m_out << result.dump(2) << '\n';
+    aSession.m_out << DumpJson(result, 2) << '\n';
     return ExitStatus::Success;
   }
   aSession.m_out << "draft on version " << base << ", newest "
--- a/apps/wigeonfold/ClusterCommands.cpp
+++ b/apps/wigeonfold/ClusterCommands.cpp
@@ -1,6 +1,7 @@
 // The commands status, history and members.
 #include "Commands.h"
 
+#include "wigeonfold/base/Text.h"
 #include "wigeonfold/registry/OperatorApi.h"
 #include "wigeonfold/settings/Schema.h"
 
@@ -27,7 +28,7 @@
                  << (aMember.value("voter", false) ? "voter" : "learner")
                  << (aMember.value("leader", false) ? ", leader" : "") << "  "
                  << TextOf(aMember, "apiAddress") << "  "
-                 << (known ? "confirmed " + age->dump() + " ms ago"
+                 << (known ? "confirmed " + DumpJson(*age) + " ms ago"
                            : "freshness not known")
                  << '\n';
 }
@@ -46,7 +47,7 @@
   aSession.m_out << "  " << TextOf(aNode, "name") << "  "
                  << TextOf(aNode, "availabilityZone") << "  " << aControl
                  << "  " << (inForce.empty() ? "nothing in force" : inForce)
-                 << (behind ? ", " + lag->dump() + " changes behind" : "");
+                 << (behind ? ", " + DumpJson(*lag) + " changes behind" : "");
   if (!refusal.empty()) {
     aSession.m_out << ", refused " << TextOf(aNode, "refused") << ": "
                    << refusal;
@@ -169,7 +170,7 @@
     }
     if (status == 200) {
       aSession.m_out << (aSession.m_arguments.m_json
-                           ? answer.value().m_json.dump(2)
+                           ? DumpJson(answer.value().m_json, 2)
                            : "done: " + step)
                      << '\n';
       return ExitStatus::Success;
@@ -199,7 +200,7 @@
     return ReportError(aSession.m_err, controls.error());
   }
   if (aSession.m_arguments.m_json) {
-    aSession.m_out << StatusToJson(controls.value()).dump(2) << '\n';
+    aSession.m_out << DumpJson(StatusToJson(controls.value()), 2) << '\n';
   } else {
     PrintStatus(aSession, controls.value());
   }
@@ -218,7 +219,7 @@
     return ReportError(aSession.m_err, history.error());
   }
   if (aSession.m_arguments.m_json) {
-    aSession.m_out << history.value().dump(2) << '\n';
+    aSession.m_out << DumpJson(history.value(), 2) << '\n';
     return ExitStatus::Success;
   }
   for (const Json& entry : history.value().value("entries", Json::array())) {
@@ -243,7 +244,7 @@
     return ReportError(aSession.m_err, members.error());
   }
   if (aSession.m_arguments.m_json) {
-    aSession.m_out << members.value().dump(2) << '\n';
+    aSession.m_out << DumpJson(members.value(), 2) << '\n';
     return ExitStatus::Success;
   }
   for (const Json& member : members.value().value("members", Json::array())) {
--- a/apps/wigeonfold/Draft.cpp
+++ b/apps/wigeonfold/Draft.cpp
@@ -1,5 +1,6 @@
 #include "Draft.h"
 
+#include "wigeonfold/base/Text.h"
 #include "wigeonfold/registry/OperatorApi.h"
 
 #include <boost/algorithm/string.hpp>
@@ -49,8 +50,7 @@
     return DamagedDraftError(
       aFile, "needs \"format\": 1, a boolean \"sent\" and a \"change\"");
   }
-  const std::string body =
-    json["change"].dump(-1, ' ', false, Json::error_handler_t::replace);
+  const std::string body = DumpJson(json["change"]);
   auto change = registry::ParseChange(body);
   if (!change) {
     return DamagedDraftError(aFile, change.error().m_detail);
@@ -158,7 +158,7 @@
                    { "sent", aDraft.m_sent },
                    { "change",
                      Json::parse(registry::FormatChange(aDraft.m_change)) } };
-  return json.dump(2);
+  return DumpJson(json, 2);
 }
 
 std::string MakeChangeId()
--- a/apps/wigeonfold/TimelineCommand.cpp
+++ b/apps/wigeonfold/TimelineCommand.cpp
@@ -1,6 +1,7 @@
 // The command timeline, which merges the events of several processes.
 #include "Commands.h"
 
+#include "wigeonfold/base/Text.h"
 #include "wigeonfold/observe/Timeline.h"
 
 #include <ostream>
@@ -16,7 +17,7 @@
                  const Json& aAnswer,
                  std::vector<observe::ProcessTimeline>& aTimelines)
 {
-  auto timeline = observe::FromJson(aAnswer.dump(), aAddress);
+  auto timeline = observe::FromJson(DumpJson(aAnswer), aAddress);
   if (!timeline) {
     aSession.m_err << "wigeonfold: " << timeline.error().ToString() << '\n';
     return false;
--- a/libs/base/include/wigeonfold/base/Events.h
+++ b/libs/base/include/wigeonfold/base/Events.h
@@ -39,6 +39,7 @@
   X(ListenFailed,           1003, Error,   "a listening socket could not be opened") \
   X(ConnectionRejected,     1004, Warning, "a peer sent a malformed frame or message") \
   X(EventsDropped,          1005, Warning, "the event queue was full; events were lost") \
+  X(HandlerFailed,          1006, Error,   "a request could not be handled or its answer not be written, because of a fault of this program") \
   X(FolderCreated,          1100, Info,    "a data folder was created") \
   X(FolderRecovered,        1101, Info,    "the content of the data folder was read") \
   X(TornTailCut,            1102, Warning, "an incomplete record at the end of the log was removed") \
--- /dev/null
+++ b/libs/base/src/Text.cpp
@@ -0,0 +1,20 @@
+#include "wigeonfold/base/Text.h"
+
+namespace wigeonfold {
+
+std::string TruncateUtf8(std::string_view aText, size_t aMaxBytes)
+{
+  if (aText.size() <= aMaxBytes) {
+    return std::string(aText);
+  }
+  const auto isContinuation = [](char aByte) {
+    return (static_cast<unsigned char>(aByte) & 0xC0U) == 0x80U;
+  };
+  size_t end = aMaxBytes;
+  while (end > 0 && isContinuation(aText[end])) {
+    --end;
+  }
+  return std::string(aText.substr(0, end));
+}
+
+} // namespace wigeonfold
--- a/libs/forwarding/src/NativeDialect.cpp
+++ b/libs/forwarding/src/NativeDialect.cpp
@@ -1,4 +1,5 @@
 #include "wigeonfold/forwarding/NativeDialect.h"
+#include "wigeonfold/base/Text.h"
 
 #include <algorithm>
 #include <boost/algorithm/string.hpp>
@@ -33,7 +34,7 @@
       continue;
     }
     if (boost::iequals(field.m_name, kRequestIdHeader)) {
-      aData.m_requestId = field.m_value.substr(0, kMaxIdBytes);
+      aData.m_requestId = TruncateUtf8(field.m_value, kMaxIdBytes);
     } else if (boost::iequals(field.m_name, kAccountHeader)) {
       aData.m_account = field.m_value;
     } else if (boost::iequals(field.m_name, kDeadlineHeader)) {
--- a/libs/net/include/wigeonfold/net/Connection.h
+++ b/libs/net/include/wigeonfold/net/Connection.h
@@ -23,6 +23,7 @@
 // be empty.
 struct ConnectionHandlers
 {
+  // When it throws, the connection is closed with a Protocol error.
   std::function<void(const ConnectionPtr&, wire::Frame)> m_onFrame;
   // Called once, when the peer closes the connection or an error ends it; not
   // called after Close().
--- a/libs/net/include/wigeonfold/net/Http.h
+++ b/libs/net/include/wigeonfold/net/Http.h
@@ -95,14 +95,20 @@
   CallerLimits m_caller;
 };
 
+// Reports a handler that threw; for the log.
+using HttpOnFailure = std::function<void(const Error&)>;
+
 // Fails with Io when the address can't be bound. aRejectFields are added to
-// the answers the server gives by itself (400, 408, 413, 431, 501).
+// the answers the server gives by itself (400, 408, 413, 431, 501). A request
+// whose handler throws is answered with 500, without them, since it may have
+// had an effect, and aOnFailure is called.
 Result<std::unique_ptr<HttpServer>> ServeHttp(
   boost::asio::io_context& aIo,
   const SocketAddress& aAddress,
   HttpHandler aHandler,
   std::vector<HttpField> aRejectFields = {},
-  HttpLimits aLimits = {});
+  HttpLimits aLimits = {},
+  HttpOnFailure aOnFailure = {});
 
 // Sends one request on a new connection and blocks until it is answered; for
 // command line tools. Fails with InvalidArgument when the host is not an IP
--- a/libs/net/src/Connection.cpp
+++ b/libs/net/src/Connection.cpp
@@ -145,8 +145,8 @@
         break;
       }
       ProcessClock().Observe(next.value()->m_time);
-      if (m_handlers.m_onFrame) {
-        m_handlers.m_onFrame(Self(), std::move(*next.value()));
+      if (!HandleFrame(std::move(*next.value()))) {
+        return;
       }
     }
     if (m_open) {
@@ -154,6 +154,21 @@
     }
   }
 
+  // False when the handler threw, which ends this connection alone.
+  bool HandleFrame(wire::Frame aFrame)
+  {
+    if (!m_handlers.m_onFrame) {
+      return true;
+    }
+    try {
+      m_handlers.m_onFrame(Self(), std::move(aFrame));
+      return true;
+    } catch (const std::exception& error) {
+      Fail(Error{ ErrorCode::Protocol, "handle frame", m_peer, error.what() });
+      return false;
+    }
+  }
+
   void Write()
   {
     if (!m_writing.empty() || m_queued.empty() || !m_open) {
--- a/libs/net/src/Http.cpp
+++ b/libs/net/src/Http.cpp
@@ -116,6 +116,7 @@
   void Parse();
   void OnRead(boost::system::error_code aCode);
   void Handle(ParsedRequest&& aRequest);
+  void OnHandlerFailed(const std::exception& aError);
   void CloseIfDisconnected();
   void Reject(http::status aStatus);
   void Respond(HttpResponse aResponse);
@@ -148,9 +149,11 @@
   Server(tcp::acceptor aAcceptor,
          HttpHandler aHandler,
          std::vector<HttpField> aRejectFields,
-         HttpLimits aLimits)
+         HttpLimits aLimits,
+         HttpOnFailure aOnFailure)
     : m_handler(std::move(aHandler))
     , m_rejectFields(std::move(aRejectFields))
+    , m_onFailure(std::move(aOnFailure))
     , m_limits(aLimits)
     , m_acceptor(std::move(aAcceptor))
     , m_timer(m_acceptor.get_executor())
@@ -223,6 +226,7 @@
 
   const HttpHandler m_handler;
   const std::vector<HttpField> m_rejectFields;
+  const HttpOnFailure m_onFailure;
 
 private:
   void Accept()
@@ -505,7 +509,25 @@
   };
   HttpRequest request = FromBeast(std::move(aRequest));
   request.m_peer = m_peer;
-  m_server->m_handler(std::move(request), respond, onAbandon);
+  try {
+    m_server->m_handler(std::move(request), respond, onAbandon);
+  } catch (const std::exception& error) {
+    OnHandlerFailed(error);
+  }
+}
+
+// The request alone fails: the state of the connection is its own, and one
+// request must not end the process.
+void Session::OnHandlerFailed(const std::exception& aError)
+{
+  if (m_server != nullptr && m_server->m_onFailure) {
+    m_server->m_onFailure(
+      Error{ ErrorCode::Internal, "handle request", m_peer, aError.what() });
+  }
+  HttpResponse response;
+  response.m_status = static_cast<int>(http::status::internal_server_error);
+  response.m_body = "the request can't be handled\n";
+  Respond(std::move(response));
 }
 
 // A readable socket without bytes means that the client has disconnected. Bytes
@@ -651,7 +673,8 @@
   const SocketAddress& aAddress,
   HttpHandler aHandler,
   std::vector<HttpField> aRejectFields,
-  HttpLimits aLimits)
+  HttpLimits aLimits,
+  HttpOnFailure aOnFailure)
 {
   try {
     const tcp::endpoint endpoint(asio::ip::make_address(aAddress.m_host),
@@ -661,7 +684,8 @@
       std::make_unique<Server>(std::move(acceptor),
                                std::move(aHandler),
                                std::move(aRejectFields),
-                               aLimits));
+                               aLimits,
+                               std::move(aOnFailure)));
   } catch (const boost::system::system_error& error) {
     return Error{
       ErrorCode::Io, "listen", ToString(aAddress), error.code().message()
--- a/libs/net/test/Http_test.cpp
+++ b/libs/net/test/Http_test.cpp
@@ -241,5 +241,24 @@
   EXPECT_EQ(*FindField(answer.value().m_fields, "x-method"), "PUT");
 }
 
+// Guards against a request that ends the process: an exception of its handler
+// concerns this request alone.
+TEST_F(HttpTest, HandlerThatThrowsIsAnsweredFor)
+{
+  int calls = 0;
+  Serve([&calls](const HttpRequest&, const HttpRespond& aRespond, const auto&) {
+    if (++calls == 1) {
+      throw std::runtime_error("fault in the handler");
+    }
+    aRespond({ 200, {}, "fine" });
+  });
+  const std::string answers =
+    Exchange(m_port,
+             "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+             "GET /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  EXPECT_EQ(Count(answers, "HTTP/1.1 500"), 1U);
+  EXPECT_EQ(Count(answers, "HTTP/1.1 200"), 1U);
+}
+
 } // namespace
 } // namespace wigeonfold::net
--- a/libs/observe/src/Timeline.cpp
+++ b/libs/observe/src/Timeline.cpp
@@ -1,4 +1,5 @@
 #include "wigeonfold/observe/Timeline.h"
+#include "wigeonfold/base/Text.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -56,8 +57,8 @@
   for (const Event& event : aTimeline.m_events) {
     events.push_back(EventToJson(event));
   }
-  return Json{ { "process", aTimeline.m_process }, { "events", events } }.dump(
-    -1, ' ', false, Json::error_handler_t::replace);
+  return DumpJson(
+    Json{ { "process", aTimeline.m_process }, { "events", events } });
 }
 
 Result<ProcessTimeline> FromJson(const std::string& aText,
@@ -116,7 +117,7 @@
     event["process"] = entry.m_process;
     events.push_back(std::move(event));
   }
-  return events.dump(-1, ' ', false, Json::error_handler_t::replace);
+  return DumpJson(events);
 }
 
 std::string ToChromeTrace(const std::vector<TimelineEntry>& aEntries)
@@ -140,8 +141,7 @@
                        { "tid", 1 },
                        { "args", FieldsToJson(entry.m_event) } });
   }
-  return Json{ { "traceEvents", events } }.dump(
-    1, ' ', false, Json::error_handler_t::replace);
+  return DumpJson(Json{ { "traceEvents", events } }, 1);
 }
 
 } // namespace wigeonfold::observe
--- a/libs/registry/include/wigeonfold/registry/OperatorFormat.h
+++ b/libs/registry/include/wigeonfold/registry/OperatorFormat.h
@@ -1,8 +1,10 @@
 // Interface for the formats in which operator listeners reply.
 #pragma once
 
+#include "wigeonfold/base/Events.h"
 #include "wigeonfold/registry/OperatorApi.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -30,6 +32,12 @@
     const std::string& aTarget) const = 0;
 };
 
+// The reply that aFormat returns. When it throws, logs HandlerFailed and
+// returns status 500: what was decided stays decided, and the fault must not
+// end the process, nor each later leader that answers the same change again.
+ApiReply FormatOrProblem(EventLog& aLog,
+                         const std::function<ApiReply()>& aFormat);
+
 // The format of the project's own API (docs/OPERATIONS.md).
 const OperatorFormat& NativeFormat();
 
--- a/libs/registry/include/wigeonfold/registry/Registry.h
+++ b/libs/registry/include/wigeonfold/registry/Registry.h
@@ -128,6 +128,7 @@
   void Apply(const wire::Bootstrap& aBootstrap);
   void Apply(const std::vector<wire::NodeLeaving>& aLeaving);
   wire::AcceptResult Apply(const wire::Change& aChange);
+  wire::AcceptResult DecideSafely(const wire::Change& aChange);
   wire::AcceptResult Decide(const wire::Change& aChange);
   bool FollowsNewest(const wire::Change& aRelease) const;
   void Accept(const wire::Change& aChange, const settings::Tree& aNext);
--- a/libs/registry/src/Json.cpp
+++ b/libs/registry/src/Json.cpp
@@ -5,11 +5,6 @@
 
 namespace wigeonfold::registry {
 
-std::string Dump(const Json& aJson)
-{
-  return aJson.dump(-1, ' ', false, Json::error_handler_t::replace);
-}
-
 std::optional<Version> ParseVersion(const std::string& aText)
 {
   const size_t dot = aText.find('.');
--- a/libs/registry/src/Json.h
+++ b/libs/registry/src/Json.h
@@ -16,9 +16,6 @@
 
 using Json = nlohmann::ordered_json;
 
-// Serializes a JSON value on one line; replaces bytes that are not UTF-8.
-std::string Dump(const Json& aJson);
-
 Json OperationToJson(const wire::Operation& aOperation);
 Json EditToJson(const wire::Edit& aEdit);
 
--- a/libs/registry/src/Members.cpp
+++ b/libs/registry/src/Members.cpp
@@ -1,6 +1,7 @@
 // Plans membership changes, one member at a time.
 #include "Json.h"
 
+#include "wigeonfold/base/Text.h"
 #include "wigeonfold/registry/OperatorApi.h"
 
 #include <algorithm>
@@ -196,11 +197,11 @@
     case PlanKind::Refused:
       return FormatProblem(409, aPlan.m_text);
     case PlanKind::Wait:
-      return { 202, Dump(body), "" };
+      return { 202, DumpJson(body), "" };
     case PlanKind::Propose:
-      return { aPlan.m_isLastStep ? 200 : 202, Dump(body), "" };
+      return { aPlan.m_isLastStep ? 200 : 202, DumpJson(body), "" };
     case PlanKind::Done:
-      return { 200, Dump(body), "" };
+      return { 200, DumpJson(body), "" };
   }
   return FormatProblem(500, "unknown plan");
 }
--- a/libs/registry/src/OperatorChange.cpp
+++ b/libs/registry/src/OperatorChange.cpp
@@ -3,6 +3,7 @@
 #include "Json.h"
 
 #include "wigeonfold/base/Settings.h"
+#include "wigeonfold/base/Text.h"
 #include "wigeonfold/registry/OperatorApi.h"
 #include "wigeonfold/settings/Schema.h"
 #include "wigeonfold/wire/Codec.h"
@@ -125,11 +126,11 @@
   for (const wire::Operation& operation : aChange.operations) {
     operations.push_back(OperationToJson(operation));
   }
-  return Dump({ { "changeId", aChange.changeId },
-                { "base", ToString(wire::FromWire(aChange.base)) },
-                { "operations", std::move(operations) },
-                { "author", aChange.author },
-                { "comment", aChange.comment } });
+  return DumpJson(Json{ { "changeId", aChange.changeId },
+                        { "base", ToString(wire::FromWire(aChange.base)) },
+                        { "operations", std::move(operations) },
+                        { "author", aChange.author },
+                        { "comment", aChange.comment } });
 }
 
 ApiReply FormatAcceptResult(const wire::AcceptResult& aResult)
@@ -138,20 +139,21 @@
   switch (aResult.outcome) {
     case wire::AcceptOutcome::Accepted:
       return { 200,
-               Dump({ { "outcome", "accepted" }, { "version", version } }),
+               DumpJson(
+                 Json{ { "outcome", "accepted" }, { "version", version } }),
                "" };
     case wire::AcceptOutcome::Conflict:
       return { 409,
-               Dump({ { "outcome", "conflict" },
-                      { "version", version },
-                      { "changed", aResult.changedPaths },
-                      { "changedCount", aResult.changedCount } }),
+               DumpJson(Json{ { "outcome", "conflict" },
+                              { "version", version },
+                              { "changed", aResult.changedPaths },
+                              { "changedCount", aResult.changedCount } }),
                "" };
     case wire::AcceptOutcome::Invalid:
       return { 422,
-               Dump({ { "outcome", "invalid" },
-                      { "version", version },
-                      { "problems", aResult.problems } }),
+               DumpJson(Json{ { "outcome", "invalid" },
+                              { "version", version },
+                              { "problems", aResult.problems } }),
                "" };
   }
   return FormatProblem(500, "unknown outcome");
@@ -163,7 +165,7 @@
   boost::split(
     problems, aError.m_detail, [](char aByte) { return aByte == '\n'; });
   return { 422,
-           Dump({ { "outcome", "invalid" }, { "problems", problems } }),
+           DumpJson(Json{ { "outcome", "invalid" }, { "problems", problems } }),
            "" };
 }
 
@@ -171,12 +173,14 @@
 
 ApiReply FormatProblem(int aStatus, const std::string& aProblem)
 {
-  return { aStatus, Dump({ { "error", aProblem } }), "" };
+  return { aStatus, DumpJson(Json{ { "error", aProblem } }), "" };
 }
 
 ApiReply FormatUnknownOutcome(const std::string& aProblem)
 {
-  return { 503, Dump({ { "outcome", "unknown" }, { "error", aProblem } }), "" };
+  return { 503,
+           DumpJson(Json{ { "outcome", "unknown" }, { "error", aProblem } }),
+           "" };
 }
 
 std::optional<ApiReply> RedirectUnlessLeader(const ClusterView& aCluster,
@@ -280,17 +284,17 @@
   const std::string present = std::to_string(aRequest.m_memberId);
   switch (aRequest.m_action) {
     case MemberAction::Add:
-      return Dump({ { "action", "add" }, { "member", added } });
+      return DumpJson(Json{ { "action", "add" }, { "member", added } });
     case MemberAction::Promote:
-      return Dump({ { "action", "promote" }, { "memberId", present } });
+      return DumpJson(Json{ { "action", "promote" }, { "memberId", present } });
     case MemberAction::Remove:
-      return Dump({ { "action", "remove" }, { "memberId", present } });
+      return DumpJson(Json{ { "action", "remove" }, { "memberId", present } });
     case MemberAction::Replace: {
       Json replace{ { "action", "replace" }, { "member", added } };
       if (aRequest.m_memberId != 0) {
         replace["memberId"] = present;
       }
-      return Dump(replace);
+      return DumpJson(replace);
     }
   }
   return "{}";
--- a/libs/registry/src/OperatorFormat.cpp
+++ b/libs/registry/src/OperatorFormat.cpp
@@ -47,4 +47,16 @@
   return nullptr;
 }
 
+ApiReply FormatOrProblem(EventLog& aLog,
+                         const std::function<ApiReply()>& aFormat)
+{
+  try {
+    return aFormat();
+  } catch (const std::exception& error) {
+    aLog.Record(EventId::HandlerFailed,
+                { { "step", "write answer" }, { "error", error.what() } });
+    return FormatProblem(500, "the answer can't be written");
+  }
+}
+
 } // namespace wigeonfold::registry
--- a/libs/registry/src/OperatorRead.cpp
+++ b/libs/registry/src/OperatorRead.cpp
@@ -1,6 +1,7 @@
 // Handles the GET requests of the operators' API.
 #include "Json.h"
 
+#include "wigeonfold/base/Text.h"
 #include "wigeonfold/registry/OperatorApi.h"
 #include "wigeonfold/settings/Schema.h"
 
@@ -96,7 +97,7 @@
 
 ApiReply Success(const Json& aJson)
 {
-  return { 200, Dump(aJson), "" };
+  return { 200, DumpJson(aJson), "" };
 }
 
 std::string Hex(uint64_t aNumber)
--- a/libs/registry/src/Registry.cpp
+++ b/libs/registry/src/Registry.cpp
@@ -221,7 +221,7 @@
                              { "change id " + aChange.changeId +
                                " was used before for another change" });
   }
-  wire::AcceptResult result = Decide(aChange);
+  wire::AcceptResult result = DecideSafely(aChange);
   StoreResult(aChange.changeId, StoredResult{ result, hash });
   return result;
 }
@@ -270,6 +270,22 @@
   return compact;
 }
 
+// Replicated, so each replica decides the same. A fault of this program must
+// refuse the change and not end every replica in turn. The state changes only
+// after all that may fail; without memory a replica can't decide.
+wire::AcceptResult Registry::DecideSafely(const wire::Change& aChange)
+{
+  try {
+    return Decide(aChange);
+  } catch (const std::bad_alloc&) {
+    throw;
+  } catch (const std::exception& error) {
+    return InvalidResult(
+      TreeVersion(),
+      { std::string("the change can't be applied: ") + error.what() });
+  }
+}
+
 wire::AcceptResult Registry::Decide(const wire::Change& aChange)
 {
   // Operators number releases themselves. A label that isn't greater than the
@@ -304,9 +320,11 @@
   entry.version = wire::ToWire(aNext.TreeVersion());
   entry.change = aChange;
   entry.edits = EditsBetween(*m_tree, aNext);
-  AppendHistory(ToStored(entry));
-  m_tree = std::make_shared<const Tree>(
+  StoredHistoryEntry stored = ToStored(entry);
+  auto tree = std::make_shared<const Tree>(
     aNext.WithTombstoneLimit(m_limits.m_tombstones));
+  AppendHistory(std::move(stored));
+  m_tree = std::move(tree);
   if (aChange.label != 0) {
     m_label = aChange.label;
     m_baseLabel = aChange.baseLabel;
--- a/libs/registry/test/OperatorApi_test.cpp
+++ b/libs/registry/test/OperatorApi_test.cpp
@@ -1,6 +1,6 @@
 // Guards against malformed bodies that are accepted as changes, reads that a
 // control VM serves without the lease, and unsafe membership steps.
-#include "wigeonfold/registry/OperatorApi.h"
+#include "wigeonfold/registry/OperatorFormat.h"
 #include "wigeonfold/wire/Codec.h"
 
 #include <gtest/gtest.h>
@@ -294,5 +294,17 @@
             "memberId: unknown field");
 }
 
+// Guards against an answer that ends the process of each leader in turn.
+TEST(OperatorFormatTest, AnswerThatCannotBeWrittenIsAProblem)
+{
+  EventLog log("test", 10);
+  const ApiReply reply = FormatOrProblem(
+    log, []() -> ApiReply { throw std::runtime_error("fault"); });
+  EXPECT_EQ(reply.m_status, 500);
+  EXPECT_TRUE(nlohmann::json::accept(reply.m_body));
+  ASSERT_EQ(log.Since(HybridTime{}).size(), 1U);
+  EXPECT_EQ(log.Since(HybridTime{}).front().m_id, EventId::HandlerFailed);
+}
+
 } // namespace
 } // namespace wigeonfold::registry
--- a/libs/settings/src/Schema.cpp
+++ b/libs/settings/src/Schema.cpp
@@ -1,4 +1,5 @@
 #include "wigeonfold/settings/Schema.h"
+#include "wigeonfold/base/Text.h"
 
 #include <algorithm>
 #include <boost/algorithm/string.hpp>
@@ -25,7 +26,7 @@
   constexpr size_t kMaxQuoted = 80;
   return aText.size() <= kMaxQuoted
            ? "'" + aText + "'"
-           : "'" + aText.substr(0, kMaxQuoted) + "...'";
+           : "'" + TruncateUtf8(aText, kMaxQuoted) + "...'";
 }
 
 std::vector<std::string> Segments(const std::string& aPath)
