--- a/libs/consensus/include/wigeonfold/consensus/Log.h
+++ b/libs/consensus/include/wigeonfold/consensus/Log.h
@@ -40,6 +40,9 @@
 
   // Payload bytes of all entries.
   size_t Bytes() const { return m_bytes; }
+  // Payload bytes of the entries after the index. Precondition: the index is at
+  // least Base().m_index.
+  size_t BytesAfter(int64_t aIndex) const;
   // The least index such that the entries after it, up to and including aTo,
   // have at most aMaxBytes of payload. At least Base().m_index, at most aTo.
   // Precondition: Base().m_index <= aTo <= Last().m_index.
--- a/libs/consensus/include/wigeonfold/consensus/Raft.h
+++ b/libs/consensus/include/wigeonfold/consensus/Raft.h
@@ -70,6 +70,12 @@
   // up to 1 MiB.
   int64_t m_retainedEntries = 1000;
   size_t m_retainedBytes = size_t{ 4 } << 20;
+  // A member that lacks more payload bytes than this, and more than a quarter
+  // of a snapshot, gets a snapshot, which is taken anew if it would still lack
+  // that much: a state is restored faster than so many entries are applied. It
+  // gets the log when the snapshot is not written in m_maxSnapshotWait.
+  size_t m_maxCatchUpBytes = size_t{ 1 } << 20;
+  Duration m_maxSnapshotWait = std::chrono::seconds(2);
   // Disks that may be lost at once without the loss of what was acknowledged;
   // see SurvivingIndex().
   size_t m_toleratedLosses = 0;
@@ -286,6 +292,8 @@
     TimePoint m_confirmedAt;        // sending time of the last round answered
     bool m_confirmed = false;       // m_confirmedAt is set
     int64_t m_answeredIndex = 0;    // last index before the round answered last
+    bool m_awaitsSnapshot = false;  // that is taken for this member
+    TimePoint m_snapshotWaitEnds;   // then the log is sent instead
     RaftSnapshot m_snapshot;        // being sent
     size_t m_offset = 0;            // offset of the chunk sent last
     TimePoint m_chunkSentAt;
@@ -409,6 +417,10 @@
   void AcknowledgeAppend(int64_t aRound);
 
   // SnapshotTransfer.cpp
+  bool LacksMuch(const Progress& aProgress) const;
+  bool AwaitsSnapshot(Progress& aProgress);
+  void SendSnapshotOrLog(MemberId aTo, Progress& aProgress);
+  void SendAwaitedSnapshots();
   void StartSnapshotTransfer(MemberId aTo, Progress& aProgress);
   void SendChunk(MemberId aTo, Progress& aProgress, bool aWithData);
   void HandleSnapshotChunk(const wire::RaftMessage& aMessage);
@@ -444,6 +456,7 @@
   bool m_restoreReady = false;            // that snapshot is synced
   int64_t m_compactTo = 0;
   int64_t m_snapshotRequested = 0; // index, 0 for none
+  bool m_snapshotWanted = false;   // for a member that lacks much
   size_t m_appliedBytes = 0;       // since the last snapshot
   std::deque<HeldMessage> m_heldMessages;
   std::vector<wire::RaftMessage> m_outbox;
--- a/libs/consensus/src/Leader.cpp
+++ b/libs/consensus/src/Leader.cpp
@@ -198,12 +198,17 @@
 
 void Raft::SendAppend(MemberId aTo, Progress& aProgress, bool aWithEntries)
 {
-  const int64_t previous = aProgress.m_next - 1;
-  const auto term = m_log.TermAt(previous);
-  if (!term) {
+  int64_t previous = aProgress.m_next - 1;
+  auto term = m_log.TermAt(previous);
+  if (!term && !AwaitsSnapshot(aProgress)) {
     StartSnapshotTransfer(aTo, aProgress);
     return;
   }
+  if (!term) { // a heartbeat until the snapshot is written
+    previous = m_log.Base().m_index;
+    term = m_log.Base().m_term;
+    aWithEntries = false;
+  }
   wire::RaftMessage message =
     MakeMessage(wire::RaftMessageKind::AppendRequest, aTo);
   message.logIndex = previous;
@@ -245,6 +250,7 @@
     HandleAppendRejection(aMessage.fromMember, progress, aMessage);
     return;
   }
+  progress.m_awaitsSnapshot = false;
   progress.m_match = std::max(progress.m_match, aMessage.logIndex);
   progress.m_next = std::max(progress.m_next, progress.m_match + 1);
   while (!progress.m_inflight.empty() &&
@@ -285,7 +291,11 @@
   aProgress.m_state = ProgressState::Probe;
   aProgress.m_probeSent = false;
   aProgress.m_inflight.clear();
-  SendAppends(aTo, aProgress);
+  if (!LacksMuch(aProgress)) {
+    SendAppends(aTo, aProgress);
+  } else if (!AwaitsSnapshot(aProgress)) {
+    SendSnapshotOrLog(aTo, aProgress);
+  }
 }
 
 // ---- Commit ----------------------------------------------------------------
--- a/libs/consensus/src/Log.cpp
+++ b/libs/consensus/src/Log.cpp
@@ -44,6 +44,15 @@
   return m_entries[static_cast<size_t>(aIndex - m_base.m_index - 1)];
 }
 
+size_t Log::BytesAfter(int64_t aIndex) const
+{
+  size_t bytes = 0;
+  for (int64_t index = aIndex + 1; index <= Last().m_index; ++index) {
+    bytes += At(index).payload.size();
+  }
+  return bytes;
+}
+
 int64_t Log::IndexBefore(int64_t aTo, size_t aMaxBytes) const
 {
   int64_t index = aTo;
--- a/libs/consensus/src/Raft.cpp
+++ b/libs/consensus/src/Raft.cpp
@@ -186,6 +186,7 @@
     m_restoreReady = true;
   }
   CompactLog();
+  SendAwaitedSnapshots();
 }
 
 void Raft::CompactLog()
@@ -311,7 +312,7 @@
 {
   const bool due =
     m_applied - SnapshotIndex() >= m_settings.m_snapshotEntries ||
-    m_appliedBytes >= m_settings.m_snapshotBytes;
+    m_appliedBytes >= m_settings.m_snapshotBytes || m_snapshotWanted;
   const bool inProgress =
     m_snapshotRequested != 0 || m_unsavedSnapshot || m_restore ||
     std::any_of(
@@ -320,6 +321,7 @@
       });
   if (due && !inProgress && m_applied > SnapshotIndex()) {
     m_snapshotRequested = m_applied;
+    m_snapshotWanted = false;
     aActions.m_takeSnapshot = m_applied;
   }
 }
--- a/libs/consensus/src/SnapshotTransfer.cpp
+++ b/libs/consensus/src/SnapshotTransfer.cpp
@@ -16,12 +16,56 @@
 
 // ---- Leader ----------------------------------------------------------------
 
+bool Raft::LacksMuch(const Progress& aProgress) const
+{
+  const int64_t has = std::max(aProgress.m_next - 1, m_log.Base().m_index);
+  const size_t snapshotBytes = m_snapshot ? m_snapshot->m_content->size() : 0;
+  return m_log.BytesAfter(has) >
+         std::max(m_settings.m_maxCatchUpBytes, snapshotBytes / 4);
+}
+
+// Whether the member has to wait for a newer snapshot. Asks for one when it
+// would lack much with the present one.
+bool Raft::AwaitsSnapshot(Progress& aProgress)
+{
+  if (!aProgress.m_awaitsSnapshot) {
+    const int64_t covered = std::max(SnapshotIndex(), m_log.Base().m_index);
+    if (m_log.BytesAfter(covered) <= m_settings.m_maxCatchUpBytes) {
+      return false;
+    }
+    aProgress.m_awaitsSnapshot = true;
+    aProgress.m_snapshotWaitEnds = m_now + m_settings.m_maxSnapshotWait;
+    m_snapshotWanted = true;
+  }
+  return m_now < aProgress.m_snapshotWaitEnds;
+}
+
+// Precondition: the member lacks much and awaits no snapshot, or no longer.
+void Raft::SendSnapshotOrLog(MemberId aTo, Progress& aProgress)
+{
+  if (!aProgress.m_awaitsSnapshot && SnapshotIndex() >= aProgress.m_next) {
+    StartSnapshotTransfer(aTo, aProgress);
+  } else {
+    SendAppends(aTo, aProgress);
+  }
+}
+
+void Raft::SendAwaitedSnapshots()
+{
+  for (auto& [id, progress] : m_progress) {
+    if (progress.m_awaitsSnapshot && m_now < progress.m_snapshotWaitEnds) {
+      StartSnapshotTransfer(id, progress);
+    }
+  }
+}
+
 void Raft::StartSnapshotTransfer(MemberId aTo, Progress& aProgress)
 {
   if (!m_snapshot) {
     return;
   }
   aProgress.m_state = ProgressState::Snapshot;
+  aProgress.m_awaitsSnapshot = false;
   aProgress.m_snapshot = *m_snapshot;
   aProgress.m_offset = 0;
   aProgress.m_inflight.clear();
--- a/libs/consensus/test/Cluster.h
+++ b/libs/consensus/test/Cluster.h
@@ -321,6 +321,9 @@
     }
   }
 
+  // From now on no member encodes its state when it is asked for a snapshot.
+  void HoldSnapshots() { m_holdsSnapshots = true; }
+
   // The member's own clock.
   TimePoint Now(MemberId aId) const { return LocalTime(m_nodes.at(aId)); }
 
@@ -429,7 +432,7 @@
       aNode.m_writes.push_back(
         { m_nowMs + RandomInt(0, m_network.m_maxSyncMs), std::move(actions) });
     }
-    if (snapshot != 0) {
+    if (snapshot != 0 && !m_holdsSnapshots) {
       aNode.m_raft->OnSnapshotTaken(
         LocalTime(aNode), snapshot, std::to_string(aNode.m_appliedHash));
       ExecuteActions(aNode);
@@ -498,6 +501,7 @@
   }
 
 private:
+  bool m_holdsSnapshots = false;
   MemberId m_lastId = 0;
   int64_t m_commands = 0;
   int64_t m_maxCommit = 0;
