Give a target that sends more than an answer no second request on a connection

Cause: a kept connection is checked for bytes before it is used again, but the bytes may arrive after that, and the next request's answer is then read from them. The target never reads that request. Evidence: TargetThatSendsMoreThanAnAnswerGetsNoSecondRequest, failing before: with bytes that begin 40 ms after the answer every second of 20 requests fails. Change: bytes on an idle connection, or bytes that are no answer at the begin of an answer on a connection that was used before, are remembered for 10 s; in that time each request to the target gets a connection of its own. A late copy of an earlier answer that names its request is skipped as before.

--- a/apps/wigeonfold-node/TargetPool.cpp
+++ b/apps/wigeonfold-node/TargetPool.cpp
@@ -9,6 +9,7 @@
 #include <array>
 #include <boost/asio.hpp>
 #include <boost/beast/http.hpp>
+#include <optional>
 
 namespace wigeonfold::node {
 
@@ -33,6 +34,23 @@
 // For targets that don't announce when they close idle connections.
 constexpr Duration kDefaultIdleLimit = std::chrono::seconds(4);
 
+// For this long after a target sent bytes that belong to no request, each
+// request to it gets a connection of its own.
+constexpr Duration kSurplusMemory = std::chrono::seconds(10);
+
+// What the connections of a pool have in common.
+struct TargetConduct
+{
+  // When the target last sent bytes beyond an answer. They may arrive after the
+  // next request was written, and are then taken for its answer.
+  std::optional<TimePoint> m_surplusAt;
+
+  bool HasSentSurplus(TimePoint aNow) const
+  {
+    return m_surplusAt && aNow - *m_surplusAt < kSurplusMemory;
+  }
+};
+
 // ---- Connection ------------------------------------------------------------
 
 class Connection
@@ -40,10 +58,13 @@
   , public std::enable_shared_from_this<Connection>
 {
 public:
-  Connection(asio::io_context& aIo, uint64_t aGeneration)
+  Connection(asio::io_context& aIo,
+             uint64_t aGeneration,
+             std::shared_ptr<TargetConduct> aConduct)
     : m_socket(aIo)
     , m_timer(aIo)
     , m_generation(aGeneration)
+    , m_conduct(std::move(aConduct))
   {
   }
 
@@ -114,7 +135,11 @@
   {
     char byte = 0;
     boost::system::error_code code;
-    m_socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, code);
+    const size_t bytes =
+      m_socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, code);
+    if (!code && bytes > 0) {
+      m_conduct->m_surplusAt = Clock::now();
+    }
     return code == asio::error::would_block || code == asio::error::try_again;
   }
 
@@ -238,10 +263,14 @@
     if (aCode) {
       if (aCode == http::error::body_limit) {
         exchange.m_kind = Exchange::Kind::Unusable;
+      } else if (m_hasAnswered && !m_parser->is_header_done() &&
+                 IsMalformed(aCode)) {
+        m_conduct->m_surplusAt = Clock::now();
       }
       Finish(std::move(exchange));
       return;
     }
+    m_hasAnswered = true;
     const int status = m_parser->get().result_int();
     if (status < kFirstFinalStatus && status != kSwitchingProtocols) {
       if (++m_interimAnswers > kMaxInterimAnswers) {
@@ -271,6 +300,14 @@
     Finish(std::move(exchange));
   }
 
+  static bool IsMalformed(const boost::system::error_code& aCode)
+  {
+    return aCode.category() ==
+             make_error_code(http::error::bad_version).category() &&
+           aCode != http::error::end_of_stream &&
+           aCode != http::error::partial_message;
+  }
+
   void FinishUnusable()
   {
     Exchange exchange;
@@ -340,6 +377,7 @@
   tcp::socket m_socket;
   asio::steady_timer m_timer;
   const uint64_t m_generation;
+  const std::shared_ptr<TargetConduct> m_conduct;
   std::string m_head;     // of the request in progress
   std::string m_received; // not parsed yet
   std::shared_ptr<const wire::CallRequest> m_request;
@@ -353,6 +391,7 @@
   int m_interimAnswers = 0; // answers of status 1xx to the request
   bool m_written = false;
   bool m_closed = false;
+  bool m_hasAnswered = false;  // an earlier request on this connection
   bool m_answersNamed = false; // an answer named the request that it answers
 };
 
@@ -373,6 +412,7 @@
     boost::system::error_code code;
     const auto address = asio::ip::make_address(aAddress.m_host, code);
     m_endpoint = tcp::endpoint(address, aAddress.m_port);
+    m_conduct->m_surplusAt.reset();
     m_maxConnections = aMaxConnections;
     ++m_generation;
     CloseIdle();
@@ -392,6 +432,9 @@
 
   TargetConnectionPtr TakeIdle() override
   {
+    if (m_conduct->HasSentSurplus(Clock::now())) {
+      CloseIdle();
+    }
     while (!m_idle.empty()) {
       const auto connection = std::move(m_idle.back());
       m_idle.pop_back();
@@ -405,7 +448,8 @@
 
   TargetConnectionPtr Open(std::function<void(bool)> aDone) override
   {
-    auto connection = std::make_shared<Connection>(m_io, m_generation);
+    auto connection =
+      std::make_shared<Connection>(m_io, m_generation, m_conduct);
     connection->Connect(m_endpoint, m_connectTimeout, std::move(aDone));
     return connection;
   }
@@ -414,6 +458,7 @@
   {
     auto connection = std::static_pointer_cast<Connection>(aConnection);
     if (connection->Generation() != m_generation ||
+        m_conduct->HasSentSurplus(Clock::now()) ||
         m_idle.size() >= m_maxConnections) {
       connection->Close();
       return;
@@ -443,6 +488,8 @@
   tcp::endpoint m_endpoint;
   size_t m_maxConnections = 0;
   uint64_t m_generation = 0;
+  const std::shared_ptr<TargetConduct> m_conduct =
+    std::make_shared<TargetConduct>();
   std::vector<std::shared_ptr<Connection>> m_idle;
 };
 
--- a/apps/wigeonfold-node/test/EndlessAnswers_test.cpp
+++ b/apps/wigeonfold-node/test/EndlessAnswers_test.cpp
@@ -80,6 +80,26 @@
   EXPECT_EQ(Call(0, Post("/lots")).m_body, "1");
 }
 
+// The bytes begin only after the connection has been used again, so they can't
+// be noticed before; the target never reads the second request on it. One
+// request may end with 502, but a target that did so once gets each further
+// request on a connection of its own.
+TEST_F(TestNodes, TargetThatSendsMoreThanAnAnswerGetsNoSecondRequest)
+{
+  ServeAtPeer([](int aNumber, const std::string&) {
+    Reaction reaction;
+    reaction.m_bytes = CompleteAnswer(std::to_string(aNumber));
+    reaction.m_endless = "no answer at all\r\n";
+    reaction.m_endlessDelay = std::chrono::milliseconds(40);
+    return reaction;
+  });
+  int failed = 0;
+  for (int i = 0; i < 20; ++i) {
+    failed += Call(0, Post("/lots")).m_status == 200 ? 0 : 1;
+  }
+  EXPECT_LE(failed, 1);
+}
+
 INSTANTIATE_TEST_SUITE_P(Cases,
                          EndlessAnswers,
                          testing::ValuesIn(EndlessCases()),
--- a/apps/wigeonfold-node/test/TestNodes.h
+++ b/apps/wigeonfold-node/test/TestNodes.h
@@ -29,9 +29,10 @@
 {
   std::string m_bytes; // written in one piece
   bool m_close = false;
-  Duration m_delay{};    // before anything is written
-  bool m_reset = false;  // the close is a reset
-  std::string m_endless; // then written until the connection is closed
+  Duration m_delay{};        // before anything is written
+  bool m_reset = false;      // the close is a reset
+  std::string m_endless;     // then written until the connection is closed
+  Duration m_endlessDelay{}; // between the two
 };
 
 inline std::string CompleteAnswer(const std::string& aBody)
@@ -117,22 +118,24 @@
     aClient->m_timer.expires_after(aReaction.m_delay);
     aClient->m_timer.async_wait([this, aClient, aReaction](auto) {
       aClient->m_out = aReaction.m_bytes;
-      asio::async_write(aClient->m_socket,
-                        asio::buffer(aClient->m_out),
-                        [this, aClient, aReaction](auto, size_t) {
-                          if (aReaction.m_reset) {
-                            aClient->m_socket.set_option(
-                              asio::socket_base::linger(true, 0));
-                          }
-                          if (aReaction.m_close) {
-                            aClient->m_socket.close();
-                          } else if (!aReaction.m_endless.empty()) {
-                            aClient->m_out = aReaction.m_endless;
-                            WriteEndlessly(aClient);
-                          } else {
-                            Read(aClient);
-                          }
-                        });
+      asio::async_write(
+        aClient->m_socket,
+        asio::buffer(aClient->m_out),
+        [this, aClient, aReaction](auto, size_t) {
+          if (aReaction.m_reset) {
+            aClient->m_socket.set_option(asio::socket_base::linger(true, 0));
+          }
+          if (aReaction.m_close) {
+            aClient->m_socket.close();
+          } else if (!aReaction.m_endless.empty()) {
+            aClient->m_out = aReaction.m_endless;
+            aClient->m_timer.expires_after(aReaction.m_endlessDelay);
+            aClient->m_timer.async_wait(
+              [this, aClient](auto) { WriteEndlessly(aClient); });
+          } else {
+            Read(aClient);
+          }
+        });
     });
   }
 
