Bound the unfinished bytes of all connections of a process together

Cause: a limit of 16 MiB that was meant for the body of a configuration initialized the limit of the head, by brace elision. Moved to the body it would have let 24 unfinished bodies take 384 MiB: each connection had a limit, all of them together had none, and neither had answers that nobody reads. Change: net::ByteBudget, shared by the connections of a process's servers: 8 MiB at a control process for requests and unread answers, 32 MiB for callers' requests and 1 MiB for local ones at a node; 4 KiB a connection don't count, so small requests are served beside. What exceeds it gets 503 with Retry-After at once. Heads have 16 KiB, a configuration 2 MiB (1 MiB was in force); operators' requests have 10 s to arrive and answers 10 s to be read.

--- a/apps/wigeonfold-control/Api.cpp
+++ b/apps/wigeonfold-control/Api.cpp
@@ -23,10 +23,27 @@
 // The core sends a summary every 100 ms; without one for this long it counts as
 // stalled.
 constexpr Duration kStalledAfter = 2s;
-// Enough for a whole configuration with thousands of routes.
-constexpr size_t kMaxConfigBytes = size_t{ 16 } << 20;
+// Enough for a whole configuration of 8,000 routes.
+constexpr size_t kMaxConfigBytes = size_t{ 2 } << 20;
+// Requests that are not answered and answers that are not read, of all
+// operators together: four of the largest configurations.
+constexpr size_t kMaxOperatorBytes = 4 * kMaxConfigBytes;
+// An operator's link carries the largest configuration in this time.
+constexpr Duration kTransferTimeout = 10s;
 constexpr const char* kJson = "application/json";
 
+net::HttpLimits OperatorLimits(const std::shared_ptr<net::ByteBudget>& aBudget,
+                               size_t aBodyBytes)
+{
+  net::HttpLimits limits;
+  limits.m_caller.m_bodyBytes = aBodyBytes;
+  limits.m_caller.m_requestTimeout = kTransferTimeout;
+  limits.m_caller.m_writeTimeout = kTransferTimeout;
+  limits.m_requestBudget = aBudget;
+  limits.m_answerBudget = aBudget;
+  return limits;
+}
+
 net::HttpResponse ToResponse(const registry::ApiReply& aReply)
 {
   net::HttpResponse response;
@@ -78,6 +95,7 @@
 
 Status Api::Start()
 {
+  const auto budget = std::make_shared<net::ByteBudget>(kMaxOperatorBytes);
   auto server = net::ServeHttp(
     m_io,
     m_settings.m_apiListen,
@@ -85,7 +103,7 @@
            net::HttpRespond aRespond,
            const net::HttpOnAbandon&) { Serve(aRequest, std::move(aRespond)); },
     {},
-    {},
+    OperatorLimits(budget, net::kMaxBodyBytes),
     MakeFailureLog());
   if (!server) {
     return server.error();
@@ -101,7 +119,7 @@
         ServeConfig(aRequest, std::move(aRespond));
       },
       {},
-      { 0, Duration::zero(), kMaxConfigBytes },
+      OperatorLimits(budget, kMaxConfigBytes),
       MakeFailureLog());
     if (!config) {
       return config.error();
--- a/apps/wigeonfold-node/DataPlane.cpp
+++ b/apps/wigeonfold-node/DataPlane.cpp
@@ -16,6 +16,9 @@
 // ready. More than one, since some may have stopped or just started too.
 constexpr size_t kMaxQueriedPeers = 8;
 constexpr int kTicksPerPeerCheck = 5;
+// Callers' requests that are not answered yet, together. Bodies of a few KiB
+// don't count.
+constexpr size_t kMaxUnansweredBytes = size_t{ 32 } << 20;
 // Time after the linger time to wait for idle peers to close their connections.
 constexpr Duration kPeerCloseWait = 2s;
 
@@ -145,6 +148,8 @@
   if (auto status = m_peerServer.Listen(m_settings.m_peerListen); !status) {
     return status;
   }
+  net::HttpLimits limits;
+  limits.m_requestBudget = std::make_shared<net::ByteBudget>(kMaxUnansweredBytes);
   auto server = net::ServeHttp(
     m_io,
     m_settings.m_callerListen,
@@ -155,7 +160,7 @@
         std::move(aRequest), std::move(aRespond), aOnAbandon);
     },
     m_dialect->RejectFields(),
-    {},
+    limits,
     [this](const Error& aError) {
       m_log.Record(EventId::HandlerFailed, { { "error", aError.ToString() } });
     });
--- a/apps/wigeonfold-node/LocalApi.cpp
+++ b/apps/wigeonfold-node/LocalApi.cpp
@@ -14,6 +14,11 @@
 constexpr int kMaxSlots = 10'000;
 constexpr int kMaxConnections = 60'000;
 constexpr const char* kJsonType = "application/json";
+// A target's report and an announcement have less than 1 KiB.
+constexpr size_t kMaxReportBytes = size_t{ 64 } << 10;
+// Requests that are not answered yet, together.
+constexpr size_t kMaxUnansweredBytes = size_t{ 1 } << 20;
+constexpr std::chrono::seconds kRequestTimeout{ 10 };
 
 net::HttpResponse Answer(int aStatus, std::string aBody, const char* aType)
 {
@@ -137,6 +142,10 @@
 
 Status LocalApi::Start()
 {
+  net::HttpLimits limits;
+  limits.m_caller.m_bodyBytes = kMaxReportBytes;
+  limits.m_caller.m_requestTimeout = kRequestTimeout;
+  limits.m_requestBudget = std::make_shared<net::ByteBudget>(kMaxUnansweredBytes);
   const net::HttpOnFailure logFailure = [this](const Error& aError) {
     m_log.Record(EventId::HandlerFailed, { { "error", aError.ToString() } });
   };
@@ -150,7 +159,7 @@
         HandleTargetReport(aRequest, std::move(aRespond));
       },
       {},
-      {},
+      limits,
       logFailure);
     if (!server) {
       return server.error();
@@ -165,7 +174,7 @@
         QueryStatus(std::move(aRespond), &LocalApi::ReadyAnswer);
       },
       {},
-      {},
+      limits,
       logFailure);
     if (!server) {
       return server.error();
@@ -179,7 +188,7 @@
       Handle(std::move(aRequest), std::move(aRespond));
     },
     {},
-    {},
+    limits,
     logFailure);
   if (!server) {
     return server.error();
--- a/libs/net/include/wigeonfold/net/Http.h
+++ b/libs/net/include/wigeonfold/net/Http.h
@@ -3,6 +3,7 @@
 
 #include "wigeonfold/base/Settings.h"
 #include "wigeonfold/base/Time.h"
+#include "wigeonfold/net/ByteBudget.h"
 
 #include <functional>
 #include <memory>
@@ -61,6 +62,10 @@
   size_t m_bodyBytes = kMaxBodyBytes;                // status 413 above it
   Duration m_headTimeout = std::chrono::seconds(10); // then status 408
   Duration m_idleTimeout = std::chrono::minutes(5);  // then closed
+  // From the first byte of a request to its last one; then status 408.
+  Duration m_requestTimeout = Duration::max();
+  // For an answer that the client doesn't read; then closed.
+  Duration m_writeTimeout = Duration::max();
 };
 
 // Serves HTTP/1.1 with keep-alive and pipelining. The requests of a connection
@@ -86,13 +91,18 @@
   virtual size_t Connections() const = 0;
 };
 
-// Limits of a server. Those on connections simulate a target of limited
-// capacity.
+// Limits of a server. The first two simulate a target of limited capacity.
+// Requests and answers beyond 4 KiB count for the budgets, which may be shared
+// with other servers of the io_context: a request that finds its one exhausted
+// is answered with 503 at once, and an answer is replaced by 503, so an answer
+// budget suits only a server whose requests may be repeated.
 struct HttpLimits
 {
   size_t m_connections = 0; // further ones are closed at once; 0: no limit
   Duration m_connectionCost = Duration::zero(); // delay before the first read
   CallerLimits m_caller;
+  std::shared_ptr<ByteBudget> m_requestBudget; // null: no limit
+  std::shared_ptr<ByteBudget> m_answerBudget;  // null: no limit
 };
 
 // Reports a handler that threw; for the log.
--- a/libs/net/src/Http.cpp
+++ b/libs/net/src/Http.cpp
@@ -28,6 +28,40 @@
 // may take to arrive whole: a few round trips between availability zones.
 constexpr std::chrono::milliseconds kUnfinishedRequestWait{ 200 };
 
+// After this time other clients have finished or were closed, as a rule.
+constexpr const char* kRetryAfterSeconds = "1";
+// Bytes of a connection that count for no budget, so that small requests are
+// served while the budget is exhausted.
+constexpr size_t kFreeBytes = size_t{ 4 } << 10;
+
+// The share of one connection in a budget; gives it back at its end.
+class BudgetShare
+{
+public:
+  explicit BudgetShare(std::shared_ptr<ByteBudget> aBudget)
+    : m_budget(std::move(aBudget))
+  {
+  }
+  ~BudgetShare() { Set(0); }
+  BudgetShare(const BudgetShare&) = delete;
+  BudgetShare& operator=(const BudgetShare&) = delete;
+
+  // False when the budget is exhausted; the share is then unchanged.
+  bool Set(size_t aBytes)
+  {
+    const size_t share = aBytes > kFreeBytes ? aBytes - kFreeBytes : 0;
+    if (m_budget && !m_budget->ChangeShare(m_share, share)) {
+      return false;
+    }
+    m_share = share;
+    return true;
+  }
+
+private:
+  const std::shared_ptr<ByteBudget> m_budget;
+  size_t m_share = 0;
+};
+
 using ParsedRequest = http::request<http::string_body>;
 
 HttpRequest FromBeast(ParsedRequest&& aRequest)
@@ -87,8 +121,10 @@
 class Session : public std::enable_shared_from_this<Session>
 {
 public:
-  Session(tcp::socket aSocket, Server& aServer)
+  Session(tcp::socket aSocket, Server& aServer, const HttpLimits& aLimits)
     : m_socket(std::move(aSocket))
+    , m_requestShare(aLimits.m_requestBudget)
+    , m_answerShare(aLimits.m_answerBudget)
     , m_server(&aServer)
   {
     boost::system::error_code ignored;
@@ -119,6 +155,7 @@
   void OnHandlerFailed(const std::exception& aError);
   void CloseIfDisconnected();
   void Reject(http::status aStatus);
+  void LimitAnswer(HttpResponse& aResponse);
   void Respond(HttpResponse aResponse);
   void WriteHead(const HttpResponse& aResponse);
   void OnWritten(boost::system::error_code aCode);
@@ -129,13 +166,17 @@
   std::string m_head; // of the answer that is being written
   std::string m_body; // of the same answer
   std::string m_peer; // IP address
+  BudgetShare m_requestShare;
+  BudgetShare m_answerShare;
   std::function<void()> m_onAbandon;
   Server* m_server;             // null once the connection or server is closed
   TimePoint m_lastActivityAt{}; // last bytes received, or start of the read
   TimePoint m_requestBeganAt{}; // first bytes of the request
+  TimePoint m_writeBeganAt{};   // of the answer
   bool m_waiting = false;       // for the socket to become readable
   bool m_reading = false;       // a request, which is not whole yet
   bool m_handling = false;      // a request, which is not answered yet
+  bool m_writing = false;       // an answer
   bool m_keepAlive = true;
   bool m_isHead = false; // the request method is HEAD
   bool m_http10 = false;
@@ -252,7 +293,8 @@
         m_sessions.size() >= m_limits.m_connections) {
       return;
     }
-    auto session = std::make_shared<Session>(std::move(aSocket), *this);
+    auto session =
+      std::make_shared<Session>(std::move(aSocket), *this, m_limits);
     m_sessions.insert(session);
     if (m_limits.m_connectionCost == Duration::zero()) {
       session->Read();
@@ -417,6 +459,11 @@
     m_requestBeganAt = m_lastActivityAt;
   }
   m_received.append(bytes);
+  if (!m_requestShare.Set(m_received.size() + m_parser->get().body().size())) {
+    m_reading = false;
+    Reject(http::status::service_unavailable);
+    return;
+  }
   Parse();
 }
 
@@ -443,12 +490,17 @@
 
 void Session::CheckTimeLimits(TimePoint aNow, const CallerLimits& aLimits)
 {
+  if (m_writing && aNow - m_writeBeganAt > aLimits.m_writeTimeout) {
+    Close();
+    return;
+  }
   if (!m_reading) {
     return;
   }
   const bool began = !m_received.empty() || m_parser->got_some();
-  if (began && !m_parser->is_header_done() &&
-      aNow - m_requestBeganAt > aLimits.m_headTimeout) {
+  const Duration limit = m_parser->is_header_done() ? aLimits.m_requestTimeout
+                                                    : aLimits.m_headTimeout;
+  if (began && aNow - m_requestBeganAt > limit) {
     m_reading = false;
     Reject(http::status::request_timeout);
   } else if (aNow - m_lastActivityAt > aLimits.m_idleTimeout) {
@@ -548,9 +600,24 @@
   response.m_status = static_cast<int>(aStatus);
   response.m_fields = m_server->m_rejectFields;
   response.m_body = std::string(http::obsolete_reason(aStatus)) + "\n";
+  if (aStatus == http::status::service_unavailable) {
+    response.m_fields.push_back({ "Retry-After", kRetryAfterSeconds });
+  }
   Respond(std::move(response));
 }
 
+// Replaces an answer that would exceed the budget.
+void Session::LimitAnswer(HttpResponse& aResponse)
+{
+  if (m_answerShare.Set(aResponse.m_body.size())) {
+    return;
+  }
+  aResponse = {};
+  aResponse.m_status = static_cast<int>(http::status::service_unavailable);
+  aResponse.m_fields.push_back({ "Retry-After", kRetryAfterSeconds });
+  aResponse.m_body = "too many answers wait to be read\n";
+}
+
 void Session::Respond(HttpResponse aResponse)
 {
   if (!m_handling || !m_socket.is_open()) {
@@ -558,6 +625,8 @@
   }
   m_handling = false;
   m_onAbandon = nullptr;
+  m_requestShare.Set(0);
+  LimitAnswer(aResponse);
   if (m_server == nullptr || m_server->IsDraining()) {
     m_keepAlive = false;
   }
@@ -568,6 +637,8 @@
     OnWritten({});
     return;
   }
+  m_writing = true;
+  m_writeBeganAt = Clock::now();
   const size_t ofHead = std::min(sent, m_head.size());
   const std::array<asio::const_buffer, 2> rest{
     asio::buffer(m_head) + ofHead, asio::buffer(m_body) + (sent - ofHead)
@@ -613,7 +684,9 @@
 
 void Session::OnWritten(boost::system::error_code aCode)
 {
+  m_writing = false;
   m_body = {};
+  m_answerShare.Set(0);
   if (aCode || !m_keepAlive) {
     boost::system::error_code ignored;
     m_socket.shutdown(tcp::socket::shutdown_send, ignored);
@@ -647,6 +720,7 @@
   boost::system::error_code ignored;
   m_socket.close(ignored);
   m_handling = false;
+  m_requestShare.Set(0);
   if (const auto onAbandon = std::exchange(m_onAbandon, nullptr)) {
     onAbandon();
   }
--- a/libs/net/test/Http_test.cpp
+++ b/libs/net/test/Http_test.cpp
@@ -41,12 +41,13 @@
 class HttpTest : public testing::Test
 {
 protected:
-  void Serve(HttpHandler aHandler)
+  void Serve(HttpHandler aHandler, const HttpLimits& aLimits = {})
   {
     m_server = std::move(ServeHttp(m_io,
                                    { "127.0.0.1", 0 },
                                    std::move(aHandler),
-                                   { { "Wigeonfold-Run", "not-run" } })
+                                   { { "Wigeonfold-Run", "not-run" } },
+                                   aLimits)
                            .value());
     m_port = m_server->Port();
     m_thread = std::thread([this] { m_io.run(); });
@@ -241,6 +242,123 @@
   EXPECT_EQ(*FindField(answer.value().m_fields, "x-method"), "PUT");
 }
 
+// Opens connections and begins a request on each that stays unfinished.
+class UnfinishedRequests
+{
+public:
+  UnfinishedRequests(uint16_t aPort, int aCount, const std::string& aBytes)
+  {
+    for (int i = 0; i < aCount; ++i) {
+      auto& socket = m_sockets.emplace_back(m_io);
+      socket.connect({ asio::ip::make_address("127.0.0.1"), aPort });
+      boost::system::error_code ignored; // the server may refuse it meanwhile
+      asio::write(socket, asio::buffer(aBytes), ignored);
+    }
+  }
+
+  // Connections on which the server has answered with this status.
+  int Answered(const std::string& aStatus)
+  {
+    int count = 0;
+    for (auto& socket : m_sockets) {
+      std::string answer(64, ' ');
+      boost::system::error_code code;
+      socket.non_blocking(true);
+      answer.resize(socket.receive(asio::buffer(answer), 0, code));
+      count += Count(answer, "HTTP/1.1 " + aStatus) > 0 ? 1 : 0;
+    }
+    return count;
+  }
+
+private:
+  asio::io_context m_io;
+  std::vector<asio::ip::tcp::socket> m_sockets;
+};
+
+// Guards against the memory of a process that is filled by many requests at
+// once, each of which stays below its own limit and never ends.
+TEST_F(HttpTest, UnfinishedRequestsHaveABoundTogether)
+{
+  constexpr size_t kBody = size_t{ 512 } << 10;
+  const auto budget = std::make_shared<ByteBudget>(4 * kBody);
+  HttpLimits limits;
+  limits.m_requestBudget = budget;
+  Serve(
+    [](const HttpRequest& aRequest, const HttpRespond& aRespond, const auto&) {
+      aRespond({ 200, {}, aRequest.m_body.substr(0, 4) });
+    },
+    limits);
+  const std::string head =
+    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(kBody) +
+    "\r\n\r\n";
+  {
+    UnfinishedRequests requests(m_port, 10, head + std::string(kBody - 1, 'x'));
+    int refused = 0;
+    for (int i = 0; i < 100 && refused < 6; ++i) {
+      std::this_thread::sleep_for(20ms);
+      refused += requests.Answered("503");
+    }
+    EXPECT_EQ(refused, 6);
+    EXPECT_LE(budget->Used(), 4 * kBody);
+    // A small request needs none of it.
+    EXPECT_EQ(Count(Exchange(m_port,
+                             "GET / HTTP/1.1\r\nHost: h\r\n"
+                             "Connection: close\r\n\r\n"),
+                    "HTTP/1.1 200"),
+              1U);
+  }
+  for (int i = 0; i < 100 && budget->Used() > 0; ++i) {
+    std::this_thread::sleep_for(20ms);
+  }
+  EXPECT_EQ(budget->Used(), 0U);
+  EXPECT_EQ(Count(Exchange(m_port,
+                           "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                           "Content-Length: 4\r\n\r\nbody"),
+                  "HTTP/1.1 200"),
+            1U);
+}
+
+// The same by clients that don't read their answers.
+TEST_F(HttpTest, UnreadAnswersHaveABoundTogether)
+{
+  constexpr size_t kAnswer = size_t{ 16 } << 20; // more than a socket holds
+  const auto budget = std::make_shared<ByteBudget>(3 * kAnswer);
+  HttpLimits limits;
+  limits.m_answerBudget = budget;
+  limits.m_caller.m_writeTimeout = 1s;
+  Serve(
+    [](const HttpRequest&, const HttpRespond& aRespond, const auto&) {
+      aRespond({ 200, {}, std::string(kAnswer, 'x') });
+    },
+    limits);
+  UnfinishedRequests requests(m_port, 8, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  std::this_thread::sleep_for(300ms);
+  EXPECT_LE(budget->Used(), 3 * kAnswer);
+  EXPECT_EQ(requests.Answered("503"), 5);
+  for (int i = 0; i < 200 && budget->Used() > 0; ++i) {
+    std::this_thread::sleep_for(20ms);
+  }
+  EXPECT_EQ(budget->Used(), 0U); // the others were closed
+}
+
+// A request that trickles in holds its part of the bound only for a time.
+TEST_F(HttpTest, RequestThatTakesTooLongIsClosed)
+{
+  HttpLimits limits;
+  limits.m_caller.m_requestTimeout = 1s;
+  Serve([](const HttpRequest&,
+           const HttpRespond& aRespond,
+           const auto&) { aRespond({}); },
+        limits);
+  const auto start = std::chrono::steady_clock::now();
+  EXPECT_EQ(Count(Exchange(m_port,
+                           "POST / HTTP/1.1\r\nHost: h\r\n"
+                           "Content-Length: 4\r\n\r\nbo"),
+                  "HTTP/1.1 408"),
+            1U);
+  EXPECT_LT(std::chrono::steady_clock::now() - start, 5s);
+}
+
 // Guards against a request that ends the process: an exception of its handler
 // concerns this request alone.
 TEST_F(HttpTest, HandlerThatThrowsIsAnsweredFor)
