Bound the unfinished frames that a listener's connections hold

A peer that announces a frame of the greatest length, 32 MiB, and never ends it makes the receiver keep that much for each connection, identified or not; 24 of them are 768 MiB (same cause as the endless heads: a limit for each connection, none for all). Evidence: ConnectionTest.UnfinishedFramesHaveABoundTogether, failing before: six of six connections were read to 32 MiB each. Change: the connections that a listener accepted share a ByteBudget of 32 MiB, with 64 KiB each that don't count; the one that exceeds it is closed with a Protocol error. Five of six are closed now, and a small frame on another connection is answered meanwhile.

--- a/libs/net/include/wigeonfold/net/ByteBudget.h
+++ b/libs/net/include/wigeonfold/net/ByteBudget.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <cstddef>
+#include <memory>
+#include <utility>
 
 namespace wigeonfold::net {
 
@@ -33,4 +35,37 @@
   size_t m_used = 0;
 };
 
+// The share of one connection in a budget; gives it back at its end. Not thread
+// safe.
+class BudgetShare
+{
+public:
+  // aFreeBytes of the connection don't count, so that small messages pass while
+  // the budget is exhausted. Without a budget (nullptr) nothing is limited.
+  BudgetShare(std::shared_ptr<ByteBudget> aBudget, size_t aFreeBytes)
+    : m_budget(std::move(aBudget))
+    , m_freeBytes(aFreeBytes)
+  {
+  }
+  ~BudgetShare() { Set(0); }
+  BudgetShare(const BudgetShare&) = delete;
+  BudgetShare& operator=(const BudgetShare&) = delete;
+
+  // False when the budget is exhausted; the share is then unchanged.
+  bool Set(size_t aBytes)
+  {
+    const size_t share = aBytes > m_freeBytes ? aBytes - m_freeBytes : 0;
+    if (m_budget && !m_budget->ChangeShare(m_share, share)) {
+      return false;
+    }
+    m_share = share;
+    return true;
+  }
+
+private:
+  const std::shared_ptr<ByteBudget> m_budget;
+  const size_t m_freeBytes;
+  size_t m_share = 0;
+};
+
 } // namespace wigeonfold::net
--- a/libs/net/src/Connection.cpp
+++ b/libs/net/src/Connection.cpp
@@ -1,5 +1,7 @@
 #include "wigeonfold/net/Connection.h"
 
+#include "wigeonfold/net/ByteBudget.h"
+
 #include "LinkService.h"
 
 #include "wigeonfold/net/SocketIo.h"
@@ -33,18 +35,25 @@
 
 // ---- Connection ------------------------------------------------------------
 
+// Bytes of unfinished frames that the accepted connections of a listener hold
+// together, and the part of each that doesn't count.
+constexpr size_t kMaxPendingBytes = size_t{ 32 } << 20;
+constexpr size_t kFreePendingBytes = size_t{ 64 } << 10;
+
 class TcpConnection : public Connection
 {
 public:
   TcpConnection(asio::io_context& aIo,
                 tcp::socket aSocket,
-                ConnectionHandlers aHandlers)
+                ConnectionHandlers aHandlers,
+                std::shared_ptr<ByteBudget> aBudget = nullptr)
     : m_links(asio::use_service<LinkService>(aIo))
     , m_socket(std::move(aSocket))
     , m_linkTimer(aIo)
     , m_handlers(std::move(aHandlers))
     , m_peer(PeerName(m_socket))
     , m_reader(m_peer)
+    , m_pendingShare(std::move(aBudget), kFreePendingBytes)
   {
     boost::system::error_code ignored;
     m_socket.set_option(tcp::no_delay(true), ignored);
@@ -149,9 +158,17 @@
         return;
       }
     }
-    if (m_open) {
-      Read();
+    if (!m_open) {
+      return;
     }
+    if (!m_pendingShare.Set(m_reader.PendingBytes())) {
+      Fail(Error{ ErrorCode::Protocol,
+                  "read frame",
+                  m_peer,
+                  "unfinished frames of all connections exceed the limit" });
+      return;
+    }
+    Read();
   }
 
   // False when the handler threw, which ends this connection alone.
@@ -280,6 +297,7 @@
   std::string m_peer;
   std::string m_peerHost;
   wire::FrameReader m_reader;
+  BudgetShare m_pendingShare;
   std::string m_queued;
   std::string m_writing;
   bool m_open = true;
@@ -340,27 +358,29 @@
     asio::steady_timer m_retry;
     ConnectionHandlers m_handlers;
     std::function<void(const ConnectionPtr&)> m_onAccept;
+    const std::shared_ptr<ByteBudget> m_budget =
+      std::make_shared<ByteBudget>(kMaxPendingBytes);
   };
 
   static void Accept(const std::shared_ptr<State>& aState)
   {
-    aState->m_acceptor.async_accept(
-      [aState](boost::system::error_code aCode, tcp::socket aSocket) {
-        if (!aState->m_acceptor.is_open()) {
-          return;
-        }
-        if (aCode) {
-          AcceptLater(aState);
-          return;
-        }
-        auto connection = std::make_shared<TcpConnection>(
-          aState->m_io, std::move(aSocket), aState->m_handlers);
-        if (aState->m_onAccept) {
-          aState->m_onAccept(connection);
-        }
-        connection->Start();
-        Accept(aState);
-      });
+    aState->m_acceptor.async_accept([aState](boost::system::error_code aCode,
+                                             tcp::socket aSocket) {
+      if (!aState->m_acceptor.is_open()) {
+        return;
+      }
+      if (aCode) {
+        AcceptLater(aState);
+        return;
+      }
+      auto connection = std::make_shared<TcpConnection>(
+        aState->m_io, std::move(aSocket), aState->m_handlers, aState->m_budget);
+      if (aState->m_onAccept) {
+        aState->m_onAccept(connection);
+      }
+      connection->Start();
+      Accept(aState);
+    });
   }
 
   static void AcceptLater(const std::shared_ptr<State>& aState)
--- a/libs/net/src/Http.cpp
+++ b/libs/net/src/Http.cpp
@@ -34,34 +34,6 @@
 // served while the budget is exhausted.
 constexpr size_t kFreeBytes = size_t{ 4 } << 10;
 
-// The share of one connection in a budget; gives it back at its end.
-class BudgetShare
-{
-public:
-  explicit BudgetShare(std::shared_ptr<ByteBudget> aBudget)
-    : m_budget(std::move(aBudget))
-  {
-  }
-  ~BudgetShare() { Set(0); }
-  BudgetShare(const BudgetShare&) = delete;
-  BudgetShare& operator=(const BudgetShare&) = delete;
-
-  // False when the budget is exhausted; the share is then unchanged.
-  bool Set(size_t aBytes)
-  {
-    const size_t share = aBytes > kFreeBytes ? aBytes - kFreeBytes : 0;
-    if (m_budget && !m_budget->ChangeShare(m_share, share)) {
-      return false;
-    }
-    m_share = share;
-    return true;
-  }
-
-private:
-  const std::shared_ptr<ByteBudget> m_budget;
-  size_t m_share = 0;
-};
-
 using ParsedRequest = http::request<http::string_body>;
 
 HttpRequest FromBeast(ParsedRequest&& aRequest)
@@ -123,8 +95,8 @@
 public:
   Session(tcp::socket aSocket, Server& aServer, const HttpLimits& aLimits)
     : m_socket(std::move(aSocket))
-    , m_requestShare(aLimits.m_requestBudget)
-    , m_answerShare(aLimits.m_answerBudget)
+    , m_requestShare(aLimits.m_requestBudget, kFreeBytes)
+    , m_answerShare(aLimits.m_answerBudget, kFreeBytes)
     , m_server(&aServer)
   {
     boost::system::error_code ignored;
--- a/libs/net/test/Connection_test.cpp
+++ b/libs/net/test/Connection_test.cpp
@@ -87,6 +87,40 @@
   m_client->Close();
 }
 
+// Guards against the memory of a process that is filled by frames that are
+// announced with the greatest length and never end, on many connections.
+TEST_F(ConnectionTest, UnfinishedFramesHaveABoundTogether)
+{
+  constexpr size_t kConnections = 6;
+  std::string frame;
+  wire::AppendFrame(
+    frame, wire::FrameType::Raft, 0, std::string(wire::kMaxPayloadBytes, 'x'));
+  frame.pop_back();
+  std::vector<asio::ip::tcp::socket> sockets;
+  size_t ended = 0;
+  for (size_t i = 0; i < kConnections; ++i) {
+    auto& socket = sockets.emplace_back(m_io);
+    socket.connect({ asio::ip::make_address("127.0.0.1"), m_listener->Port() });
+  }
+  size_t sent = 0;
+  for (auto& socket : sockets) {
+    asio::async_write(socket,
+                      asio::buffer(frame),
+                      [&](boost::system::error_code aCode, size_t aBytes) {
+                        sent += aBytes;
+                        ended += aCode ? 1 : 0;
+                      });
+  }
+  RunUntil([&] { return sent >= (kConnections - ended) * frame.size(); });
+  EXPECT_GE(ended, kConnections - 1);
+  // The listener serves others meanwhile.
+  Open();
+  RunUntil([&] { return m_client != nullptr; });
+  m_client->SendFrame(wire::FrameType::Raft, "small");
+  RunUntil([&] { return !m_received.empty(); });
+  EXPECT_EQ(m_received.front(), "small");
+}
+
 TEST_F(ConnectionTest, RefusedLinkFailsAtOnceAndBreaksConnections)
 {
   Open();
--- a/libs/wire/include/wigeonfold/wire/Frame.h
+++ b/libs/wire/include/wigeonfold/wire/Frame.h
@@ -72,6 +72,9 @@
   // Protocol on a length above kMaxPayloadBytes; the stream is then unusable.
   Result<std::optional<Frame>> Next();
 
+  // Bytes that were fed and not returned.
+  size_t PendingBytes() const { return m_buffer.size() - m_position; }
+
 private:
   std::string m_peer;
   std::string m_buffer;
