Bound what the clients keep of an answer that never ends

The operators' client and the load tool read through a buffer without a limit: chunk extensions, trailers and chunk sizes without end are kept there until the call's time is up; the limit of the body doesn't cover them. Change: the buffers have 512 KiB; the call fails at once beyond them.

--- a/libs/net/include/wigeonfold/net/SocketIo.h
+++ b/libs/net/include/wigeonfold/net/SocketIo.h
@@ -34,6 +34,10 @@
 // limit them, so a sender that never completes one would fill the memory.
 inline constexpr size_t kMaxUnparsedBytes = size_t{ 64 } << 10;
 
+// The same for clients that read through a Beast buffer, which holds what is
+// read at once besides.
+inline constexpr size_t kMaxClientBufferBytes = size_t{ 512 } << 10;
+
 // Feeds a Beast parser and returns how many bytes it consumed; pass the rest
 // again, with the bytes that follow. The head is parsed separately: Beast
 // 1.74 loses the body limit error of a head that is parsed together with body
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -1,6 +1,8 @@
 // Blocking HTTP client; the server is in Http.cpp.
 #include "wigeonfold/net/Http.h"
 
+#include "wigeonfold/net/SocketIo.h"
+
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -19,7 +21,7 @@
 {
   asio::io_context m_io;
   beast::tcp_stream m_stream{ m_io };
-  beast::flat_buffer m_buffer;
+  beast::flat_buffer m_buffer{ kMaxClientBufferBytes };
   http::request<http::string_body> m_request;
   http::response_parser<http::string_body> m_parser;
   std::string m_step = "connect";
--- a/libs/net/src/HttpPool.cpp
+++ b/libs/net/src/HttpPool.cpp
@@ -1,5 +1,7 @@
 #include "wigeonfold/net/HttpPool.h"
 
+#include "wigeonfold/net/SocketIo.h"
+
 #include <utility>
 
 #include <boost/asio.hpp>
@@ -80,7 +82,7 @@
 
   beast::tcp_stream m_stream;
   Pool* m_pool; // null after Drop()
-  beast::flat_buffer m_buffer;
+  beast::flat_buffer m_buffer{ kMaxClientBufferBytes };
   std::optional<http::response_parser<http::string_body>> m_parser;
   PendingCall m_call;
   BeastRequest m_request;
--- a/libs/net/test/Http_test.cpp
+++ b/libs/net/test/Http_test.cpp
@@ -359,6 +359,65 @@
   EXPECT_LT(std::chrono::steady_clock::now() - start, 5s);
 }
 
+// Answers each connection with aBegin and then aMore without end.
+class EndlessServer
+{
+public:
+  EndlessServer(std::string aBegin, std::string aMore)
+    : m_begin(std::move(aBegin))
+    , m_more(std::move(aMore))
+    , m_acceptor(m_io, { asio::ip::make_address("127.0.0.1"), 0 })
+    , m_thread([this] { Run(); })
+  {
+  }
+  ~EndlessServer() { m_thread.join(); }
+
+  uint16_t Port() const { return m_acceptor.local_endpoint().port(); }
+
+  std::atomic<size_t> m_taken{ 0 }; // bytes that the client took
+
+private:
+  void Run()
+  {
+    asio::ip::tcp::socket socket = m_acceptor.accept();
+    boost::system::error_code code;
+    asio::write(socket, asio::buffer(m_begin), code);
+    while (!code) {
+      m_taken += asio::write(socket, asio::buffer(m_more), code);
+    }
+  }
+
+  const std::string m_begin;
+  const std::string m_more;
+  asio::io_context m_io;
+  asio::ip::tcp::acceptor m_acceptor;
+  std::thread m_thread;
+};
+
+// Guards against an operator's client whose memory grows with an answer that
+// never ends; the limit of the body doesn't cover what surrounds it.
+TEST(HttpCallTest, EndlessAnswersFail)
+{
+  constexpr size_t kMaxTaken = size_t{ 16 } << 20;
+  const std::string chunked =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string letters(4096, 'a');
+  const std::vector<std::pair<std::string, std::string>> cases = {
+    { "", letters },
+    { "HTTP/1.1 200 OK\r\n", "X: y\r\n" },
+    { chunked + "4;x=", letters },
+    { chunked + "0\r\nX: ", letters },
+    { chunked, "0000000000" },
+  };
+  for (const auto& [begin, more] : cases) {
+    EndlessServer server(begin, more);
+    const auto answer =
+      HttpCall({ "127.0.0.1", server.Port() }, { "GET", "/", {}, "", "" }, 5s);
+    EXPECT_FALSE(answer) << begin;
+    EXPECT_LT(server.m_taken, kMaxTaken) << begin;
+  }
+}
+
 // Guards against a request that ends the process: an exception of its handler
 // concerns this request alone.
 TEST_F(HttpTest, HandlerThatThrowsIsAnsweredFor)
