Refuse ports in the range of outgoing connections in test fleets

deadly_request failed right after soak_short with "not every node knew all targets within 20 s", 2 of 2, and passed later (KNOWN-RED.txt). Cause: its ports began at 33000, in the range of outgoing connections (32768 to 60999). A connection that took such a port holds it for a minute after its end (TIME_WAIT), and the process that is to listen there doesn't start. Evidence: after soak_short 2,700 connections were in TIME_WAIT, some on 127.0.2.1:33303, 33304, 127.0.1.1:33301, 127.0.1.4:33347, which are addresses of the test's processes; a listener with SO_REUSEADDR on such a port fails with EADDRINUSE (trial). Change: the fleet of the scripts ends with a clear error when its ports reach into that range, and deadly_request uses 27000 on.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -48,6 +48,19 @@
     raise RuntimeError(what)
 
 
+def check_ports(first, last):
+    """Ends the program unless the ports lie below the range of outgoing connections.
+
+    A port of that range may be taken by a connection, also for a minute after its
+    end (TIME_WAIT), and a process that is to listen there does not start then.
+    """
+    with open("/proc/sys/net/ipv4/ip_local_port_range", encoding="ascii") as limits:
+        outgoing = int(limits.read().split()[0])
+    if last >= outgoing:
+        raise SystemExit("ports %d to %d reach into the range of outgoing connections, which begins at %d"
+                           % (first, last, outgoing))
+
+
 class Fleet:
     """Settings files and processes of a fleet; stops only processes that it started.
 
@@ -58,6 +71,7 @@
     PROXY_PORT_OFFSET = 1000  # proxy port = port of the process + offset
 
     def __init__(self, build, work, port, services, proxy=None):
+        check_ports(port, port + 20 + 5 * len(services) + (self.PROXY_PORT_OFFSET if proxy else 0))
         self.port = port
         self.proxy = proxy  # optional, see soak_proxy.py
         self.proxied = set()  # addresses that the proxy listens for
--- a/tests/process/DeadlyRequest_test.py
+++ b/tests/process/DeadlyRequest_test.py
@@ -295,7 +295,7 @@
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("--build", default=os.path.join(HERE, "..", "..", "build"))
-    parser.add_argument("--port", type=int, default=33000)
+    parser.add_argument("--port", type=int, default=27000)
     parser.add_argument("--keep", help="folder for the logs of a failed run")
     arguments = parser.parse_args()
     status = 0
