--- a/apps/wigeonfold-node/DataPlane.cpp
+++ b/apps/wigeonfold-node/DataPlane.cpp
@@ -149,7 +149,8 @@
     return status;
   }
   net::HttpLimits limits;
-  limits.m_requestBudget = std::make_shared<net::ByteBudget>(kMaxUnansweredBytes);
+  limits.m_requestBudget =
+    std::make_shared<net::ByteBudget>(kMaxUnansweredBytes);
   auto server = net::ServeHttp(
     m_io,
     m_settings.m_callerListen,
--- a/apps/wigeonfold-node/LocalApi.cpp
+++ b/apps/wigeonfold-node/LocalApi.cpp
@@ -145,7 +145,8 @@
   net::HttpLimits limits;
   limits.m_caller.m_bodyBytes = kMaxReportBytes;
   limits.m_caller.m_requestTimeout = kRequestTimeout;
-  limits.m_requestBudget = std::make_shared<net::ByteBudget>(kMaxUnansweredBytes);
+  limits.m_requestBudget =
+    std::make_shared<net::ByteBudget>(kMaxUnansweredBytes);
   const net::HttpOnFailure logFailure = [this](const Error& aError) {
     m_log.Record(EventId::HandlerFailed, { { "error", aError.ToString() } });
   };
--- a/apps/wigeonfold/test/Client_test.cpp
+++ b/apps/wigeonfold/test/Client_test.cpp
@@ -250,7 +250,8 @@
   EXPECT_EQ(fake.Run({ "accept", "--author", "other", "--json" }),
             ExitStatus::Success);
   EXPECT_EQ(Json::parse(fake.m_out.str())["version"], "1.1");
-  EXPECT_EQ(fake.m_registry.View().m_history.back().Decode().change.author, "me");
+  EXPECT_EQ(fake.m_registry.View().m_history.back().Decode().change.author,
+            "me");
 }
 
 TEST(ClientTest, UnreachedControlLeavesTheDraftEditable)
