Pause VMs in the membership model, and test two lost disks beside an end

The model had no suspended VMs: a process that stands still, whose clock goes on and whose messages arrive when it runs again, may hold a lease that the others let expire. Now a step pauses any VM for up to 4 s.

--- a/libs/consensus/test/Cluster.h
+++ b/libs/consensus/test/Cluster.h
@@ -60,6 +60,7 @@
   };
   std::deque<Write> m_writes;
   std::map<MemberId, TimePoint> m_heardAt; // last message from each member
+  int64_t m_pausedUntilMs = 0; // the process stands still until then
   int64_t m_applied = 0;
   uint64_t m_appliedHash = 0; // over all applied entries in order
 };
@@ -173,9 +174,22 @@
     }
     node.m_writes.clear();
     node.m_heardAt.clear();
+    node.m_pausedUntilMs = 0;
     node.m_raft.reset();
   }
 
+  // The process stands still; its clock goes on, and what is sent to it arrives
+  // when it runs again.
+  void Pause(MemberId aId, int64_t aMs)
+  {
+    m_nodes.at(aId).m_pausedUntilMs = m_nowMs + aMs;
+  }
+
+  bool IsPaused(MemberId aId) const
+  {
+    return m_nodes.at(aId).m_pausedUntilMs > m_nowMs;
+  }
+
   void LoseDisk(MemberId aId)
   {
     Crash(aId);
@@ -375,7 +389,7 @@
       Deliver(packet);
     }
     for (auto& [id, node] : m_nodes) {
-      if (node.m_raft) {
+      if (node.m_raft && !IsPaused(id)) {
         CompleteWrites(node);
         node.m_raft->Tick(LocalTime(node));
         ExecuteActions(node);
@@ -391,6 +405,10 @@
     if (found == m_nodes.end() || !found->second.m_raft) {
       return;
     }
+    if (IsPaused(found->first)) {
+      m_packets.push_back({ found->second.m_pausedUntilMs, aPacket.m_bytes });
+      return;
+    }
     found->second.m_heardAt[message.value().fromMember] =
       LocalTime(found->second);
     found->second.m_raft->Receive(LocalTime(found->second), message.value());
--- a/libs/consensus/test/ManagedCluster.h
+++ b/libs/consensus/test/ManagedCluster.h
@@ -234,7 +234,8 @@
 
   bool AreConnected(MemberId aA, MemberId aB)
   {
-    return m_nodes.at(aA).m_raft && m_nodes.at(aB).m_raft &&
+    return m_nodes.at(aA).m_raft && m_nodes.at(aB).m_raft && !IsPaused(aA) &&
+           !IsPaused(aB) &&
            m_network.m_partition[aA] == m_network.m_partition[aB];
   }
 
@@ -274,7 +275,7 @@
   void Housekeep(MemberId aId, Vm& aVm)
   {
     FakeNode& node = m_nodes.at(aId);
-    if (!node.m_raft) {
+    if (!node.m_raft || IsPaused(aId)) {
       return;
     }
     const TimePoint now = Now(aId);
--- a/libs/consensus/test/MembershipModel_test.cpp
+++ b/libs/consensus/test/MembershipModel_test.cpp
@@ -1,8 +1,8 @@
 // Guards against acknowledged changes that are lost, two leaders of a term, two
 // clusters, and a group that ends for good, in any order of first start,
-// promotions, planned and silent replacements, restarts, cuts, slow disks and
-// disks lost at any moment, also at the moment at which a voter ends for good,
-// while one disk is lost at a time.
+// promotions, planned and silent replacements, restarts, cuts, pauses, slow
+// disks and disks lost at any moment, also at the moment at which a voter ends
+// for good, while one disk is lost at a time.
 #include "ManagedCluster.h"
 
 #include <gtest/gtest.h>
@@ -24,6 +24,7 @@
   ReplaceSilently,
   ReplaceSilentlyAndLoseDisk,
   Cut,
+  Pause,
   SlowDisks,
   BadNetwork,
 };
@@ -119,6 +120,11 @@
         m_cluster.RunManaged(argument * 4);
         network.m_partition.clear();
         break;
+      case StepKind::Pause:
+        m_hasDisturbed = true;
+        m_cluster.Pause(VmAt(argument), argument * 4);
+        m_cluster.RunManaged(argument * 3);
+        break;
       case StepKind::SlowDisks:
         network.m_maxSyncMs = argument / 2;
         break;
--- a/libs/consensus/test/SilentReplacement_test.cpp
+++ b/libs/consensus/test/SilentReplacement_test.cpp
@@ -78,5 +78,34 @@
                          EndAndLostDisk,
                          testing::ValuesIn(AllCases()));
 
+// The same with two tolerated losses: of six voters one ends and two lose their
+// disks.
+class EndAndTwoLostDisks : public testing::TestWithParam<size_t>
+{};
+
+TEST_P(EndAndTwoLostDisks, TheThreeOthersGoOn)
+{
+  ManagedCluster cluster(5, 2, GetParam());
+  ASSERT_TRUE(
+    cluster.RunManagedUntil([&] { return cluster.HasVoters(5); }, 15000));
+  cluster.AddVm();
+  cluster.RunManaged(ManagedCluster::kSyncMs + 1000);
+  ASSERT_TRUE(cluster.HasVoters(6));
+  ASSERT_NE(cluster.Accept(), 0);
+  std::vector<MemberId> voters = cluster.Voters();
+  std::rotate(voters.begin(),
+              voters.begin() + static_cast<long>(GetParam() % voters.size()),
+              voters.end());
+  cluster.Remove(voters[0]);
+  cluster.Kill(voters[1]);
+  cluster.Wipe(voters[2]);
+  cluster.Wipe(voters[1]);
+  EXPECT_NO_THROW(cluster.Recover());
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds,
+                         EndAndTwoLostDisks,
+                         testing::Range<size_t>(1, 13));
+
 } // namespace
 } // namespace wigeonfold::consensus
