Spread the voters over the availability zones

With a standby voter an even number of voters is usual, and a zone that holds half of them stops all decisions while it is cut off. The learner to promote was the one heard of last, whatever its zone: of 15 control VMs in five zones six voters could be of one zone. Evidence: MembershipPolicy.VotersAreSpreadOverTheZones, failing before (6 of 6 voters in one zone). LearnerNotHeardOfLatelyIsNoMatchForOneThatWas keeps the reason of the former rule: a learner that has just ended is not promoted on account of its zone. Change: learners heard of within three heartbeats go first, then those of the zone with the fewest voters, then the one heard of last.

--- a/libs/consensus/include/wigeonfold/consensus/MembershipPolicy.h
+++ b/libs/consensus/include/wigeonfold/consensus/MembershipPolicy.h
@@ -25,6 +25,8 @@
   // A voter without contact for this long is replaced by a learner that has
   // caught up. Longer than an election, so that a short stall replaces no one.
   Duration m_replaceAfter = std::chrono::milliseconds(1500);
+  // A member that is up has been heard of within this time: three heartbeats.
+  Duration m_recentContact = std::chrono::milliseconds(300);
   // A learner without contact for this long is removed.
   Duration m_removeAfter = std::chrono::seconds(30);
 };
@@ -53,7 +55,8 @@
 //   voters in contact form a quorum without it;
 // - a control VM in contact that is not a member is added as a learner;
 // - a learner that has caught up is promoted while fewer voters than m_voters,
-//   with the standby ones, stay, which are those that aren't stopping;
+//   with the standby ones, stay, which are those that aren't stopping; one of a
+//   zone with few voters first;
 // - a voter that is stopping, the leader itself among them, is demoted once
 //   m_voters others stay;
 // - a voter beyond m_voters and the standby ones is demoted, preferably one
--- a/libs/consensus/src/MembershipPolicy.cpp
+++ b/libs/consensus/src/MembershipPolicy.cpp
@@ -1,6 +1,7 @@
 #include "wigeonfold/consensus/MembershipPolicy.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace wigeonfold::consensus {
 
@@ -164,7 +165,26 @@
     return std::nullopt;
   }
 
-  // Of several the one heard of last: another one may have ended just now.
+  size_t VotersInZone(const std::string& aZone) const
+  {
+    const auto& members = m_membership.members;
+    return static_cast<size_t>(std::count_if(
+      members.begin(), members.end(), [&aZone](const wire::Member& aMember) {
+        return aMember.voter && aMember.availabilityZone == aZone;
+      }));
+  }
+
+  // The best learner has the least rank: one that was not heard of lately may
+  // have ended; then a zone with few voters goes first, so that a zone that is
+  // cut off takes few along; then the one heard of last.
+  std::tuple<bool, size_t, Duration> RankOf(const wire::Member& aLearner) const
+  {
+    const Duration silence = TimeSinceContact(aLearner.memberId);
+    return { silence > m_options.m_recentContact,
+             VotersInZone(aLearner.availabilityZone),
+             silence };
+  }
+
   const wire::Member* FindPromotableLearner() const
   {
     const wire::Member* best = nullptr;
@@ -173,9 +193,7 @@
       const bool isPromotable = !member.voter && InContact(id) &&
                                 !IsStopping(m_vms, id) &&
                                 m_caughtUp.count(id) > 0;
-      if (isPromotable &&
-          (best == nullptr ||
-           TimeSinceContact(id) < TimeSinceContact(best->memberId))) {
+      if (isPromotable && (best == nullptr || RankOf(member) < RankOf(*best))) {
         best = &member;
       }
     }
--- a/libs/consensus/test/MembershipPolicy_test.cpp
+++ b/libs/consensus/test/MembershipPolicy_test.cpp
@@ -153,6 +153,68 @@
   EXPECT_EQ(step->m_change.m_member.memberId, 4);
 }
 
+// Guards against a zone that holds half of the voters, so that nothing can be
+// decided while it is cut off.
+TEST_F(MembershipPolicy, VotersAreSpreadOverTheZones)
+{
+  m_options.m_voters = 5;
+  m_options.m_standbyVoters = 1;
+  for (MemberId id = 1; id <= 15; ++id) {
+    wire::Member& member = AddMember(id, id <= 3);
+    member.availabilityZone = id <= 6 ? "a" : "z" + std::to_string(id % 4);
+    m_caughtUp.insert(id);
+    // Those of zone a were heard of last.
+    m_vms[id].m_contactAt = m_now - (id <= 6 ? 10ms : 100ms);
+  }
+  ASSERT_TRUE(ApplyAllSteps());
+  std::map<std::string, int> votersByZone;
+  for (const wire::Member& member : m_membership.members) {
+    votersByZone[member.availabilityZone] += member.voter ? 1 : 0;
+  }
+  EXPECT_EQ(Voters().size(), 6U);
+  EXPECT_EQ(votersByZone["a"], 3); // of the beginning
+  for (const auto& [zone, voters] : votersByZone) {
+    EXPECT_LE(voters, zone == "a" ? 3 : 1) << zone;
+  }
+}
+
+// A learner that may have ended is not promoted on account of its zone.
+TEST_F(MembershipPolicy, LearnerNotHeardOfLatelyIsNoMatchForOneThatWas)
+{
+  AddMember(1, true).availabilityZone = "a";
+  AddMember(2, true).availabilityZone = "b";
+  AddMember(3, false).availabilityZone = "c";
+  AddMember(4, false).availabilityZone = "a";
+  m_caughtUp = { 1, 2, 3, 4 };
+  m_vms[3].m_contactAt = m_now - 600ms;
+  m_vms[4].m_contactAt = m_now - 50ms;
+  const auto step = Next();
+  ASSERT_TRUE(step);
+  EXPECT_EQ(step->m_change.m_member.memberId, 4);
+}
+
+// With a standby voter the group has one more than it needs, until one has no
+// contact; then the latter is demoted, and not another one.
+TEST_F(MembershipPolicy, StandbyVoterIsKeptWhileAllAreInContact)
+{
+  m_options.m_standbyVoters = 1;
+  for (const MemberId id : { 1, 2, 3 }) {
+    AddMember(id, true);
+  }
+  AddMember(4, false);
+  AddMember(5, false);
+  m_caughtUp = { 1, 2, 3, 4, 5 };
+  ASSERT_TRUE(ApplyAllSteps());
+  EXPECT_EQ(Voters().size(), 4U);
+  m_now += m_options.m_replaceAfter;
+  for (const MemberId id : { 1, 2, 4, 5 }) {
+    SetContact(id, m_now);
+  }
+  ASSERT_TRUE(ApplyAllSteps());
+  EXPECT_EQ(Voters().size(), 4U);
+  EXPECT_EQ(Voters().count(3), 0U);
+}
+
 TEST_F(MembershipPolicy, KeepsAnUnreachableVoterWithoutAReplacement)
 {
   AddMember(1, true);
