--- a/libs/consensus/include/wigeonfold/consensus/LostDisks.h
+++ b/libs/consensus/include/wigeonfold/consensus/LostDisks.h
@@ -37,6 +37,10 @@
     TimePoint m_since;
   };
 
+  // Precondition: aId is a known member.
+  bool IsLost(MemberId aId,
+              const std::map<MemberId, ControlVmState>& aVms) const;
+
   std::map<MemberId, KnownMember> m_members;
 };
 
--- a/libs/consensus/src/LostDisks.cpp
+++ b/libs/consensus/src/LostDisks.cpp
@@ -20,19 +20,23 @@
   m_members = std::move(members);
 }
 
+bool LostDisks::IsLost(MemberId aId,
+                       const std::map<MemberId, ControlVmState>& aVms) const
+{
+  const KnownMember& member = m_members.at(aId);
+  return std::any_of(aVms.begin(), aVms.end(), [&](const auto& aVm) {
+    const ControlVmState& vm = aVm.second;
+    return aVm.first != aId && vm.m_hello.peerAddress == member.m_peerAddress &&
+           vm.m_dialedAt && *vm.m_dialedAt > member.m_since;
+  });
+}
+
 std::set<MemberId> LostDisks::Find(
   const std::map<MemberId, ControlVmState>& aVms) const
 {
   std::set<MemberId> lost;
   for (const auto& [id, member] : m_members) {
-    const bool isLost = std::any_of(
-      aVms.begin(), aVms.end(), [&, memberId = id](const auto& aVm) {
-        const ControlVmState& vm = aVm.second;
-        return aVm.first != memberId &&
-               vm.m_hello.peerAddress == member.m_peerAddress &&
-               vm.m_dialedAt && *vm.m_dialedAt > member.m_since;
-      });
-    if (isLost) {
+    if (IsLost(id, aVms)) {
       lost.insert(id);
     }
   }
