Know lost disks of members that were in the log at the start

After a restart a member's LostDisks took the members of its own log for new ones, at its first housekeeping. The connection to a VM with a lost disk is opened before that and stays open, so it proved nothing, for good: a voter ends for good, a disk is lost, all others are killed and back, and no leader is elected. Evidence: found by reading; the model took each hello for a new connection. Change: the members of the log at the start count as known before every connection of the process.

--- a/apps/wigeonfold-control/Core.cpp
+++ b/apps/wigeonfold-control/Core.cpp
@@ -59,6 +59,7 @@
   , m_onFailure(std::move(aOnFailure))
   , m_startedEmpty(IsEmpty(aInitial))
   , m_raft(aSettings.m_raft, std::move(aInitial), aSeed, Clock::now())
+  , m_lostDisks(m_raft.CurrentMembership(), m_raft.PreviousMembership())
   , m_changeGate(aSettings.m_toleratedLosses, aSettings.m_policy)
 {
 }
--- a/libs/consensus/include/wigeonfold/consensus/LostDisks.h
+++ b/libs/consensus/include/wigeonfold/consensus/LostDisks.h
@@ -20,6 +20,14 @@
 class LostDisks
 {
 public:
+  LostDisks() = default;
+  // With the memberships in this VM's log at its start, before it opens any
+  // connection.
+  LostDisks(const wire::Membership& aCurrent, const wire::Membership& aPrevious)
+  {
+    Update(aCurrent, aPrevious, TimePoint::min());
+  }
+
   // Call with the newest membership in this VM's log, and the one before it
   // while the newest is uncommitted, at the time at which they are seen.
   void Update(const wire::Membership& aCurrent,
--- a/libs/consensus/test/LostDisks_test.cpp
+++ b/libs/consensus/test/LostDisks_test.cpp
@@ -69,6 +69,17 @@
   EXPECT_TRUE(m_disks.Find(m_vms).empty());
 }
 
+// A connection that is opened right after the start stays open, and is the only
+// proof that there will be.
+TEST_F(LostDisksTest, MembersOfTheLogAtTheStartAreOlderThanAllConnections)
+{
+  const wire::Membership membership = MembershipOf({ 1, 2, 3 });
+  m_disks = LostDisks(membership, membership);
+  Answer(20, m_start);
+  Update(membership, m_start + 100ms);
+  EXPECT_EQ(m_disks.Find(m_vms), std::set<MemberId>{ 2 });
+}
+
 TEST_F(LostDisksTest, HelloOfAnIncomingConnectionProvesNothing)
 {
   Update(MembershipOf({ 1, 2, 3 }), m_start);
--- a/libs/consensus/test/ManagedCluster.h
+++ b/libs/consensus/test/ManagedCluster.h
@@ -49,6 +49,16 @@
     m_vms.at(aId).m_stopSince.reset();
   }
 
+  void Start(MemberId aId)
+  {
+    if (!m_nodes.at(aId).m_raft) {
+      Cluster::Start(aId);
+      const Raft& raft = *m_nodes.at(aId).m_raft;
+      m_vms.at(aId).m_lostDisks =
+        LostDisks(raft.CurrentMembership(), raft.PreviousMembership());
+    }
+  }
+
   // Never comes back.
   void Remove(MemberId aId)
   {
@@ -255,7 +265,8 @@
         known.m_hello = hello;
         known.m_helloAt = now;
         known.m_contactAt = now;
-        known.m_dialedAt = now;
+        // The connection stays open, so it began with the first hello.
+        known.m_dialedAt = known.m_dialedAt.value_or(now);
       } else if (FindMember(membership, other) == nullptr) {
         known.m_contactAt = now;
       }
