Distrust a target for bytes that begin no answer only

Cause: any byte on an idle connection counted. A copy is told from the next answer by the request that it names, and skipped, as before. Change: only bytes that begin no answer ("HTTP/") count. The test of the rule passes 3 of 3, wigeonfold-node_Forwarding_test as well.

--- a/apps/wigeonfold-node/TargetPool.cpp
+++ b/apps/wigeonfold-node/TargetPool.cpp
@@ -34,15 +34,16 @@
 // For targets that don't announce when they close idle connections.
 constexpr Duration kDefaultIdleLimit = std::chrono::seconds(4);
 
-// For this long after a target sent bytes that belong to no request, each
-// request to it gets a connection of its own.
+// For this long after a target sent bytes that are no answer to any request,
+// each request to it gets a connection of its own.
 constexpr Duration kSurplusMemory = std::chrono::seconds(10);
 
 // What the connections of a pool have in common.
 struct TargetConduct
 {
-  // When the target last sent bytes beyond an answer. They may arrive after the
-  // next request was written, and are then taken for its answer.
+  // When the target last sent bytes beyond an answer that begin no other one.
+  // They may arrive after the next request was written, and are then taken for
+  // its answer.
   std::optional<TimePoint> m_surplusAt;
 
   bool HasSentSurplus(TimePoint aNow) const
@@ -133,11 +134,11 @@
   // target closed it or sent bytes that answer no request.
   bool IsQuiet()
   {
-    char byte = 0;
+    std::array<char, 5> bytes{};
     boost::system::error_code code;
-    const size_t bytes =
-      m_socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, code);
-    if (!code && bytes > 0) {
+    const size_t count =
+      m_socket.receive(asio::buffer(bytes), tcp::socket::message_peek, code);
+    if (!code && !BeginsAnswer({ bytes.data(), count })) {
       m_conduct->m_surplusAt = Clock::now();
     }
     return code == asio::error::would_block || code == asio::error::try_again;
@@ -300,6 +301,14 @@
     Finish(std::move(exchange));
   }
 
+  // A late copy of an answer is told from the answer to the next request by the
+  // request that it names, so it gives no reason for distrust.
+  static bool BeginsAnswer(std::string_view aBytes)
+  {
+    constexpr std::string_view kVersion = "HTTP/";
+    return aBytes == kVersion.substr(0, aBytes.size());
+  }
+
   static bool IsMalformed(const boost::system::error_code& aCode)
   {
     return aCode.category() ==
