Refuse an answer without a length that is reset during the upload

Callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got the part as a complete answer; a 503 that says "not run" or a 500 that was cut short the same way came through too. Cause: TargetPool wrote by an asynchronous operation beside its read. The system reports a reset once; when the write took it, the read saw the same end as after an orderly close, and the result of the write reached the connection only later, if at all. Ruled out: answers with a length or in chunks (they fail when cut short) and resets without an upload under way (the read gets the error). Change: the connection writes in its own handlers, so each write error is known before any later read. After one, the end of the connection ends the answer only if the write failed with EPIPE: then the upstream had ended its sending before it reset the connection. The test's target has small buffers: on loopback the socket else accepts 2.8 MB, and the fault does not show.

--- a/apps/wigeonfold-node/TargetPool.cpp
+++ b/apps/wigeonfold-node/TargetPool.cpp
@@ -92,27 +92,14 @@
     m_request = std::move(aRequest.m_call);
     m_originOf = std::move(aRequest.m_originOf);
     m_done = std::move(aDone);
+    m_sent = 0;
     m_written = false;
+    m_writeError.clear();
     m_skipped = 0;
     m_interimAnswers = 0;
     PrepareHead(aRequest.m_extra);
     Read();
-    const size_t sent = net::SendNow(m_socket, { m_head, m_request->body });
-    if (sent == m_head.size() + m_request->body.size()) {
-      m_written = true;
-      return;
-    }
-    const size_t headSent = std::min(sent, m_head.size());
-    const std::array<asio::const_buffer, 2> rest{
-      asio::buffer(m_head) + headSent,
-      asio::buffer(m_request->body) + (sent - headSent)
-    };
-    asio::async_write(m_socket,
-                      rest,
-                      [self = shared_from_this(),
-                       sent](boost::system::error_code aCode, size_t aBytes) {
-                        self->OnWritten(aCode, sent + aBytes);
-                      });
+    Write();
   }
 
   void Close() override
@@ -185,6 +172,64 @@
     m_head.append(aName).append(": ").append(aValue).append("\r\n");
   }
 
+  // Writes what the socket accepts, and the rest once it accepts more. Each
+  // write happens here, in the same handler as its result, since the read that
+  // sees the end of the connection has to know of an earlier write error.
+  void Write()
+  {
+    const std::string_view head = m_head;
+    const std::string_view body = m_request->body;
+    const size_t ofHead = std::min(m_sent, head.size());
+    boost::system::error_code code;
+    m_sent += net::SendNow(
+      m_socket, { head.substr(ofHead), body.substr(m_sent - ofHead) }, code);
+    if (m_sent == head.size() + body.size()) {
+      m_written = true;
+    } else if (code && code != asio::error::would_block) {
+      OnWriteFailed(code);
+    } else {
+      WaitToWrite();
+    }
+  }
+
+  void WaitToWrite()
+  {
+    m_socket.async_wait(
+      tcp::socket::wait_write,
+      [self = shared_from_this()](boost::system::error_code aCode) {
+        if (!aCode && self->m_done) {
+          self->Write();
+        }
+      });
+  }
+
+  // If a part was written the target may still answer, so the read determines
+  // the result. If no byte was written no answer can come.
+  void OnWriteFailed(const boost::system::error_code& aCode)
+  {
+    m_writeError = aCode;
+    if (m_sent > 0) {
+      return;
+    }
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+      if (self->m_done) {
+        Exchange exchange;
+        exchange.m_anyByteWritten = false;
+        self->Finish(std::move(exchange));
+      }
+    });
+  }
+
+  // Whether the target ended the connection in good order, when a read sees its
+  // end. The system reports a reset once, to a write or to a read; after a
+  // write took it, a read sees the same as after an orderly end. The write
+  // fails with broken_pipe if the target had ended its sending before it reset
+  // the connection, and the answer is whole then.
+  bool HasEndedInOrder() const
+  {
+    return !m_writeError || m_writeError == asio::error::broken_pipe;
+  }
+
   void Read()
   {
     m_parser.emplace();
@@ -217,7 +262,7 @@
       return;
     }
     if (code) {
-      if (code == asio::error::eof) {
+      if (code == asio::error::eof && HasEndedInOrder()) {
         net::EndParser(*m_parser, code);
       }
       OnRead(code);
@@ -243,18 +288,6 @@
     OnRead(code);
   }
 
-  void OnWritten(const boost::system::error_code& aCode, size_t aBytes)
-  {
-    m_written = !aCode;
-    // If a part was written the target may still answer, so the read determines
-    // the result. If no byte was written no answer can come.
-    if (aCode && aBytes == 0 && m_done) {
-      Exchange exchange;
-      exchange.m_anyByteWritten = false;
-      Finish(std::move(exchange));
-    }
-  }
-
   void OnRead(const boost::system::error_code& aCode)
   {
     if (!m_done) {
@@ -335,8 +368,7 @@
   }
 
   // False if the answer has no length and ends when the connection closes. Such
-  // an answer counts as complete only after an orderly close, since a reset
-  // fails the read.
+  // an answer counts as complete only after an orderly close.
   bool IsDelimited(int aStatus) const
   {
     const bool empty = aStatus == kNoContent || aStatus == kNotModified ||
@@ -377,9 +409,7 @@
 
   void Finish(Exchange aExchange)
   {
-    if (m_written) {
-      m_request = nullptr; // until then the write still reads the body
-    }
+    m_request = nullptr;
     std::exchange(m_done, nullptr)(std::move(aExchange));
   }
 
@@ -387,8 +417,10 @@
   asio::steady_timer m_timer;
   const uint64_t m_generation;
   const std::shared_ptr<TargetConduct> m_conduct;
-  std::string m_head;     // of the request in progress
-  std::string m_received; // not parsed yet
+  std::string m_head;                     // of the request in progress
+  size_t m_sent = 0;                      // bytes of the request
+  boost::system::error_code m_writeError; // of the request, if any
+  std::string m_received;                 // not parsed yet
   std::shared_ptr<const wire::CallRequest> m_request;
   std::optional<Parser> m_parser;
   std::function<void(Exchange)> m_done;
--- /dev/null
+++ b/apps/wigeonfold-node/test/BrokenAnswers_test.cpp
@@ -0,0 +1,141 @@
+// A target in trouble sends answers that are cut short. Guards against a caller
+// that gets a part of one as a whole answer, and against sound answers that are
+// refused with them.
+#include "TestNodes.h"
+
+namespace wigeonfold::node {
+namespace {
+
+// Far more than the small buffers of a target take.
+constexpr size_t kUploadBytes = 900'000;
+// Longer than any of the tests waits; the answer to a request that reaches it
+// is 504.
+constexpr const char* kLongDeadlineMs = "15000";
+
+const std::string kOk = "HTTP/1.1 200 OK\r\n";
+const std::string kOpenEnded = kOk + "X-Seal: s\r\n\r\nthe first part";
+const std::string kChunked = "Transfer-Encoding: chunked\r\n";
+
+std::string NameOf(const auto& aInfo)
+{
+  return std::string(aInfo.param.m_name);
+}
+
+class BrokenAnswersFixture : public TestNodes
+{
+protected:
+  BrokenAnswersFixture() { m_hasSmallBuffers = true; }
+
+  // The first request gets the reaction, all others a whole answer.
+  TestTarget& ServeFirst(const Reaction& aReaction)
+  {
+    return ServeAtPeer([aReaction](int aNumber, const std::string&) {
+      return aNumber == 0 ? aReaction : Reaction{ CompleteAnswer("next") };
+    });
+  }
+
+  static net::HttpRequest Upload()
+  {
+    net::HttpRequest request =
+      Post("/lots", { { kDeadlineHeader, kLongDeadlineMs } });
+    request.m_body = std::string(kUploadBytes, 'u');
+    return request;
+  }
+
+  // The answer is the node's own, the request may have run, and the next one
+  // gets its own answer.
+  void ExpectRefused(size_t aNode, const net::HttpResponse& aAnswer)
+  {
+    EXPECT_EQ(aAnswer.m_status, 502) << FieldOf(aAnswer, kReasonHeader);
+    EXPECT_EQ(FieldOf(aAnswer, kRunHeader), "unknown");
+    EXPECT_NE(FieldOf(aAnswer, kReasonHeader), "");
+    EXPECT_EQ(FieldOf(aAnswer, "X-Seal"), "");
+    EXPECT_EQ(Call(aNode, Post("/lots")).m_body, "next");
+  }
+};
+
+// ---- Answers during an upload ----------------------------------------------
+
+struct UploadCase
+{
+  const char* m_name;
+  Reaction m_reaction;
+  std::string m_body; // that the caller gets; empty: the answer is refused
+};
+
+Reaction Ending(std::string aBytes,
+                Duration aDelay,
+                bool aReset,
+                bool aEndSending = false)
+{
+  Reaction reaction{ std::move(aBytes), true };
+  reaction.m_endDelay = aDelay;
+  reaction.m_reset = aReset;
+  reaction.m_endSending = aEndSending;
+  return reaction;
+}
+
+std::vector<UploadCase> UploadCases()
+{
+  Reaction readsOn = Ending(kOpenEnded, 0ms, false, true);
+  readsOn.m_close = false;
+  const std::string shed =
+    "HTTP/1.1 503 X\r\nWigeonfold-Run: not-run\r\nX-Seal: s\r\n\r\nbusy";
+  const std::string failure =
+    "HTTP/1.1 500 X\r\nX-Seal: s\r\n\r\nthe first part";
+  const std::string whole = kOk + "X-Seal: s\r\nContent-Length: 5\r\n\r\nwhole";
+  return {
+    { "ResetAtOnce", Ending(kOpenEnded, 0ms, true), "" },
+    { "ResetAfter10ms", Ending(kOpenEnded, 10ms, true), "" },
+    { "ResetAfter50ms", Ending(kOpenEnded, 50ms, true), "" },
+    { "ResetAfter200ms", Ending(kOpenEnded, 200ms, true), "" },
+    { "ResetAfter500ms", Ending(kOpenEnded, 500ms, true), "" },
+    { "ClosedWithUnreadBytes", Ending(kOpenEnded, 50ms, false), "" },
+    { "RefusalThatIsReset", Ending(shed, 50ms, true), "" },
+    { "FailureThatIsReset", Ending(failure, 50ms, true), "" },
+    { "HeadThatIsReset", Ending(kOk + "X-Seal: s\r\n\r\n", 50ms, true), "" },
+    { "LengthCutShort",
+      Ending(kOk + "X-Seal: s\r\nContent-Length: 90\r\n\r\nhalf", 50ms, true),
+      "" },
+    { "ChunksCutShort",
+      Ending(kOk + kChunked + "X-Seal: s\r\n\r\n4\r\nhalf\r\n", 50ms, true),
+      "" },
+    { "WholeThenReset", Ending(whole, 0ms, true), "whole" },
+    { "WholeThenResetLater", Ending(whole, 50ms, true), "whole" },
+    { "WholeAndOpen", Reaction{ whole }, "whole" },
+    { "OrderlyEndAndReadsOn", readsOn, "the first part" },
+    { "OrderlyEndThenReset",
+      Ending(kOpenEnded, 50ms, true, true),
+      "the first part" },
+  };
+}
+
+class AnswersDuringUploads
+  : public BrokenAnswersFixture
+  , public testing::WithParamInterface<UploadCase>
+{};
+
+// The system reports a reset once. Where the write of the upload takes it, the
+// read sees the same as after an orderly end.
+TEST_P(AnswersDuringUploads, CountOnlyWhole)
+{
+  for (const size_t node : { 0U, 1U }) {
+    ServeFirst(GetParam().m_reaction);
+    const auto answer = Call(node, Upload());
+    if (GetParam().m_body.empty()) {
+      ExpectRefused(node, answer);
+      continue;
+    }
+    ExpectOutcome(answer, 200, "run", "");
+    EXPECT_EQ(answer.m_body, GetParam().m_body);
+    EXPECT_EQ(FieldOf(answer, "X-Seal"), "s");
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases,
+                         AnswersDuringUploads,
+                         testing::ValuesIn(UploadCases()),
+                         [](const auto& aInfo) { return NameOf(aInfo); });
+
+} // namespace
+} // namespace wigeonfold::node
--- a/apps/wigeonfold-node/test/EndlessAnswers_test.cpp
+++ b/apps/wigeonfold-node/test/EndlessAnswers_test.cpp
@@ -90,7 +90,7 @@
     Reaction reaction;
     reaction.m_bytes = CompleteAnswer(std::to_string(aNumber));
     reaction.m_endless = "no answer at all\r\n";
-    reaction.m_endlessDelay = std::chrono::milliseconds(40);
+    reaction.m_endDelay = std::chrono::milliseconds(40);
     return reaction;
   });
   int failed = 0;
--- a/apps/wigeonfold-node/test/TestNodes.h
+++ b/apps/wigeonfold-node/test/TestNodes.h
@@ -11,6 +11,7 @@
 #include <boost/asio.hpp>
 #include <future>
 #include <gtest/gtest.h>
+#include <netinet/tcp.h>
 #include <thread>
 
 namespace wigeonfold::node {
@@ -30,10 +31,13 @@
 {
   std::string m_bytes; // written in one piece
   bool m_close = false;
-  Duration m_delay{};        // before anything is written
-  bool m_reset = false;      // the close is a reset
-  std::string m_endless;     // then written until the connection is closed
-  Duration m_endlessDelay{}; // between the two
+  Duration m_delay{};    // before anything is written
+  bool m_reset = false;  // the close is a reset
+  std::string m_endless; // then written until the connection is closed
+  Duration m_endDelay{}; // between the bytes and what follows
+  // Ends the sending, before a close if there is one. Without a close the rest
+  // of the request is then read.
+  bool m_endSending = false;
 };
 
 inline std::string CompleteAnswer(const std::string& aBody)
@@ -50,11 +54,24 @@
 public:
   using Script =
     std::function<Reaction(int aNumber, const std::string& aRequest)>;
-
-  TestTarget(asio::io_context& aIo, Script aScript)
+  static constexpr int kEthernetSegmentBytes = 1460;
+  static constexpr int kSmallBufferBytes = 4096;
+
+  // aHasSmallBuffers: a body that the target doesn't read stays with the
+  // sender. On loopback its socket would else accept some MiB.
+  TestTarget(asio::io_context& aIo,
+             Script aScript,
+             bool aHasSmallBuffers = false)
     : m_acceptor(aIo, { asio::ip::make_address("127.0.0.1"), 0 })
     , m_script(std::move(aScript))
   {
+    if (aHasSmallBuffers) {
+      using SegmentSize =
+        asio::detail::socket_option::integer<IPPROTO_TCP, TCP_MAXSEG>;
+      m_acceptor.set_option(SegmentSize(kEthernetSegmentBytes));
+      m_acceptor.set_option(
+        asio::socket_base::receive_buffer_size(kSmallBufferBytes));
+    }
     Accept();
   }
 
@@ -123,23 +140,32 @@
         aClient->m_socket,
         asio::buffer(aClient->m_out),
         [this, aClient, aReaction](auto, size_t) {
-          if (aReaction.m_reset) {
-            aClient->m_socket.set_option(asio::socket_base::linger(true, 0));
-          }
-          if (aReaction.m_close) {
-            aClient->m_socket.close();
-          } else if (!aReaction.m_endless.empty()) {
-            aClient->m_out = aReaction.m_endless;
-            aClient->m_timer.expires_after(aReaction.m_endlessDelay);
-            aClient->m_timer.async_wait(
-              [this, aClient](auto) { WriteEndlessly(aClient); });
-          } else {
-            Read(aClient);
-          }
+          aClient->m_timer.expires_after(aReaction.m_endDelay);
+          aClient->m_timer.async_wait(
+            [this, aClient, aReaction](auto) { End(aClient, aReaction); });
         });
     });
   }
 
+  void End(const ClientPtr& aClient, const Reaction& aReaction)
+  {
+    boost::system::error_code ignored;
+    if (aReaction.m_endSending) {
+      aClient->m_socket.shutdown(asio::socket_base::shutdown_send, ignored);
+    }
+    if (aReaction.m_reset) {
+      aClient->m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
+    if (aReaction.m_close) {
+      aClient->m_socket.close(ignored);
+    } else if (!aReaction.m_endless.empty()) {
+      aClient->m_out = aReaction.m_endless;
+      WriteEndlessly(aClient);
+    } else {
+      Read(aClient);
+    }
+  }
+
   void WriteEndlessly(const ClientPtr& aClient)
   {
     asio::async_write(aClient->m_socket,
@@ -341,7 +367,8 @@
                           const std::vector<Setting>& aSettings = {})
   {
     RunOnIoThread([&] {
-      m_target = std::make_unique<TestTarget>(m_io, std::move(aScript));
+      m_target = std::make_unique<TestTarget>(
+        m_io, std::move(aScript), m_hasSmallBuffers);
     });
     Announce(1, m_target->Port(), aSlots);
     SetView({ EndpointOf(1) }, aSettings);
@@ -387,6 +414,7 @@
   Duration m_maxReportDelay{};
   identity::LeaseSettings m_keyLease;
   bool m_speaksPlatform = false;
+  bool m_hasSmallBuffers = false; // targets that are started from now on
   asio::io_context m_io{ 1 };
   asio::executor_work_guard<asio::io_context::executor_type> m_guard;
   EventLog m_log;
--- a/libs/net/include/wigeonfold/net/SocketIo.h
+++ b/libs/net/include/wigeonfold/net/SocketIo.h
@@ -25,12 +25,14 @@
                             boost::system::error_code& aCode);
 
 // Writes the parts in order without waiting, and returns how many bytes the
-// socket accepted; 0 on an error. The next asynchronous write then reports the
-// error, so that no handler is called from within the caller's send.
+// socket accepted; 0 on an error, which aCode tells: would_block if the socket
+// accepts none yet. A write that follows an error reports an error as well,
+// though perhaps another one.
 //
 // Precondition: the socket is non-blocking. Thread safe for different sockets.
 size_t SendNow(boost::asio::ip::tcp::socket& aSocket,
-               std::initializer_list<std::string_view> aParts);
+               std::initializer_list<std::string_view> aParts,
+               boost::system::error_code& aCode);
 
 // Limit of the bytes that a parser leaves unconsumed after the head. Beast
 // takes chunk sizes, chunk extensions and trailers only as a whole and does not
--- a/libs/net/src/Connection.cpp
+++ b/libs/net/src/Connection.cpp
@@ -197,7 +197,8 @@
       return;
     }
     m_writing.swap(m_queued);
-    const size_t sent = SendNow(m_socket, { m_writing });
+    boost::system::error_code ignored; // the next write fails as well
+    const size_t sent = SendNow(m_socket, { m_writing }, ignored);
     m_sent += sent;
     if (sent == m_writing.size()) {
       m_writing.clear();
--- a/libs/net/src/HttpSession.cpp
+++ b/libs/net/src/HttpSession.cpp
@@ -532,7 +532,8 @@
   WriteHead(aExchange);
   m_body = aExchange.m_isHead ? std::string()
                               : std::move(aExchange.m_response->m_body);
-  const size_t sent = SendNow(m_socket, { m_head, m_body });
+  boost::system::error_code ignored; // the next write fails as well
+  const size_t sent = SendNow(m_socket, { m_head, m_body }, ignored);
   if (sent == m_head.size() + m_body.size()) {
     OnSent({});
     return;
--- a/libs/net/src/SocketIo.cpp
+++ b/libs/net/src/SocketIo.cpp
@@ -17,16 +17,16 @@
 }
 
 size_t SendNow(boost::asio::ip::tcp::socket& aSocket,
-               std::initializer_list<std::string_view> aParts)
+               std::initializer_list<std::string_view> aParts,
+               boost::system::error_code& aCode)
 {
   std::vector<boost::asio::const_buffer> buffers;
   buffers.reserve(aParts.size());
   for (const std::string_view part : aParts) {
     buffers.emplace_back(part.data(), part.size());
   }
-  boost::system::error_code code;
-  const size_t bytes = aSocket.send(buffers, 0, code);
-  return code ? 0 : bytes;
+  const size_t bytes = aSocket.send(buffers, 0, aCode);
+  return aCode ? 0 : bytes;
 }
 
 } // namespace wigeonfold::net
