Read the target's answers through net::AnswerReader

Cause: parsing, interim answers and limits of answers stood in TargetPool, and HttpPool and HttpClient read answers by other code, so a fault of one place was mended there only. Change: the parsing of TargetPool becomes net::AnswerReader, which does no I/O and says what is wrong with a broken answer, escaped and bounded.

--- a/apps/wigeonfold-node/TargetPool.cpp
+++ b/apps/wigeonfold-node/TargetPool.cpp
@@ -1,6 +1,6 @@
 #include "TargetPool.h"
 
-#include "wigeonfold/net/Http.h"
+#include "wigeonfold/net/AnswerReader.h"
 #include "wigeonfold/net/SocketIo.h"
 
 #include <utility>
@@ -8,27 +8,19 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio.hpp>
-#include <boost/beast/http.hpp>
 #include <optional>
 
 namespace wigeonfold::node {
 
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
 using asio::ip::tcp;
 
 namespace {
 
-using Parser = http::response_parser<http::string_body>;
+using ReadResult = net::AnswerReader::Result;
 
-constexpr int kSwitchingProtocols = 101;
-constexpr int kFirstFinalStatus = 200;
-constexpr int kNoContent = 204;
-constexpr int kNotModified = 304;
 // Answers to earlier requests that are skipped before the connection is closed.
 constexpr int kMaxSkipped = 2;
-// Interim answers (status 1xx) to one request before the connection is closed.
-constexpr int kMaxInterimAnswers = 16;
 const std::string kTimeoutParameter = "timeout=";
 constexpr int64_t kMaxKeepAliveSeconds = 3600;
 // For targets that don't announce when they close idle connections.
@@ -96,9 +88,9 @@
     m_written = false;
     m_writeError.clear();
     m_skipped = 0;
-    m_interimAnswers = 0;
     PrepareHead(aRequest.m_extra);
-    Read();
+    m_reader.Begin(m_request->method == "HEAD");
+    WaitForBytes();
     Write();
   }
 
@@ -230,18 +222,6 @@
     return !m_writeError || m_writeError == asio::error::broken_pipe;
   }
 
-  void Read()
-  {
-    m_parser.emplace();
-    m_parser->body_limit(net::kMaxBodyBytes);
-    m_parser->skip(m_request->method == "HEAD");
-    if (m_received.empty()) {
-      WaitForBytes();
-    } else {
-      Parse(); // bytes received after a skipped answer
-    }
-  }
-
   void WaitForBytes()
   {
     m_socket.async_wait(
@@ -261,66 +241,38 @@
       WaitForBytes();
       return;
     }
-    if (code) {
-      if (code == asio::error::eof && HasEndedInOrder()) {
-        net::EndParser(*m_parser, code);
-      }
-      OnRead(code);
-      return;
-    }
-    m_received.append(bytes);
-    Parse();
+    OnRead(code ? m_reader.End(code == asio::error::eof && HasEndedInOrder())
+                : m_reader.Add(bytes));
   }
 
-  void Parse()
+  void OnRead(ReadResult aResult)
   {
-    boost::system::error_code code;
-    const size_t used = net::FeedParser(*m_parser, m_received, code);
-    m_received.erase(0, used);
-    if (!code && !m_parser->is_done()) {
-      if (m_received.size() > net::kMaxUnparsedBytes) {
-        FinishUnusable();
-      } else {
+    switch (aResult) {
+      case ReadResult::Incomplete:
         WaitForBytes();
-      }
-      return;
+        break;
+      case ReadResult::Whole:
+        OnAnswer();
+        break;
+      case ReadResult::Broken:
+        OnBroken();
+        break;
+      case ReadResult::Missing:
+        Finish(Exchange{});
+        break;
     }
-    OnRead(code);
   }
 
-  void OnRead(const boost::system::error_code& aCode)
+  void OnAnswer()
   {
-    if (!m_done) {
-      return;
-    }
-    Exchange exchange;
-    if (aCode) {
-      if (aCode == http::error::body_limit) {
-        exchange.m_kind = Exchange::Kind::Unusable;
-      } else if (m_hasAnswered && !m_parser->is_header_done() &&
-                 IsMalformed(aCode)) {
-        m_conduct->m_surplusAt = Clock::now();
-      }
-      Finish(std::move(exchange));
-      return;
-    }
     m_hasAnswered = true;
-    const int status = m_parser->get().result_int();
-    if (status < kFirstFinalStatus && status != kSwitchingProtocols) {
-      if (++m_interimAnswers > kMaxInterimAnswers) {
-        FinishUnusable();
-      } else {
-        Read();
-      }
-      return;
-    }
-    exchange.m_kind = status == kSwitchingProtocols ? Exchange::Kind::Unusable
-                                                    : Exchange::Kind::Answer;
+    Exchange exchange;
+    exchange.m_kind = Exchange::Kind::Answer;
     exchange.m_reusable =
-      m_written && m_received.empty() && m_parser->keep_alive();
-    const bool delimited = IsDelimited(status);
-    m_idleLimit = KeepAliveLimit();
+      m_written && !m_reader.HasSurplus() && m_reader.KeepsConnection();
+    const bool delimited = m_reader.IsDelimited();
     TakeAnswer(exchange);
+    m_idleLimit = KeepAliveLimit(exchange.m_headers);
     const forwarding::AnswerOrigin origin =
       m_originOf ? m_originOf(exchange.m_headers)
                  : forwarding::AnswerOrigin::Unnamed;
@@ -334,6 +286,21 @@
     Finish(std::move(exchange));
   }
 
+  void OnBroken()
+  {
+    const net::AnswerFault fault = m_reader.Fault().m_fault;
+    if (m_hasAnswered && !m_reader.IsHeadRead() &&
+        fault != net::AnswerFault::CutShort) {
+      m_conduct->m_surplusAt = Clock::now();
+    }
+    Exchange exchange;
+    exchange.m_kind = fault == net::AnswerFault::CutShort ||
+                          fault == net::AnswerFault::Malformed
+                        ? Exchange::Kind::Lost
+                        : Exchange::Kind::Unusable;
+    Finish(std::move(exchange));
+  }
+
   // A late copy of an answer is told from the answer to the next request by the
   // request that it names, so it gives no reason for distrust.
   static bool BeginsAnswer(std::string_view aBytes)
@@ -342,51 +309,29 @@
     return aBytes == kVersion.substr(0, aBytes.size());
   }
 
-  static bool IsMalformed(const boost::system::error_code& aCode)
-  {
-    return aCode.category() ==
-             make_error_code(http::error::bad_version).category() &&
-           aCode != http::error::end_of_stream &&
-           aCode != http::error::partial_message;
-  }
-
-  void FinishUnusable()
-  {
-    Exchange exchange;
-    exchange.m_kind = Exchange::Kind::Unusable;
-    Finish(std::move(exchange));
-  }
-
   // Discards an answer to another request and reads the next one.
   void Skip(bool aDelimited)
   {
     if (aDelimited && ++m_skipped <= kMaxSkipped) {
-      Read();
+      m_reader.Begin(m_request->method == "HEAD");
+      OnRead(m_reader.Add({})); // bytes behind the skipped answer
     } else {
       Finish(Exchange{});
     }
   }
 
-  // False if the answer has no length and ends when the connection closes. Such
-  // an answer counts as complete only after an orderly close.
-  bool IsDelimited(int aStatus) const
-  {
-    const bool empty = aStatus == kNoContent || aStatus == kNotModified ||
-                       m_request->method == "HEAD";
-    return empty || m_parser->chunked() || m_parser->content_length();
-  }
-
   // How long the connection may be idle without the target closing it.
-  Duration KeepAliveLimit() const
+  static Duration KeepAliveLimit(const std::vector<wire::HeaderField>& aFields)
   {
-    const std::string value(m_parser->get()["Keep-Alive"]);
-    const size_t at = value.find(kTimeoutParameter);
+    const std::string* value = forwarding::FindField(aFields, "Keep-Alive");
+    const size_t at =
+      value == nullptr ? std::string::npos : value->find(kTimeoutParameter);
     if (at == std::string::npos) {
       return kDefaultIdleLimit;
     }
-    const auto seconds = forwarding::ParseNumber(value.substr(
+    const auto seconds = forwarding::ParseNumber(value->substr(
       at + kTimeoutParameter.size(),
-      value.find_first_not_of("0123456789", at + kTimeoutParameter.size()) -
+      value->find_first_not_of("0123456789", at + kTimeoutParameter.size()) -
         (at + kTimeoutParameter.size())));
     // Uses three quarters of the target's timeout: the target starts to count
     // earlier, and its close takes time to arrive.
@@ -397,14 +342,15 @@
 
   void TakeAnswer(Exchange& aExchange)
   {
-    auto answer = m_parser->release();
-    aExchange.m_status = answer.result_int();
-    for (const auto& field : answer) {
+    net::HttpResponse answer = m_reader.TakeAnswer();
+    aExchange.m_status = answer.m_status;
+    aExchange.m_headers.reserve(answer.m_fields.size());
+    for (net::HttpField& field : answer.m_fields) {
       wire::HeaderField& added = aExchange.m_headers.emplace_back();
-      added.name = std::string(field.name_string());
-      added.value = std::string(field.value());
+      added.name = std::move(field.m_name);
+      added.value = std::move(field.m_value);
     }
-    aExchange.m_body = std::move(answer.body());
+    aExchange.m_body = std::move(answer.m_body);
   }
 
   void Finish(Exchange aExchange)
@@ -422,14 +368,13 @@
   boost::system::error_code m_writeError; // of the request, if any
   std::string m_received;                 // not parsed yet
   std::shared_ptr<const wire::CallRequest> m_request;
-  std::optional<Parser> m_parser;
+  net::AnswerReader m_reader{ net::kMaxBodyBytes };
   std::function<void(Exchange)> m_done;
   std::function<forwarding::AnswerOrigin(const std::vector<wire::HeaderField>&)>
     m_originOf;
   Duration m_idleLimit = kDefaultIdleLimit;
   TimePoint m_idleSince{};
   int m_skipped = 0;
-  int m_interimAnswers = 0; // answers of status 1xx to the request
   bool m_written = false;
   bool m_closed = false;
   bool m_hasAnswered = false;  // an earlier request on this connection
--- a/libs/base/include/wigeonfold/base/Text.h
+++ b/libs/base/include/wigeonfold/base/Text.h
@@ -11,6 +11,10 @@
 // is cut at the end. Thread safe.
 std::string TruncateUtf8(std::string_view aText, size_t aMaxBytes);
 
+// aBytes with each byte that is not printable ASCII, and each backslash, as
+// \xNN. Thread safe.
+std::string EscapeBytes(std::string_view aBytes);
+
 // The text of aJson. Bytes that are not valid UTF-8 are replaced: a text from
 // outside must not keep an answer from being written. aIndent is the number of
 // spaces a level, -1 for a single line. Thread safe.
--- a/libs/base/src/Text.cpp
+++ b/libs/base/src/Text.cpp
@@ -17,4 +17,21 @@
   return std::string(aText.substr(0, end));
 }
 
+std::string EscapeBytes(std::string_view aBytes)
+{
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string text;
+  for (const char byte : aBytes) {
+    const auto code = static_cast<unsigned char>(byte);
+    if (code >= ' ' && code <= '~' && code != '\\') {
+      text += byte;
+      continue;
+    }
+    text += "\\x";
+    text += kDigits[code >> 4U];
+    text += kDigits[code & 0xFU];
+  }
+  return text;
+}
+
 } // namespace wigeonfold
--- /dev/null
+++ b/libs/net/include/wigeonfold/net/AnswerReader.h
@@ -0,0 +1,103 @@
+// Reads HTTP/1.1 answers from the bytes of a connection, without I/O. All
+// clients of the project read through it, so that a broken answer is refused
+// everywhere alike.
+#pragma once
+
+#include "wigeonfold/net/Http.h"
+
+#include <boost/system/error_code.hpp>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace wigeonfold::net {
+
+// What is wrong with an answer.
+enum class AnswerFault
+{
+  Malformed,         // the bytes are no HTTP/1.1 answer
+  TooLarge,          // a part of it exceeds its limit
+  TooManyInterim,    // more than kMaxInterimAnswers precede it
+  SwitchesProtocols, // it has status 101, which no client here asks for
+  CutShort,          // the connection ended within it
+};
+
+// Stable name for logs and metrics.
+const char* ToString(AnswerFault aFault);
+
+struct BrokenAnswer
+{
+  AnswerFault m_fault = AnswerFault::Malformed;
+  std::string m_detail; // printable ASCII of at most kMaxDetailBytes
+
+  static constexpr size_t kMaxDetailBytes = 320;
+};
+
+// Reads one answer at a time. Not thread safe.
+class AnswerReader
+{
+public:
+  enum class Result
+  {
+    Incomplete, // more bytes are needed
+    Whole,      // TakeAnswer() returns the answer
+    Broken,     // Fault() tells why; the connection must be closed
+    Missing,    // the connection ended before an answer began
+  };
+
+  // aMaxBody: limit for the body of an answer, in bytes.
+  explicit AnswerReader(size_t aMaxBody);
+  ~AnswerReader();
+  AnswerReader(const AnswerReader&) = delete;
+  AnswerReader& operator=(const AnswerReader&) = delete;
+
+  // Prepares for the answer to the next request. aIsHead: the request has the
+  // method HEAD. Bytes behind an earlier answer stay; Add() with none reads
+  // them.
+  void Begin(bool aIsHead);
+  // Takes the next bytes of the connection. Interim answers are skipped.
+  //
+  // Precondition: Begin() was called, and each result since was Incomplete.
+  Result Add(std::string_view aBytes);
+  // The connection has ended. aInOrder: the sender closed it; false if it was
+  // reset or failed. Never returns Incomplete.
+  //
+  // Precondition: as for Add().
+  Result End(bool aInOrder);
+
+  // Precondition: the last result was Whole.
+  HttpResponse TakeAnswer();
+  // Precondition: the last result was Broken.
+  const BrokenAnswer& Fault() const;
+
+  // Whether the head of the current answer is whole and sound.
+  bool IsHeadRead() const;
+  // False if the answer has no length and ends with the connection.
+  //
+  // Precondition: the last result was Whole.
+  bool IsDelimited() const;
+  // Whether the sender keeps the connection open behind the answer.
+  //
+  // Precondition: the last result was Whole.
+  bool KeepsConnection() const;
+  // Whether bytes behind the answer have arrived.
+  bool HasSurplus() const;
+
+  // Interim answers (status 1xx) that may precede an answer.
+  static constexpr int kMaxInterimAnswers = 16;
+
+private:
+  struct State;
+
+  void BeginMessage();
+  Result ReadMessage();
+  Result CheckWhole();
+  bool IsInterim() const;
+  Result RefuseBytes(std::string_view aBytes,
+                     const boost::system::error_code& aCode);
+  Result Refuse(AnswerFault aFault, std::string aDetail);
+
+  const std::unique_ptr<State> m_state;
+};
+
+} // namespace wigeonfold::net
--- a/libs/net/include/wigeonfold/net/SocketIo.h
+++ b/libs/net/include/wigeonfold/net/SocketIo.h
@@ -43,6 +43,24 @@
 // read at once besides.
 inline constexpr size_t kMaxClientBufferBytes = size_t{ 512 } << 10;
 
+// Feeds a Beast parser with one part of a message: its head, or what has
+// arrived of its body. Returns how many bytes it consumed; 0 if it needs more.
+// Not thread safe.
+template<class Parser>
+size_t FeedPart(Parser& aParser,
+                std::string_view aBytes,
+                boost::system::error_code& aCode)
+{
+  aCode = {};
+  aParser.eager(aParser.is_header_done());
+  const size_t used =
+    aParser.put(boost::asio::buffer(aBytes.data(), aBytes.size()), aCode);
+  if (aCode == boost::beast::http::error::need_more) {
+    aCode = {};
+  }
+  return used;
+}
+
 // Feeds a Beast parser and returns how many bytes it consumed; pass the rest
 // again, with the bytes that follow. The head is parsed separately: Beast
 // 1.74 loses the body limit error of a head that is parsed together with body
@@ -55,15 +73,9 @@
   size_t used = 0;
   aCode = {};
   while (used < aBytes.size() && !aParser.is_done()) {
-    aParser.eager(aParser.is_header_done());
-    const size_t taken = aParser.put(
-      boost::asio::buffer(aBytes.data() + used, aBytes.size() - used), aCode);
+    const size_t taken = FeedPart(aParser, aBytes.substr(used), aCode);
     used += taken;
-    const bool needsMore = aCode == boost::beast::http::error::need_more;
-    if (needsMore) {
-      aCode = {};
-    }
-    if (aCode || needsMore || taken == 0) {
+    if (aCode || taken == 0) {
       break;
     }
   }
--- /dev/null
+++ b/libs/net/src/AnswerReader.cpp
@@ -0,0 +1,200 @@
+#include "wigeonfold/net/AnswerReader.h"
+
+#include "wigeonfold/base/Text.h"
+#include "wigeonfold/net/SocketIo.h"
+
+#include <array>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <utility>
+
+namespace wigeonfold::net {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr int kSwitchingProtocols = 101;
+constexpr int kFirstFinalStatus = 200;
+// Bytes of a broken answer that are shown.
+constexpr size_t kMaxShownBytes = 64;
+
+// The bytes up to the end of their line, escaped.
+std::string Shown(std::string_view aBytes)
+{
+  const std::string_view line = aBytes.substr(0, aBytes.find("\r\n"));
+  return "'" + EscapeBytes(line.substr(0, kMaxShownBytes)) + "'";
+}
+
+} // namespace
+
+const char* ToString(AnswerFault aFault)
+{
+  constexpr std::array<const char*, 5> kNames{ "malformed",
+                                               "too-large",
+                                               "too-many-interim",
+                                               "switches-protocols",
+                                               "cut-short" };
+  return kNames.at(static_cast<size_t>(aFault));
+}
+
+struct AnswerReader::State
+{
+  explicit State(size_t aMaxBody)
+    : m_maxBody(aMaxBody)
+  {
+  }
+
+  const size_t m_maxBody;
+  std::optional<http::response_parser<http::string_body>> m_parser;
+  std::string m_received; // not parsed yet
+  bool m_isHead = false;
+  int m_interim = 0; // interim answers to the request
+  BrokenAnswer m_fault;
+};
+
+AnswerReader::AnswerReader(size_t aMaxBody)
+  : m_state(std::make_unique<State>(aMaxBody))
+{
+}
+
+AnswerReader::~AnswerReader() = default;
+
+void AnswerReader::Begin(bool aIsHead)
+{
+  m_state->m_isHead = aIsHead;
+  m_state->m_interim = 0;
+  BeginMessage();
+}
+
+void AnswerReader::BeginMessage()
+{
+  m_state->m_parser.emplace();
+  m_state->m_parser->body_limit(m_state->m_maxBody);
+  m_state->m_parser->skip(m_state->m_isHead);
+}
+
+AnswerReader::Result AnswerReader::Add(std::string_view aBytes)
+{
+  m_state->m_received.append(aBytes);
+  Result result = Result::Incomplete;
+  while ((result = ReadMessage()) == Result::Whole && IsInterim()) {
+    if (++m_state->m_interim > kMaxInterimAnswers) {
+      return Refuse(AnswerFault::TooManyInterim, {});
+    }
+    BeginMessage();
+  }
+  return result;
+}
+
+// Reads on in the current message, which may be an interim answer.
+AnswerReader::Result AnswerReader::ReadMessage()
+{
+  auto& parser = *m_state->m_parser;
+  std::string& received = m_state->m_received;
+  boost::system::error_code code;
+  const size_t used = FeedParser(parser, received, code);
+  if (code) {
+    return RefuseBytes(std::string_view(received).substr(used), code);
+  }
+  received.erase(0, used);
+  if (parser.is_done()) {
+    return CheckWhole();
+  }
+  if (received.size() > kMaxUnparsedBytes) {
+    return Refuse(AnswerFault::TooLarge, "a part without end");
+  }
+  return Result::Incomplete;
+}
+
+AnswerReader::Result AnswerReader::CheckWhole()
+{
+  if (m_state->m_parser->get().result_int() == kSwitchingProtocols) {
+    return Refuse(AnswerFault::SwitchesProtocols, {});
+  }
+  return Result::Whole;
+}
+
+AnswerReader::Result AnswerReader::RefuseBytes(
+  std::string_view aBytes,
+  const boost::system::error_code& aCode)
+{
+  if (aCode == http::error::body_limit || aCode == http::error::header_limit) {
+    return Refuse(AnswerFault::TooLarge, aCode.message());
+  }
+  return Refuse(AnswerFault::Malformed,
+                aCode.message() + " at " + Shown(aBytes));
+}
+
+AnswerReader::Result AnswerReader::Refuse(AnswerFault aFault,
+                                          std::string aDetail)
+{
+  m_state->m_fault = { aFault, std::move(aDetail) };
+  return Result::Broken;
+}
+
+AnswerReader::Result AnswerReader::End(bool aInOrder)
+{
+  auto& parser = *m_state->m_parser;
+  if (!parser.got_some()) {
+    return Result::Missing;
+  }
+  boost::system::error_code code;
+  if (aInOrder) {
+    parser.put_eof(code);
+    if (!code) {
+      return CheckWhole();
+    }
+  }
+  const std::string how = aInOrder ? "closed" : "reset or failed";
+  const std::string where =
+    IsHeadRead() ? "after " + std::to_string(parser.get().body().size()) +
+                     " bytes of the body"
+                 : "within the head";
+  return Refuse(AnswerFault::CutShort, how + " " + where);
+}
+
+bool AnswerReader::IsInterim() const
+{
+  return m_state->m_parser->get().result_int() < kFirstFinalStatus;
+}
+
+HttpResponse AnswerReader::TakeAnswer()
+{
+  auto message = m_state->m_parser->release();
+  HttpResponse answer;
+  answer.m_status = static_cast<int>(message.result_int());
+  for (const auto& field : message) {
+    answer.m_fields.push_back(
+      { std::string(field.name_string()), std::string(field.value()) });
+  }
+  answer.m_body = std::move(message.body());
+  return answer;
+}
+
+const BrokenAnswer& AnswerReader::Fault() const
+{
+  return m_state->m_fault;
+}
+
+bool AnswerReader::IsHeadRead() const
+{
+  return m_state->m_parser->is_header_done();
+}
+
+bool AnswerReader::IsDelimited() const
+{
+  return !m_state->m_parser->need_eof();
+}
+
+bool AnswerReader::KeepsConnection() const
+{
+  return m_state->m_parser->keep_alive();
+}
+
+bool AnswerReader::HasSurplus() const
+{
+  return !m_state->m_received.empty();
+}
+
+} // namespace wigeonfold::net
