Refuse answers with a status below 100

Callers saw: an upstream in trouble answered with status 000; where its body was empty and a sound answer stood behind it in the same bytes, the second one came as the answer. With a body and an open connection they waited for the deadline. Cause: every status below 200 but 101 was taken for an interim answer. Change: net::AnswerReader checks the head as soon as all of it has arrived, and refuses a status below 100. It answers 502 at once, outcome unknown, and closes the connection; a request that may be repeated goes to another target.

--- a/apps/wigeonfold-node/test/BrokenAnswers_test.cpp
+++ b/apps/wigeonfold-node/test/BrokenAnswers_test.cpp
@@ -1,6 +1,7 @@
-// A target in trouble sends answers that are cut short. Guards against a caller
-// that gets a part of one as a whole answer, and against sound answers that are
-// refused with them.
+// A target in trouble sends answers that are broken: cut short, with a head
+// that is no HTTP, or framed in a way that hides where the body ends. Guards
+// against a caller that gets one of them, or a part of one, as an answer, and
+// against sound answers that are refused with them.
 #include "TestNodes.h"
 
 namespace wigeonfold::node {
@@ -15,6 +16,7 @@
 const std::string kOk = "HTTP/1.1 200 OK\r\n";
 const std::string kOpenEnded = kOk + "X-Seal: s\r\n\r\nthe first part";
 const std::string kChunked = "Transfer-Encoding: chunked\r\n";
+const std::string kTwoLength = "Content-Length: 2\r\n";
 
 std::string NameOf(const auto& aInfo)
 {
@@ -137,5 +139,96 @@
                          testing::ValuesIn(UploadCases()),
                          [](const auto& aInfo) { return NameOf(aInfo); });
 
+// ---- Heads and framing -----------------------------------------------------
+
+struct BytesCase
+{
+  const char* m_name;
+  std::string m_bytes;
+};
+
+std::vector<BytesCase> StatusCases()
+{
+  const auto status = [](const std::string& aStatus) {
+    return "HTTP/1.1 " + aStatus + " X\r\nX-Seal: s\r\n" + kTwoLength +
+           "\r\nhi";
+  };
+  const std::string empty =
+    "HTTP/1.1 000 X\r\nX-Seal: s\r\nContent-Length: 0\r\n\r\n";
+  return {
+    { "Zero", status("000") },
+    { "ZeroBeforeASoundAnswer", empty + CompleteAnswer("sound") },
+    { "BelowHundred", status("099") },
+    { "TwoDigits", status("20") },
+    { "FourDigits", status("2000") },
+    { "Letters", status("2x0") },
+    { "InInterimAnswer", "HTTP/1.1 000 X\r\n\r\n" + CompleteAnswer("sound") },
+    { "SwitchingProtocols",
+      "HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n" },
+    { "OtherVersion", "HTTP/2.0 200 OK\r\nX-Seal: s\r\n\r\nhi" },
+    { "OtherProtocol", "SSH-2.0-OpenSSH\r\n" },
+  };
+}
+
+// What is wrong with the head is known before the body arrives.
+std::vector<BytesCase> HeadsWithoutTheirBody()
+{
+  return {
+    { "Zero", "HTTP/1.1 000 X\r\n" + kTwoLength + "\r\n" },
+    { "LengthBeyondTheLimit", kOk + "Content-Length: 9999999\r\n\r\n" },
+  };
+}
+
+class BrokenHeads
+  : public BrokenAnswersFixture
+  , public testing::WithParamInterface<BytesCase>
+{};
+
+// The target keeps the connection open, so an answer that is not refused at
+// once ends with 504 at the deadline.
+TEST_P(BrokenHeads, AreRefusedAtOnce)
+{
+  for (const size_t node : { 0U, 1U }) {
+    ServeFirst({ GetParam().m_bytes });
+    ExpectRefused(
+      node,
+      Call(node, Post("/lots", { { kDeadlineHeader, kLongDeadlineMs } })));
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Status,
+                         BrokenHeads,
+                         testing::ValuesIn(StatusCases()),
+                         [](const auto& aInfo) { return NameOf(aInfo); });
+INSTANTIATE_TEST_SUITE_P(BeforeTheBody,
+                         BrokenHeads,
+                         testing::ValuesIn(HeadsWithoutTheirBody()),
+                         [](const auto& aInfo) { return NameOf(aInfo); });
+// ---- Sound answers ---------------------------------------------------------
+
+using SoundAnswers = BrokenAnswersFixture;
+
+// A request that may be repeated gets the answer of another target.
+TEST_F(SoundAnswers, ComeFromAnotherTargetWhereTheRequestMayBeRepeated)
+{
+  TestTarget other(m_io, [](int, const std::string&) {
+    return Reaction{ CompleteAnswer("other") };
+  });
+  Announce(0, other.Port());
+  ServeAtPeer(
+    [](int, const std::string&) {
+      return Reaction{ "HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nhi" };
+    },
+    4);
+  SetView({ EndpointOf(0), EndpointOf(1) },
+          { { "services/lots", "retry.budget-percent", "100" } });
+  for (int i = 0; i < 4; ++i) {
+    const std::string path = "/lots/" + std::to_string(i);
+    EXPECT_EQ(Call(0, Get(path)).m_body, "other");
+  }
+  EXPECT_GT(m_target->m_requests, 0);
+  RunOnIoThread([&] { other.Stop(); });
+}
+
 } // namespace
 } // namespace wigeonfold::node
--- a/libs/net/include/wigeonfold/net/AnswerReader.h
+++ b/libs/net/include/wigeonfold/net/AnswerReader.h
@@ -16,6 +16,7 @@
 enum class AnswerFault
 {
   Malformed,         // the bytes are no HTTP/1.1 answer
+  StatusOutOfRange,  // HTTP has statuses from 100 to 599
   TooLarge,          // a part of it exceeds its limit
   TooManyInterim,    // more than kMaxInterimAnswers precede it
   SwitchesProtocols, // it has status 101, which no client here asks for
@@ -91,7 +92,8 @@
 
   void BeginMessage();
   Result ReadMessage();
-  Result CheckWhole();
+  Result ReadHead();
+  Result CheckHead();
   bool IsInterim() const;
   Result RefuseBytes(std::string_view aBytes,
                      const boost::system::error_code& aCode);
--- a/libs/net/src/AnswerReader.cpp
+++ b/libs/net/src/AnswerReader.cpp
@@ -14,6 +14,7 @@
 
 namespace {
 
+constexpr int kLeastStatus = 100;
 constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstFinalStatus = 200;
 // Bytes of a broken answer that are shown.
@@ -91,6 +92,12 @@
 AnswerReader::Result AnswerReader::ReadMessage()
 {
   auto& parser = *m_state->m_parser;
+  if (!parser.is_header_done()) {
+    const Result head = ReadHead();
+    if (head == Result::Broken || !parser.is_header_done()) {
+      return head;
+    }
+  }
   std::string& received = m_state->m_received;
   boost::system::error_code code;
   const size_t used = FeedParser(parser, received, code);
@@ -99,7 +106,7 @@
   }
   received.erase(0, used);
   if (parser.is_done()) {
-    return CheckWhole();
+    return Result::Whole;
   }
   if (received.size() > kMaxUnparsedBytes) {
     return Refuse(AnswerFault::TooLarge, "a part without end");
@@ -107,12 +114,31 @@
   return Result::Incomplete;
 }
 
-AnswerReader::Result AnswerReader::CheckWhole()
+// Reads the head as soon as all of it has arrived, and checks it before any of
+// the body is waited for.
+AnswerReader::Result AnswerReader::ReadHead()
 {
-  if (m_state->m_parser->get().result_int() == kSwitchingProtocols) {
+  std::string& received = m_state->m_received;
+  boost::system::error_code code;
+  const size_t used = FeedPart(*m_state->m_parser, received, code);
+  if (code) {
+    return RefuseBytes(std::string_view(received).substr(used), code);
+  }
+  received.erase(0, used);
+  return m_state->m_parser->is_header_done() ? CheckHead() : Result::Incomplete;
+}
+
+AnswerReader::Result AnswerReader::CheckHead()
+{
+  const int status = static_cast<int>(m_state->m_parser->get().result_int());
+  if (status < kLeastStatus) {
+    return Refuse(AnswerFault::StatusOutOfRange,
+                  "status " + std::to_string(status));
+  }
+  if (status == kSwitchingProtocols) {
     return Refuse(AnswerFault::SwitchesProtocols, {});
   }
-  return Result::Whole;
+  return Result::Incomplete;
 }
 
 AnswerReader::Result AnswerReader::RefuseBytes(
@@ -143,7 +169,7 @@
   if (aInOrder) {
     parser.put_eof(code);
     if (!code) {
-      return CheckWhole();
+      return Result::Whole;
     }
   }
   const std::string how = aInOrder ? "closed" : "reset or failed";
