Refuse answers with a status above 599

Callers saw: statuses from 600 to 999, which HTTP does not have, passed on. Cause: nothing checked the status against its range. Decision: they are refused like 000, with 502. RFC 9110 (15) calls a status out of 100 to 599 invalid and has clients treat it as a server error; clients differ in whether they do, and some fail on it. Passing it on with another status would name the upstream for an answer that it did not give. Change: the check of the head has both bounds. Evidence: BrokenHeads SixHundred and Greatest and BeforeTheBody/SixHundred failed on (600, 999, and 504 at the deadline) and pass now.

--- a/apps/wigeonfold-node/test/BrokenAnswers_test.cpp
+++ b/apps/wigeonfold-node/test/BrokenAnswers_test.cpp
@@ -159,6 +159,8 @@
     { "Zero", status("000") },
     { "ZeroBeforeASoundAnswer", empty + CompleteAnswer("sound") },
     { "BelowHundred", status("099") },
+    { "SixHundred", status("600") },
+    { "Greatest", status("999") },
     { "TwoDigits", status("20") },
     { "FourDigits", status("2000") },
     { "Letters", status("2x0") },
@@ -175,6 +177,7 @@
 {
   return {
     { "Zero", "HTTP/1.1 000 X\r\n" + kTwoLength + "\r\n" },
+    { "SixHundred", "HTTP/1.1 600 X\r\n" + kTwoLength + "\r\n" },
     { "LengthBeyondTheLimit", kOk + "Content-Length: 9999999\r\n\r\n" },
   };
 }
--- a/libs/net/src/AnswerReader.cpp
+++ b/libs/net/src/AnswerReader.cpp
@@ -14,7 +14,9 @@
 
 namespace {
 
+// Statuses of HTTP (RFC 9110, 15).
 constexpr int kLeastStatus = 100;
+constexpr int kGreatestStatus = 599;
 constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstFinalStatus = 200;
 // Bytes of a broken answer that are shown.
@@ -131,7 +133,7 @@
 AnswerReader::Result AnswerReader::CheckHead()
 {
   const int status = static_cast<int>(m_state->m_parser->get().result_int());
-  if (status < kLeastStatus) {
+  if (status < kLeastStatus || status > kGreatestStatus) {
     return Refuse(AnswerFault::StatusOutOfRange,
                   "status " + std::to_string(status));
   }
