Refuse answers with a transfer coding other than chunked

Callers saw: an answer whose transfer coding is not known came as the upstream's success with its framing as the body; with gzip before chunked, the coded bytes came without a field that says so. Where the connection stayed open they waited for the deadline. Cause: the parser takes an unknown coding for a body that ends with the connection, and looks at the last coding only. The field is hop-by-hop and so not passed on. Change: the check of the head refuses a coding other than chunked alone, named once, where a body follows; the server's check of requests uses the same function. Also refused is identity, which HTTP/1.1 no longer has. Handled before, tests kept: chunked beside a length, two lengths, lengths and chunk sizes that are negative, signed, hexadecimal, empty or out of range, a chunk without its end, a length in the trailer.

--- a/apps/wigeonfold-node/test/BrokenAnswers_test.cpp
+++ b/apps/wigeonfold-node/test/BrokenAnswers_test.cpp
@@ -147,6 +147,13 @@
   std::string m_bytes;
 };
 
+// A body of two bytes with these fields, and a seal by which the caller would
+// tell a part of it.
+std::string WithFields(const std::string& aFields)
+{
+  return kOk + "X-Seal: s\r\n" + aFields + kTwoLength + "\r\nhi";
+}
+
 std::vector<BytesCase> StatusCases()
 {
   const auto status = [](const std::string& aStatus) {
@@ -172,12 +179,52 @@
   };
 }
 
+std::vector<BytesCase> FramingCases()
+{
+  const std::string chunk = "2\r\nhi\r\n0\r\n\r\n";
+  const auto coding = [&chunk](const std::string& aFields) {
+    return kOk + "X-Seal: s\r\n" + aFields + "\r\n" + chunk;
+  };
+  return {
+    { "UnknownCoding", coding("Transfer-Encoding: gzip\r\n") },
+    { "IdentityCoding", coding("Transfer-Encoding: identity\r\n") },
+    { "UnknownCodingInChunks", coding("Transfer-Encoding: gzip, chunked\r\n") },
+    { "UnknownCodingAfterChunks",
+      coding("Transfer-Encoding: chunked, gzip\r\n") },
+    { "ChunkedTwice", coding("Transfer-Encoding: chunked, chunked\r\n") },
+    { "CodingWithParameter", coding("Transfer-Encoding: chunked;q=1\r\n") },
+    { "CodingsInTwoFields",
+      coding("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n") },
+    { "EmptyCoding", coding("Transfer-Encoding: \r\n") },
+    { "UnknownCodingWithLength",
+      coding("Transfer-Encoding: gzip\r\nContent-Length: 2\r\n") },
+    { "ChunkedWithLength", coding(kChunked + "Content-Length: 2\r\n") },
+    { "LengthWithChunked", coding("Content-Length: 2\r\n" + kChunked) },
+    { "TwoLengths", WithFields("Content-Length: 3\r\n") },
+    { "NegativeLength", kOk + "Content-Length: -2\r\n\r\nhi" },
+    { "SignedLength", kOk + "Content-Length: +2\r\n\r\nhi" },
+    { "HexLength", kOk + "Content-Length: 0x2\r\n\r\nhi" },
+    { "EmptyLength", kOk + "Content-Length: \r\n\r\nhi" },
+    { "LengthBeyondRange",
+      kOk + "Content-Length: 18446744073709551618\r\n\r\nhi" },
+    { "NegativeChunk", kOk + kChunked + "\r\n-2\r\nhi\r\n0\r\n\r\n" },
+    { "ChunkBeyondRange",
+      kOk + kChunked + "\r\n10000000000000002\r\nhi\r\n0\r\n\r\n" },
+    { "ChunkWithoutEnd", kOk + kChunked + "\r\n2\r\nhiX0\r\n\r\n" },
+    { "LengthInTrailer",
+      kOk + kChunked + "\r\n2\r\nhi\r\n0\r\nContent-Length: 9\r\n\r\n" },
+  };
+}
+
 // What is wrong with the head is known before the body arrives.
 std::vector<BytesCase> HeadsWithoutTheirBody()
 {
   return {
     { "Zero", "HTTP/1.1 000 X\r\n" + kTwoLength + "\r\n" },
     { "SixHundred", "HTTP/1.1 600 X\r\n" + kTwoLength + "\r\n" },
+    { "UnknownCoding", kOk + "Transfer-Encoding: gzip\r\n\r\n" },
+    { "UnknownCodingInChunks",
+      kOk + "Transfer-Encoding: gzip, chunked\r\n\r\n" },
     { "LengthBeyondTheLimit", kOk + "Content-Length: 9999999\r\n\r\n" },
   };
 }
@@ -207,6 +254,11 @@
                          BrokenHeads,
                          testing::ValuesIn(HeadsWithoutTheirBody()),
                          [](const auto& aInfo) { return NameOf(aInfo); });
+INSTANTIATE_TEST_SUITE_P(Framing,
+                         BrokenHeads,
+                         testing::ValuesIn(FramingCases()),
+                         [](const auto& aInfo) { return NameOf(aInfo); });
+
 // ---- Sound answers ---------------------------------------------------------
 
 using SoundAnswers = BrokenAnswersFixture;
--- a/libs/net/include/wigeonfold/net/AnswerReader.h
+++ b/libs/net/include/wigeonfold/net/AnswerReader.h
@@ -17,6 +17,7 @@
 {
   Malformed,         // the bytes are no HTTP/1.1 answer
   StatusOutOfRange,  // HTTP has statuses from 100 to 599
+  TransferCoding,    // other than chunked alone
   TooLarge,          // a part of it exceeds its limit
   TooManyInterim,    // more than kMaxInterimAnswers precede it
   SwitchesProtocols, // it has status 101, which no client here asks for
@@ -94,6 +95,7 @@
   Result ReadMessage();
   Result ReadHead();
   Result CheckHead();
+  bool HasBody(int aStatus) const;
   bool IsInterim() const;
   Result RefuseBytes(std::string_view aBytes,
                      const boost::system::error_code& aCode);
--- a/libs/net/src/AnswerReader.cpp
+++ b/libs/net/src/AnswerReader.cpp
@@ -1,5 +1,7 @@
 #include "wigeonfold/net/AnswerReader.h"
 
+#include "Framing.h"
+
 #include "wigeonfold/base/Text.h"
 #include "wigeonfold/net/SocketIo.h"
 
@@ -19,9 +21,16 @@
 constexpr int kGreatestStatus = 599;
 constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
 // Bytes of a broken answer that are shown.
 constexpr size_t kMaxShownBytes = 64;
 
+std::string_view ToView(boost::beast::string_view aText)
+{
+  return { aText.data(), aText.size() };
+}
+
 // The bytes up to the end of their line, escaped.
 std::string Shown(std::string_view aBytes)
 {
@@ -140,9 +149,20 @@
   if (status == kSwitchingProtocols) {
     return Refuse(AnswerFault::SwitchesProtocols, {});
   }
+  if (HasBody(status) && HasUnknownCoding(m_state->m_parser->get())) {
+    return Refuse(
+      AnswerFault::TransferCoding,
+      Shown(ToView(m_state->m_parser->get()[http::field::transfer_encoding])));
+  }
   return Result::Incomplete;
 }
 
+bool AnswerReader::HasBody(int aStatus) const
+{
+  return !m_state->m_isHead && aStatus >= kFirstFinalStatus &&
+         aStatus != kNoContent && aStatus != kNotModified;
+}
+
 AnswerReader::Result AnswerReader::RefuseBytes(
   std::string_view aBytes,
   const boost::system::error_code& aCode)
--- a/libs/net/src/HttpSession.cpp
+++ b/libs/net/src/HttpSession.cpp
@@ -1,5 +1,7 @@
 #include "HttpSession.h"
 
+#include "Framing.h"
+
 #include "wigeonfold/net/SocketIo.h"
 
 #include <utility>
@@ -56,11 +58,9 @@
   if (aRequest.count(http::field::content_length) > 0) {
     return http::status::bad_request;
   }
-  const bool chunkedOnly =
-    aRequest.count(http::field::transfer_encoding) == 1 &&
-    boost::iequals(aRequest[http::field::transfer_encoding], "chunked");
-  return chunkedOnly ? std::nullopt
-                     : std::optional(http::status::not_implemented);
+  return HasUnknownCoding(aRequest)
+           ? std::optional(http::status::not_implemented)
+           : std::nullopt;
 }
 
 // A request that may be repeated may run beside others of its connection: if an
