Drop the trailer fields of chunked answers

Callers saw: a field in the trailer of a chunked answer appended to the fields of the head, also where the head had one of that name. Cause: the parser adds trailer fields to the message, and the fields were copied once all had arrived. Change: net::AnswerReader copies the head when it has arrived. Trailer fields are dropped: RFC 9110 (6.5.1) forbids to merge them, and callers get answers with a length, which have no trailer.

--- a/apps/wigeonfold-node/test/BrokenAnswers_test.cpp
+++ b/apps/wigeonfold-node/test/BrokenAnswers_test.cpp
@@ -44,6 +44,17 @@
     return request;
   }
 
+  static size_t CountOf(const net::HttpResponse& aAnswer,
+                        const std::string& aName)
+  {
+    return static_cast<size_t>(
+      std::count_if(aAnswer.m_fields.begin(),
+                    aAnswer.m_fields.end(),
+                    [&aName](const net::HttpField& aField) {
+                      return aField.m_name == aName;
+                    }));
+  }
+
   // The answer is the node's own, the request may have run, and the next one
   // gets its own answer.
   void ExpectRefused(size_t aNode, const net::HttpResponse& aAnswer)
@@ -263,6 +274,34 @@
 
 using SoundAnswers = BrokenAnswersFixture;
 
+// A trailer isn't part of the head: its fields may not join or replace those
+// that a caller relies on (RFC 9110, 6.5.1).
+TEST_F(SoundAnswers, TrailerFieldsAreDropped)
+{
+  ServeFirst({ kOk + kChunked +
+               "X-Lot: head\r\nTrailer: X-Lot\r\n\r\n2\r\nhi\r\n0\r\n"
+               "X-Lot: trailer\r\nX-Late: trailer\r\n\r\n" });
+  const auto answer = Call(0, Post("/lots"));
+  ExpectOutcome(answer, 200, "run", "");
+  EXPECT_EQ(answer.m_body, "hi");
+  EXPECT_EQ(FieldOf(answer, "X-Lot"), "head");
+  EXPECT_EQ(CountOf(answer, "X-Lot"), 1U);
+  EXPECT_EQ(CountOf(answer, "X-Late"), 0U);
+  EXPECT_EQ(Call(0, Post("/lots")).m_body, "next");
+}
+
+// The same where the trailer arrives alone.
+TEST_F(SoundAnswers, LateTrailerFieldsAreDropped)
+{
+  Reaction reaction{ kOk + kChunked + "X-Lot: head\r\n\r\n2\r\nhi\r\n" };
+  reaction.m_endless = "0\r\nX-Lot: trailer\r\n\r\n";
+  reaction.m_endDelay = 50ms;
+  ServeFirst(reaction);
+  const auto answer = Call(0, Post("/lots"));
+  EXPECT_EQ(answer.m_body, "hi");
+  EXPECT_EQ(CountOf(answer, "X-Lot"), 1U);
+}
+
 // A request that may be repeated gets the answer of another target.
 TEST_F(SoundAnswers, ComeFromAnotherTargetWhereTheRequestMayBeRepeated)
 {
--- a/libs/net/include/wigeonfold/net/AnswerReader.h
+++ b/libs/net/include/wigeonfold/net/AnswerReader.h
@@ -67,7 +67,10 @@
   // Precondition: as for Add().
   Result End(bool aInOrder);
 
-  // Precondition: the last result was Whole.
+  // The answer without the fields of a trailer, which may not be merged into
+  // the head (RFC 9110, 6.5.1).
+  //
+  // Precondition: the last result was Whole. Call once.
   HttpResponse TakeAnswer();
   // Precondition: the last result was Broken.
   const BrokenAnswer& Fault() const;
@@ -96,6 +99,7 @@
   Result ReadHead();
   Result CheckHead();
   bool HasBody(int aStatus) const;
+  void TakeHead();
   bool IsInterim() const;
   Result RefuseBytes(std::string_view aBytes,
                      const boost::system::error_code& aCode);
--- a/libs/net/src/AnswerReader.cpp
+++ b/libs/net/src/AnswerReader.cpp
@@ -62,6 +62,7 @@
   std::string m_received; // not parsed yet
   bool m_isHead = false;
   int m_interim = 0; // interim answers to the request
+  HttpResponse m_answer; // head of the current message
   BrokenAnswer m_fault;
 };
 
@@ -136,7 +137,12 @@
     return RefuseBytes(std::string_view(received).substr(used), code);
   }
   received.erase(0, used);
-  return m_state->m_parser->is_header_done() ? CheckHead() : Result::Incomplete;
+  if (!m_state->m_parser->is_header_done()) {
+    return Result::Incomplete;
+  }
+  const Result result = CheckHead();
+  TakeHead();
+  return result;
 }
 
 AnswerReader::Result AnswerReader::CheckHead()
@@ -204,20 +210,27 @@
 
 bool AnswerReader::IsInterim() const
 {
-  return m_state->m_parser->get().result_int() < kFirstFinalStatus;
+  return m_state->m_answer.m_status < kFirstFinalStatus;
 }
 
-HttpResponse AnswerReader::TakeAnswer()
+// Copies the head before the parser adds the fields of a trailer to it.
+void AnswerReader::TakeHead()
 {
-  auto message = m_state->m_parser->release();
-  HttpResponse answer;
+  const auto& message = m_state->m_parser->get();
+  HttpResponse& answer = m_state->m_answer;
   answer.m_status = static_cast<int>(message.result_int());
+  answer.m_fields.clear();
   for (const auto& field : message) {
     answer.m_fields.push_back(
       { std::string(field.name_string()), std::string(field.value()) });
   }
-  answer.m_body = std::move(message.body());
-  return answer;
+}
+
+HttpResponse AnswerReader::TakeAnswer()
+{
+  auto message = m_state->m_parser->release(); // frees the fields as well
+  m_state->m_answer.m_body = std::move(message.body());
+  return std::move(m_state->m_answer);
 }
 
 const BrokenAnswer& AnswerReader::Fault() const
