Test heads that are no HTTP and answers that stay as they are

Cause: the issue asks for a test of each case, also where it was handled. Change: tests only. Blanks, tabs and control bytes in a field's name, before the colon, at the start of the head, in an interim answer and in a trailer; control bytes in values; 204 with a length, with and without the bytes of a body, over both dialects; interim answers; statuses up to 599; codings of answers that have no body.

--- a/apps/wigeonfold-node/test/BrokenAnswers_test.cpp
+++ b/apps/wigeonfold-node/test/BrokenAnswers_test.cpp
@@ -190,6 +190,35 @@
   };
 }
 
+std::vector<BytesCase> FieldCases()
+{
+  const std::string chunk = "2\r\nhi\r\n0\r\n";
+  return {
+    { "BlankInName", WithFields("X A: b\r\n") },
+    { "BlankBeforeColon", WithFields("X : b\r\n") },
+    { "TabInName", WithFields("X\tA: b\r\n") },
+    { "ControlByteInName",
+      WithFields("X\x01"
+                 "A: b\r\n") },
+    { "NulInName", WithFields(std::string("X\0A: b\r\n", 8)) },
+    { "DeleteInName",
+      WithFields("X\x7f"
+                 "A: b\r\n") },
+    { "EmptyName", WithFields(": b\r\n") },
+    { "NoColon", WithFields("XA\r\n") },
+    { "BlankAtStartOfHead", kOk + " X: b\r\n" + kTwoLength + "\r\nhi" },
+    { "ControlByteInValue", WithFields("X: \x01\r\n") },
+    { "NulInValue", WithFields(std::string("X: a\0b\r\n", 8)) },
+    { "BareReturnInValue", WithFields("X: a\rY: b\r\n") },
+    { "BlankInLengthName", kOk + "Content-Length : 2\r\n\r\nhi" },
+    { "InInterimAnswer",
+      "HTTP/1.1 103 X\r\nX A: b\r\n\r\n" + CompleteAnswer("sound") },
+    { "InTrailer", kOk + kChunked + "\r\n" + chunk + "X A: b\r\n\r\n" },
+    { "ControlByteInTrailer",
+      kOk + kChunked + "\r\n" + chunk + "X\x01: b\r\n\r\n" },
+  };
+}
+
 std::vector<BytesCase> FramingCases()
 {
   const std::string chunk = "2\r\nhi\r\n0\r\n\r\n";
@@ -261,6 +290,10 @@
                          BrokenHeads,
                          testing::ValuesIn(StatusCases()),
                          [](const auto& aInfo) { return NameOf(aInfo); });
+INSTANTIATE_TEST_SUITE_P(Fields,
+                         BrokenHeads,
+                         testing::ValuesIn(FieldCases()),
+                         [](const auto& aInfo) { return NameOf(aInfo); });
 INSTANTIATE_TEST_SUITE_P(BeforeTheBody,
                          BrokenHeads,
                          testing::ValuesIn(HeadsWithoutTheirBody()),
@@ -302,6 +335,81 @@
   EXPECT_EQ(CountOf(answer, "X-Lot"), 1U);
 }
 
+// 204 has no body, so a caller that goes by the length would wait for one, and
+// bytes behind the head belong to no request.
+TEST_F(SoundAnswers, EmptyAnswerHasNoLength)
+{
+  const std::string empty = "HTTP/1.1 204 No Content\r\nX-Lot: 7\r\n"
+                            "Content-Length: 5\r\n\r\n";
+  for (const bool platform : { false, true }) {
+    m_speaksPlatform = platform;
+    Restart(0);
+    Restart(1);
+    for (const std::string& answer : { empty, empty + "hello" }) {
+      for (const std::string method : { "GET", "HEAD", "POST" }) {
+        for (const size_t node : { 0U, 1U }) {
+          ServeFirst({ answer });
+          SetView({ EndpointOf(1) },
+                  { { "routes/lots", "route.host", "a.example" },
+                    { "routes/lots", "route.services", "lots" } });
+          const std::string bytes = SendAndReadAll(
+            m_nodes[node]->CallerPort(),
+            method + " /lots HTTP/1.1\r\nHost: a.example\r\n"
+                     "Content-Length: 0\r\nConnection: close\r\n\r\n");
+          EXPECT_EQ(bytes.find("HTTP/1.1 204 "), 0U) << bytes;
+          EXPECT_NE(bytes.find("X-Lot: 7\r\n"), std::string::npos);
+          EXPECT_EQ(bytes.find("Content-Length"), std::string::npos) << bytes;
+          EXPECT_EQ(bytes.find("hello"), std::string::npos) << bytes;
+        }
+      }
+    }
+  }
+}
+
+// No body follows, so its coding doesn't matter.
+TEST_F(SoundAnswers, WithoutABodyMayNameACoding)
+{
+  const std::string coding = "Transfer-Encoding: gzip, chunked\r\n\r\n";
+  for (const std::string status : { "200 OK", "304 X", "204 X" }) {
+    ServeFirst({ "HTTP/1.1 " + status + "\r\n" + coding });
+    const std::string method = status == "200 OK" ? "HEAD" : "GET";
+    const auto answer = SendAndReadAll(m_nodes[0]->CallerPort(),
+                                       method + " /lots HTTP/1.1\r\nHost: x\r\n"
+                                                "Connection: close\r\n\r\n");
+    EXPECT_EQ(answer.find("HTTP/1.1 " + status.substr(0, 4)), 0U) << answer;
+    EXPECT_EQ(answer.find("Transfer-Encoding"), std::string::npos) << answer;
+  }
+}
+
+TEST_F(SoundAnswers, InterimAnswersPrecedeTheAnswer)
+{
+  for (const size_t node : { 0U, 1U }) {
+    ServeFirst({ "HTTP/1.1 100 Continue\r\n\r\n"
+                 "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" +
+                 WithFields("X-Lot: 7\r\n") });
+    const auto answer = Call(node, Post("/lots"));
+    ExpectOutcome(answer, 200, "run", "");
+    EXPECT_EQ(answer.m_body, "hi");
+    EXPECT_EQ(FieldOf(answer, "X-Lot"), "7");
+    EXPECT_EQ(FieldOf(answer, "Link"), "");
+  }
+}
+
+// Greatest and least status of HTTP; a line that continues a value.
+TEST_F(SoundAnswers, StayAsTheyAre)
+{
+  for (const int status : { 200, 299, 301, 404, 418, 500, 503, 599 }) {
+    ServeFirst({ "HTTP/1.1 " + std::to_string(status) +
+                 " X\r\nX-Seal: s\r\nX-Lot: a\r\n b\r\n" + kTwoLength +
+                 "\r\nhi" });
+    const auto answer = Call(0, Post("/lots"));
+    ExpectOutcome(answer, status, "run", "");
+    EXPECT_EQ(answer.m_body, "hi");
+    EXPECT_EQ(FieldOf(answer, "X-Seal"), "s");
+    EXPECT_EQ(FieldOf(answer, "X-Lot"), "a b");
+  }
+}
+
 // A request that may be repeated gets the answer of another target.
 TEST_F(SoundAnswers, ComeFromAnotherTargetWhereTheRequestMayBeRepeated)
 {
