Log and count broken answers, and name them in the refusal

Callers saw: 502 with the reason target-lost for bytes that are no answer, though the target was there; and nobody could tell from a request's id what was wrong. Cause: a malformed answer counted as a lost connection, and net::AnswerReader's finding was dropped. A malformed answer ends as answer-unusable. What ends so may have ended the target, as target-lost may, so that a request that ends its targets is still noticed when they send bytes before they end.

--- a/apps/wigeonfold-node/DataPlane.cpp
+++ b/apps/wigeonfold-node/DataPlane.cpp
@@ -62,6 +62,7 @@
   , m_identity{ aSettings.m_name, aNodeEpoch, std::nullopt }
   , m_link(aSettings.m_linkRate)
   , m_largeAnswers(m_link)
+  , m_brokenAnswers(aMetrics, m_decisionLog)
   , m_target({ aSettings.m_name,
                aSettings.m_announceLease,
                aSettings.m_service,
@@ -72,6 +73,7 @@
              m_link,
              m_largeAnswers,
              m_crashLedger,
+             m_brokenAnswers,
              m_decisionLog,
              [this] { AnnounceEndpoint(); })
   , m_rolloutSide(m_versionStats, aLog, m_hooks.m_onVersionStats)
--- a/apps/wigeonfold-node/DataPlane.h
+++ b/apps/wigeonfold-node/DataPlane.h
@@ -101,6 +101,7 @@
   discovery::CrashLedger m_crashLedger;
   uint64_t m_sharedCrashes = 0; // revision of the ledger that was shared last
   forwarding::AnswerSendQueue m_largeAnswers;
+  BrokenAnswers m_brokenAnswers;
   TargetSide m_target;
   discovery::LeaveAnswers m_leaveAnswers;
   forwarding::VersionStats m_versionStats;
--- a/apps/wigeonfold-node/NodeMetrics.cpp
+++ b/apps/wigeonfold-node/NodeMetrics.cpp
@@ -19,6 +19,11 @@
 
 } // namespace
 
+const char* ToString(AnswerSource aSource)
+{
+  return aSource == AnswerSource::Target ? "target" : "node";
+}
+
 NodeMetrics::NodeMetrics(observe::Metrics& aMetrics)
   : m_firstAttempts(
       aMetrics.Counter(kAttempts, kAttemptsHelp, { { "kind", "first" } }))
@@ -69,6 +74,16 @@
       { { "outcome", info.m_reason },
         { "run", forwarding::RunStateText(info.m_runState) } }));
   }
+  for (const AnswerSource source :
+       { AnswerSource::Target, AnswerSource::Node }) {
+    auto& counters = m_brokenAnswers.emplace_back();
+    for (const net::AnswerFault fault : net::kAnswerFaults) {
+      counters.push_back(&aMetrics.Counter(
+        "wigeonfold_node_broken_answers_total",
+        "Answers that were refused, since they were broken",
+        { { "source", ToString(source) }, { "fault", net::ToString(fault) } }));
+    }
+  }
   for (const identity::Reason reason : identity::kReasons) {
     m_authentications.push_back(
       &aMetrics.Counter("wigeonfold_node_authentications_total",
@@ -102,6 +117,13 @@
   m_hedges[static_cast<size_t>(aResult)]->Increment();
 }
 
+void NodeMetrics::CountBrokenAnswer(AnswerSource aSource,
+                                    net::AnswerFault aFault)
+{
+  const auto& counters = m_brokenAnswers[static_cast<size_t>(aSource)];
+  counters[static_cast<size_t>(aFault)]->Increment();
+}
+
 void NodeMetrics::ObserveLatency(Duration aLatency)
 {
   m_latency.Observe(std::chrono::duration<double>(aLatency).count());
--- a/apps/wigeonfold-node/NodeMetrics.h
+++ b/apps/wigeonfold-node/NodeMetrics.h
@@ -4,12 +4,23 @@
 #include "wigeonfold/base/Time.h"
 #include "wigeonfold/forwarding/Outcome.h"
 #include "wigeonfold/identity/Authentication.h"
+#include "wigeonfold/net/AnswerReader.h"
 #include "wigeonfold/observe/Metrics.h"
 
 #include <vector>
 
 namespace wigeonfold::node {
 
+// Where a node reads answers from.
+enum class AnswerSource
+{
+  Target, // its own
+  Node,   // another one
+};
+
+// "target" or "node".
+const char* ToString(AnswerSource aSource);
+
 // Registers the metrics once and updates them. aMetrics must outlive this
 // object. All methods are thread safe.
 class NodeMetrics
@@ -33,6 +44,8 @@
   };
   // Sent hedges are those with another result than Withheld.
   void CountHedge(Hedge aResult);
+  // An answer was refused, since it was broken.
+  void CountBrokenAnswer(AnswerSource aSource, net::AnswerFault aFault);
   // Time from the arrival of a caller's request to its end.
   void ObserveLatency(Duration aLatency);
   // Requests and slots of the node's own target.
@@ -55,6 +68,8 @@
   prometheus::Counter& m_rolloutAttempts; // at the version of the rollout
   prometheus::Counter& m_otherAttempts;
   std::vector<prometheus::Counter*> m_hedges; // indexed by Hedge
+  // Indexed by AnswerSource, then by AnswerFault.
+  std::vector<std::vector<prometheus::Counter*>> m_brokenAnswers;
   prometheus::Histogram& m_latency;
   prometheus::Gauge& m_running;
   prometheus::Gauge& m_queued;
--- a/apps/wigeonfold-node/TargetEnd.cpp
+++ b/apps/wigeonfold-node/TargetEnd.cpp
@@ -32,10 +32,11 @@
     // so this doesn't show that it ran the request to its end.
     case Outcome::AnsweredFailure:
     case Outcome::Shed:
-    case Outcome::AnswerUnusable:
       m_crashDetector.OnAnswered(aId, aNow);
       break;
+    // A broken answer does not show that the target works.
     case Outcome::TargetLost:
+    case Outcome::AnswerUnusable:
       m_crashDetector.OnLost(aId, aNow);
       CheckTargetEnded();
       break;
--- a/apps/wigeonfold-node/TargetPool.cpp
+++ b/apps/wigeonfold-node/TargetPool.cpp
@@ -294,10 +294,10 @@
       m_conduct->m_surplusAt = Clock::now();
     }
     Exchange exchange;
-    exchange.m_kind = fault == net::AnswerFault::CutShort ||
-                          fault == net::AnswerFault::Malformed
+    exchange.m_kind = fault == net::AnswerFault::CutShort
                         ? Exchange::Kind::Lost
                         : Exchange::Kind::Unusable;
+    exchange.m_broken = m_reader.Fault();
     Finish(std::move(exchange));
   }
 
--- a/apps/wigeonfold-node/TargetPool.h
+++ b/apps/wigeonfold-node/TargetPool.h
@@ -4,6 +4,7 @@
 #include "wigeonfold/base/Settings.h"
 #include "wigeonfold/base/Time.h"
 #include "wigeonfold/forwarding/Dialect.h"
+#include "wigeonfold/net/AnswerReader.h"
 #include "wigeonfold/wire/gen/peer_types.h"
 
 #include <functional>
@@ -24,7 +25,7 @@
   enum class Kind
   {
     Answer,
-    Unusable, // the answer is too large or switches protocols
+    Unusable, // the answer is broken; the target may still be running
     Lost,     // the connection ended before a complete answer
   };
 
@@ -38,6 +39,8 @@
   // True if the answer names no request although an earlier answer on the
   // connection did: it may be a late copy of one of them.
   bool m_mayBeLate = false;
+  // What is wrong with the answer, if one has begun that is not passed on.
+  std::optional<net::BrokenAnswer> m_broken;
   int m_status = 0;
   std::vector<wire::HeaderField> m_headers; // as received
   std::string m_body;
--- a/apps/wigeonfold-node/TargetSide.cpp
+++ b/apps/wigeonfold-node/TargetSide.cpp
@@ -46,6 +46,7 @@
 bool MayHaveEndedTarget(Outcome aOutcome)
 {
   return aOutcome == Outcome::TargetLost ||
+         aOutcome == Outcome::AnswerUnusable ||
          aOutcome == Outcome::ExpiredAfterWrite ||
          aOutcome == Outcome::CancelledAfterWrite;
 }
@@ -59,6 +60,7 @@
                        const admission::Link& aLink,
                        const forwarding::AnswerSendQueue& aLargeAnswers,
                        discovery::CrashLedger& aCrashes,
+                       BrokenAnswers& aBrokenAnswers,
                        observe::DecisionLog& aLog,
                        std::function<void()> aOnChange)
   : m_options(std::move(aOptions))
@@ -68,6 +70,7 @@
   , m_link(aLink)
   , m_largeAnswers(aLargeAnswers)
   , m_crashLedger(aCrashes)
+  , m_brokenAnswers(aBrokenAnswers)
   , m_log(aLog)
   , m_onChange(std::move(aOnChange))
   , m_startedAt(Clock::now())
@@ -434,6 +437,13 @@
   if (aExchange.m_kind == Exchange::Kind::Answer) {
     OnNotice(call, aExchange, now);
   }
+  if (aExchange.m_broken) {
+    m_brokenAnswers.Note({ call.m_request->requestId,
+                           AnswerSource::Target,
+                           call.m_target.m_instance },
+                         *aExchange.m_broken,
+                         now);
+  }
   TargetStep step;
   switch (aExchange.m_kind) {
     case Exchange::Kind::Answer: {
--- a/apps/wigeonfold-node/TargetSide.h
+++ b/apps/wigeonfold-node/TargetSide.h
@@ -1,6 +1,7 @@
 // The node's own target: admission, connections and drain state.
 #pragma once
 
+#include "BrokenAnswers.h"
 #include "Deadlines.h"
 #include "Messages.h"
 #include "TargetPool.h"
@@ -55,6 +56,7 @@
              const admission::Link& aLink,
              const forwarding::AnswerSendQueue& aLargeAnswers,
              discovery::CrashLedger& aCrashes,
+             BrokenAnswers& aBrokenAnswers,
              observe::DecisionLog& aLog,
              std::function<void()> aOnChange);
   ~TargetSide();
@@ -212,6 +214,7 @@
   const admission::Link& m_link;
   const forwarding::AnswerSendQueue& m_largeAnswers;
   discovery::CrashLedger& m_crashLedger;
+  BrokenAnswers& m_brokenAnswers;
   observe::DecisionLog& m_log;
   const std::function<void()> m_onChange;
   std::shared_ptr<const routing::View> m_view;
--- a/apps/wigeonfold-node/test/BrokenAnswers_test.cpp
+++ b/apps/wigeonfold-node/test/BrokenAnswers_test.cpp
@@ -4,9 +4,15 @@
 // against sound answers that are refused with them.
 #include "TestNodes.h"
 
+#include "wigeonfold/forwarding/NativeDialect.h"
+
+#include <map>
+
 namespace wigeonfold::node {
 namespace {
 
+using forwarding::kRequestIdHeader;
+
 // Far more than the small buffers of a target take.
 constexpr size_t kUploadBytes = 900'000;
 // Longer than any of the tests waits; the answer to a request that reaches it
@@ -44,6 +50,21 @@
     return request;
   }
 
+  // Fields of the log line about the broken answer to a request.
+  std::map<std::string, std::string> RefusalOf(const std::string& aRequestId)
+  {
+    std::map<std::string, std::string> fields;
+    for (const Event& event : m_log.Since(0)) {
+      if (event.m_id == EventId::AnswerRefused &&
+          event.m_fields.front().m_value == aRequestId) {
+        for (const EventField& field : event.m_fields) {
+          fields[field.m_name] = field.m_value;
+        }
+      }
+    }
+    return fields;
+  }
+
   static size_t CountOf(const net::HttpResponse& aAnswer,
                         const std::string& aName)
   {
@@ -57,11 +78,11 @@
 
   // The answer is the node's own, the request may have run, and the next one
   // gets its own answer.
-  void ExpectRefused(size_t aNode, const net::HttpResponse& aAnswer)
+  void ExpectRefused(size_t aNode,
+                     const net::HttpResponse& aAnswer,
+                     const std::string& aReason)
   {
-    EXPECT_EQ(aAnswer.m_status, 502) << FieldOf(aAnswer, kReasonHeader);
-    EXPECT_EQ(FieldOf(aAnswer, kRunHeader), "unknown");
-    EXPECT_NE(FieldOf(aAnswer, kReasonHeader), "");
+    ExpectOutcome(aAnswer, 502, "unknown", aReason);
     EXPECT_EQ(FieldOf(aAnswer, "X-Seal"), "");
     EXPECT_EQ(Call(aNode, Post("/lots")).m_body, "next");
   }
@@ -136,7 +157,7 @@
     ServeFirst(GetParam().m_reaction);
     const auto answer = Call(node, Upload());
     if (GetParam().m_body.empty()) {
-      ExpectRefused(node, answer);
+      ExpectRefused(node, answer, "target-lost");
       continue;
     }
     ExpectOutcome(answer, 200, "run", "");
@@ -282,7 +303,8 @@
     ServeFirst({ GetParam().m_bytes });
     ExpectRefused(
       node,
-      Call(node, Post("/lots", { { kDeadlineHeader, kLongDeadlineMs } })));
+      Call(node, Post("/lots", { { kDeadlineHeader, kLongDeadlineMs } })),
+      "answer-unusable");
   }
 }
 
@@ -303,6 +325,82 @@
                          testing::ValuesIn(FramingCases()),
                          [](const auto& aInfo) { return NameOf(aInfo); });
 
+// ---- Log and counter -------------------------------------------------------
+
+using RefusedAnswers = BrokenAnswersFixture;
+
+struct LoggedCase
+{
+  std::string m_bytes;
+  bool m_close = false;
+  std::string m_fault;
+  std::string m_detail; // as it is logged
+};
+
+// Guards against a refusal whose cause nobody can find, and against logs that a
+// target fills, or forges lines of, by what it sends.
+TEST_F(RefusedAnswers, AreLoggedWithTheirRequestAndCounted)
+{
+  const std::string longName(2000, '\x7f');
+  std::string shown;
+  for (int i = 0; i < 64; ++i) {
+    shown += "\\x7f";
+  }
+  const std::vector<LoggedCase> cases = {
+    { "HTTP/1.1 000 X\r\n\r\n", false, "status-out-of-range", "status 000" },
+    { kOk + "Transfer-Encoding: g\x01\r\n\r\n", false, "malformed", "" },
+    { kOk + "Transfer-Encoding: gzip\r\n\r\n",
+      false,
+      "transfer-coding",
+      "'gzip'" },
+    { kOk + longName + ": b\r\n\r\n",
+      false,
+      "malformed",
+      "bad field at '" + shown + "'" },
+    { kOk + "X\ncode=2110 Y: b\r\n\r\n",
+      false,
+      "malformed",
+      "bad field at 'X\\x0acode=2110 Y: b'" },
+    { kOk + "Content-Length: 9\r\n\r\nhalf",
+      true,
+      "cut-short",
+      "closed after 4 bytes of the body" },
+    { "HTTP/1.1 2", true, "cut-short", "closed within the head" },
+    { "HTTP/1.1 101 X\r\n\r\n", false, "switches-protocols", "" },
+    { kOk + "Content-Length: 9999999\r\n\r\n",
+      false,
+      "too-large",
+      "body limit exceeded" },
+  };
+  int number = 0;
+  for (const LoggedCase& one : cases) {
+    const std::string id = "id-" + std::to_string(++number);
+    ServeFirst({ one.m_bytes, one.m_close });
+    Call(0, Post("/lots/" + id, { { kRequestIdHeader, id } }));
+    const auto fields = RefusalOf(id);
+    EXPECT_EQ(fields.count("fault"), 1U) << id;
+    EXPECT_EQ(fields.at("fault"), one.m_fault);
+    EXPECT_EQ(fields.at("source"), "target");
+    EXPECT_EQ(fields.at("from"), "i");
+    if (!one.m_detail.empty()) {
+      EXPECT_EQ(fields.at("detail"), one.m_detail);
+    }
+  }
+  const std::string metrics = m_registry.Text();
+  EXPECT_NE(metrics.find("wigeonfold_node_broken_answers_total{fault=\"cut-"
+                         "short\",source=\"target\"} 2\n"),
+            std::string::npos)
+    << metrics;
+}
+
+// A target that has not begun an answer sent no broken one.
+TEST_F(RefusedAnswers, AreNotThoseThatNeverBegan)
+{
+  ServeFirst({ "", true });
+  Call(0, Post("/lots", { { kRequestIdHeader, "id" } }));
+  EXPECT_TRUE(RefusalOf("id").empty());
+}
+
 // ---- Sound answers ---------------------------------------------------------
 
 using SoundAnswers = BrokenAnswersFixture;
--- a/apps/wigeonfold-node/test/DeadlyRequest_test.cpp
+++ b/apps/wigeonfold-node/test/DeadlyRequest_test.cpp
@@ -41,6 +41,10 @@
     if (m_failsUnderDeadly) {
       return { "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n" };
     }
+    if (m_sendsGarbage) {
+      m_target->StopAccepting();
+      return { "no answer\r\n\r\n", true };
+    }
     m_target->Stop();
     return { "", true };
   }
@@ -81,6 +85,7 @@
   std::atomic<int> m_deadlyRuns{ 0 };
   std::atomic<bool> m_hangsUnderDeadly{ false };
   std::atomic<bool> m_failsUnderDeadly{ false };
+  std::atomic<bool> m_sendsGarbage{ false }; // before it ends
   bool m_hangs = false;
 };
 
@@ -100,6 +105,19 @@
   EXPECT_EQ(m_deadlyRuns, 3);
 }
 
+// What a target sends while it ends is no sign that it works.
+TEST_F(DeadlyRequest, EndsAfterABrokenAnswerCountLikeOthers)
+{
+  m_sendsGarbage = true;
+  for (size_t ends = 1; ends <= 3; ++ends) {
+    ExpectOutcome(CallDeadly(0, "2000"), 502, "unknown", "answer-unusable");
+    ShareCrashes(ends);
+    StartTarget();
+  }
+  ExpectOutcome(CallDeadly(0, "2000"), 503, "not-run", "quarantined");
+  EXPECT_EQ(m_deadlyRuns, 3);
+}
+
 // The target gets no request until it reports again, and its callers are told
 // that it is away.
 TEST_F(DeadlyRequest, EndedTargetIsDrainedUntilItsNextReport)
--- a/apps/wigeonfold-node/test/TestNodes.h
+++ b/apps/wigeonfold-node/test/TestNodes.h
@@ -76,9 +76,10 @@
   }
 
   uint16_t Port() const { return m_acceptor.local_endpoint().port(); }
+  void StopAccepting() { m_acceptor.close(); }
   void Stop()
   {
-    m_acceptor.close();
+    StopAccepting();
     for (const auto& client : m_clients) {
       client->m_socket.close();
     }
--- a/libs/base/include/wigeonfold/base/Events.h
+++ b/libs/base/include/wigeonfold/base/Events.h
@@ -120,7 +120,8 @@
   X(HedgeSent,              2157, Info,    "a request was slow and was sent to a second target as well") \
   X(HedgeWon,               2158, Info,    "the second target of a slow request answered first") \
   X(HedgeRefused,           2159, Info,    "the node of the second target refused a hedge, since no slot was free; it cost nothing") \
-  X(HedgeWithheld,          2160, Info,    "a request was slow and was not sent to a second target")
+  X(HedgeWithheld,          2160, Info,    "a request was slow and was not sent to a second target") \
+  X(AnswerRefused,          2161, Warning, "an answer of the node's own target or of another node was broken, and no caller gets it")
 // clang-format on
 
 enum class EventId : int
--- a/libs/forwarding/include/wigeonfold/forwarding/Outcome.h
+++ b/libs/forwarding/include/wigeonfold/forwarding/Outcome.h
@@ -53,7 +53,7 @@
   PeerLost,       // peer connection lost after the frame was written
   TargetRefused,  // no byte reached the target
   TargetLost,     // target connection lost after a byte was written
-  AnswerUnusable, // too large, or not delimited and so possibly truncated
+  AnswerUnusable, // broken, and not merely cut short by the connection's end
 
   // The caller disconnected, so no answer is sent.
   CancelledBeforeWrite,
--- a/libs/forwarding/include/wigeonfold/forwarding/TargetCall.h
+++ b/libs/forwarding/include/wigeonfold/forwarding/TargetCall.h
@@ -46,7 +46,7 @@
   // The target's complete answer. aReusable: the connection can carry further
   // requests.
   TargetStep OnAnswer(AnswerKind aKind, bool aReusable);
-  // The answer is too large or may be truncated.
+  // The answer is broken, or may be another request's.
   TargetStep OnUnusableAnswer();
   // aAnyByteWritten is false only if the operating system accepted no byte of
   // the request.
--- a/libs/net/include/wigeonfold/net/AnswerReader.h
+++ b/libs/net/include/wigeonfold/net/AnswerReader.h
@@ -5,6 +5,7 @@
 
 #include "wigeonfold/net/Http.h"
 
+#include <array>
 #include <boost/system/error_code.hpp>
 #include <memory>
 #include <string>
@@ -24,6 +25,13 @@
   CutShort,          // the connection ended within it
 };
 
+inline constexpr std::array kAnswerFaults{
+  AnswerFault::Malformed,      AnswerFault::StatusOutOfRange,
+  AnswerFault::TransferCoding, AnswerFault::TooLarge,
+  AnswerFault::TooManyInterim, AnswerFault::SwitchesProtocols,
+  AnswerFault::CutShort,
+};
+
 // Stable name for logs and metrics.
 const char* ToString(AnswerFault aFault);
 
--- a/libs/net/src/AnswerReader.cpp
+++ b/libs/net/src/AnswerReader.cpp
@@ -5,6 +5,7 @@
 #include "wigeonfold/base/Text.h"
 #include "wigeonfold/net/SocketIo.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/beast/http.hpp>
 #include <optional>
@@ -31,6 +32,13 @@
   return { aText.data(), aText.size() };
 }
 
+std::string ToDigits(int aStatus)
+{
+  constexpr size_t kDigits = 3;
+  const std::string text = std::to_string(aStatus);
+  return std::string(kDigits - text.size(), '0') + text;
+}
+
 // The bytes up to the end of their line, escaped.
 std::string Shown(std::string_view aBytes)
 {
@@ -42,11 +50,10 @@
 
 const char* ToString(AnswerFault aFault)
 {
-  constexpr std::array<const char*, 5> kNames{ "malformed",
-                                               "too-large",
-                                               "too-many-interim",
-                                               "switches-protocols",
-                                               "cut-short" };
+  constexpr std::array<const char*, kAnswerFaults.size()> kNames{
+    "malformed",        "status-out-of-range", "transfer-coding", "too-large",
+    "too-many-interim", "switches-protocols",  "cut-short",
+  };
   return kNames.at(static_cast<size_t>(aFault));
 }
 
@@ -61,7 +68,7 @@
   std::optional<http::response_parser<http::string_body>> m_parser;
   std::string m_received; // not parsed yet
   bool m_isHead = false;
-  int m_interim = 0; // interim answers to the request
+  int m_interim = 0;     // interim answers to the request
   HttpResponse m_answer; // head of the current message
   BrokenAnswer m_fault;
 };
@@ -149,8 +156,7 @@
 {
   const int status = static_cast<int>(m_state->m_parser->get().result_int());
   if (status < kLeastStatus || status > kGreatestStatus) {
-    return Refuse(AnswerFault::StatusOutOfRange,
-                  "status " + std::to_string(status));
+    return Refuse(AnswerFault::StatusOutOfRange, "status " + ToDigits(status));
   }
   if (status == kSwitchingProtocols) {
     return Refuse(AnswerFault::SwitchesProtocols, {});
@@ -183,6 +189,7 @@
 AnswerReader::Result AnswerReader::Refuse(AnswerFault aFault,
                                           std::string aDetail)
 {
+  aDetail.resize(std::min(aDetail.size(), BrokenAnswer::kMaxDetailBytes));
   m_state->m_fault = { aFault, std::move(aDetail) };
   return Result::Broken;
 }
