Read the answers to this library's clients like those of targets

Users of the command line client and the load tool saw: an interim answer, status 000 or 600, or a body in an unknown transfer coding taken for the answer; trailer fields among those of the head; an early answer to an upload lost as "send request". Cause: HttpPool and HttpClient wrote and read by code of their own, which had neither the skipping of interim answers nor the checks of net::AnswerReader, and which gave up at a write error. Change: both use ClientExchange, which writes a request and reads through net::AnswerReader. After a write error it still reads: a whole answer counts, one that ends with the connection only if the write failed with EPIPE. Broken answers fail with Protocol and say what was wrong. Two copies of the conversion to and from Beast go. Not mended: an early answer of a server that neither reads on nor closes; the clients write before they read and wait for their timeout.

--- a/libs/net/include/wigeonfold/net/Http.h
+++ b/libs/net/include/wigeonfold/net/Http.h
@@ -127,7 +127,8 @@
 
 // Sends one request on a new connection and blocks until it is answered; for
 // command line tools. Fails with InvalidArgument when the host is not an IP
-// address, with Timeout or with Unavailable. Thread safe.
+// address, with Protocol when the answer is broken, with Timeout or with
+// Unavailable. Thread safe.
 Result<HttpResponse> HttpCall(const SocketAddress& aAddress,
                               const HttpRequest& aRequest,
                               Duration aTimeout);
--- a/libs/net/include/wigeonfold/net/SocketIo.h
+++ b/libs/net/include/wigeonfold/net/SocketIo.h
@@ -39,10 +39,6 @@
 // limit them, so a sender that never completes one would fill the memory.
 inline constexpr size_t kMaxUnparsedBytes = size_t{ 64 } << 10;
 
-// The same for clients that read through a Beast buffer, which holds what is
-// read at once besides.
-inline constexpr size_t kMaxClientBufferBytes = size_t{ 512 } << 10;
-
 // Feeds a Beast parser with one part of a message: its head, or what has
 // arrived of its body. Returns how many bytes it consumed; 0 if it needs more.
 // Not thread safe.
--- a/libs/net/src/HttpPool.cpp
+++ b/libs/net/src/HttpPool.cpp
@@ -1,12 +1,11 @@
 #include "wigeonfold/net/HttpPool.h"
 
-#include "wigeonfold/net/SocketIo.h"
+#include "ClientExchange.h"
 
 #include <utility>
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
 #include <deque>
 #include <set>
 
@@ -14,13 +13,10 @@
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
-namespace http = beast::http;
 using asio::ip::tcp;
 
 namespace {
 
-using BeastRequest = http::request<http::string_body>;
-
 struct PendingCall
 {
   HttpRequest m_request;
@@ -28,33 +24,6 @@
   HttpOnOutcome m_onOutcome;
 };
 
-BeastRequest ToBeast(const HttpRequest& aRequest, const std::string& aHost)
-{
-  BeastRequest request;
-  request.method_string(aRequest.m_method);
-  request.target(aRequest.m_target);
-  request.version(11);
-  request.set(http::field::host, aHost);
-  for (const HttpField& field : aRequest.m_fields) {
-    request.set(field.m_name, field.m_value);
-  }
-  request.body() = aRequest.m_body;
-  request.prepare_payload();
-  return request;
-}
-
-HttpResponse FromBeast(http::response<http::string_body>&& aResponse)
-{
-  HttpResponse response;
-  response.m_status = static_cast<int>(aResponse.result_int());
-  for (const auto& field : aResponse) {
-    response.m_fields.push_back(
-      { std::string(field.name_string()), std::string(field.value()) });
-  }
-  response.m_body = std::move(aResponse.body());
-  return response;
-}
-
 class Pool;
 
 // ---- One connection --------------------------------------------------------
@@ -62,11 +31,7 @@
 class PoolConnection : public std::enable_shared_from_this<PoolConnection>
 {
 public:
-  PoolConnection(asio::io_context& aIo, Pool& aPool)
-    : m_stream(aIo)
-    , m_pool(&aPool)
-  {
-  }
+  PoolConnection(asio::io_context& aIo, Pool& aPool);
 
   void Start(PendingCall aCall);
   // Closes the connection without reporting the outcome of a pending call.
@@ -74,18 +39,16 @@
 
 private:
   void Connect();
-  void Write();
-  void Read();
+  void FailToConnect(beast::error_code aCode);
+  void Exchange();
   void Finish();
-  void Fail(const char* aStep, beast::error_code aCode);
+  void Fail(Error aError);
   void WatchWhileIdle();
 
   beast::tcp_stream m_stream;
   Pool* m_pool; // null after Drop()
-  beast::flat_buffer m_buffer{ kMaxClientBufferBytes };
-  std::optional<http::response_parser<http::string_body>> m_parser;
+  ClientExchange m_exchange;
   PendingCall m_call;
-  BeastRequest m_request;
   bool m_busy = false;
   bool m_sent = false;
   bool m_watching = false;
@@ -219,15 +182,21 @@
   std::shared_ptr<bool> m_alive; // false once the pool is destroyed
 };
 
+PoolConnection::PoolConnection(asio::io_context& aIo, Pool& aPool)
+  : m_stream(aIo)
+  , m_pool(&aPool)
+  , m_exchange(m_stream, aPool.m_address)
+{
+}
+
 void PoolConnection::Start(PendingCall aCall)
 {
   m_call = std::move(aCall);
-  m_request = ToBeast(m_call.m_request, m_pool->m_address);
   m_busy = true;
   m_sent = false;
   m_stream.expires_after(m_call.m_expires - Clock::now());
   if (m_stream.socket().is_open()) {
-    Write();
+    Exchange();
   } else {
     Connect();
   }
@@ -238,46 +207,39 @@
   m_stream.async_connect(
     m_pool->m_endpoint, [self = shared_from_this()](beast::error_code aCode) {
       if (aCode) {
-        self->Fail("connect", aCode);
+        self->FailToConnect(aCode);
         return;
       }
       boost::system::error_code ignored;
       self->m_stream.socket().set_option(tcp::no_delay(true), ignored);
-      self->Write();
+      self->Exchange();
     });
 }
 
-void PoolConnection::Write()
+void PoolConnection::FailToConnect(beast::error_code aCode)
 {
-  m_sent = true;
-  http::async_write(
-    m_stream,
-    m_request,
-    [self = shared_from_this()](beast::error_code aCode, size_t) {
-      if (aCode) {
-        self->Fail("send request", aCode);
-        return;
-      }
-      self->Read();
-    });
+  if (m_pool != nullptr) {
+    Fail(Error{ aCode == beast::error::timeout ? ErrorCode::Timeout
+                                               : ErrorCode::Unavailable,
+                "connect",
+                m_pool->m_address,
+                aCode.message() });
+  }
 }
 
-void PoolConnection::Read()
+void PoolConnection::Exchange()
 {
-  m_parser.emplace();
-  m_parser->body_limit(kMaxBodyBytes * 64);
-  m_parser->skip(m_request.method() == http::verb::head);
-  http::async_read(
-    m_stream,
-    m_buffer,
-    *m_parser,
-    [self = shared_from_this()](beast::error_code aCode, size_t) {
-      if (aCode) {
-        self->Fail("read answer", aCode);
-        return;
-      }
-      self->Finish();
-    });
+  m_sent = true;
+  m_exchange.Run(m_call.m_request,
+                 true,
+                 shared_from_this(),
+                 [this](std::optional<Error> aError) {
+                   if (aError) {
+                     Fail(std::move(*aError));
+                   } else {
+                     Finish();
+                   }
+                 });
 }
 
 void PoolConnection::Finish()
@@ -287,11 +249,10 @@
   if (m_pool == nullptr) {
     return;
   }
-  const bool keep = m_parser->get().keep_alive() && m_buffer.size() == 0;
-  HttpOutcome outcome{ FromBeast(m_parser->release()), true, {} };
+  HttpOutcome outcome{ m_exchange.TakeAnswer(), true, {} };
   const auto onOutcome = std::exchange(m_call.m_onOutcome, nullptr);
   const auto self = shared_from_this();
-  if (keep) {
+  if (m_exchange.IsReusable()) {
     WatchWhileIdle();
     m_pool->Release(self);
   } else {
@@ -302,7 +263,7 @@
   onOutcome(std::move(outcome));
 }
 
-void PoolConnection::Fail(const char* aStep, beast::error_code aCode)
+void PoolConnection::Fail(Error aError)
 {
   m_busy = false;
   if (m_pool == nullptr) {
@@ -312,13 +273,8 @@
   boost::system::error_code ignored;
   m_stream.socket().close(ignored);
   const auto onOutcome = std::exchange(m_call.m_onOutcome, nullptr);
-  const bool timeout = aCode == beast::error::timeout;
-  const Error error{ timeout ? ErrorCode::Timeout : ErrorCode::Unavailable,
-                     aStep,
-                     m_pool->m_address,
-                     aCode.message() };
   m_pool->Remove(self);
-  onOutcome({ std::nullopt, m_sent, error });
+  onOutcome({ std::nullopt, m_sent, std::move(aError) });
 }
 
 // Removes the connection from the pool if the server closes it while it is
