Refuse broken answers that another node passes on

Callers saw: while nodes of an earlier version are in use, an answer with status 0, 100, 600 or 1000, with a name that is no token or with a line break in a value reached them through such a node; a broken refusal kept its "not run". Cause: the caller's node took a CallResponse of another node as checked. Change: forwarding::CheckAnswer checks status, size and fields of what a node passes on as its target's answer. A broken one ends the attempt as answer-unusable, outcome unknown, with the event AnswerRefused and the counter under source node.

--- a/apps/wigeonfold-node/CallerSide.cpp
+++ b/apps/wigeonfold-node/CallerSide.cpp
@@ -1,5 +1,6 @@
 #include "CallerSide.h"
 
+#include "wigeonfold/forwarding/AnswerCheck.h"
 #include "wigeonfold/forwarding/Fingerprint.h"
 
 #include <algorithm>
@@ -34,6 +35,7 @@
                        const discovery::CrashLedger& aCrashes,
                        forwarding::VersionStats& aVersionStats,
                        QuotaStep& aQuotas,
+                       BrokenAnswers& aBrokenAnswers,
                        observe::DecisionLog& aLog)
   : m_nodeName(std::move(aNodeName))
   , m_chooser(std::move(aChooser))
@@ -46,6 +48,7 @@
   , m_crashLedger(aCrashes)
   , m_versionStats(aVersionStats)
   , m_quotas(aQuotas)
+  , m_brokenAnswers(aBrokenAnswers)
   , m_log(aLog)
   , m_hedging(aMetrics, aLog)
 {
@@ -376,6 +379,43 @@
           call.m_call.OnAttemptEnded(aKey.m_attempt, aOutcome, load, now));
 }
 
+// A broken answer ends the attempt like one that this node's own target sent.
+// Only the other node's load is kept of it.
+void CallerSide::OnPeerAnswer(const AttemptKey& aKey,
+                              Outcome aOutcome,
+                              wire::CallResponse aResponse)
+{
+  const auto broken = forwarding::CheckAnswer(aOutcome, aResponse);
+  if (!broken) {
+    OnAttemptEnded(aKey, aOutcome, std::move(aResponse));
+    return;
+  }
+  NoteBrokenAnswer(aKey, *broken);
+  wire::CallResponse refused;
+  if (aResponse.__isset.load) {
+    refused.__set_load(aResponse.load);
+  }
+  OnAttemptEnded(aKey, Outcome::AnswerUnusable, std::move(refused));
+}
+
+void CallerSide::NoteBrokenAnswer(const AttemptKey& aKey,
+                                  const net::BrokenAnswer& aBroken)
+{
+  const auto found = m_calls.find(aKey.m_call);
+  if (found == m_calls.end()) {
+    return;
+  }
+  const ActiveCall& call = found->second;
+  for (const Attempt& attempt : call.m_attempts) {
+    if (attempt.m_number == aKey.m_attempt) {
+      m_brokenAnswers.Note(
+        { call.m_request->requestId, AnswerSource::Node, attempt.m_target },
+        aBroken,
+        Clock::now());
+    }
+  }
+}
+
 bool CallerSide::IsRunningOrder(const std::string& aService,
                                 const std::string& aOrderId) const
 {
--- a/apps/wigeonfold-node/CallerSide.h
+++ b/apps/wigeonfold-node/CallerSide.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "Authenticator.h"
+#include "BrokenAnswers.h"
 #include "Deadlines.h"
 #include "Hedging.h"
 #include "NodeMetrics.h"
@@ -38,6 +39,7 @@
              const discovery::CrashLedger& aCrashes,
              forwarding::VersionStats& aVersionStats,
              QuotaStep& aQuotas,
+             BrokenAnswers& aBrokenAnswers,
              observe::DecisionLog& aLog);
 
   // aView must not be null. Calls under way keep the view they started with.
@@ -61,6 +63,10 @@
   void OnAttemptEnded(const forwarding::AttemptKey& aKey,
                       forwarding::Outcome aOutcome,
                       wire::CallResponse aResponse);
+  // As above, for an answer of another node.
+  void OnPeerAnswer(const forwarding::AttemptKey& aKey,
+                    forwarding::Outcome aOutcome,
+                    wire::CallResponse aResponse);
   void OnGoaway(const std::string& aNodeName);
   void OnUnreachable(const std::string& aNodeName);
   void OnReachable(const std::string& aNodeName);
@@ -140,6 +146,8 @@
   void HedgeSlow(uint64_t aId, TimePoint aNow);
   void CancelAttempt(ActiveCall& aCall, int aNumber);
   // Whether the newest view has that order and it is running.
+  void NoteBrokenAnswer(const forwarding::AttemptKey& aKey,
+                        const net::BrokenAnswer& aBroken);
   bool IsRunningOrder(const std::string& aService,
                       const std::string& aOrderId) const;
   // Counts an attempt of a request that began under the order that is running.
@@ -166,6 +174,7 @@
   const discovery::CrashLedger& m_crashLedger;
   forwarding::VersionStats& m_versionStats;
   QuotaStep& m_quotas;
+  BrokenAnswers& m_brokenAnswers;
   observe::DecisionLog& m_log;
   std::shared_ptr<const routing::View> m_view;
   bool m_ready = false;
--- a/apps/wigeonfold-node/DataPlane.cpp
+++ b/apps/wigeonfold-node/DataPlane.cpp
@@ -112,6 +112,7 @@
       m_crashLedger,
       m_versionStats,
       m_quotas,
+      m_brokenAnswers,
       m_decisionLog)
   , m_peerServer(aIo,
                  m_identity,
@@ -141,7 +142,7 @@
   handlers.m_onEnded = [this](const forwarding::AttemptKey& aKey,
                               forwarding::Outcome aOutcome,
                               wire::CallResponse aResponse) {
-    m_callerSide.OnAttemptEnded(aKey, aOutcome, std::move(aResponse));
+    m_callerSide.OnPeerAnswer(aKey, aOutcome, std::move(aResponse));
   };
   handlers.m_onGoaway = [this](const std::string& aNodeName) {
     m_callerSide.OnGoaway(aNodeName);
--- a/libs/net/include/wigeonfold/net/AnswerReader.h
+++ b/libs/net/include/wigeonfold/net/AnswerReader.h
@@ -13,6 +13,11 @@
 
 namespace wigeonfold::net {
 
+// Whether HTTP has the status, and whether an answer with it ends an exchange
+// (RFC 9110, 15). Thread safe.
+bool IsStatus(int aStatus);
+bool IsFinalStatus(int aStatus);
+
 // What is wrong with an answer.
 enum class AnswerFault
 {
--- a/libs/net/src/AnswerReader.cpp
+++ b/libs/net/src/AnswerReader.cpp
@@ -48,6 +48,16 @@
 
 } // namespace
 
+bool IsStatus(int aStatus)
+{
+  return aStatus >= kLeastStatus && aStatus <= kGreatestStatus;
+}
+
+bool IsFinalStatus(int aStatus)
+{
+  return aStatus >= kFirstFinalStatus && aStatus <= kGreatestStatus;
+}
+
 const char* ToString(AnswerFault aFault)
 {
   constexpr std::array<const char*, kAnswerFaults.size()> kNames{
@@ -155,7 +165,7 @@
 AnswerReader::Result AnswerReader::CheckHead()
 {
   const int status = static_cast<int>(m_state->m_parser->get().result_int());
-  if (status < kLeastStatus || status > kGreatestStatus) {
+  if (!IsStatus(status)) {
     return Refuse(AnswerFault::StatusOutOfRange, "status " + ToDigits(status));
   }
   if (status == kSwitchingProtocols) {
@@ -171,7 +181,7 @@
 
 bool AnswerReader::HasBody(int aStatus) const
 {
-  return !m_state->m_isHead && aStatus >= kFirstFinalStatus &&
+  return !m_state->m_isHead && IsFinalStatus(aStatus) &&
          aStatus != kNoContent && aStatus != kNotModified;
 }
 
@@ -217,7 +227,7 @@
 
 bool AnswerReader::IsInterim() const
 {
-  return m_state->m_answer.m_status < kFirstFinalStatus;
+  return !IsFinalStatus(m_state->m_answer.m_status);
 }
 
 // Copies the head before the parser adds the fields of a trailer to it.
