Reject parts that do not continue an answer, and log rejected connections

Callers saw: where another node sent an empty part of a large answer, nothing until its connection counted as silent, 1.5 s later; and no log named the node that sent a malformed frame, though its calls ended as peer-lost. Cause: AnswerAssembly took an empty part as progress, and a whole answer to a call whose parts were under way as another one, which left the rest of the first in memory. PeerClient closed the connection without a word. Change: both are invalid and end the connection at once. PeerClient reports it, and the node logs ConnectionRejected with the peer and the step. Evidence: PeerAnswers.BrokenPartsEndTheConnectionAtOnce failed before (1.5 s, no event); AnswerParts.WhatDoesNotContinueAnAnswerIsInvalid is new. Handled before, in the same test: parts that are cut short or too long, lengths that are negative or too great. The tests of Forwarding and Hedging pass.

--- a/apps/wigeonfold-node/DataPlane.cpp
+++ b/apps/wigeonfold-node/DataPlane.cpp
@@ -147,6 +147,11 @@
   handlers.m_onGoaway = [this](const std::string& aNodeName) {
     m_callerSide.OnGoaway(aNodeName);
   };
+  handlers.m_onRejected = [this](const std::string& aNodeName,
+                                 const std::string& aStep) {
+    m_log.Record(EventId::ConnectionRejected,
+                 { { "peer", aNodeName }, { "step", aStep } });
+  };
   handlers.m_onUnreachable = [this](const std::string& aNodeName) {
     m_callerSide.OnUnreachable(aNodeName);
   };
--- a/apps/wigeonfold-node/PeerClient.cpp
+++ b/apps/wigeonfold-node/PeerClient.cpp
@@ -25,6 +25,7 @@
 // A connection with more unsent bytes gets no further calls: the peer reads too
 // slowly.
 constexpr size_t kMaxQueuedBytes = size_t{ 4 } << 20;
+constexpr const char* kReadStep = "read answer"; // for logs
 
 } // namespace
 
@@ -164,8 +165,13 @@
     }
   };
   handlers.m_onClose = [this, id, alive = m_alive](const net::ConnectionPtr&,
-                                                   const Error&) {
-    if (*alive) {
+                                                   const Error& aError) {
+    if (!*alive) {
+      return;
+    }
+    if (aError.m_code == ErrorCode::Protocol) {
+      Reject(id, aError.m_step);
+    } else {
       Abort(id);
     }
   };
@@ -233,7 +239,7 @@
       if (valid) {
         CloseIfDrained(aLink);
       } else {
-        Abort(aLink);
+        Reject(aLink, kReadStep);
       }
       break;
     }
@@ -253,7 +259,7 @@
       break;
     }
     default:
-      Abort(aLink);
+      Reject(aLink, kReadStep);
       break;
   }
 }
@@ -308,6 +314,16 @@
   m_links.erase(found);
 }
 
+// Closes a link on which the node sent a malformed frame or message.
+void PeerClient::Reject(uint64_t aLink, const std::string& aStep)
+{
+  const auto found = m_links.find(aLink);
+  if (found != m_links.end()) {
+    m_handlers.m_onRejected(std::string(found->second.m_nodeName), aStep);
+    Abort(aLink);
+  }
+}
+
 // Closes a link at once and reports all its calls as ended.
 void PeerClient::Abort(uint64_t aLink)
 {
--- a/apps/wigeonfold-node/PeerClient.h
+++ b/apps/wigeonfold-node/PeerClient.h
@@ -50,6 +50,9 @@
     m_onEnded;
   // The node announced that it accepts no further calls.
   std::function<void(const std::string& aNodeName)> m_onGoaway;
+  // The node sent a malformed frame or message, so its connection was closed.
+  std::function<void(const std::string& aNodeName, const std::string& aStep)>
+    m_onRejected;
   // A peer reported the version that it has in force.
   std::function<void(const Version&)> m_onPeerVersion;
   // Connecting to the node failed, or nothing was received from it for a while
@@ -138,6 +141,7 @@
   bool Deliver(Link& aLink, forwarding::AnswerAssembly::Result aResult);
   bool Write(Link& aLink, const PendingCall& aCall);
   void CloseIfDrained(uint64_t aLink);
+  void Reject(uint64_t aLink, const std::string& aStep);
   void Abort(uint64_t aLink);
   void OnSilence(uint64_t aLink);
   void BeginDraining(uint64_t aLink);
--- a/apps/wigeonfold-node/test/PeerAnswers_test.cpp
+++ b/apps/wigeonfold-node/test/PeerAnswers_test.cpp
@@ -160,6 +160,30 @@
   ExpectOutcome(CallOther(), 502, "unknown", "answer-unusable");
 }
 
+// Bodies that don't match the length that their head announced.
+TEST_F(PeerAnswers, BrokenPartsEndTheConnectionAtOnce)
+{
+  const auto announcing = [](int64_t aBytes) {
+    wire::CallResponse head = Response(200);
+    head.__set_bodyBytes(aBytes);
+    return head;
+  };
+  const std::vector<PeerReaction> broken = {
+    { announcing(6), { "in" }, true },
+    { announcing(6), { "instead" } },
+    { announcing(1) },
+    { announcing(-1) },
+    { announcing(int64_t{ 1 } << 40) },
+    { announcing(6), { "" } },
+  };
+  for (const PeerReaction& reaction : broken) {
+    ServePeer(reaction);
+    ExpectOutcome(CallOther(), 502, "unknown", "peer-lost");
+  }
+  EXPECT_EQ(Logged(EventId::ConnectionRejected, "peer"), "other");
+  EXPECT_EQ(Logged(EventId::ConnectionRejected, "step"), "read answer");
+}
+
 TEST_F(PeerAnswers, BodyBeyondTheLimitIsRefused)
 {
   wire::CallResponse response = Response(200);
--- a/libs/forwarding/include/wigeonfold/forwarding/AnswerParts.h
+++ b/libs/forwarding/include/wigeonfold/forwarding/AnswerParts.h
@@ -92,6 +92,7 @@
   {
   }
 
+  // An answer or part that doesn't fit what came before of its call is invalid.
   Result OnResponse(wire::CallResponse aResponse);
   Result OnPart(wire::CallBodyPart aPart);
   wire::CallResponse TakeComplete() { return std::move(m_complete); }
--- a/libs/forwarding/src/AnswerParts.cpp
+++ b/libs/forwarding/src/AnswerParts.cpp
@@ -75,6 +75,9 @@
 
 AnswerAssembly::Result AnswerAssembly::OnResponse(wire::CallResponse aResponse)
 {
+  if (m_partial.count(aResponse.callId) > 0) {
+    return Result::Invalid;
+  }
   if (!aResponse.__isset.bodyBytes) {
     m_complete = std::move(aResponse);
     return Result::Complete;
@@ -90,8 +93,8 @@
   }
   aResponse.body.reserve(whole);
   const int64_t callId = aResponse.callId;
-  const bool isNew = m_partial.emplace(callId, std::move(aResponse)).second;
-  return isNew ? Result::Incomplete : Result::Invalid;
+  m_partial.emplace(callId, std::move(aResponse));
+  return Result::Incomplete;
 }
 
 AnswerAssembly::Result AnswerAssembly::OnPart(wire::CallBodyPart aPart)
@@ -100,6 +103,9 @@
   if (found == m_partial.end()) {
     return Result::Incomplete;
   }
+  if (aPart.body.empty()) {
+    return Result::Invalid;
+  }
   wire::CallResponse& response = found->second;
   response.body += aPart.body;
   const auto whole = static_cast<size_t>(response.bodyBytes);
--- a/libs/forwarding/test/AnswerParts_test.cpp
+++ b/libs/forwarding/test/AnswerParts_test.cpp
@@ -133,6 +133,25 @@
   EXPECT_EQ(assembly.OnPart(part), Result::Invalid); // longer than announced
 }
 
+// Parts that never bring an answer further, and a second answer to a call, end
+// the connection. Otherwise the call waits, and rests of the first answer stay.
+TEST(AnswerParts, WhatDoesNotContinueAnAnswerIsInvalid)
+{
+  AnswerAssembly assembly(100);
+  wire::CallResponse head;
+  head.callId = 1;
+  head.__set_bodyBytes(10);
+  head.body = "123";
+  EXPECT_EQ(assembly.OnResponse(head), Result::Incomplete);
+  wire::CallBodyPart empty;
+  empty.callId = 1;
+  EXPECT_EQ(assembly.OnPart(empty), Result::Invalid);
+  wire::CallResponse whole;
+  whole.callId = 1;
+  whole.body = "whole";
+  EXPECT_EQ(assembly.OnResponse(whole), Result::Invalid);
+}
+
 // The parts of a cancelled call may be on their way.
 TEST(AnswerParts, PartsOfAForgottenCallAreIgnored)
 {
