Test broken answers to hedged and pipelined requests and large ones

Cause: these go other ways through the node than a single small answer. Change: tests only. A hedge's broken answer leaves the other attempt; refusals keep their place among pipelined answers; a large answer without a length counts whole after an orderly end and not after a reset, over one node and over two.

--- a/apps/wigeonfold-node/test/BrokenAnswers_test.cpp
+++ b/apps/wigeonfold-node/test/BrokenAnswers_test.cpp
@@ -117,6 +117,8 @@
     "HTTP/1.1 503 X\r\nWigeonfold-Run: not-run\r\nX-Seal: s\r\n\r\nbusy";
   const std::string failure =
     "HTTP/1.1 500 X\r\nX-Seal: s\r\n\r\nthe first part";
+  // Goes between nodes in several parts.
+  const std::string large(20 * forwarding::kPartBytes, 'l');
   const std::string whole = kOk + "X-Seal: s\r\nContent-Length: 5\r\n\r\nwhole";
   return {
     { "ResetAtOnce", Ending(kOpenEnded, 0ms, true), "" },
@@ -134,6 +136,10 @@
     { "ChunksCutShort",
       Ending(kOk + kChunked + "X-Seal: s\r\n\r\n4\r\nhalf\r\n", 50ms, true),
       "" },
+    { "LargePart", Ending(kOpenEnded + large, 50ms, true), "" },
+    { "LargeAndOrderlyEnd",
+      Ending(kOpenEnded + large, 50ms, false, true),
+      "the first part" + large },
     { "WholeThenReset", Ending(whole, 0ms, true), "whole" },
     { "WholeThenResetLater", Ending(whole, 50ms, true), "whole" },
     { "WholeAndOpen", Reaction{ whole }, "whole" },
@@ -401,6 +407,32 @@
   EXPECT_TRUE(RefusalOf("id").empty());
 }
 
+// The answers to pipelined requests leave in order, a refusal among them.
+TEST_F(RefusedAnswers, KeepTheirPlaceAmongPipelinedRequests)
+{
+  ServeAtPeer([](int, const std::string& aRequest) {
+    const bool broken = aRequest.find("/lots/broken") != std::string::npos;
+    return Reaction{ broken ? "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n" +
+                                CompleteAnswer("wrong")
+                            : CompleteAnswer("sound") };
+  });
+  const std::string end = " HTTP/1.1\r\nHost: x\r\n";
+  const std::string answers =
+    SendAndReadAll(m_nodes[0]->CallerPort(),
+                   "GET /lots/broken" + end + "\r\nGET /lots/1" + end +
+                     "\r\nGET /lots/broken2" + end + "\r\nGET /lots/2" + end +
+                     "Connection: close\r\n\r\n");
+  const std::string version = "HTTP/1.1 ";
+  size_t at = 0;
+  for (const std::string expected : { "502", "200", "502", "200" }) {
+    at = answers.find(version, at);
+    ASSERT_NE(at, std::string::npos) << answers;
+    at += version.size();
+    EXPECT_EQ(answers.substr(at, expected.size()), expected) << answers;
+  }
+  EXPECT_EQ(answers.find("wrong"), std::string::npos) << answers;
+}
+
 // ---- Sound answers ---------------------------------------------------------
 
 using SoundAnswers = BrokenAnswersFixture;
--- a/apps/wigeonfold-node/test/Hedging_test.cpp
+++ b/apps/wigeonfold-node/test/Hedging_test.cpp
@@ -42,6 +42,9 @@
     const bool isSlow = line.find("slow") != std::string::npos;
     m_slowRequests += isSlow ? 1 : 0;
     const bool isFirst = m_seen.insert(line).second;
+    if (isSlow && !isFirst && m_hedgeIsBroken) {
+      return { "HTTP/1.1 000 X\r\n\r\n" };
+    }
     return { CompleteAnswer(isSlow && isFirst ? "first" : "second"),
              false,
              isSlow && isFirst ? kSlow : Duration::zero() };
@@ -61,6 +64,7 @@
 
   std::array<std::unique_ptr<TestTarget>, 2> m_targets;
   std::atomic<int> m_slowRequests = 0;
+  std::atomic<bool> m_hedgeIsBroken = false;
   std::set<std::string> m_seen; // only for the io_context's thread
 };
 
@@ -100,6 +104,15 @@
   EXPECT_EQ(m_slowRequests, 1);
 }
 
+// Guards against a caller that gets a failure while a sound answer is awaited.
+TEST_F(Hedged, BrokenAnswerToAHedgeLeavesTheOtherOne)
+{
+  Serve("100");
+  m_hedgeIsBroken = true;
+  EXPECT_EQ(TimedCall(Get("/lots/slow")).m_answer.m_body, "first");
+  EXPECT_EQ(m_slowRequests, 2);
+}
+
 // Guards against a hedge that takes the slot of another request, and against a
 // request that fails because its hedge was refused.
 TEST_F(Hedged, HedgeThatFindsNoFreeSlotCostsNothing)
