--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -194,6 +194,22 @@
                  "long-per-mille = 20"]
         self.start_with_settings("target-%d" % i, "wigeonfold-target", lines)
 
+    def keep_announcing(self, i, instance, is_current=lambda: True):
+        """Announces a stand-in target of VM i to its node each second, until the fleet stops or
+        is_current() is false.
+        """
+        body = json.dumps({"service": self.services[i], "slots": 6, "connections": 100, "state": "ready",
+                           "address": self.vm_address(i, "target"), "instance": instance})
+        while is_current() and not self.stopped:
+            try:
+                connection = http.client.HTTPConnection(self.vm_address(i, "local"), timeout=1)
+                connection.request("PUT", "/wigeonfold/announce", body)
+                connection.getresponse().read()
+                connection.close()
+            except (OSError, http.client.HTTPException):
+                pass
+            time.sleep(1)
+
     def fault_injection_lines(self, zone):
         return ["[fault-injection]", "link-rules = " + self.path("links-%d" % zone)]
 
--- a/tests/process/DeadlyRequest_test.py
+++ b/tests/process/DeadlyRequest_test.py
@@ -14,7 +14,6 @@
 """
 import argparse
 import http.client
-import json
 import os
 import random
 import shutil
@@ -63,20 +62,9 @@
         self.instance = str(uuid.uuid4())
         self.server = Server(split_address(self.fleet.vm_address(self.i, "target")), self)
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
-        threading.Thread(target=self.announce, args=(self.instance,), daemon=True).start()
-
-    def announce(self, instance):
-        body = json.dumps({"service": SERVICES[self.i], "slots": 6, "connections": 100, "state": "ready",
-                           "address": self.fleet.vm_address(self.i, "target"), "instance": instance})
-        while self.instance == instance and not self.fleet.stopped:
-            try:
-                connection = http.client.HTTPConnection(self.fleet.vm_address(self.i, "local"), timeout=1)
-                connection.request("PUT", "/wigeonfold/announce", body)
-                connection.getresponse().read()
-                connection.close()
-            except (OSError, http.client.HTTPException):
-                pass
-            time.sleep(1)
+        instance = self.instance
+        threading.Thread(target=self.fleet.keep_announcing,
+                         args=(self.i, instance, lambda: self.instance == instance), daemon=True).start()
 
     def end(self):
         if self.instance is None:
