--- a/apps/wigeonfold-node/CallerSide.h
+++ b/apps/wigeonfold-node/CallerSide.h
@@ -1,5 +1,5 @@
 // Handles callers' requests: parses the HTTP request, makes attempts at
-// endpoints and answers the caller.
+// endpoints and answers the caller. What it logs is in CallerLog.cpp.
 #pragma once
 
 #include "Authenticator.h"
--- a/apps/wigeonfold-node/TargetPool.cpp
+++ b/apps/wigeonfold-node/TargetPool.cpp
@@ -165,8 +165,8 @@
   }
 
   // Writes what the socket accepts, and the rest once it accepts more. Each
-  // write happens here, in the same handler as its result, since the read that
-  // sees the end of the connection has to know of an earlier write error.
+  // write happens here, in the handler that gets its result; see
+  // net::IsOrderlyEnd().
   void Write()
   {
     const std::string_view head = m_head;
@@ -212,16 +212,6 @@
     });
   }
 
-  // Whether the target ended the connection in good order, when a read sees its
-  // end. The system reports a reset once, to a write or to a read; after a
-  // write took it, a read sees the same as after an orderly end. The write
-  // fails with broken_pipe if the target had ended its sending before it reset
-  // the connection, and the answer is whole then.
-  bool HasEndedInOrder() const
-  {
-    return !m_writeError || m_writeError == asio::error::broken_pipe;
-  }
-
   void WaitForBytes()
   {
     m_socket.async_wait(
@@ -241,7 +231,7 @@
       WaitForBytes();
       return;
     }
-    OnRead(code ? m_reader.End(code == asio::error::eof && HasEndedInOrder())
+    OnRead(code ? m_reader.End(net::IsOrderlyEnd(code, m_writeError))
                 : m_reader.Add(bytes));
   }
 
@@ -366,7 +356,6 @@
   std::string m_head;                     // of the request in progress
   size_t m_sent = 0;                      // bytes of the request
   boost::system::error_code m_writeError; // of the request, if any
-  std::string m_received;                 // not parsed yet
   std::shared_ptr<const wire::CallRequest> m_request;
   net::AnswerReader m_reader{ net::kMaxBodyBytes };
   std::function<void(Exchange)> m_done;
--- a/libs/net/include/wigeonfold/net/SocketIo.h
+++ b/libs/net/include/wigeonfold/net/SocketIo.h
@@ -34,6 +34,18 @@
                std::initializer_list<std::string_view> aParts,
                boost::system::error_code& aCode);
 
+// Whether the peer ended its sending in good order, so that a message without a
+// length is whole. aReadCode: why a read got no bytes. aWriteError: that of the
+// first write on the connection that failed, if any.
+//
+// The system reports a reset once, to a write or to a read. After a write took
+// it, a read sees the same as after an orderly end, so a connection that writes
+// while it reads has to know of each write error before its next read. A write
+// fails with broken_pipe if the peer had ended its sending before it reset the
+// connection. Thread safe.
+bool IsOrderlyEnd(const boost::system::error_code& aReadCode,
+                  const boost::system::error_code& aWriteError);
+
 // Limit of the bytes that a parser leaves unconsumed after the head. Beast
 // takes chunk sizes, chunk extensions and trailers only as a whole and does not
 // limit them, so a sender that never completes one would fill the memory.
--- a/libs/net/src/ClientExchange.cpp
+++ b/libs/net/src/ClientExchange.cpp
@@ -1,5 +1,7 @@
 #include "ClientExchange.h"
 
+#include "wigeonfold/net/SocketIo.h"
+
 #include <boost/asio.hpp>
 #include <utility>
 
@@ -81,7 +83,7 @@
     return;
   }
   const AnswerReader::Result result =
-    aCode ? m_reader.End(HasEndedInOrder(aCode))
+    aCode ? m_reader.End(IsOrderlyEnd(aCode, m_writeError))
           : m_reader.Add({ m_bytes.data(), aBytes });
   switch (result) {
     case AnswerReader::Result::Incomplete:
@@ -97,15 +99,6 @@
   }
 }
 
-// After a write error that took a reset, a read sees the same end as after an
-// orderly close. broken_pipe shows that the server had ended its sending
-// before.
-bool ClientExchange::HasEndedInOrder(beast::error_code aCode) const
-{
-  return aCode == asio::error::eof &&
-         (!m_writeError || m_writeError == asio::error::broken_pipe);
-}
-
 void ClientExchange::OnFailed(AnswerReader::Result aResult,
                               beast::error_code aCode)
 {
--- a/libs/net/src/ClientExchange.h
+++ b/libs/net/src/ClientExchange.h
@@ -52,7 +52,6 @@
               std::shared_ptr<void> aOwner);
   void OnFailed(AnswerReader::Result aResult, boost::beast::error_code aCode);
   void Fail(ErrorCode aError, const char* aStep, std::string aDetail);
-  bool HasEndedInOrder(boost::beast::error_code aCode) const;
 
   // Answers of the control API, such as a whole tree, may be larger than the
   // limit for request bodies.
--- a/libs/net/src/SocketIo.cpp
+++ b/libs/net/src/SocketIo.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
 #include <vector>
 
 namespace wigeonfold::net {
@@ -29,4 +30,11 @@
   return aCode ? 0 : bytes;
 }
 
+bool IsOrderlyEnd(const boost::system::error_code& aReadCode,
+                  const boost::system::error_code& aWriteError)
+{
+  return aReadCode == boost::asio::error::eof &&
+         (!aWriteError || aWriteError == boost::asio::error::broken_pipe);
+}
+
 } // namespace wigeonfold::net
