Build the second target of a test on the thread that uses it

Cause: BrokenAnswers' test of a repeat made and ended a target on the test's own thread beside the thread that serves it. Change: as the other tests do, on the thread of the io_context.

--- a/apps/wigeonfold-node/test/BrokenAnswers_test.cpp
+++ b/apps/wigeonfold-node/test/BrokenAnswers_test.cpp
@@ -543,10 +543,13 @@
 // A request that may be repeated gets the answer of another target.
 TEST_F(SoundAnswers, ComeFromAnotherTargetWhereTheRequestMayBeRepeated)
 {
-  TestTarget other(m_io, [](int, const std::string&) {
-    return Reaction{ CompleteAnswer("other") };
+  std::unique_ptr<TestTarget> other;
+  RunOnIoThread([&] {
+    other = std::make_unique<TestTarget>(m_io, [](int, const std::string&) {
+      return Reaction{ CompleteAnswer("other") };
+    });
   });
-  Announce(0, other.Port());
+  Announce(0, other->Port());
   ServeAtPeer(
     [](int, const std::string&) {
       return Reaction{ "HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nhi" };
@@ -559,7 +562,7 @@
     EXPECT_EQ(Call(0, Get(path)).m_body, "other");
   }
   EXPECT_GT(m_target->m_requests, 0);
-  RunOnIoThread([&] { other.Stop(); });
+  RunOnIoThread([&] { other.reset(); });
 }
 
 } // namespace
