Include what a test's server uses

Cause: awaitable.hpp of Boost 1.74 uses std::exchange without <utility>. With precompiled headers another header brings it; without them (-DWIGEONFOLD_PCH=OFF) net_ClientAnswers_test didn't compile. Change: the header includes <utility> before Boost.Asio, and <atomic>. Measured: the test compiled alone, without precompiled headers: an error in awaitable.hpp before, none after.

--- a/libs/net/test/ScriptedServer.h
+++ b/libs/net/test/ScriptedServer.h
@@ -1,6 +1,9 @@
 // A server that writes fixed bytes, for tests of what clients make of them.
 #pragma once
 
+#include <utility>
+
+#include <atomic>
 #include <boost/asio.hpp>
 #include <string>
 #include <thread>
