Don't keep parts of answers to cancelled calls

Seen: a caller's node kept the first part of a large answer, with room for all of it (up to 1 MiB), until its connection to the other node ended. Cause: the call was cancelled, by its deadline or as the loser of a hedge, while that part was on its way. AnswerAssembly forgets the call at the cancel, and the part then began it anew; the rest doesn't come once the other node has read the cancel. Change: a part that begins an answer counts only for a call that is open (CallTable::Contains). Evidence: PartsOfACancelledCallAreNotKept has a peer that sends the first part twice behind the cancel, on real sockets. Also: a comment of CallerSide.h stands above its function again.

--- a/apps/wigeonfold-node/CallerSide.h
+++ b/apps/wigeonfold-node/CallerSide.h
@@ -145,9 +145,9 @@
                    const forwarding::StartAttempt& aStart);
   void HedgeSlow(uint64_t aId, TimePoint aNow);
   void CancelAttempt(ActiveCall& aCall, int aNumber);
-  // Whether the newest view has that order and it is running.
   void NoteBrokenAnswer(const forwarding::AttemptKey& aKey,
                         const net::BrokenAnswer& aBroken);
+  // Whether the newest view has that order and it is running.
   bool IsRunningOrder(const std::string& aService,
                       const std::string& aOrderId) const;
   // Counts an attempt of a request that began under the order that is running.
--- a/apps/wigeonfold-node/PeerClient.cpp
+++ b/apps/wigeonfold-node/PeerClient.cpp
@@ -272,7 +272,12 @@
   if (!decoded) {
     return false;
   }
-  return Deliver(aLink, aLink.m_answers.OnResponse(std::move(decoded.value())));
+  wire::CallResponse& response = decoded.value();
+  const bool inParts = response.__isset.bodyBytes;
+  if (inParts && !aLink.m_calls.Contains(response.callId)) {
+    return true; // cancelled meanwhile, so the rest of the answer may not come
+  }
+  return Deliver(aLink, aLink.m_answers.OnResponse(std::move(response)));
 }
 
 bool PeerClient::OnBodyPart(Link& aLink, const wire::Frame& aFrame)
--- a/apps/wigeonfold-node/test/PeerAnswers_test.cpp
+++ b/apps/wigeonfold-node/test/PeerAnswers_test.cpp
@@ -19,6 +19,7 @@
   wire::CallResponse m_response;
   std::vector<std::string> m_parts; // bodies of further parts
   bool m_close = false;
+  int m_atCancel = 0; // copies of the response that follow a cancelled call
 };
 
 class PeerAnswers : public TestNodes
@@ -38,7 +39,9 @@
         [reaction = std::move(aReaction)](const net::ConnectionPtr& aConnection,
                                           const wire::Frame& aFrame) {
           if (aFrame.m_type == FrameType::CallRequest) {
-            React(*aConnection, reaction, aFrame);
+            OnCall(*aConnection, reaction, aFrame);
+          } else if (aFrame.m_type == FrameType::CallCancel) {
+            OnCancel(*aConnection, reaction, aFrame);
           }
         };
       m_peer = std::move(
@@ -47,12 +50,15 @@
     SetView({ Endpoint("other", m_peer->Port()) });
   }
 
-  static void React(net::Connection& aConnection,
-                    const PeerReaction& aReaction,
-                    const wire::Frame& aFrame)
+  static void OnCall(net::Connection& aConnection,
+                     const PeerReaction& aReaction,
+                     const wire::Frame& aFrame)
   {
     const auto request =
       wire::Decode<wire::CallRequest>(aFrame.m_payload, "").value();
+    if (aReaction.m_atCancel > 0 && request.requestId == kCancelledId) {
+      return;
+    }
     wire::CallResponse response = aReaction.m_response;
     response.callId = request.callId;
     aConnection.Send(FrameType::CallResponse, response);
@@ -67,6 +73,19 @@
     }
   }
 
+  static void OnCancel(net::Connection& aConnection,
+                       const PeerReaction& aReaction,
+                       const wire::Frame& aFrame)
+  {
+    const auto cancel =
+      wire::Decode<wire::CallCancel>(aFrame.m_payload, "").value();
+    wire::CallResponse response = aReaction.m_response;
+    response.callId = cancel.callId;
+    for (int i = 0; i < aReaction.m_atCancel; ++i) {
+      aConnection.Send(FrameType::CallResponse, response);
+    }
+  }
+
   static wire::CallResponse Response(int aStatus,
                                      const std::string& aName = "X-Lot",
                                      const std::string& aValue = "7")
@@ -100,6 +119,9 @@
     return "";
   }
 
+  // Request that the peer leaves without an answer until it is cancelled.
+  static constexpr const char* kCancelledId = "cancelled";
+
   std::unique_ptr<net::Listener> m_peer;
 };
 
@@ -184,6 +206,24 @@
   EXPECT_EQ(Logged(EventId::ConnectionRejected, "step"), "read answer");
 }
 
+// The first part of an answer may be on its way while its call is cancelled.
+// Kept, it would stay until the connection ends. A second one shows whether it
+// was: it doesn't fit an answer that has begun.
+TEST_F(PeerAnswers, PartsOfACancelledCallAreNotKept)
+{
+  PeerReaction reaction{ Response(200), { "in", "st" } };
+  reaction.m_response.__set_bodyBytes(6);
+  reaction.m_atCancel = 2;
+  ServePeer(reaction);
+  const auto late = Call(
+    0,
+    Post("/lots",
+         { { kDeadlineHeader, "100" }, { kRequestIdHeader, kCancelledId } }));
+  EXPECT_EQ(late.m_status, 504);
+  EXPECT_EQ(CallOther().m_body, "hiinst");
+  EXPECT_EQ(Logged(EventId::ConnectionRejected, "peer"), "");
+}
+
 TEST_F(PeerAnswers, BodyBeyondTheLimitIsRefused)
 {
   wire::CallResponse response = Response(200);
--- a/libs/forwarding/include/wigeonfold/forwarding/CallTable.h
+++ b/libs/forwarding/include/wigeonfold/forwarding/CallTable.h
@@ -47,6 +47,8 @@
   // All calls, in the order in which they were opened.
   std::vector<OutstandingAttempt> Outstanding() const;
 
+  // Whether the call was opened and has not ended.
+  bool Contains(int64_t aId) const { return m_calls.contains(aId); }
   size_t Size() const { return m_calls.size(); }
 
 private:
--- a/libs/forwarding/test/Request_test.cpp
+++ b/libs/forwarding/test/Request_test.cpp
@@ -496,7 +496,9 @@
   table.MarkWritten(cancelled);
   EXPECT_EQ(table.Answer(answered), (AttemptKey{ 1, 0 }));
   EXPECT_EQ(table.Answer(answered), std::nullopt);
+  EXPECT_TRUE(table.Contains(cancelled));
   EXPECT_TRUE(table.Cancel(cancelled));
+  EXPECT_FALSE(table.Contains(cancelled));
   EXPECT_EQ(table.Answer(cancelled), std::nullopt);
   EXPECT_EQ(table.Answer(unwritten), std::nullopt);
   EXPECT_EQ(table.Answer(99), std::nullopt);
