Close connections behind chunks in HTTP/1.0

Seen: the node used a target's connection on after an answer of HTTP/1.0 with "Connection: keep-alive" and a transfer coding. Cause: the parser decodes chunks whatever the version. HTTP/1.0 has no transfer codings, so the sender may mean another end of the body, and bytes behind the last chunk would be read as the answer to the next request. RFC 9112, 6.1, has the receiver close the connection behind such a message. Change: AnswerReader::KeepsConnection() is false then. The answer itself still reaches the client. Evidence: ChunksInHttp10EndTheConnection failed before (one connection for two requests) and passes now; 83 of 83 in wigeonfold-node_BrokenAnswers_test, 12 of 12 in net_ClientAnswers_test.

--- a/apps/wigeonfold-node/test/BrokenAnswers_test.cpp
+++ b/apps/wigeonfold-node/test/BrokenAnswers_test.cpp
@@ -511,6 +511,24 @@
   }
 }
 
+// HTTP/1.0 has no transfer codings, so the sender may mean another end of the
+// body: what follows on the connection belongs to no request (RFC 9112, 6.1).
+TEST_F(SoundAnswers, ChunksInHttp10EndTheConnection)
+{
+  const std::string chunks = "\r\n2\r\nhi\r\n0\r\n\r\n";
+  for (const std::string version : { "1.0", "1.1" }) {
+    const std::string answer = "HTTP/" + version +
+                               " 200 OK\r\nConnection: keep-alive\r\n" +
+                               kChunked + chunks;
+    TestTarget& target = ServeAtPeer(
+      [answer](int, const std::string&) { return Reaction{ answer }; });
+    for (const size_t node : { 0U, 1U }) {
+      EXPECT_EQ(Call(node, Post("/lots")).m_body, "hi");
+    }
+    EXPECT_EQ(target.m_connections, version == "1.0" ? 2 : 1);
+  }
+}
+
 TEST_F(SoundAnswers, InterimAnswersPrecedeTheAnswer)
 {
   for (const size_t node : { 0U, 1U }) {
--- a/libs/net/include/wigeonfold/net/AnswerReader.h
+++ b/libs/net/include/wigeonfold/net/AnswerReader.h
@@ -94,7 +94,8 @@
   //
   // Precondition: the last result was Whole.
   bool IsDelimited() const;
-  // Whether the sender keeps the connection open behind the answer.
+  // Whether the connection can carry another exchange: the sender keeps it
+  // open, and the end of the answer is certain.
   //
   // Precondition: the last result was Whole.
   bool KeepsConnection() const;
--- a/libs/net/src/AnswerReader.cpp
+++ b/libs/net/src/AnswerReader.cpp
@@ -78,8 +78,9 @@
   std::optional<http::response_parser<http::string_body>> m_parser;
   std::string m_received; // not parsed yet
   bool m_isHead = false;
-  int m_interim = 0;     // interim answers to the request
-  HttpResponse m_answer; // head of the current message
+  int m_interim = 0;        // interim answers to the request
+  bool m_mustClose = false; // the connection, behind the current message
+  HttpResponse m_answer;    // head of the current message
   BrokenAnswer m_fault;
 };
 
@@ -236,6 +237,10 @@
   const auto& message = m_state->m_parser->get();
   HttpResponse& answer = m_state->m_answer;
   answer.m_status = static_cast<int>(message.result_int());
+  // HTTP/1.0 has no transfer codings, so the sender may mean another end of the
+  // body (RFC 9112, 6.1).
+  m_state->m_mustClose = message.version() < kHttp11 &&
+                         message.count(http::field::transfer_encoding) > 0;
   answer.m_fields.clear();
   for (const auto& field : message) {
     answer.m_fields.push_back(
@@ -267,7 +272,7 @@
 
 bool AnswerReader::KeepsConnection() const
 {
-  return m_state->m_parser->keep_alive();
+  return m_state->m_parser->keep_alive() && !m_state->m_mustClose;
 }
 
 bool AnswerReader::HasSurplus() const
--- a/libs/net/src/ClientExchange.cpp
+++ b/libs/net/src/ClientExchange.cpp
@@ -1,5 +1,7 @@
 #include "ClientExchange.h"
 
+#include "Framing.h"
+
 #include "wigeonfold/net/SocketIo.h"
 
 #include <boost/asio.hpp>
@@ -15,7 +17,6 @@
 
 constexpr const char* kSendStep = "send request";
 constexpr const char* kReadStep = "read answer";
-constexpr unsigned kHttp11 = 11;
 
 } // namespace
 
--- a/libs/net/src/Framing.h
+++ b/libs/net/src/Framing.h
@@ -6,6 +6,9 @@
 
 namespace wigeonfold::net {
 
+// Version 1.1 of HTTP, as Beast counts.
+inline constexpr unsigned kHttp11 = 11;
+
 // Whether the message names a transfer coding other than chunked alone, which
 // nothing here can decode. Passed on undecoded, its body would be another one
 // (RFC 9112, 6.1). Thread safe.
